--- /dev/null
+++ b/src/lineworks/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no sockets, no clock, no global randomness."""
--- /dev/null
+++ b/src/lineworks/decisions/estimators.py
@@ -0,0 +1,150 @@
+"""Running estimates: quantiles that forget, moving averages and token budgets."""
+
+from __future__ import annotations
+
+import math
+
+_GROWTH = 1.05
+_LOG_GROWTH = math.log(_GROWTH)
+_SMALLEST = 1e-4
+_BUCKETS = 320
+_REFRESH_EVERY = 50
+_DECAY_EVERY = 2000
+_MIN_SAMPLES = 50
+
+
+class Quantiles:
+    """A histogram of durations with buckets 5% wide, which halves old counts.
+
+    After each 2,000 samples all counts are halved, so that the estimate follows a changing
+    system. Quantiles are computed at most once in 50 samples.
+    """
+
+    def __init__(self) -> None:
+        self._counts = [0.0] * _BUCKETS
+        self._total = 0.0
+        self._since_decay = 0
+        self._since_refresh = _REFRESH_EVERY
+        self._cache: dict[float, float] = {}
+
+    @property
+    def has_samples(self) -> bool:
+        """Whether there are enough samples for an estimate."""
+        return self._total >= _MIN_SAMPLES
+
+    def record(self, seconds: float) -> None:
+        """Add one duration.
+
+        Args:
+            seconds: The duration; values below 0.1 ms count as 0.1 ms.
+        """
+        index = 0 if seconds <= _SMALLEST else int(math.log(seconds / _SMALLEST) / _LOG_GROWTH)
+        self._counts[min(index, _BUCKETS - 1)] += 1.0
+        self._total += 1.0
+        self._since_decay += 1
+        self._since_refresh += 1
+        if self._since_decay >= _DECAY_EVERY:
+            self._decay()
+
+    def quantile(self, share: float) -> float:
+        """Estimate a quantile.
+
+        Args:
+            share: Between 0 and 1, for example 0.95.
+
+        Returns:
+            Seconds, the upper edge of the bucket; 0 without samples.
+        """
+        if self._since_refresh >= _REFRESH_EVERY:
+            self._cache.clear()
+            self._since_refresh = 0
+        found = self._cache.get(share)
+        if found is None:
+            found = self._cache[share] = self._scan(share)
+        return found
+
+    def _scan(self, share: float) -> float:
+        wanted = self._total * share
+        seen = 0.0
+        for index, count in enumerate(self._counts):
+            seen += count
+            if count and seen >= wanted:
+                return _SMALLEST * _GROWTH ** (index + 1)
+        return 0.0
+
+    def _decay(self) -> None:
+        self._counts = [count / 2 for count in self._counts]
+        self._total /= 2
+        self._since_decay = 0
+
+
+class Average:
+    """An exponentially weighted moving average."""
+
+    def __init__(self, weight: float) -> None:
+        """Start without samples.
+
+        Args:
+            weight: Share (0 to 1) that a new sample gets.
+        """
+        self._weight = weight
+        self._value: float | None = None
+
+    @property
+    def value(self) -> float:
+        """The average so far; 0 without samples."""
+        return self._value or 0.0
+
+    def record(self, sample: float) -> None:
+        """Add one sample.
+
+        Args:
+            sample: Any number.
+        """
+        if self._value is None:
+            self._value = sample
+        else:
+            self._value += self._weight * (sample - self._value)
+
+
+class Budget:
+    """Tokens earned as a share of regular work and spent on extra work."""
+
+    def __init__(self, share: float, burst: float) -> None:
+        """Start with a full burst.
+
+        Args:
+            share: Tokens earned for each regular piece of work.
+            burst: Tokens kept at most.
+        """
+        self._share = share
+        self._burst = burst
+        self._tokens = burst
+
+    @property
+    def tokens(self) -> float:
+        """Tokens left."""
+        return self._tokens
+
+    def earn(self, pieces: int) -> None:
+        """Add tokens for regular work.
+
+        Args:
+            pieces: How many pieces of work were started.
+        """
+        self._tokens = min(self._burst, self._tokens + self._share * pieces)
+
+    def spend(self) -> bool:
+        """Take one token.
+
+        Returns:
+            Whether there was one to take.
+        """
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def give_back(self) -> None:
+        """Return a token whose extra work was not started after all."""
+        self._tokens = min(self._burst, self._tokens + 1.0)
--- /dev/null
+++ b/src/lineworks/decisions/limits.py
@@ -0,0 +1,97 @@
+"""How many requests may be under way at once, learned from what happens.
+
+Both limits rise additively while work goes well and shrink by a factor when it does not.
+"""
+
+from __future__ import annotations
+
+_MIN_LIMIT = 1.0
+_TARGET_SHRINK = 0.7
+_QUEUE_ALLOWANCE = 1
+_RAMP_START = 1.0
+
+
+class TargetLimit:
+    """Concurrent attempts that one gatherer allows itself at one target."""
+
+    def __init__(self, slots: int, connection_share: int, is_cold: bool = False) -> None:
+        """Start at the target's slots, or at one attempt where the target is cold.
+
+        Args:
+            slots: Requests that the target works on at once.
+            connection_share: Connections that this gatherer may hold to it.
+            is_cold: Whether the target has just started.
+        """
+        self._ceiling = float(max(1, min(connection_share, slots + _QUEUE_ALLOWANCE)))
+        self._value = _RAMP_START if is_cold else float(max(1, min(connection_share, slots)))
+
+    @property
+    def value(self) -> int:
+        """The limit now, at least 1."""
+        return int(self._value)
+
+    def on_success(self) -> None:
+        """Grow by one attempt for each `value` successes."""
+        self._value = min(self._ceiling, self._value + 1.0 / self._value)
+
+    def on_refused(self) -> None:
+        """Shrink after the target shed a request or refused a connection."""
+        self._value = max(_MIN_LIMIT, self._value * _TARGET_SHRINK)
+
+    def restart_cold(self) -> None:
+        """Begin the ramp again, because the target restarted or re-loads its index."""
+        self._value = _RAMP_START
+
+
+class QueryLimit:
+    """Concurrent queries that one front admits to one group.
+
+    The signal is the time that sub-queries wait for a slot, as the gatherers measure it. It
+    does not depend on how long the service itself takes.
+    """
+
+    def __init__(
+        self, wait_target: float, start: float = 32.0, floor: float = 2.0, ceiling: float = 1024.0
+    ) -> None:
+        """Start at a limit that any small deployment bears.
+
+        Args:
+            wait_target: Seconds of waiting for a slot that are acceptable.
+            start: First value.
+            floor: Smallest value.
+            ceiling: Largest value.
+        """
+        self._wait_target = wait_target
+        self._value = start
+        self._floor = floor
+        self._ceiling = ceiling
+        self._wait = 0.0
+        self._next_shrink = 0.0
+
+    @property
+    def value(self) -> int:
+        """The limit now."""
+        return int(self._value)
+
+    @property
+    def wait(self) -> float:
+        """Moving average, in seconds, of the wait signal."""
+        return self._wait
+
+    def on_answer(self, now: float, wait: float, latency: float, in_flight: int) -> None:
+        """Learn from one finished query.
+
+        Args:
+            now: The present, in seconds.
+            wait: The wait for a slot that decided the query, in seconds.
+            latency: How long the query took, in seconds; shrinking pauses for this long, since
+                an earlier change cannot be seen sooner.
+            in_flight: Queries under way when this one finished.
+        """
+        self._wait += 0.1 * (wait - self._wait)
+        if self._wait > self._wait_target:
+            if now >= self._next_shrink:
+                self._value = max(self._floor, min(self._value, in_flight + 1.0) * 0.85)
+                self._next_shrink = now + max(latency, self._wait_target)
+        elif in_flight + 1 >= self._value * 0.8:
+            self._value = min(self._ceiling, self._value + 1.0 / self._value)
--- /dev/null
+++ b/src/lineworks/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""The micro-kernel: named services, their start and stop order, and mailboxes."""
--- /dev/null
+++ b/src/lineworks/models/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models at the border: settings, configuration and HTTP bodies."""
--- /dev/null
+++ b/src/lineworks/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The command line programs."""
--- /dev/null
+++ b/src/lineworks/services/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own sockets."""
--- /dev/null
+++ b/src/lineworks/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for targets."""
--- /dev/null
+++ b/src/lineworks/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Schema and codec of the peer link."""
