--- a/src/lineworks/decisions/replicas.py
+++ b/src/lineworks/decisions/replicas.py
@@ -26,6 +26,15 @@
 FOREIGN_LOAD_CAP = 2.0
 """Load by other instances that a report can claim, as a multiple of the target's slots."""
 
+SUSPECT_AFTER = 2
+"""Slow attempts in a row, without a reply between them, that make a replica suspect."""
+
+SUSPECT_START = 0.1
+"""Seconds that a suspect is passed over at first; doubled with each further loss."""
+
+SUSPECT_CAP = 2.0
+"""Seconds that a suspect is passed over at most before it is tried again."""
+
 BACKOFF_START = 0.05
 """Seconds that a target is left alone after a first failure to connect."""
 
@@ -96,6 +105,12 @@
     progress_at: float = -math.inf
     """Last sign of progress: a reply, or the first attempt after an idle time."""
 
+    losses: int = 0
+    """Slow attempts given up since the target last replied."""
+
+    suspect_until: float = -math.inf
+    """Time before which other replicas are preferred, because of the losses."""
+
     def load(self, now: float) -> float:
         """Estimate the requests at the target.
 
@@ -118,6 +133,8 @@
         Returns:
             True when the target looks stuck.
         """
+        if self.suspect_until > now:
+            return True
         return self.in_flight > 0 and now - self.progress_at > patience
 
     def on_started(self, now: float) -> None:
@@ -141,6 +158,19 @@
         if is_progress:
             self.progress_at = now
             self.failures = 0
+            self.losses = 0
+            self.suspect_until = -math.inf
+
+    def on_lost_race(self, now: float) -> None:
+        """Note that a slow attempt was given up, which hides a stall from `is_stalled`.
+
+        Args:
+            now: The present, in seconds.
+        """
+        self.losses += 1
+        if self.losses >= SUSPECT_AFTER:
+            pause = SUSPECT_START * 2 ** (self.losses - SUSPECT_AFTER)
+            self.suspect_until = now + min(SUSPECT_CAP, pause)
 
     def on_unreachable(self, now: float, rng: random.Random) -> None:
         """Leave the target alone for a while, longer each time.
@@ -256,15 +286,19 @@
 
 
 def usable(
-    replicas: Sequence[Replica], snapshot: catalog.Snapshot, now: float, patience: float
+    replicas: Sequence[Replica],
+    snapshot: catalog.Snapshot | None,
+    now: float,
+    patience: float | None,
 ) -> list[Replica]:
     """List the replicas that may get an attempt, never ejecting the last one.
 
     Args:
         replicas: All replicas of the service that this gatherer owns.
-        snapshot: The pinned snapshot.
+        snapshot: The pinned snapshot, or None when any will do.
         now: The present, in seconds.
-        patience: Seconds without progress after which a replica counts as stalled.
+        patience: Seconds without progress after which a replica counts as stalled, or None to
+            pass over none.
 
     Returns:
         Replicas that hold the snapshot, are not leaving and are not resting; stalled ones are
@@ -273,7 +307,11 @@
     able = [
         replica
         for replica in replicas
-        if not replica.is_leaving and replica.rest_until <= now and snapshot in replica.holds
+        if not replica.is_leaving
+        and replica.rest_until <= now
+        and (snapshot is None or snapshot in replica.holds)
     ]
+    if patience is None or len(able) == 1:
+        return able
     lively = [replica for replica in able if not replica.is_stalled(now, patience)]
     return lively or able
--- /dev/null
+++ b/src/lineworks/engine/gatherer.py
@@ -0,0 +1,516 @@
+"""The gatherer: turns sub-queries into attempts at the targets that this instance owns.
+
+A sub-query that finds no replica with room waits in its service's queue and is bound to a
+replica only when one has room, so a slow replica holds up only what it is already working on.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import functools
+from typing import TYPE_CHECKING
+
+from lineworks.decisions import deadlines, estimators, replicas, verdict
+from lineworks.engine import messages, ports
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Iterable
+
+    from lineworks.decisions import catalog
+
+STALL_FACTOR = 6.0
+"""A replica without progress for this many usual service times counts as stalled."""
+
+STALL_FLOOR = 0.05
+"""Seconds without progress that are never a stall."""
+
+SLOW_FACTOR = 2.0
+"""An attempt given up after this many usual service times counts against its replica."""
+
+RETRY_BURST = 10.0
+"""Retries that a service's budget holds at most."""
+
+RETRY_SHARE = 0.1
+"""Retries earned for each sub-query."""
+
+SHED_REST = 0.02
+"""Seconds that a target is left alone after it shed a request."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tuning:
+    """Choices of a gatherer that the bench varies."""
+
+    choose: replicas.Choice = replicas.choose_least_loaded
+    """Rule that picks among replicas with room."""
+
+    is_bounded: bool = True
+    """Whether attempts are limited for each target and sub-queries wait for room."""
+
+    ejects_stalled: bool = True
+    """Whether replicas without progress are passed over."""
+
+
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """Counts of what a gatherer did, for metrics."""
+
+    started: int = 0
+    """Attempts handed to targets."""
+
+    hedges: int = 0
+    """Of those, second attempts that a front asked for."""
+
+    retries: int = 0
+    """Of those, attempts after a failed one."""
+
+    refused: int = 0
+    """Attempts that targets refused as not run."""
+
+    cancelled: int = 0
+    """Attempts given up."""
+
+    wrong_snapshot: int = 0
+    """Replies discarded because they came from another snapshot."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Sub:
+    """A sub-query under way."""
+
+    origin: str
+    request: messages.SubQueries
+    index: int
+    reply: Callable[[messages.ShardReply], None]
+    arrived: float
+    waited: float = 0.0
+    attempts: int = 0
+    running: dict[str, _Running] = dataclasses.field(default_factory=dict)
+    tried: set[str] = dataclasses.field(default_factory=set)
+    is_waiting: bool = False
+    is_done: bool = False
+    last: verdict.Verdict | None = None
+    last_target: str = ""
+
+    @property
+    def service(self) -> str:
+        return self.request.services[self.index]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Frame:
+    """The sub-queries of one message that have no outcome yet, counted."""
+
+    subs: list[_Sub]
+    open: int
+    timer: ports.Timer
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Running:
+    replica: replicas.Replica
+    started: float
+    cancel: Callable[[], None] | None = None
+
+
+class _Pool:
+    """The replicas of one service, with the sub-queries that wait for one."""
+
+    def __init__(self) -> None:
+        self.replicas: list[replicas.Replica] = []
+        self.waiting: collections.deque[_Sub] = collections.deque()
+        self.service_time = estimators.Average(0.05)
+        self.retries = estimators.Budget(RETRY_SHARE, RETRY_BURST)
+
+    @property
+    def patience(self) -> float:
+        return max(STALL_FLOOR, STALL_FACTOR * self.service_time.value)
+
+
+class Gatherer:
+    """Runs the sub-queries that fronts send to this instance."""
+
+    def __init__(
+        self,
+        clock: ports.Clock,
+        rng: random.Random,
+        targets: ports.TargetPort,
+        tuning: Tuning | None = None,
+        on_trace: Callable[[str, str, str, str], None] | None = None,
+    ) -> None:
+        """Start without targets.
+
+        Args:
+            clock: Time and timers.
+            rng: Random source.
+            targets: Sends attempts.
+            tuning: Choices that differ from the usual ones.
+            on_trace: Called with (query, shard, event, detail) at each step.
+        """
+        self._clock = clock
+        self._rng = rng
+        self._targets = targets
+        self._tuning = tuning or Tuning()
+        self._on_trace = on_trace
+        self._pools: dict[str, _Pool] = {}
+        self._by_target: dict[str, replicas.Replica] = {}
+        self._frames: dict[tuple[str, int], _Frame] = {}
+        self.counters = Counters()
+        self.on_holdings: Callable[[], None] = lambda: None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no sub-query is under way."""
+        return not self._frames
+
+    @property
+    def owned(self) -> Iterable[replicas.Replica]:
+        """The views of all targets that this instance owns."""
+        return self._by_target.values()
+
+    def set_targets(self, owned: Iterable[catalog.Target]) -> None:
+        """Replace the set of owned targets; work under way goes on.
+
+        Args:
+            owned: The targets that this instance owns now.
+        """
+        now_owned = {target.name: target for target in owned}
+        for name in list(self._by_target):
+            if name not in now_owned:
+                replica = self._by_target.pop(name)
+                self._pools[replica.target.service].replicas.remove(replica)
+        for name, target in now_owned.items():
+            replica = self._by_target.get(name)
+            if replica is None:
+                replica = self._by_target[name] = replicas.make_replica(target)
+                self._pool(target.service).replicas.append(replica)
+            replica.target = target
+            replica.is_leaving = replica.is_leaving or target.is_leaving
+        self.on_holdings()
+
+    def holdings(self) -> dict[str, frozenset[catalog.Snapshot]]:
+        """Tell what can be served from the owned targets.
+
+        Returns:
+            For each service, the snapshots that at least one replica which is not leaving holds.
+        """
+        held: dict[str, frozenset[catalog.Snapshot]] = {}
+        for service, pool in self._pools.items():
+            able = [replica.holds for replica in pool.replicas if not replica.is_leaving]
+            held[service] = frozenset().union(*able)
+        return held
+
+    def on_report(self, target: str, report: replicas.Report) -> None:
+        """Take in what a target said of itself.
+
+        Args:
+            target: Name of the target.
+            report: The report.
+        """
+        replica = self._by_target.get(target)
+        if replica is None:
+            return
+        before = (replica.holds, replica.is_leaving)
+        replica.on_report(self._clock.seconds(), report)
+        if before != (replica.holds, replica.is_leaving):
+            self.on_holdings()
+
+    def on_leaving(self, target: str) -> None:
+        """Note that a target is leaving; this holds for its whole incarnation.
+
+        Args:
+            target: Name of the target.
+        """
+        replica = self._by_target.get(target)
+        if replica is not None and not replica.is_leaving:
+            replica.is_leaving = True
+            self.on_holdings()
+
+    def on_sub_queries(
+        self,
+        origin: str,
+        request: messages.SubQueries,
+        reply: Callable[[messages.ShardReply], None],
+    ) -> None:
+        """Start the sub-queries of a frame.
+
+        Args:
+            origin: Incarnation of the front that asks.
+            request: The frame.
+            reply: Called once for each sub-query that is not cancelled.
+        """
+        now = self._clock.seconds()
+        key = (origin, request.frame)
+        subs = [_Sub(origin, request, index, reply, now) for index in range(len(request.services))]
+        delay = max(0.0, request.deadline - now)
+        timer = self._clock.callLater(delay, self._on_deadline, key)
+        self._frames[key] = _Frame(subs, len(subs), timer)
+        for sub in subs:
+            self._pool(sub.service).retries.earn(1)
+            self._place(sub)
+
+    def on_hedge(self, origin: str, hedge: messages.Hedge) -> None:
+        """Start a second attempt, unless the first has not started or no other replica can.
+
+        Args:
+            origin: Incarnation of the front that asks.
+            hedge: Which sub-query.
+        """
+        frame = self._frames.get((origin, hedge.frame))
+        if frame is None or not 0 <= hedge.index < len(frame.subs):
+            return
+        sub = frame.subs[hedge.index]
+        if sub.is_done or sub.is_waiting or not sub.request.is_repeatable:
+            return
+        replica = self._pick(self._able(sub))
+        if replica is not None:
+            self.counters.hedges += 1
+            self._start(sub, replica, "hedge")
+
+    def on_cancel(self, origin: str, cancel: messages.Cancel) -> None:
+        """Give up sub-queries and the attempts at them.
+
+        Args:
+            origin: Incarnation of the front that asked for them.
+            cancel: Which ones.
+        """
+        frame = self._frames.get((origin, cancel.frame))
+        if frame is None:
+            return
+        wanted = cancel.indices or range(len(frame.subs))
+        for index in wanted:
+            if 0 <= index < len(frame.subs):
+                self._abandon(frame.subs[index])
+
+    def on_origin_lost(self, origin: str) -> None:
+        """Give up everything repeatable that a front asked for, because its link is gone.
+
+        Args:
+            origin: Incarnation of the front.
+        """
+        for key in [key for key in self._frames if key[0] == origin]:
+            if self._frames[key].subs[0].request.is_repeatable:
+                self.on_cancel(origin, messages.Cancel(key[1]))
+
+    def _pool(self, service: str) -> _Pool:
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = self._pools[service] = _Pool()
+        return pool
+
+    def _able(self, sub: _Sub) -> list[replicas.Replica]:
+        """List the replicas that may still serve a sub-query, with or without room."""
+        pool = self._pool(sub.service)
+        request = sub.request
+        snapshot = request.snapshot if request.needs_snapshot else None
+        patience = pool.patience if self._tuning.ejects_stalled else None
+        able = replicas.usable(pool.replicas, snapshot, self._clock.seconds(), patience)
+        return [replica for replica in able if replica.target.name not in sub.tried]
+
+    def _pick(self, able: list[replicas.Replica]) -> replicas.Replica | None:
+        """Choose among able replicas the one to start at, or None when none has room."""
+        if self._tuning.is_bounded:
+            able = [replica for replica in able if replica.in_flight < replica.limit.value]
+        if not able:
+            return None
+        return self._tuning.choose(able, self._clock.seconds(), self._rng)
+
+    def _place(self, sub: _Sub) -> None:
+        """Start a sub-query's next attempt, or let it wait, or give it up."""
+        able = self._able(sub)
+        replica = self._pick(able)
+        if replica is not None:
+            self._start(sub, replica, "retry" if sub.attempts else "attempt")
+            return
+        if able:
+            sub.is_waiting = True
+            self._pool(sub.service).waiting.append(sub)
+            self._trace(sub, "wait", "no replica has room")
+            return
+        self._finish(sub, sub.last or self._why_none(sub))
+
+    def _why_none(self, sub: _Sub) -> verdict.Verdict:
+        pool = self._pool(sub.service)
+        present = [replica for replica in pool.replicas if not replica.is_leaving]
+        if not pool.replicas:
+            return verdict.not_run(verdict.Reason.NO_REPLICA, "no target is owned here")
+        if not present:
+            return verdict.not_run(verdict.Reason.LEAVING, "all replicas are leaving")
+        snapshot = sub.request.snapshot
+        if sub.request.needs_snapshot and not any(snapshot in r.holds for r in present):
+            return verdict.not_run(verdict.Reason.SNAPSHOT_GONE, f"no replica holds {snapshot}")
+        return verdict.not_run(verdict.Reason.UNREACHABLE, "all replicas are resting")
+
+    def _start(self, sub: _Sub, replica: replicas.Replica, event: str) -> None:
+        now = self._clock.seconds()
+        request = sub.request
+        if sub.attempts == 0:
+            sub.waited = now - sub.arrived
+        attempt_id = f"{request.query}.{request.frame}.{sub.index}.{sub.attempts}"
+        sub.attempts += 1
+        sub.last_target = replica.target.name
+        sub.tried.add(replica.target.name)
+        running = _Running(replica, now)
+        sub.running[attempt_id] = running
+        replica.on_started(now)
+        self.counters.started += 1
+        self._trace(sub, event, replica.target.name)
+        attempt = ports.Attempt(
+            attempt_id,
+            request.shards[sub.index],
+            request.snapshot if request.needs_snapshot else None,
+            request.body,
+            request.deadline,
+        )
+        running.cancel = self._targets.send(
+            replica.target, attempt, functools.partial(self._on_outcome, sub, attempt_id)
+        )
+
+    def _on_outcome(self, sub: _Sub, attempt_id: str, outcome: ports.Outcome) -> None:
+        running = sub.running.pop(attempt_id)
+        replica = running.replica
+        self._learn(sub, running, outcome)
+        if not sub.is_done:
+            self._judge(sub, outcome)
+        self._drain(self._pool(replica.target.service))
+
+    def _learn(self, sub: _Sub, running: _Running, outcome: ports.Outcome) -> None:
+        """Update the view of the target from how an attempt at it ended."""
+        now = self._clock.seconds()
+        replica = running.replica
+        reason = outcome.verdict.reason
+        is_silent = reason in (verdict.Reason.UNREACHABLE, verdict.Reason.LINK_LOST)
+        replica.on_ended(now, is_progress=not is_silent)
+        if outcome.report is not None:
+            self.on_report(replica.target.name, outcome.report)
+        if outcome.verdict.is_ok:
+            replica.limit.on_success()
+            self._pool(sub.service).service_time.record(now - running.started)
+        elif is_silent or reason is verdict.Reason.CAPPED:
+            replica.on_unreachable(now, self._rng)
+            replica.limit.on_refused()
+        elif reason is verdict.Reason.OVERLOADED:
+            replica.limit.on_refused()
+            replica.rest_until = now + SHED_REST
+        elif reason is verdict.Reason.LEAVING:
+            self.on_leaving(replica.target.name)
+        if outcome.verdict.is_not_run:
+            self.counters.refused += 1
+
+    def _judge(self, sub: _Sub, outcome: ports.Outcome) -> None:
+        """Answer, retry or wait for another attempt, by how this one ended."""
+        request = sub.request
+        found = outcome.verdict
+        if found.is_ok and request.needs_snapshot and outcome.snapshot != request.snapshot:
+            self.counters.wrong_snapshot += 1
+            detail = f"the target answered from {outcome.snapshot}"
+            found = verdict.ran(verdict.Reason.SNAPSHOT_GONE, detail)
+        self._trace(sub, "outcome", f"{found.certainty.value} {found.reason.value}")
+        if found.is_ok:
+            self._finish(sub, found, outcome)
+            return
+        sub.last = found if sub.last is None or not found.is_not_run else sub.last
+        if sub.running:
+            return
+        if self._may_retry(sub, found):
+            self.counters.retries += 1
+            self._place(sub)
+            return
+        self._finish(sub, sub.last)
+
+    def _may_retry(self, sub: _Sub, found: verdict.Verdict) -> bool:
+        if not found.is_not_run and not sub.request.is_repeatable:
+            return False
+        if self._clock.seconds() + deadlines.HOP_MARGIN >= sub.request.deadline:
+            return False
+        return self._pool(sub.service).retries.spend()
+
+    def _drain(self, pool: _Pool) -> None:
+        """Bind waiting sub-queries to replicas that have room now."""
+        waiting = pool.waiting
+        now = self._clock.seconds()
+        while waiting:
+            sub = waiting[0]
+            if sub.is_done or now >= sub.request.deadline:
+                waiting.popleft()
+                continue
+            able = self._able(sub)
+            replica = self._pick(able)
+            if able and replica is None:
+                return
+            waiting.popleft()
+            sub.is_waiting = False
+            if replica is None:
+                self._finish(sub, sub.last or self._why_none(sub))
+            else:
+                self._start(sub, replica, "retry" if sub.attempts else "attempt")
+
+    def _finish(
+        self, sub: _Sub, found: verdict.Verdict, outcome: ports.Outcome | None = None
+    ) -> None:
+        self._abandon(sub)
+        request = sub.request
+        waited = sub.waited if sub.attempts else self._clock.seconds() - sub.arrived
+        sub.reply(
+            messages.ShardReply(
+                request.frame,
+                sub.index,
+                found,
+                outcome.snapshot if outcome else None,
+                outcome.body if outcome else b"",
+                waited,
+                sub.last_target,
+                sub.attempts,
+            )
+        )
+
+    def _abandon(self, sub: _Sub) -> None:
+        """End a sub-query and cancel the attempts at it that still run."""
+        if sub.is_done:
+            return
+        sub.is_done = True
+        sub.is_waiting = False
+        self._close((sub.origin, sub.request.frame))
+        if not sub.running:
+            return
+        now = self._clock.seconds()
+        pool = self._pool(sub.service)
+        slow = SLOW_FACTOR * pool.service_time.value
+        for running in sub.running.values():
+            if running.cancel is not None:
+                running.cancel()
+            self.counters.cancelled += 1
+            running.replica.on_ended(now, is_progress=False)
+            if now - running.started > slow:
+                running.replica.on_lost_race(now)
+        sub.running.clear()
+        if pool.waiting:
+            self._clock.callLater(0, self._drain, pool)
+
+    def _on_deadline(self, key: tuple[str, int]) -> None:
+        for sub in list(self._frames[key].subs):
+            if sub.is_done:
+                continue
+            if sub.running:
+                found = verdict.may_have_run(verdict.Reason.DEADLINE, "no outcome in time")
+            else:
+                found = sub.last or verdict.not_run(
+                    verdict.Reason.OVERLOADED, "no replica had room in time"
+                )
+            self._finish(sub, found)
+
+    def _close(self, key: tuple[str, int]) -> None:
+        """Count one sub-query of a frame as done, and forget the frame after its last."""
+        frame = self._frames[key]
+        frame.open -= 1
+        if frame.open:
+            return
+        del self._frames[key]
+        if frame.timer.active():
+            frame.timer.cancel()
+
+    def _trace(self, sub: _Sub, event: str, detail: str) -> None:
+        if self._on_trace is not None:
+            self._on_trace(sub.request.query, sub.request.shards[sub.index], event, detail)
--- /dev/null
+++ b/src/lineworks/wire/codec.py
@@ -0,0 +1,332 @@
+"""Encodes and decodes frames of the peer link with Cap'n Proto.
+
+The schema is `peer.capnp`, loaded at import; no generator is needed.
+"""
+
+from __future__ import annotations
+
+import pathlib
+from typing import TYPE_CHECKING, Any
+
+import capnp
+
+from lineworks.decisions import catalog, verdict
+from lineworks.engine import messages
+from lineworks.wire import frames
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
+_FRAME = _SCHEMA.Frame
+
+MAX_FRAME = 4 * 1024 * 1024
+"""Bytes that a frame may have."""
+
+_TRAVERSAL_LIMIT = MAX_FRAME
+_MICROSECONDS = 1_000_000
+_MAX_REMAINING = 2**32 - 1
+_CERTAINTIES = tuple(verdict.Certainty)
+_REASONS = tuple(verdict.Reason)
+_CERTAINTY_NUMBERS = {item: number for number, item in enumerate(_CERTAINTIES)}
+_REASON_NUMBERS = {item: number for number, item in enumerate(_REASONS)}
+
+
+class MalformedFrameError(Exception):
+    """The bytes are not a frame of the peer link."""
+
+
+def encode(frame: frames.Frame, now: float) -> bytes:
+    """Write a frame.
+
+    Args:
+        frame: The message.
+        now: The present on the sender's clock, in seconds.
+
+    Returns:
+        The bytes, without a length prefix.
+    """
+    builder = _FRAME.new_message()
+    _ENCODERS[type(frame)](builder, frame, now)
+    data: bytes = builder.to_bytes()
+    return data
+
+
+def decode(data: bytes, now: float) -> frames.Frame:
+    """Read a frame.
+
+    Args:
+        data: The bytes, without a length prefix.
+        now: The present on the receiver's clock, in seconds.
+
+    Returns:
+        The message.
+
+    Raises:
+        MalformedFrameError: The bytes are truncated, damaged, of an unknown kind, or their
+            columns have different lengths.
+    """
+    try:
+        with _FRAME.from_bytes(data, traversal_limit_in_words=_TRAVERSAL_LIMIT) as reader:
+            decoder = _DECODERS.get(str(reader.which()))
+            if decoder is None:
+                raise MalformedFrameError("unknown kind of frame")
+            kind, read = decoder
+            return read(getattr(reader, kind), now)
+    except MalformedFrameError:
+        raise
+    except (capnp.KjException, ValueError, IndexError, UnicodeDecodeError, TypeError) as error:
+        raise MalformedFrameError(str(error).splitlines()[0] if str(error) else "?") from error
+
+
+def _remaining(deadline: float, now: float) -> int:
+    return min(_MAX_REMAINING, max(0, int((deadline - now) * _MICROSECONDS)))
+
+
+def _write_challenge(builder: Any, frame: frames.Challenge, now: float) -> None:
+    builder.init("challenge").nonce = frame.nonce
+
+
+def _write_hello(builder: Any, frame: frames.Hello, now: float) -> None:
+    body = builder.init("hello")
+    body.name = frame.name
+    body.hall = frame.hall
+    body.incarnation = frame.incarnation
+    body.mac = frame.mac
+
+
+def _write_heartbeat(builder: Any, frame: frames.Heartbeat, now: float) -> None:
+    body = builder.init("heartbeat")
+    body.isLeaving = frame.is_leaving
+    body.configVersion = frame.config_version
+    body.configDigest = frame.config_digest
+
+
+def _write_sub_queries(builder: Any, frame: messages.SubQueries, now: float) -> None:
+    body = builder.init("subQueries")
+    body.frame = frame.frame
+    body.query = frame.query
+    body.hall = frame.hall
+    body.snapshotVersion = frame.snapshot.version
+    body.snapshotLayout = frame.snapshot.layout
+    body.services = list(frame.services)
+    body.shards = list(frame.shards)
+    body.body = frame.body
+    body.remaining = _remaining(frame.deadline, now)
+    body.isRepeatable = frame.is_repeatable
+    body.needsSnapshot = frame.needs_snapshot
+
+
+def _write_hedge(builder: Any, frame: messages.Hedge, now: float) -> None:
+    body = builder.init("hedge")
+    body.frame = frame.frame
+    body.index = frame.index
+
+
+def _write_cancel(builder: Any, frame: messages.Cancel, now: float) -> None:
+    body = builder.init("cancel")
+    body.frame = frame.frame
+    body.indices = list(frame.indices)
+
+
+def _write_replies(builder: Any, frame: frames.Replies, now: float) -> None:
+    body = builder.init("replies")
+    rows = frame.replies
+    body.frames = [row.frame for row in rows]
+    body.indices = [row.index for row in rows]
+    body.certainties = [_CERTAINTY_NUMBERS[row.verdict.certainty] for row in rows]
+    body.reasons = [_REASON_NUMBERS[row.verdict.reason] for row in rows]
+    body.details = [row.verdict.detail for row in rows]
+    body.snapshots = [str(row.snapshot) if row.snapshot else "" for row in rows]
+    body.bodies = [row.body for row in rows]
+    body.waits = [min(_MAX_REMAINING, int(row.waited * _MICROSECONDS)) for row in rows]
+    body.targets = [row.target for row in rows]
+    body.attempts = [row.attempts for row in rows]
+
+
+def _write_holdings(builder: Any, frame: frames.Holdings, now: float) -> None:
+    body = builder.init("holdings")
+    body.services = list(frame.held)
+    body.snapshots = [
+        ",".join(str(snapshot) for snapshot in sorted(held)) for held in frame.held.values()
+    ]
+
+
+def _write_config_pull(builder: Any, frame: frames.ConfigPull, now: float) -> None:
+    body = builder.init("configPull")
+    body.version = frame.version
+    body.digest = frame.digest
+
+
+def _write_config_changes(builder: Any, frame: frames.ConfigChanges, now: float) -> None:
+    builder.init("configChanges").document = frame.document
+
+
+def _write_relay(builder: Any, frame: frames.Relay, now: float) -> None:
+    body = builder.init("relay")
+    body.number = frame.number
+    body.ticket = frame.ticket
+    body.document = frame.document
+    body.remaining = _remaining(frame.deadline, now)
+
+
+def _write_relay_reply(builder: Any, frame: frames.RelayReply, now: float) -> None:
+    body = builder.init("relayReply")
+    body.number = frame.number
+    body.document = frame.document
+
+
+def _read_challenge(body: Any, now: float) -> frames.Frame:
+    return frames.Challenge(bytes(body.nonce))
+
+
+def _read_hello(body: Any, now: float) -> frames.Frame:
+    return frames.Hello(body.name, body.hall, body.incarnation, bytes(body.mac))
+
+
+def _read_heartbeat(body: Any, now: float) -> frames.Frame:
+    return frames.Heartbeat(body.isLeaving, body.configVersion, body.configDigest)
+
+
+def _read_sub_queries(body: Any, now: float) -> frames.Frame:
+    services = tuple(body.services)
+    shards = tuple(body.shards)
+    if len(services) != len(shards) or not services:
+        raise MalformedFrameError("columns of different lengths")
+    return messages.SubQueries(
+        frame=body.frame,
+        query=body.query,
+        hall=body.hall,
+        snapshot=catalog.Snapshot(body.snapshotVersion, body.snapshotLayout),
+        services=services,
+        shards=shards,
+        body=bytes(body.body),
+        deadline=now + body.remaining / _MICROSECONDS,
+        is_repeatable=body.isRepeatable,
+        needs_snapshot=body.needsSnapshot,
+    )
+
+
+def _read_hedge(body: Any, now: float) -> frames.Frame:
+    return messages.Hedge(body.frame, body.index)
+
+
+def _read_cancel(body: Any, now: float) -> frames.Frame:
+    return messages.Cancel(body.frame, tuple(body.indices))
+
+
+def _read_replies(body: Any, now: float) -> frames.Frame:
+    columns = [
+        list(body.frames),
+        list(body.indices),
+        list(body.certainties),
+        list(body.reasons),
+        list(body.details),
+        list(body.snapshots),
+        list(body.bodies),
+        list(body.waits),
+        list(body.targets),
+        list(body.attempts),
+    ]
+    if len({len(column) for column in columns}) != 1:
+        raise MalformedFrameError("columns of different lengths")
+    return frames.Replies(tuple(_read_reply(*row) for row in zip(*columns, strict=True)))
+
+
+def _read_reply(
+    frame: int,
+    index: int,
+    certainty: int,
+    reason: int,
+    detail: str,
+    snapshot: str,
+    body: bytes,
+    waited: int,
+    target: str,
+    attempts: int,
+) -> messages.ShardReply:
+    found = verdict.Verdict(_CERTAINTIES[certainty], _REASONS[reason], detail)
+    return messages.ShardReply(
+        frame,
+        index,
+        found,
+        catalog.parse_snapshot(snapshot) if snapshot else None,
+        bytes(body),
+        waited / _MICROSECONDS,
+        target,
+        attempts,
+    )
+
+
+def _read_holdings(body: Any, now: float) -> frames.Frame:
+    services = list(body.services)
+    held = list(body.snapshots)
+    if len(services) != len(held):
+        raise MalformedFrameError("columns of different lengths")
+    return frames.Holdings(
+        {service: parse_snapshots(text) for service, text in zip(services, held, strict=True)}
+    )
+
+
+def parse_snapshots(text: str) -> frozenset[catalog.Snapshot]:
+    """Read snapshots joined by commas.
+
+    Args:
+        text: For example `7@base,6@base`; empty for none.
+
+    Returns:
+        The snapshots.
+
+    Raises:
+        ValueError: A part is not a snapshot.
+    """
+    return frozenset(catalog.parse_snapshot(part.strip()) for part in text.split(",") if part)
+
+
+def _read_config_pull(body: Any, now: float) -> frames.Frame:
+    return frames.ConfigPull(body.version, body.digest)
+
+
+def _read_config_changes(body: Any, now: float) -> frames.Frame:
+    return frames.ConfigChanges(bytes(body.document))
+
+
+def _read_relay(body: Any, now: float) -> frames.Frame:
+    deadline = now + body.remaining / _MICROSECONDS
+    return frames.Relay(body.number, body.ticket, bytes(body.document), deadline)
+
+
+def _read_relay_reply(body: Any, now: float) -> frames.Frame:
+    return frames.RelayReply(body.number, bytes(body.document))
+
+
+_ENCODERS: dict[type, Callable[[Any, Any, float], None]] = {
+    frames.Challenge: _write_challenge,
+    frames.Hello: _write_hello,
+    frames.Heartbeat: _write_heartbeat,
+    messages.SubQueries: _write_sub_queries,
+    messages.Hedge: _write_hedge,
+    messages.Cancel: _write_cancel,
+    frames.Replies: _write_replies,
+    frames.Holdings: _write_holdings,
+    frames.ConfigPull: _write_config_pull,
+    frames.ConfigChanges: _write_config_changes,
+    frames.Relay: _write_relay,
+    frames.RelayReply: _write_relay_reply,
+}
+
+_DECODERS: dict[str, tuple[str, Callable[[Any, float], frames.Frame]]] = {
+    "challenge": ("challenge", _read_challenge),
+    "hello": ("hello", _read_hello),
+    "heartbeat": ("heartbeat", _read_heartbeat),
+    "subQueries": ("subQueries", _read_sub_queries),
+    "hedge": ("hedge", _read_hedge),
+    "cancel": ("cancel", _read_cancel),
+    "replies": ("replies", _read_replies),
+    "holdings": ("holdings", _read_holdings),
+    "configPull": ("configPull", _read_config_pull),
+    "configChanges": ("configChanges", _read_config_changes),
+    "relay": ("relay", _read_relay),
+    "relayReply": ("relayReply", _read_relay_reply),
+}
--- /dev/null
+++ b/src/lineworks/wire/peer.capnp
@@ -0,0 +1,81 @@
+# Schema of the link between two instances. Lists that belong together are columns: entry i of
+# each describes item i. Times are microseconds; deadlines travel as remaining time.
+@0xc2f1d5a6b8e94f03;
+
+struct Frame {
+  union {
+    challenge @0 :Challenge;
+    hello @1 :Hello;
+    heartbeat @2 :Heartbeat;
+    subQueries @3 :SubQueries;
+    hedge @4 :Hedge;
+    cancel @5 :Cancel;
+    replies @6 :Replies;
+    holdings @7 :Holdings;
+    configPull @8 :ConfigPull;
+    configChanges @9 :ConfigChanges;
+    relay @10 :Relay;
+    relayReply @11 :RelayReply;
+  }
+}
+
+struct Challenge { nonce @0 :Data; }
+
+struct Hello {
+  name @0 :Text;
+  hall @1 :Text;
+  incarnation @2 :Text;
+  mac @3 :Data;
+}
+
+struct Heartbeat {
+  isLeaving @0 :Bool;
+  configVersion @1 :UInt64;
+  configDigest @2 :Text;
+}
+
+struct SubQueries {
+  frame @0 :UInt64;
+  query @1 :Text;
+  hall @2 :Text;
+  snapshotVersion @3 :UInt64;
+  snapshotLayout @4 :Text;
+  services @5 :List(Text);
+  shards @6 :List(Text);
+  body @7 :Data;
+  remaining @8 :UInt32;
+  isRepeatable @9 :Bool;
+  needsSnapshot @10 :Bool;
+}
+
+struct Hedge { frame @0 :UInt64; index @1 :UInt32; }
+
+struct Cancel { frame @0 :UInt64; indices @1 :List(UInt32); }
+
+struct Replies {
+  frames @0 :List(UInt64);
+  indices @1 :List(UInt32);
+  certainties @2 :List(UInt8);
+  reasons @3 :List(UInt8);
+  details @4 :List(Text);
+  snapshots @5 :List(Text);
+  bodies @6 :List(Data);
+  waits @7 :List(UInt32);
+  targets @8 :List(Text);
+  attempts @9 :List(UInt16);
+}
+
+struct Holdings { services @0 :List(Text); snapshots @1 :List(Text); }
+
+struct ConfigPull { version @0 :UInt64; digest @1 :Text; }
+
+struct ConfigChanges { document @0 :Data; }
+
+struct Relay {
+  number @0 :UInt64;
+  ticket @1 :Text;
+  document @2 :Data;
+  remaining @3 :UInt32;
+}
+
+struct RelayReply { number @0 :UInt64; document @1 :Data; }
