--- /dev/null
+++ b/src/lineworks/models/target_http.py
@@ -0,0 +1,172 @@
+"""The HTTP interface of targets: headers of a sub-query, its reply, and the report.
+
+Described for authors of targets in docs/reference/targets.md.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from lineworks.decisions import catalog, replicas, verdict
+from lineworks.engine import ports
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+REQUEST = "Lineworks-Request"
+"""Identity of the attempt."""
+
+SHARD = "Lineworks-Shard"
+"""The shard wanted."""
+
+SNAPSHOT = "Lineworks-Snapshot"
+"""In a request the snapshot wanted, in a reply the one answered from."""
+
+REMAINING = "Lineworks-Remaining-Ms"
+"""Milliseconds left until the reply is of no use."""
+
+LOAD = "Lineworks-Load"
+"""`busy,queue`: slots in use and requests waiting."""
+
+STATE = "Lineworks-State"
+"""`serving`, `cold` or `leaving`."""
+
+HOLDS = "Lineworks-Holds"
+"""Snapshots held, joined by commas."""
+
+INCARNATION = "Lineworks-Incarnation"
+"""Identity of the target's process."""
+
+NOT_RUN = "Lineworks-Not-Run"
+"""Says that the request was not run, with the reason: overloaded, leaving, snapshot, cancelled."""
+
+_REFUSALS = {
+    "overloaded": verdict.Reason.OVERLOADED,
+    "leaving": verdict.Reason.LEAVING,
+    "snapshot": verdict.Reason.SNAPSHOT_GONE,
+    "cancelled": verdict.Reason.CANCELLED,
+    "deadline": verdict.Reason.DEADLINE,
+}
+
+
+class MalformedReplyError(ValueError):
+    """A target's reply breaks the interface."""
+
+
+def request_headers(attempt: ports.Attempt, remaining: float) -> dict[str, str]:
+    """Write the headers of a sub-query.
+
+    Args:
+        attempt: The attempt.
+        remaining: Seconds left.
+
+    Returns:
+        Headers by name.
+    """
+    headers = {
+        REQUEST: attempt.id,
+        SHARD: attempt.shard,
+        REMAINING: str(int(remaining * 1000)),
+        "Content-Type": "application/octet-stream",
+    }
+    if attempt.snapshot is not None:
+        headers[SNAPSHOT] = str(attempt.snapshot)
+    return headers
+
+
+def read_outcome(status: int, headers: Mapping[str, str], body: bytes) -> ports.Outcome:
+    """Read a target's reply to a sub-query.
+
+    Args:
+        status: HTTP status.
+        headers: Reply headers by name in title case.
+        body: Reply body.
+
+    Returns:
+        The outcome. A refusal is NOT_RUN only where the target says so itself.
+    """
+    try:
+        report = _read_report_headers(headers)
+        snapshot = catalog.parse_snapshot(headers[SNAPSHOT]) if SNAPSHOT in headers else None
+    except ValueError as error:
+        return ports.Outcome(verdict.may_have_run(verdict.Reason.FAILED, str(error)))
+    refusal = headers.get(NOT_RUN)
+    if refusal is not None:
+        reason = _REFUSALS.get(refusal, verdict.Reason.OVERLOADED)
+        return ports.Outcome(verdict.not_run(reason, "the target refused"), None, b"", report)
+    if status == 200:
+        return ports.Outcome(verdict.OK, snapshot, body, report)
+    found = verdict.ran(verdict.Reason.FAILED, f"the target replied with status {status}")
+    return ports.Outcome(found, snapshot, b"", report)
+
+
+def report_headers(report: replicas.Report) -> dict[str, str]:
+    """Write a report as reply headers, as a target does.
+
+    Args:
+        report: The report.
+
+    Returns:
+        Headers by name.
+    """
+    return {
+        LOAD: f"{report.busy},{report.queue}",
+        STATE: state_name(report),
+        HOLDS: ",".join(str(snapshot) for snapshot in sorted(report.holds)),
+        INCARNATION: report.incarnation,
+    }
+
+
+def state_name(report: replicas.Report) -> str:
+    """Name the state that a report tells.
+
+    Args:
+        report: The report.
+
+    Returns:
+        `leaving`, `cold` or `serving`.
+    """
+    if report.is_leaving:
+        return "leaving"
+    return "cold" if report.is_cold else "serving"
+
+
+def parse_report(document: Any) -> replicas.Report:
+    """Read the body of `GET /v1/report`.
+
+    Args:
+        document: The parsed JSON.
+
+    Returns:
+        The report.
+
+    Raises:
+        MalformedReplyError: A key is missing or wrong.
+    """
+    try:
+        return replicas.Report(
+            str(document["incarnation"]),
+            frozenset(catalog.parse_snapshot(text) for text in document["holds"]),
+            int(document["busy"]),
+            int(document["queue"]),
+            document["state"] == "cold",
+            document["state"] == "leaving",
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise MalformedReplyError(f"report: {error}") from error
+
+
+def _read_report_headers(headers: Mapping[str, str]) -> replicas.Report | None:
+    if INCARNATION not in headers:
+        return None
+    busy, _, queue = headers.get(LOAD, "0,0").partition(",")
+    holds = (part for part in headers.get(HOLDS, "").split(",") if part)
+    state = headers.get(STATE, "serving")
+    return replicas.Report(
+        headers[INCARNATION],
+        frozenset(catalog.parse_snapshot(part) for part in holds),
+        int(busy),
+        int(queue or "0"),
+        state == "cold",
+        state == "leaving",
+    )
--- /dev/null
+++ b/src/lineworks/services/config_keeper.py
@@ -0,0 +1,266 @@
+"""Keeps the configuration in force at this instance and spreads it.
+
+Two instances of each hall watch the platform's head; all others learn from peers, who compare
+version and digest in every heartbeat. An instance that hears of nothing asks the platform itself
+now and then. Only a higher version whose chain holds the own digest is taken.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import structlog
+from twisted.internet import defer
+
+from lineworks.decisions import catalog, changes, ownership
+from lineworks.models import configuration
+from lineworks.services import config_store, platform_client
+from lineworks.wire import frames
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from lineworks.services import peer_links
+
+WATCHERS = 2
+"""Instances of a hall that watch the head."""
+
+SILENT_POLL = 30.0
+"""Seconds after which an instance that does not watch asks the platform itself."""
+
+RETRY_START = 0.2
+"""Seconds before a failed read is tried again; doubled up to `RETRY_CAP`, with jitter."""
+
+RETRY_CAP = 5.0
+"""Seconds between tries at most."""
+
+_WATCH_SUBJECT = "config-head"
+_log = structlog.get_logger(component="config_keeper")
+
+
+class ConfigKeeper:
+    """The configuration in force."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        rng: random.Random,
+        name: str,
+        store: config_store.ConfigStore,
+        links: peer_links.PeerLinks,
+        hall_members: Callable[[], list[str]],
+    ) -> None:
+        """Start with the empty configuration.
+
+        Args:
+            reactor: Twisted's reactor.
+            rng: Source of jitter.
+            name: Name of this instance.
+            store: The configuration in the platform.
+            links: Links to peers.
+            hall_members: Tells the live instances of this instance's hall.
+        """
+        self._reactor = reactor
+        self._rng = rng
+        self._name = name
+        self._store = store
+        self._links = links
+        self._hall_members = hall_members
+        self._items: dict[str, str] = {}
+        self._head = changes.EMPTY_HEAD
+        self._changed_at = reactor.seconds()
+        self._confirmed_at = 0.0
+        self._following: defer.Deferred[Any] | None = None
+        self._is_stopped = False
+        self.alarms: dict[str, int] = {}
+        self.listeners: list[Callable[[catalog.Catalog, dict[str, float]], None]] = []
+        links.handle(frames.ConfigPull, self._on_pull)
+        links.handle(frames.ConfigChanges, self._on_changes)
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 before the first."""
+        return self._head.version
+
+    @property
+    def digest(self) -> str:
+        """Digest of the version in force."""
+        return self._head.digest
+
+    @property
+    def head(self) -> changes.Head:
+        """The head in force."""
+        return self._head
+
+    @property
+    def items(self) -> dict[str, str]:
+        """All items in force as JSON, by key."""
+        return dict(self._items)
+
+    @property
+    def age(self) -> float:
+        """Seconds since this version was last known to be the newest."""
+        age: float = self._reactor.seconds() - self._confirmed_at
+        return age
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this instance is one of its hall's watchers."""
+        members = self._hall_members()
+        return self._name in ownership.owners(_WATCH_SUBJECT, members, WATCHERS)
+
+    def start(self) -> None:
+        """Begin to follow the platform's head."""
+        self._following = defer.ensureDeferred(self._follow_platform())
+
+    def stop(self) -> None:
+        """Stop following."""
+        self._is_stopped = True
+        if self._following is not None:
+            self._following.addErrback(lambda failure: failure.trap(defer.CancelledError))
+            self._following.cancel()
+
+    def on_heartbeat(self, peer: str, version: int, digest: str) -> None:
+        """Compare a peer's version with the own one, and ask for what is lacking.
+
+        Args:
+            peer: The peer.
+            version: Version in force there.
+            digest: Its digest.
+        """
+        if version > self.version:
+            self._links.send(peer, frames.ConfigPull(self.version, self.digest))
+        elif version == self.version and digest == self.digest:
+            self._confirmed_at = max(self._confirmed_at, self._reactor.seconds() - 1.0)
+        elif version == self.version and digest != self.digest:
+            self._alarm("forked", f"{peer} has another version {version}")
+
+    async def refresh(self) -> None:
+        """Read the platform's head now and follow it."""
+        head, _ = await self._store.read_head()
+        await self._take_from_platform(head)
+
+    async def _follow_platform(self) -> None:
+        revision = 0
+        pause = RETRY_START
+        while not self._is_stopped:
+            try:
+                if self.is_watcher and revision:
+                    head, revision = await self._store.watch_head(revision)
+                else:
+                    head, revision = await self._store.read_head()
+                await self._take_from_platform(head)
+                pause = RETRY_START
+                if not self.is_watcher:
+                    await self._sleep(SILENT_POLL)
+                elif not revision:
+                    await self._sleep(RETRY_START)
+            except (platform_client.PlatformError, configuration.ConfigurationError) as error:
+                _log.warning("platform_read_failed", error=str(error))
+                await self._sleep(pause)
+                pause = min(RETRY_CAP, pause * 2)
+
+    async def _take_from_platform(self, head: changes.Head) -> None:
+        step = changes.follow(self.version, self.digest, head)
+        if isinstance(step, changes.Rejected):
+            self._alarm(step.reason, step.detail)
+            return
+        if isinstance(step, changes.Whole):
+            manifest = await self._store.read_manifest(head.manifest)
+            self._put_in_force(head, await self._store.read_items(manifest))
+        elif step.changes:
+            wanted, deleted = _net(step.changes)
+            fetched = await self._store.read_items(wanted)
+            self._put_in_force(head, _apply(self._items, fetched, deleted))
+        self._confirmed_at = self._reactor.seconds()
+
+    def _on_pull(self, link: peer_links.PeerLink, frame: frames.ConfigPull) -> None:
+        if frame.version >= self.version:
+            return
+        link.send(frames.ConfigChanges(self._transfer(frame.version, frame.digest)))
+
+    def _transfer(self, version: int, digest: str) -> bytes:
+        """Write what a peer at a version lacks: changed items, or all where it is too far back."""
+        step = changes.follow(version, digest, self._head)
+        if isinstance(step, changes.Follow):
+            wanted, _ = _net(step.changes)
+            items = {key: self._items[key] for key in wanted}
+        else:
+            items = self._items
+        document = {
+            "head": json.loads(config_store.head_to_json(self._head)),
+            "is_whole": not isinstance(step, changes.Follow),
+            "items": items,
+        }
+        return json.dumps(document).encode()
+
+    def _on_changes(self, link: peer_links.PeerLink, frame: frames.ConfigChanges) -> None:
+        try:
+            document = json.loads(frame.document)
+            head = config_store.head_from_json(json.dumps(document["head"]))
+            items = {str(key): str(text) for key, text in document["items"].items()}
+            is_whole = bool(document["is_whole"])
+        except (ValueError, KeyError, TypeError, AttributeError, configuration.ConfigurationError):
+            link.close("malformed frame: configuration")
+            return
+        step = changes.follow(self.version, self.digest, head)
+        if isinstance(step, changes.Rejected):
+            if step.reason != "older":
+                self._alarm(step.reason, step.detail)
+            return
+        try:
+            if is_whole:
+                self._put_in_force(head, items)
+            elif isinstance(step, changes.Follow) and step.changes:
+                _, deleted = _net(step.changes)
+                self._put_in_force(head, _apply(self._items, items, deleted))
+        except configuration.ConfigurationError as error:
+            self._alarm("damaged", str(error))
+
+    def _put_in_force(self, head: changes.Head, items: dict[str, str]) -> None:
+        """Check a configuration against its manifest and put it in force.
+
+        The version is compared again, since another one may have come while this was read.
+        """
+        if head.version <= self.version:
+            return
+        manifest = {key: changes.content_digest(text) for key, text in items.items()}
+        if changes.content_digest(configuration.canonical(manifest)) != head.manifest:
+            raise configuration.ConfigurationError("the items do not make up the manifest")
+        built = configuration.build(items, head.version, head.digest)
+        self._items = items
+        self._head = head
+        self._changed_at = self._confirmed_at = self._reactor.seconds()
+        _log.info("configuration_in_force", version=head.version, digest=head.digest[:12])
+        weights = configuration.class_weights(items)
+        for listener in self.listeners:
+            listener(built, weights)
+        self._links.broadcast(self._links.make_heartbeat())
+
+    def _alarm(self, kind: str, detail: str) -> None:
+        self.alarms[kind] = self.alarms.get(kind, 0) + 1
+        _log.error("configuration_alarm", kind=kind, detail=detail)
+
+    async def _sleep(self, seconds: float) -> None:
+        await platform_client.sleep(self._reactor, seconds * (0.5 + self._rng.random() / 2))
+
+
+def _net(steps: tuple[changes.Change, ...]) -> tuple[dict[str, str], set[str]]:
+    """Sum up changes: content digests of the keys put, and the keys deleted."""
+    puts: dict[str, str] = {}
+    deleted: set[str] = set()
+    for change in steps:
+        for key in change.deletes:
+            puts.pop(key, None)
+            deleted.add(key)
+        for key, digest in change.puts.items():
+            puts[key] = digest
+            deleted.discard(key)
+    return puts, deleted
+
+
+def _apply(items: dict[str, str], fetched: dict[str, str], deleted: set[str]) -> dict[str, str]:
+    kept = {key: text for key, text in items.items() if key not in deleted}
+    return {**kept, **fetched}
--- /dev/null
+++ b/src/lineworks/services/membership.py
@@ -0,0 +1,165 @@
+"""Which instances are live: the platform's list, corrected by own evidence.
+
+The list lags. A peer with a link in use is live whatever the list says; a peer that is listed but
+cannot be reached counts as live only for `GRACE` seconds; a peer that said it is leaving gets no
+new work at once.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import structlog
+from twisted.internet import defer
+
+from lineworks.decisions import members
+from lineworks.services import platform_client
+from lineworks.wire import frames
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from lineworks.services import peer_links
+
+ANNOUNCE_SECONDS = 3.0
+"""Seconds between announcements to the platform."""
+
+LEASE_SECONDS = 10.0
+"""Seconds for which the platform lists this instance after an announcement."""
+
+_log = structlog.get_logger(component="membership")
+
+
+class Membership:
+    """The live instances as this one sees them."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        rng: random.Random,
+        me: platform_client.Member,
+        platform: platform_client.PlatformClient,
+        links: peer_links.PeerLinks,
+        seeds: list[platform_client.Member],
+    ) -> None:
+        """Start alone.
+
+        Args:
+            reactor: Twisted's reactor.
+            rng: Source of jitter.
+            me: This instance's own entry.
+            platform: The platform.
+            links: Links to peers.
+            seeds: Peers known from the settings.
+        """
+        self._reactor = reactor
+        self._rng = rng
+        self._me = me
+        self._platform = platform
+        self._links = links
+        self._seeds = seeds
+        self._state = members.MemberState(me.name, me.hall)
+        self._listed: dict[str, platform_client.Member] = {}
+        self._task: defer.Deferred[Any] | None = None
+        self._is_stopped = False
+        self._published: dict[str, str] = {}
+        self.is_leaving = False
+        self.listeners: list[Callable[[dict[str, str]], None]] = []
+        links.on_up.append(self._on_up)
+        links.on_down.append(self._on_down)
+
+    @property
+    def live(self) -> dict[str, str]:
+        """Live instances that take work, each with its hall."""
+        return self._state.live(self._reactor.seconds())
+
+    def hall_members(self) -> list[str]:
+        """List the live instances of the own hall, this one among them.
+
+        Returns:
+            Names.
+        """
+        return [name for name, hall in self.live.items() if hall == self._me.hall]
+
+    def start(self) -> None:
+        """Begin to announce this instance and to read the list."""
+        self._links.set_wanted({seed.name: seed for seed in self._seeds})
+        self._task = defer.ensureDeferred(self._run())
+
+    def stop(self) -> None:
+        """Stop announcing."""
+        self._is_stopped = True
+        if self._task is not None:
+            self._task.addErrback(lambda failure: failure.trap(defer.CancelledError))
+            self._task.cancel()
+
+    async def announce_leaving(self) -> None:
+        """Tell all peers, and then the platform, that this instance takes no new work."""
+        self.is_leaving = True
+        self._links.broadcast(self._links.make_heartbeat())
+        self._publish()
+        try:
+            await self._announce()
+        except (platform_client.PlatformError, platform_client.PlatformUnsureError) as error:
+            _log.warning("announce_failed", error=str(error))
+
+    def on_heartbeat(self, peer: str, is_leaving: bool) -> None:
+        """Take in what a peer says of itself.
+
+        Args:
+            peer: The peer.
+            is_leaving: Whether it takes no new work.
+        """
+        if is_leaving:
+            self._state.on_leaving(peer)
+        self._publish()
+
+    async def _run(self) -> None:
+        while not self._is_stopped:
+            try:
+                await self._announce()
+                self._take_list(await self._platform.members())
+            except (platform_client.PlatformError, platform_client.PlatformUnsureError) as error:
+                _log.warning("membership_failed", error=str(error))
+            self._publish()
+            pause = ANNOUNCE_SECONDS * (0.75 + self._rng.random() / 2)
+            await platform_client.sleep(self._reactor, pause)
+
+    async def _announce(self) -> None:
+        me = self._me
+        entry = platform_client.Member(
+            me.name, me.hall, me.host, me.port, me.incarnation, self.is_leaving
+        )
+        await self._platform.announce(entry, LEASE_SECONDS)
+
+    def _take_list(self, listed: list[platform_client.Member]) -> None:
+        now = self._reactor.seconds()
+        self._listed = {member.name: member for member in listed if member.name != self._me.name}
+        self._state.on_list(
+            [
+                members.Listed(member.name, member.hall, member.incarnation, member.is_leaving)
+                for member in self._listed.values()
+            ],
+            now,
+        )
+        wanted = {seed.name: seed for seed in self._seeds}
+        wanted.update(self._listed)
+        wanted.pop(self._me.name, None)
+        self._links.set_wanted(wanted)
+
+    def _on_up(self, hello: frames.Hello) -> None:
+        self._state.on_up(hello.name, hello.hall, hello.incarnation)
+        self._publish()
+
+    def _on_down(self, name: str) -> None:
+        self._state.on_down(name, self._reactor.seconds())
+        self._publish()
+
+    def _publish(self) -> None:
+        live = self.live
+        if live == self._published:
+            return
+        self._published = dict(live)
+        for listener in self.listeners:
+            listener(live)
--- /dev/null
+++ b/src/lineworks/services/peer_links.py
@@ -0,0 +1,398 @@
+"""Links between instances: one TCP connection for each pair, framed and authenticated.
+
+Each side sends a `Challenge` and answers the other's with a `Hello` that is signed over it. All
+other frames are only taken after that. A frame that cannot be read closes its link and touches
+nothing else.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import os
+from typing import TYPE_CHECKING, Any
+
+import structlog
+from twisted.internet import endpoints, protocol
+from twisted.protocols import basic
+
+from lineworks.wire import codec, frames
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from lineworks.services import platform_client
+
+HEARTBEAT_SECONDS = 1.0
+"""Seconds between heartbeats on a link."""
+
+SILENCE_SECONDS = 4.0
+"""Seconds without a frame after which a link counts as lost."""
+
+HANDSHAKE_SECONDS = 3.0
+"""Seconds that a new link has to say who it is."""
+
+REDIAL_START = 0.1
+"""Seconds before a lost link is dialled again."""
+
+REDIAL_CAP = 2.0
+"""Seconds between dials at most."""
+
+_NONCE_BYTES = 16
+_log = structlog.get_logger(component="peer_links")
+
+
+def sign(secret: bytes, nonce: bytes, name: str, hall: str, incarnation: str) -> bytes:
+    """Sign a `Hello`.
+
+    Args:
+        secret: The shared secret.
+        nonce: The other side's challenge.
+        name: Name of the signer.
+        hall: Its data hall.
+        incarnation: Identity of its process.
+
+    Returns:
+        HMAC-SHA256.
+    """
+    text = "\0".join((name, hall, incarnation)).encode()
+    return hmac.new(secret, nonce + text, hashlib.sha256).digest()
+
+
+class PeerLink(basic.Int32StringReceiver):
+    """One end of a link."""
+
+    MAX_LENGTH = codec.MAX_FRAME
+
+    def __init__(self, links: PeerLinks) -> None:
+        self._links = links
+        self._nonce = os.urandom(_NONCE_BYTES)
+        self._is_dead = False
+        self.hello: frames.Hello | None = None
+        self.heard_at = 0.0
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Challenge the other side."""
+        self.transport.setTcpNoDelay(True)
+        self.heard_at = self._links.now
+        self.send(frames.Challenge(self._nonce))
+
+    def send(self, frame: frames.Frame) -> None:
+        """Send a frame.
+
+        Args:
+            frame: The frame.
+        """
+        self.sendString(codec.encode(frame, self._links.now))
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Take in one frame.
+
+        Args:
+            string: Its bytes.
+        """
+        if self._is_dead:
+            return
+        self.heard_at = self._links.now
+        try:
+            frame = codec.decode(string, self.heard_at)
+        except codec.MalformedFrameError as error:
+            self.close(f"malformed frame: {error}")
+            return
+        if self.hello is None:
+            self._on_handshake(frame)
+        else:
+            self._links.on_frame(self, frame)
+
+    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
+        """Close the link, because a frame is too long.
+
+        Args:
+            length: The length announced.
+        """
+        self.close(f"frame of {length} bytes")
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Tell the links that this one is gone.
+
+        Args:
+            reason: Why, by Twisted.
+        """
+        self._is_dead = True
+        self._links.on_closed(self)
+
+    def close(self, reason: str) -> None:
+        """Close the link.
+
+        Args:
+            reason: Why; it is logged.
+        """
+        if self._is_dead:
+            return
+        self._is_dead = True
+        name = self.hello.name if self.hello else None
+        _log.warning("link_closed", peer=name, reason=reason)
+        self._links.counts[f"closed:{reason.partition(':')[0]}"] = (
+            self._links.counts.get(f"closed:{reason.partition(':')[0]}", 0) + 1
+        )
+        self.transport.abortConnection()
+
+    def _on_handshake(self, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.Challenge):
+            self.send(self._links.make_hello(frame.nonce))
+        elif isinstance(frame, frames.Hello):
+            if not self._links.is_genuine(frame, self._nonce):
+                self.close("refused: the signature is wrong")
+                return
+            self.hello = frame
+            self._links.on_opened(self)
+        else:
+            self.close(f"refused: {type(frame).__name__} before hello")
+
+
+class PeerLinks:
+    """Keeps a link to every member and hands frames to the services that take them."""
+
+    def __init__(self, reactor: Any, name: str, hall: str, incarnation: str, secret: bytes) -> None:
+        """Make links without any peer.
+
+        Args:
+            reactor: Twisted's reactor.
+            name: Name of this instance.
+            hall: Its data hall.
+            incarnation: Identity of its process.
+            secret: The shared secret.
+        """
+        self._reactor = reactor
+        self._name = name
+        self._hall = hall
+        self._incarnation = incarnation
+        self._secret = secret
+        self._links: dict[str, PeerLink] = {}
+        self._unproven: set[PeerLink] = set()
+        self._wanted: dict[str, platform_client.Member] = {}
+        self._dialling: set[str] = set()
+        self._delays: dict[str, float] = {}
+        self._handlers: dict[type, Callable[[PeerLink, Any], None]] = {}
+        self._port: Any = None
+        self._timer: Any = None
+        self._is_stopped = False
+        self.counts: dict[str, int] = {}
+        self.make_heartbeat: Callable[[], frames.Heartbeat] = lambda: frames.Heartbeat(False, 0, "")
+        self.on_up: list[Callable[[frames.Hello], None]] = []
+        self.on_down: list[Callable[[str], None]] = []
+
+    @property
+    def now(self) -> float:
+        """The present, in seconds."""
+        seconds: float = self._reactor.seconds()
+        return seconds
+
+    @property
+    def up(self) -> Mapping[str, PeerLink]:
+        """Proven links by the name of the peer."""
+        return self._links
+
+    def handle(self, kind: type, handler: Callable[[PeerLink, Any], None]) -> None:
+        """Say who takes a kind of frame.
+
+        Args:
+            kind: Class of the frame.
+            handler: Called with the link and the frame.
+        """
+        self._handlers[kind] = handler
+
+    def listen(self, host: str, port: int) -> Any:
+        """Accept links.
+
+        Args:
+            host: IP address.
+            port: TCP port; 0 lets the system choose.
+
+        Returns:
+            A deferred with the listening port.
+        """
+        factory = protocol.Factory.forProtocol(lambda: self._make_link())
+        endpoint = endpoints.TCP4ServerEndpoint(self._reactor, port, interface=host)
+
+        def keep(listening: Any) -> Any:
+            self._port = listening
+            return listening
+
+        return endpoint.listen(factory).addCallback(keep)
+
+    def start(self) -> None:
+        """Begin the heartbeats."""
+        self._timer = self._reactor.callLater(HEARTBEAT_SECONDS, self._beat)
+
+    def stop(self) -> Any:
+        """Close every link and stop listening."""
+        self._is_stopped = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        for link in [*self._links.values(), *self._unproven]:
+            link.transport.loseConnection()
+        return self._port.stopListening() if self._port is not None else None
+
+    def set_wanted(self, members: Mapping[str, platform_client.Member]) -> None:
+        """Say which peers there are; the one with the lower name dials.
+
+        Args:
+            members: Members by name.
+        """
+        self._wanted = {name: member for name, member in members.items() if name > self._name}
+        for name in self._wanted:
+            self._dial_if_needed(name)
+
+    def send(self, name: str, frame: frames.Frame) -> bool:
+        """Send a frame to a peer.
+
+        Args:
+            name: The peer.
+            frame: The frame.
+
+        Returns:
+            False when there is no link, and so nothing was sent.
+        """
+        link = self._links.get(name)
+        if link is None:
+            return False
+        link.send(frame)
+        return True
+
+    def broadcast(self, frame: frames.Frame) -> None:
+        """Send a frame to every peer.
+
+        Args:
+            frame: The frame.
+        """
+        for link in self._links.values():
+            link.send(frame)
+
+    def make_hello(self, nonce: bytes) -> frames.Hello:
+        """Answer a challenge.
+
+        Args:
+            nonce: The challenge.
+
+        Returns:
+            The signed hello.
+        """
+        mac = sign(self._secret, nonce, self._name, self._hall, self._incarnation)
+        return frames.Hello(self._name, self._hall, self._incarnation, mac)
+
+    def is_genuine(self, hello: frames.Hello, nonce: bytes) -> bool:
+        """Check a hello against the challenge that was sent.
+
+        Args:
+            hello: The hello.
+            nonce: The challenge.
+
+        Returns:
+            Whether the other side knows the secret and is not this instance.
+        """
+        expected = sign(self._secret, nonce, hello.name, hello.hall, hello.incarnation)
+        return hmac.compare_digest(expected, hello.mac) and hello.name != self._name
+
+    def on_opened(self, link: PeerLink) -> None:
+        """Take a proven link into use, in place of an older one to the same peer.
+
+        Args:
+            link: The link.
+        """
+        hello = link.hello
+        assert hello is not None
+        self._unproven.discard(link)
+        older = self._links.get(hello.name)
+        if older is not None:
+            del self._links[hello.name]
+            older.close("replaced: a newer link was opened")
+            self._tell_down(hello.name)
+        self._links[hello.name] = link
+        self._delays.pop(hello.name, None)
+        _log.info("link_up", peer=hello.name, hall=hello.hall)
+        link.send(self.make_heartbeat())
+        for listener in self.on_up:
+            listener(hello)
+
+    def on_frame(self, link: PeerLink, frame: frames.Frame) -> None:
+        """Hand a frame to the service that takes its kind.
+
+        Args:
+            link: Where it came from.
+            frame: The frame.
+        """
+        handler = self._handlers.get(type(frame))
+        if handler is None:
+            link.close(f"unexpected frame: {type(frame).__name__}")
+            return
+        handler(link, frame)
+
+    def on_closed(self, link: PeerLink) -> None:
+        """Note that a link is gone.
+
+        Args:
+            link: The link.
+        """
+        self._unproven.discard(link)
+        name = link.hello.name if link.hello else ""
+        if self._links.get(name) is link:
+            del self._links[name]
+            _log.info("link_down", peer=name)
+            self._tell_down(name)
+        if name:
+            self._redial_later(name)
+
+    def _tell_down(self, name: str) -> None:
+        for listener in self.on_down:
+            listener(name)
+
+    def _make_link(self) -> PeerLink:
+        link = PeerLink(self)
+        self._unproven.add(link)
+        self._reactor.callLater(HANDSHAKE_SECONDS, self._drop_unproven, link)
+        return link
+
+    def _drop_unproven(self, link: PeerLink) -> None:
+        if link in self._unproven:
+            self._unproven.discard(link)
+            if link.transport is not None:
+                link.close("refused: no hello in time")
+
+    def _dial_if_needed(self, name: str) -> None:
+        if self._is_stopped or name in self._links or name in self._dialling:
+            return
+        member = self._wanted.get(name)
+        if member is None:
+            return
+        self._dialling.add(name)
+        endpoint = endpoints.TCP4ClientEndpoint(
+            self._reactor, member.host, member.port, timeout=HANDSHAKE_SECONDS
+        )
+        factory = protocol.Factory.forProtocol(lambda: self._make_link())
+        dialled = endpoint.connect(factory)
+        dialled.addBoth(self._on_dialled, name)
+
+    def _on_dialled(self, result: Any, name: str) -> None:
+        self._dialling.discard(name)
+        if isinstance(result, PeerLink):
+            # The proof comes later; a link that never proves itself is dialled again.
+            self._reactor.callLater(HANDSHAKE_SECONDS + 1, self._dial_if_needed, name)
+        else:
+            self._redial_later(name)
+
+    def _redial_later(self, name: str) -> None:
+        if name not in self._wanted or self._is_stopped:
+            return
+        delay = self._delays.get(name, REDIAL_START)
+        self._delays[name] = min(REDIAL_CAP, delay * 2)
+        self._reactor.callLater(delay, self._dial_if_needed, name)
+
+    def _beat(self) -> None:
+        self._timer = self._reactor.callLater(HEARTBEAT_SECONDS, self._beat)
+        heartbeat = self.make_heartbeat()
+        for link in list(self._links.values()):
+            if self.now - link.heard_at > SILENCE_SECONDS:
+                link.close("silent: no frame in time")
+            else:
+                link.send(heartbeat)
