--- /dev/null
+++ b/src/lineworks/models/caller_http.py
@@ -0,0 +1,337 @@
+"""The caller interface: request and response bodies of `/v1/search`, `/v1/run`, `/v1/tickets`.
+
+Described in docs/reference/callers.md.
+"""
+
+from __future__ import annotations
+
+import base64
+import dataclasses
+import hashlib
+import json
+from typing import TYPE_CHECKING, Any
+
+import pydantic
+
+from lineworks.decisions import coverage, deadlines, verdict
+from lineworks.models import _base
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from lineworks.decisions import catalog
+    from lineworks.engine import front
+
+DEFAULT_DEADLINE_MS = 1000
+"""Milliseconds that a caller waits when it names no deadline."""
+
+MAX_FIELDS = 32
+"""Fields that a search may have."""
+
+CLASS_FIELD = "class"
+"""Name under which selectors see the caller class."""
+
+TENANT_FIELD = "tenant"
+"""Name under which selectors see the tenant."""
+
+_DeadlineMs = pydantic.Field(
+    default=DEFAULT_DEADLINE_MS, ge=1, le=int(deadlines.MAX_DEADLINE * 1000)
+)
+
+
+class RequestError(Exception):
+    """A caller's request breaks a rule; the message names the field."""
+
+    def __init__(self, field: str, message: str) -> None:
+        """Make an error.
+
+        Args:
+            field: Path of the field.
+            message: What is wrong with it.
+        """
+        super().__init__(f"{field}: {message}")
+        self.field = field
+
+
+class SearchBody(_base.Model):
+    """A search."""
+
+    fields: dict[_base.Name, str] = pydantic.Field(default={}, max_length=MAX_FIELDS)
+    """What selectors match, besides class and tenant."""
+
+    body: str = ""
+    """Handed to every shard as it is."""
+
+    caller_class: _base.Name = pydantic.Field(default="default", alias="class")
+    """Caller class."""
+
+    tenant: _base.Name = "none"
+    """Customer on whose behalf the caller asks."""
+
+    deadline_ms: int = _DeadlineMs
+    """Milliseconds that the caller waits."""
+
+    min_coverage: float | None = pydantic.Field(default=None, ge=0.0, le=1.0, strict=False)
+    """Share of shards below which the caller wants a refusal."""
+
+    def selector_fields(self) -> dict[str, str]:
+        """List the fields that selectors match.
+
+        Returns:
+            The search's own fields with class and tenant.
+        """
+        return {**self.fields, CLASS_FIELD: self.caller_class, TENANT_FIELD: self.tenant}
+
+
+class RunBody(_base.Model):
+    """One request to one service."""
+
+    service: _base.Name
+    """The service."""
+
+    shard: _base.Name | None = None
+    """The shard, where the service has several."""
+
+    body: str = ""
+    """Handed to the target as it is."""
+
+    caller_class: _base.Name = pydantic.Field(default="default", alias="class")
+    """Caller class."""
+
+    tenant: _base.Name = "none"
+    """Customer on whose behalf the caller asks."""
+
+    deadline_ms: int = _DeadlineMs
+    """Milliseconds that the caller waits."""
+
+    unrepeatable: bool = False
+    """Whether it may run at most once."""
+
+    ticket: str | None = pydantic.Field(default=None, max_length=400)
+    """A ticket from `/v1/tickets`, so that the caller may ask again safely."""
+
+    def fingerprint(self) -> str:
+        """Digest what the request does.
+
+        Returns:
+            Hexadecimal digits, equal for requests that ask for the same thing.
+        """
+        parts = [self.service, self.shard, self.body, self.tenant]
+        return request_digest(parts)
+
+
+class TicketsBody(_base.Model):
+    """Asks for tickets."""
+
+    count: int = pydantic.Field(default=1, ge=1, le=100)
+    """How many."""
+
+    lifetime_ms: int = pydantic.Field(default=60_000, ge=1000, le=600_000)
+    """Milliseconds for which each may be used."""
+
+
+def request_digest(parts: Sequence[Any]) -> str:
+    """Digest a list of plain values.
+
+    Args:
+        parts: Values that JSON can hold.
+
+    Returns:
+        SHA-256 in hexadecimal digits.
+    """
+    return hashlib.sha256(json.dumps(parts).encode()).hexdigest()
+
+
+def parse(model: type[_base.Model], data: bytes, limit: int) -> Any:
+    """Read a request body.
+
+    Args:
+        model: The model that it must fit.
+        data: JSON.
+        limit: Bytes allowed.
+
+    Returns:
+        An instance of the model.
+
+    Raises:
+        RequestError: The body is too large, not JSON, or breaks a rule.
+    """
+    if len(data) > limit:
+        raise RequestError("(body)", f"larger than {limit} bytes")
+    try:
+        return model.model_validate_json(data or b"{}")
+    except pydantic.ValidationError as error:
+        problem = _base.first_problem(error)
+        field, _, message = problem.partition(": ")
+        raise RequestError(field, message) from error
+
+
+_STATUS_BY_REASON = {
+    verdict.Reason.INVALID: 400,
+    verdict.Reason.NO_SELECTOR: 404,
+    verdict.Reason.NO_SERVICE: 404,
+    verdict.Reason.KEY_TAKEN: 409,
+    verdict.Reason.TICKET_USED: 409,
+    verdict.Reason.TICKET_UNKNOWN: 410,
+    verdict.Reason.TICKET_EXPIRED: 410,
+    verdict.Reason.ISSUER_GONE: 410,
+    verdict.Reason.DEADLINE: 504,
+    verdict.Reason.FAILED: 502,
+    verdict.Reason.LINK_LOST: 502,
+    verdict.Reason.COVERAGE: 502,
+}
+
+_DEFAULT_STATUS = 503
+
+
+def status_of(found: verdict.Verdict) -> int:
+    """Choose the HTTP status of a verdict.
+
+    Args:
+        found: The verdict.
+
+    Returns:
+        200 for an answer; else by reason, 503 for every reason that asking again may mend.
+    """
+    return 200 if found.is_ok else _STATUS_BY_REASON.get(found.reason, _DEFAULT_STATUS)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A response to a caller, before it is written as HTTP."""
+
+    status: int
+    """HTTP status."""
+
+    document: dict[str, Any]
+    """The JSON body."""
+
+    retry_after: float | None = None
+    """Seconds after which the caller may ask again."""
+
+
+def answer_reply(answer: front.Answer, config_age: float) -> Reply:
+    """Describe an answer to its caller.
+
+    Args:
+        answer: The answer.
+        config_age: Seconds since the configuration was known to be the newest.
+
+    Returns:
+        The response.
+    """
+    document = {
+        "query": answer.query,
+        "verdict": _verdict(answer.verdict),
+        "snapshot": str(answer.snapshot) if answer.snapshot else None,
+        "configuration": {
+            "version": answer.config_version,
+            "age_ms": round(config_age * 1000),
+        },
+        "coverage": _coverage(answer.coverage),
+        "replies": {shard: _body(data) for shard, data in answer.bodies.items()},
+    }
+    return _reply(answer.verdict, document, answer.retry_after)
+
+
+def verdict_reply(found: verdict.Verdict, retry_after: float | None = None) -> Reply:
+    """Describe a request that never became a query.
+
+    Args:
+        found: The verdict.
+        retry_after: Seconds after which the caller may ask again.
+
+    Returns:
+        The response.
+    """
+    return _reply(found, {"verdict": _verdict(found)}, retry_after)
+
+
+def problem_reply(status: int, title: str, detail: str, **more: Any) -> Reply:
+    """Describe a request that could not be read.
+
+    Args:
+        status: HTTP status.
+        title: What kind of problem.
+        detail: What is wrong.
+        more: Further members.
+
+    Returns:
+        The response.
+    """
+    found = verdict.not_run(verdict.Reason.INVALID, detail)
+    document = {
+        "type": "about:blank",
+        "title": title,
+        "status": status,
+        "detail": detail,
+        "verdict": _verdict(found),
+        **more,
+    }
+    return Reply(status, document)
+
+
+def _reply(found: verdict.Verdict, document: dict[str, Any], retry_after: float | None) -> Reply:
+    status = status_of(found)
+    if status != 200:
+        problem = {
+            "type": "about:blank",
+            "title": f"{found.certainty.value}: {found.reason.value}",
+            "status": status,
+            "detail": found.detail,
+        }
+        document = {**problem, **document}
+    return Reply(status, document, retry_after)
+
+
+def _verdict(found: verdict.Verdict) -> dict[str, str]:
+    return {
+        "certainty": found.certainty.value,
+        "reason": found.reason.value,
+        "detail": found.detail,
+    }
+
+
+def _coverage(reached: coverage.Coverage) -> dict[str, Any]:
+    return {
+        "share": round(reached.share, 6),
+        "covered": list(reached.covered),
+        "lacking": {shard: _verdict(found) for shard, found in reached.lacking.items()},
+    }
+
+
+def _body(data: bytes) -> str | dict[str, str]:
+    try:
+        return data.decode()
+    except UnicodeDecodeError:
+        return {"base64": base64.b64encode(data).decode()}
+
+
+def describe_match(
+    matched: str | None, considered: Sequence[str], group: catalog.Group
+) -> dict[str, Any]:
+    """Describe how a query would be planned.
+
+    Args:
+        matched: Name of the selector that serves it, or None.
+        considered: Names of all selectors that match.
+        group: The group reached.
+
+    Returns:
+        A JSON document.
+    """
+    return {
+        "selector": matched,
+        "considered": list(considered),
+        "group": group.name,
+        "services": {
+            service.name: {
+                "layouts": {layout: list(shards) for layout, shards in service.layouts.items()},
+                "replicas": [
+                    {"target": t.name, "hall": t.hall, "leaving": t.is_leaving}
+                    for t in service.targets
+                ],
+            }
+            for service in group.services
+        },
+    }
--- /dev/null
+++ b/src/lineworks/services/metrics.py
@@ -0,0 +1,141 @@
+"""Metrics for Prometheus; docs/operators/metrics.md says what each means."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import prometheus_client
+from prometheus_client import core
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from lineworks.engine import front, gatherer
+
+MAX_LABELS = 50
+"""Tenants, and classes, that get a label of their own; later ones are counted as `other`."""
+
+_BUCKETS = (0.005, 0.01, 0.02, 0.035, 0.05, 0.078, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 5, 10)
+_COVERAGE_BUCKETS = (0.0, 0.5, 0.8, 0.9, 0.95, 0.99, 1.0)
+
+
+class _BoundedLabel:
+    """Lets the first `MAX_LABELS` values through and calls the rest `other`."""
+
+    def __init__(self) -> None:
+        self._known: set[str] = set()
+
+    def __call__(self, value: str) -> str:
+        if value in self._known:
+            return value
+        if len(self._known) >= MAX_LABELS:
+            return "other"
+        self._known.add(value)
+        return value
+
+
+class Metrics:
+    """All metrics of an instance."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self._tenant = _BoundedLabel()
+        self._class = _BoundedLabel()
+        self._seconds = prometheus_client.Histogram(
+            "lineworks_query_seconds",
+            "Time from admission to answer.",
+            ("tenant", "caller_class"),
+            buckets=_BUCKETS,
+            registry=self.registry,
+        )
+        self._coverage = prometheus_client.Histogram(
+            "lineworks_query_coverage",
+            "Share of shards covered by answers.",
+            ("caller_class",),
+            buckets=_COVERAGE_BUCKETS,
+            registry=self.registry,
+        )
+        self._verdicts = prometheus_client.Counter(
+            "lineworks_query_verdicts",
+            "Queries by verdict.",
+            ("caller_class", "certainty", "reason"),
+            registry=self.registry,
+        )
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+    def observe(self, tenant: str, caller_class: str, answer: front.Answer, seconds: float) -> None:
+        """Count an answer.
+
+        Args:
+            tenant: The customer.
+            caller_class: The caller class.
+            answer: The answer.
+            seconds: How long it took.
+        """
+        bounded = self._class(caller_class)
+        found = answer.verdict
+        self._seconds.labels(self._tenant(tenant), bounded).observe(seconds)
+        self._verdicts.labels(bounded, found.certainty.value, found.reason.value).inc()
+        if answer.snapshot is not None:
+            self._coverage.labels(bounded).observe(answer.coverage.share)
+
+    def collect_from(self, read: Callable[[], Iterable[tuple[str, str, dict[str, float]]]]) -> None:
+        """Export counts that services keep themselves.
+
+        Args:
+            read: Tells, for each metric, its name, its help text, and values by label.
+        """
+        self.registry.register(_Collector(read))
+
+    def export(self) -> bytes:
+        """Write all metrics.
+
+        Returns:
+            Text in Prometheus's exposition format.
+        """
+        text: bytes = prometheus_client.generate_latest(self.registry)
+        return text
+
+
+class _Collector:
+    def __init__(self, read: Callable[[], Iterable[tuple[str, str, dict[str, float]]]]) -> None:
+        self._read = read
+
+    def collect(self) -> Iterable[Any]:
+        for name, text, values in self._read():
+            family = core.GaugeMetricFamily(name, text, labels=("kind",))
+            for label, value in sorted(values.items()):
+                family.add_metric((label,), value)
+            yield family
+
+    def describe(self) -> Iterable[Any]:
+        return ()
+
+
+def engine_counts(
+    front_counters: front.Counters, gatherer_counters: gatherer.Counters
+) -> Iterable[tuple[str, str, dict[str, float]]]:
+    """List the engine's counts.
+
+    Args:
+        front_counters: Counts of the front.
+        gatherer_counters: Counts of the gatherer.
+
+    Yields:
+        Name, help text and values of each metric.
+    """
+    yield (
+        "lineworks_front_events",
+        "Counts kept by the front.",
+        {name: float(getattr(front_counters, name)) for name in front_counters.__slots__},
+    )
+    yield (
+        "lineworks_gatherer_events",
+        "Counts kept by the gatherer.",
+        {name: float(getattr(gatherer_counters, name)) for name in gatherer_counters.__slots__},
+    )
--- /dev/null
+++ b/src/lineworks/services/runs.py
@@ -0,0 +1,338 @@
+"""Runs single requests: plain ones, ones with a ticket, and ones with an idempotency key."""
+
+from __future__ import annotations
+
+import json
+import secrets
+import time
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer
+
+from lineworks.decisions import claims, deadlines, tickets, verdict
+from lineworks.engine import front
+from lineworks.models import caller_http
+from lineworks.wire import frames
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from lineworks.services import claim_writer, cluster, config_keeper, peer_links
+
+_KEY_PREFIX = "key:"
+
+
+class Runs:
+    """Runs each unrepeatable request at most once."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        rng: random.Random,
+        name: str,
+        incarnation: str,
+        core: cluster.Cluster,
+        links: peer_links.PeerLinks,
+        keeper: config_keeper.ConfigKeeper,
+        writer: claim_writer.ClaimWriter,
+    ) -> None:
+        """Start with an empty ticket book.
+
+        Args:
+            reactor: Twisted's reactor.
+            rng: Source of ticket nonces.
+            name: Name of this instance.
+            incarnation: Identity of this process.
+            core: The query engine.
+            links: Links to peers, for relayed tickets.
+            keeper: The configuration in force.
+            writer: Claims idempotency keys.
+        """
+        self._reactor = reactor
+        self._name = name
+        self._incarnation = incarnation
+        self._core = core
+        self._links = links
+        self._keeper = keeper
+        self._writer = writer
+        self._book: tickets.TicketBook[caller_http.Reply] = tickets.TicketBook(
+            name, incarnation, rng
+        )
+        self._waiting: dict[str, list[defer.Deferred[caller_http.Reply]]] = {}
+        self._relayed: dict[int, tuple[str, defer.Deferred[caller_http.Reply]]] = {}
+        self._numbers = 0
+        self._outcomes: dict[str, caller_http.Reply] = {}
+        self._in_progress = 0
+        links.handle(frames.Relay, self._on_relay)
+        links.handle(frames.RelayReply, self._on_relay_reply)
+        links.on_down.append(self._on_down)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is under way here."""
+        return self._in_progress == 0
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Make unused tickets worthless."""
+        self._book.void_unused()
+
+    def void_unused(self) -> int:
+        """Make unused tickets worthless, because this instance is leaving.
+
+        Returns:
+            How many there were.
+        """
+        return self._book.void_unused()
+
+    def mint(self, body: caller_http.TicketsBody) -> list[str]:
+        """Issue tickets.
+
+        Args:
+            body: The caller's request.
+
+        Returns:
+            The tickets.
+        """
+        now = self._reactor.seconds()
+        lifetime = body.lifetime_ms / 1000
+        return [str(self._book.mint(now, lifetime)) for _ in range(body.count)]
+
+    async def run(
+        self,
+        body: caller_http.RunBody,
+        key: str | None,
+        set_cancel: Callable[[Callable[[], None]], None] | None = None,
+    ) -> caller_http.Reply:
+        """Run a caller's request.
+
+        Args:
+            body: The request.
+            key: Its idempotency key, if any.
+            set_cancel: Takes a function that cancels it, where that is allowed.
+
+        Returns:
+            The response.
+        """
+        deadline = self._reactor.seconds() + body.deadline_ms / 1000
+        self._in_progress += 1
+        try:
+            if body.ticket is not None and key is not None:
+                return caller_http.problem_reply(
+                    400, "Bad request", "ticket: give either a ticket or an Idempotency-Key"
+                )
+            if body.ticket is not None:
+                return await self._run_ticket(body, body.ticket, deadline)
+            if key is not None:
+                return await self._run_key(body, key, deadline)
+            return await self._run_once(body, deadline, set_cancel)
+        finally:
+            self._in_progress -= 1
+
+    async def _run_once(
+        self,
+        body: caller_http.RunBody,
+        deadline: float,
+        set_cancel: Callable[[Callable[[], None]], None] | None = None,
+    ) -> caller_http.Reply:
+        request = front.RunRequest(
+            body.service,
+            body.shard,
+            body.body.encode(),
+            body.caller_class,
+            deadline,
+            is_repeatable=not body.unrepeatable,
+        )
+        done: defer.Deferred[front.Answer] = defer.Deferred()
+        cancel = self._core.front.run(request, done.callback)
+        if set_cancel is not None:
+            set_cancel(cancel)
+        return caller_http.answer_reply(await done, self._keeper.age)
+
+    async def _run_ticket(
+        self, body: caller_http.RunBody, text: str, deadline: float
+    ) -> caller_http.Reply:
+        try:
+            ticket = tickets.parse(text)
+        except tickets.TicketError as error:
+            return caller_http.problem_reply(400, "Bad request", f"ticket: {error}")
+        if ticket.instance != self._name:
+            return await self._relay(ticket, body, deadline)
+        if ticket.incarnation != self._incarnation:
+            detail = "the process that issued it is gone; it ran if and only if it ran before that"
+            return caller_http.verdict_reply(
+                verdict.may_have_run(verdict.Reason.ISSUER_GONE, detail)
+            )
+        step = self._book.redeem(text, body.fingerprint(), self._reactor.seconds())
+        if isinstance(step, verdict.Verdict):
+            return caller_http.verdict_reply(step)
+        if isinstance(step, tickets.Known):
+            return step.outcome
+        if isinstance(step, tickets.Wait):
+            return await self._wait_for(text, deadline)
+        once = body.model_copy(update={"unrepeatable": True})
+        reply = await self._run_once(once, deadline)
+        self._book.settle(text, reply)
+        self._tell_waiting(text, reply)
+        return reply
+
+    async def _run_key(
+        self, body: caller_http.RunBody, key: str, deadline: float
+    ) -> caller_http.Reply:
+        name = claims.digest(body.tenant, key)
+        wall_now = time.time()
+        claim = claims.Claim(
+            name,
+            secrets.token_hex(8),
+            self._name,
+            body.fingerprint(),
+            wall_now + claims.KEPT_SECONDS,
+        )
+        found = await self._writer.claim(claim, deadline)
+        if isinstance(found, verdict.Verdict):
+            return caller_http.verdict_reply(found, retry_after=1.0)
+        if found.nonce != claim.nonce:
+            return await self._on_key_taken(found, claim, deadline)
+        label = _KEY_PREFIX + name
+        self._waiting.setdefault(label, [])
+        once = body.model_copy(update={"unrepeatable": True})
+        reply = await self._run_once(once, deadline)
+        self._outcomes[label] = reply
+        self._reactor.callLater(tickets.LINGER, self._outcomes.pop, label, None)
+        self._tell_waiting(label, reply)
+        return reply
+
+    async def _on_key_taken(
+        self, first: claims.Claim, mine: claims.Claim, deadline: float
+    ) -> caller_http.Reply:
+        """Answer a request whose key was claimed before: with the first outcome if known."""
+        if first.fingerprint != mine.fingerprint:
+            found = verdict.not_run(
+                verdict.Reason.KEY_TAKEN, "the key was used for another request"
+            )
+            return caller_http.verdict_reply(found)
+        label = _KEY_PREFIX + first.key
+        if first.instance == self._name:
+            return await self._outcome_of(label, deadline)
+        return await self._ask(first.instance, label, b"{}", deadline)
+
+    async def _outcome_of(self, label: str, deadline: float) -> caller_http.Reply:
+        known = self._outcomes.get(label)
+        if known is not None:
+            return known
+        if label in self._waiting:
+            return await self._wait_for(label, deadline)
+        detail = "the key was claimed and its outcome is not known here"
+        return caller_http.verdict_reply(verdict.may_have_run(verdict.Reason.KEY_TAKEN, detail))
+
+    async def _wait_for(self, label: str, deadline: float) -> caller_http.Reply:
+        """Wait for the outcome of a request that another caller's connection started."""
+        done: defer.Deferred[caller_http.Reply] = defer.Deferred()
+        self._waiting.setdefault(label, []).append(done)
+        late = caller_http.verdict_reply(
+            verdict.may_have_run(verdict.Reason.DEADLINE, "the first request is still under way")
+        )
+        timer = self._reactor.callLater(
+            deadlines.remaining(deadline, self._reactor.seconds()), self._give_up, label, done, late
+        )
+        reply = await done
+        if timer.active():
+            timer.cancel()
+        return reply
+
+    def _give_up(
+        self,
+        label: str,
+        done: defer.Deferred[caller_http.Reply],
+        late: caller_http.Reply,
+    ) -> None:
+        if not done.called:
+            self._waiting.get(label, []).remove(done)
+            done.callback(late)
+
+    def _tell_waiting(self, label: str, reply: caller_http.Reply) -> None:
+        for done in self._waiting.pop(label, []):
+            done.callback(reply)
+
+    async def _relay(
+        self, ticket: tickets.Ticket, body: caller_http.RunBody, deadline: float
+    ) -> caller_http.Reply:
+        document = body.model_dump_json(by_alias=True).encode()
+        return await self._ask(ticket.instance, str(ticket), document, deadline)
+
+    async def _ask(
+        self, instance: str, label: str, document: bytes, deadline: float
+    ) -> caller_http.Reply:
+        """Hand a request to the instance that alone may run it, and wait for its reply."""
+        self._numbers += 1
+        number = self._numbers
+        inner = deadlines.for_next_hop(deadline, self._core.view.delay_to(instance))
+        if not self._links.send(instance, frames.Relay(number, label, document, inner)):
+            detail = f"{instance} cannot be reached from here; an earlier try may have run"
+            return caller_http.verdict_reply(
+                verdict.may_have_run(verdict.Reason.ISSUER_GONE, detail)
+            )
+        done: defer.Deferred[caller_http.Reply] = defer.Deferred()
+        self._relayed[number] = (instance, done)
+        late = caller_http.verdict_reply(
+            verdict.may_have_run(verdict.Reason.DEADLINE, f"{instance} did not reply in time")
+        )
+        left = deadlines.remaining(deadline, self._reactor.seconds())
+        timer = self._reactor.callLater(left, self._settle_relay, number, late)
+        reply = await done
+        if timer.active():
+            timer.cancel()
+        return reply
+
+    def _settle_relay(self, number: int, reply: caller_http.Reply) -> None:
+        entry = self._relayed.pop(number, None)
+        if entry is not None:
+            entry[1].callback(reply)
+
+    def _on_relay(self, link: peer_links.PeerLink, frame: frames.Relay) -> None:
+        assert link.hello is not None
+        name = link.hello.name
+        serving = defer.ensureDeferred(self._serve_relay(frame))
+        serving.addCallback(self._send_relay_reply, name, frame.number)
+        serving.addErrback(lambda failure: link.close(f"malformed frame: {failure.type.__name__}"))
+
+    async def _serve_relay(self, frame: frames.Relay) -> caller_http.Reply:
+        if frame.ticket.startswith(_KEY_PREFIX):
+            return await self._outcome_of(frame.ticket, frame.deadline)
+        body: caller_http.RunBody = caller_http.parse(
+            caller_http.RunBody, frame.document, len(frame.document)
+        )
+        self._in_progress += 1
+        try:
+            ticket = tickets.parse(frame.ticket)
+            if ticket.instance != self._name:
+                found = verdict.not_run(verdict.Reason.TICKET_UNKNOWN, "not issued here")
+                return caller_http.verdict_reply(found)
+            return await self._run_ticket(body, frame.ticket, frame.deadline)
+        finally:
+            self._in_progress -= 1
+
+    def _send_relay_reply(self, reply: caller_http.Reply, name: str, number: int) -> None:
+        document = json.dumps([reply.status, reply.document, reply.retry_after]).encode()
+        self._links.send(name, frames.RelayReply(number, document))
+
+    def _on_relay_reply(self, link: peer_links.PeerLink, frame: frames.RelayReply) -> None:
+        entry = self._relayed.get(frame.number)
+        assert link.hello is not None
+        if entry is None or entry[0] != link.hello.name:
+            return
+        try:
+            status, document, retry_after = json.loads(frame.document)
+        except ValueError:
+            link.close("malformed frame: relay reply")
+            return
+        self._settle_relay(frame.number, caller_http.Reply(status, document, retry_after))
+
+    def _on_down(self, name: str) -> None:
+        found = verdict.may_have_run(verdict.Reason.LINK_LOST, f"lost {name}")
+        for number, (instance, _) in list(self._relayed.items()):
+            if instance == name:
+                self._settle_relay(number, caller_http.verdict_reply(found))
