--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The bench: scenarios over the real query machinery on a virtual clock."""
--- a/src/lineworks/decisions/claims.py
+++ b/src/lineworks/decisions/claims.py
@@ -60,7 +60,7 @@
     Returns:
         32 hexadecimal digits.
     """
-    found: str = xxhash.xxh3_128_hexdigest(f"{tenant}\0{key}")
+    found: str = xxhash.xxh3_128_hexdigest(f"{tenant}\0{key}".encode())
     return found
 
 
--- a/src/lineworks/decisions/ownership.py
+++ b/src/lineworks/decisions/ownership.py
@@ -64,7 +64,7 @@
     Returns:
         A 64-bit number; the highest of all instances owns the service.
     """
-    digest: int = xxhash.xxh3_64_intdigest(f"{instance}\0{service}")
+    digest: int = xxhash.xxh3_64_intdigest(f"{instance}\0{service}".encode())
     return digest
 
 
--- a/src/lineworks/engine/front.py
+++ b/src/lineworks/engine/front.py
@@ -499,7 +499,7 @@
     def _route(self, query: _Query, shard: _Shard, is_hedge: bool) -> tuple[str, str] | None:
         service = shard.service
         snapshot = query.snapshot if query.needs_snapshot else None
-        paths = self._view.paths(service, snapshot)
+        paths: Sequence[routing.Path] = self._view.paths(service, snapshot)
         if is_hedge or shard.tried_owners:
             paths = self._untried(paths, shard, is_hedge)
         if not paths:
--- a/src/lineworks/engine/gatherer.py
+++ b/src/lineworks/engine/gatherer.py
@@ -182,10 +182,10 @@
                 replica = self._by_target.pop(name)
                 self._pools[replica.target.service].replicas.remove(replica)
         for name, target in now_owned.items():
-            replica = self._by_target.get(name)
-            if replica is None:
-                replica = self._by_target[name] = replicas.make_replica(target)
-                self._pool(target.service).replicas.append(replica)
+            if name not in self._by_target:
+                self._by_target[name] = replicas.make_replica(target)
+                self._pool(target.service).replicas.append(self._by_target[name])
+            replica = self._by_target[name]
             replica.target = target
             replica.is_leaving = replica.is_leaving or target.is_leaving
         self.on_holdings()
--- /dev/null
+++ b/src/lineworks/programs/demo.py
@@ -0,0 +1,379 @@
+"""`lineworks-demo`: the whole system in one process, watched for half a minute at most.
+
+A platform stand-in, the Consortium's score-finder over two halls and three instances talk over
+real TCP on loopback. Searches and unrepeatable part downloads run while one target straggles, one
+leaves, the index gets a new version and the configuration changes. The promises are checked from
+the callers' and the targets' own books.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import sys
+import time
+from typing import Any
+
+import absl.app
+import absl.flags
+import rich.console
+import rich.progress
+import rich.table
+import treq
+from hdrh import histogram
+from twisted.internet import defer
+from twisted.web import client as web_client
+from twisted.web import http_headers
+
+from lineworks.decisions import catalog
+from lineworks.models import settings
+from lineworks.programs import _common
+from lineworks.services import auth, instance, platform_client
+from lineworks.standins import shapes, site, target_model
+
+_SEARCHES = absl.flags.DEFINE_integer("searches", 300, "Searches to send.", lower_bound=20)
+_RUNS = absl.flags.DEFINE_integer("runs", 40, "Unrepeatable downloads to send.", lower_bound=4)
+_SEED = absl.flags.DEFINE_integer("seed", 1, "Seed of arrivals and service times.")
+_LOG_LEVEL = absl.flags.DEFINE_enum(
+    "log_level", "error", ["debug", "info", "warning", "error"], "Least level that is logged."
+)
+
+HALLS = ("auckland", "wellington")
+SECRET = "demo-secret"
+RATE = 25.0
+DEADLINE_MS = 1500
+START_LIMIT = 10.0
+FINDER = shapes.Shape("score-finder", 20, 2, 2, 25, HALLS)
+LEDGER = shapes.Shape("part-shelf", 1, 4, 4, 100, HALLS)
+NEXT_SNAPSHOT = catalog.Snapshot(2, catalog.BASE_LAYOUT)
+
+
+def _settings(name: str, hall: str, url: str) -> settings.Settings:
+    document = {
+        "name": name,
+        "hall": hall,
+        "platform": {"url": url},
+        "secret": SECRET,
+        "hall_delay_ms": {other: 1.0 for other in HALLS if other != hall},
+        "log_level": "error",
+    }
+    return settings.Settings.model_validate_json(json.dumps(document))
+
+
+class _Books:
+    """What the callers saw."""
+
+    def __init__(self) -> None:
+        self.latency = histogram.HdrHistogram(1, 60_000_000, 3)
+        self.sent = 0
+        self.answered = 0
+        self.whole = 0
+        self.partial = 0
+        self.refused = 0
+        self.mixed = 0
+        self.crossed = 0
+        self.late = 0
+        self.versions: set[int] = set()
+        self.snapshots: set[str] = set()
+        self.verdicts: dict[str, int] = {}
+        self.ran: list[str] = []
+        self.not_run: list[str] = []
+        self.sample: dict[str, Any] | None = None
+
+    def take_search(self, cause: str, seconds: float, document: dict[str, Any]) -> None:
+        self.answered += 1
+        found = document["verdict"]
+        label = f"{found['certainty']} {found['reason']}"
+        self.verdicts[label] = self.verdicts.get(label, 0) + 1
+        if seconds * 1000 > DEADLINE_MS + 50:
+            self.late += 1
+        if "coverage" not in document or found["reason"] != "ok":
+            self.refused += 1
+            return
+        self.latency.record_value(int(seconds * 1e6))
+        self.versions.add(document["configuration"]["version"])
+        self.snapshots.add(document["snapshot"])
+        lacking = document["coverage"]["lacking"]
+        self.whole += not lacking
+        self.partial += bool(lacking)
+        stamps = [reply.split("|") for reply in document["replies"].values()]
+        self.crossed += any(stamp[0] != cause for stamp in stamps)
+        self.mixed += len({stamp[2] for stamp in stamps} | {document["snapshot"]}) > 1
+        self.sample = document
+
+    def take_run(self, cause: str, document: dict[str, Any]) -> None:
+        self.answered += 1
+        found = document["verdict"]
+        label = f"run: {found['certainty']} {found['reason']}"
+        self.verdicts[label] = self.verdicts.get(label, 0) + 1
+        if found["certainty"] == "RAN":
+            self.ran.append(cause)
+        elif found["certainty"] == "NOT_RUN":
+            self.not_run.append(cause)
+
+
+class _Demo:
+    """One run of the demo."""
+
+    def __init__(self, reactor: Any, console: rich.console.Console) -> None:
+        self._reactor = reactor
+        self._console = console
+        self._rng = random.Random(_SEED.value)
+        times = target_model.ServiceTimes(median=0.008, sigma=0.4)
+        self._site = site.Site(reactor, (FINDER, LEDGER), times, _SEED.value)
+        pool: Any = web_client.HTTPConnectionPool(reactor, persistent=True)
+        pool.maxPersistentPerHost = 64
+        agent: Any = web_client.Agent(reactor, pool=pool)
+        self._pool = pool
+        self._http = treq.client.HTTPClient(agent)
+        self._entries: list[instance.Instance] = []
+        self._books = _Books()
+
+    async def run(self) -> int:
+        self._site.listen("127.0.0.1")
+        for name, hall in (("a1", HALLS[0]), ("w1", HALLS[1]), ("w2", HALLS[1])):
+            entry = instance.Instance(self._reactor, _settings(name, hall, self._site.platform.url))
+            await entry.start()
+            self._entries.append(entry)
+        first = await self._change({"services": self._site.services(), **_rules(0.5)}, base=0)
+        self._console.print(f"configuration {first['outcome']}, version {first['version']}")
+        await self._until_ready()
+        await self._drive()
+        second_version = max(self._books.versions, default=0)
+        self._report()
+        failed = self._check(second_version)
+        for entry in self._entries:
+            await entry.stop()
+        await self._pool.closeCachedConnections()
+        await self._site.close()
+        return _common.EXIT_FAILED if failed else _common.EXIT_OK
+
+    async def _change(self, file: dict[str, Any], base: int) -> dict[str, Any]:
+        change = {"id": f"demo-{base}", "author": "demo", "base": base, "file": file}
+        body = json.dumps(change).encode()
+        port = self._entries[0].operator_port
+        header = auth.sign(SECRET.encode(), "POST", "/v1/changes", body, time.time())
+        response = await self._http.post(
+            f"http://127.0.0.1:{port}/v1/changes",
+            data=body,
+            headers=http_headers.Headers({auth.HEADER: [header]}),
+        )
+        document: dict[str, Any] = json.loads(await response.content())
+        return document
+
+    async def _until_ready(self) -> None:
+        """Wait until every instance can serve every shard."""
+        limit = self._reactor.seconds() + START_LIMIT
+        while self._reactor.seconds() < limit:
+            if all(self._is_whole(entry) for entry in self._entries):
+                return
+            await platform_client.sleep(self._reactor, 0.05)
+        raise RuntimeError("the instances did not become ready in time")
+
+    def _is_whole(self, entry: instance.Instance) -> bool:
+        view = entry.core.view
+        services = view.config.services.values()
+        return bool(services) and all(view.held(service.name) for service in services)
+
+    async def _drive(self) -> None:
+        """Send all requests by a clock of arrivals, never waiting for answers."""
+        total = _SEARCHES.value + _RUNS.value
+        kinds = ["search"] * _SEARCHES.value + ["run"] * _RUNS.value
+        self._rng.shuffle(kinds)
+        waiting: list[defer.Deferred[None]] = []
+        steps = {
+            total // 5: self._straggle,
+            2 * total // 5: self._leave,
+            total // 2: self._reversion,
+            7 * total // 10: self._reconfigure,
+        }
+        with self._progress() as progress:
+            bar = progress.add_task("requests", total=total)
+            for number, kind in enumerate(kinds):
+                step = steps.get(number)
+                if step is not None:
+                    waiting.append(defer.ensureDeferred(step()))
+                call = self._search if kind == "search" else self._run_part
+                waiting.append(defer.ensureDeferred(call(number)))
+                progress.advance(bar)
+                await platform_client.sleep(self._reactor, self._rng.expovariate(RATE))
+            await defer.gatherResults(waiting)
+
+    def _progress(self) -> rich.progress.Progress:
+        return rich.progress.Progress(
+            console=self._console, transient=True, disable=not self._console.is_terminal
+        )
+
+    async def _straggle(self) -> None:
+        self._site.targets["score-finder-003-a"].model.stall(1.5)
+
+    async def _leave(self) -> None:
+        self._site.targets["score-finder-007-b"].model.leave()
+
+    async def _reversion(self) -> None:
+        """Load the new version everywhere, then drop the old one."""
+        self._site.hold(frozenset({site.FIRST_SNAPSHOT, NEXT_SNAPSHOT}))
+        await platform_client.sleep(self._reactor, 1.2)
+        self._site.hold(frozenset({NEXT_SNAPSHOT}))
+
+    async def _reconfigure(self) -> None:
+        version = self._entries[0].keeper.version
+        await self._change(_rules(0.6), base=version)
+
+    async def _search(self, number: int) -> None:
+        cause = f"search-{number}"
+        body = {
+            "fields": {"kind": "repertoire"},
+            "class": "librarian",
+            "tenant": "choir",
+            "deadline_ms": DEADLINE_MS,
+            "body": f"{cause}|anthem",
+        }
+        seconds, document = await self._post("/v1/search", body, {})
+        self._books.take_search(cause, seconds, document)
+
+    async def _run_part(self, number: int) -> None:
+        cause = f"run-{number}"
+        body = {
+            "service": "part-shelf-000",
+            "class": "librarian",
+            "tenant": "choir",
+            "deadline_ms": DEADLINE_MS,
+            "unrepeatable": True,
+            "body": f"{cause}|part",
+        }
+        _, document = await self._post("/v1/run", body, {"Idempotency-Key": cause})
+        self._books.take_run(cause, document)
+        # The caller asks again through another instance, as after a lost connection.
+        _, again = await self._post("/v1/run", body, {"Idempotency-Key": cause})
+        self._books.sent -= 1
+        del again
+
+    async def _post(
+        self, path: str, body: dict[str, Any], headers: dict[str, str]
+    ) -> tuple[float, dict[str, Any]]:
+        self._books.sent += 1
+        port = self._entries[self._books.sent % len(self._entries)].caller_port
+        started = self._reactor.seconds()
+        response = await self._http.post(
+            f"http://127.0.0.1:{port}{path}",
+            data=json.dumps(body).encode(),
+            headers=http_headers.Headers({name: [value] for name, value in headers.items()}),
+        )
+        document: dict[str, Any] = json.loads(await response.content())
+        return self._reactor.seconds() - started, document
+
+    def _report(self) -> None:
+        books = self._books
+        if books.sample is not None:
+            sample = {**books.sample, "replies": dict(list(books.sample["replies"].items())[:2])}
+            self._console.print("one answer (two of its replies shown):")
+            self._console.print_json(json.dumps(sample))
+        table = rich.table.Table(title="searches")
+        for column in ("p50 ms", "p99 ms", "max ms", "whole", "partial", "refused", "extra load"):
+            table.add_column(column, justify="right")
+        quantiles = [books.latency.get_value_at_percentile(p) / 1000 for p in (50, 99, 100)]
+        table.add_row(
+            *(f"{value:.1f}" for value in quantiles),
+            str(books.whole),
+            str(books.partial),
+            str(books.refused),
+            f"{self._extra_load():.2%}",
+        )
+        self._console.print(table)
+        self._console.print(f"verdicts: {books.verdicts}")
+
+    def _extra_load(self) -> float:
+        """Compute starts beyond one for each sub-query, from the targets' books."""
+        started = [target.model.books.started for target in self._site.targets.values()]
+        total: dict[str, int] = {}
+        for book in started:
+            for cause, count in book.items():
+                if cause.startswith("search-"):
+                    total[cause] = total.get(cause, 0) + count
+        return sum(count - 1 for count in total.values()) / max(1, len(total))
+
+    def _run_starts(self) -> dict[str, int]:
+        total: dict[str, int] = {}
+        for target in self._site.targets.values():
+            for cause, count in target.model.books.started.items():
+                if cause.startswith("run-"):
+                    name = cause.partition("/")[0]
+                    total[name] = total.get(name, 0) + count
+        return total
+
+    def _check(self, last_version: int) -> bool:
+        """Check the promises and print a line for each.
+
+        Returns:
+            Whether any was broken.
+        """
+        books = self._books
+        starts = self._run_starts()
+        servers = self._site.targets.values()
+        checks = {
+            "every request was answered": (books.sent - books.answered, books.sent),
+            "no answer came after its deadline": (books.late, books.answered),
+            "no answer mixes snapshots": (books.mixed, books.whole + books.partial),
+            "no answer holds another caller's reply": (books.crossed, books.whole),
+            "no unrepeatable request ran twice": (
+                sum(1 for count in starts.values() if count > 1),
+                len(starts),
+            ),
+            "what was refused as not run did not run": (
+                sum(1 for cause in books.not_run if starts.get(cause)),
+                len(books.not_run),
+            ),
+            "what is said to have run did run": (
+                sum(1 for cause in books.ran if not starts.get(cause)),
+                len(books.ran),
+            ),
+            "a leaving target got no new work after 3 s": (
+                sum(server.model.books.started_after_leaving for server in servers),
+                len(self._site.targets),
+            ),
+            "no target saw more connections than its cap": (
+                sum(server.refused_connections for server in servers),
+                len(self._site.targets),
+            ),
+            "the new snapshot was served": (int(str(NEXT_SNAPSHOT) not in books.snapshots), 1),
+            "the new configuration came in force": (int(last_version != 2), 1),
+            "searches were answered whole": (int(books.whole < 0.95 * _SEARCHES.value), 1),
+        }
+        for text, (broken, counted) in checks.items():
+            word = "held  " if not broken else "BROKEN"
+            self._console.print(f"{word} {text} ({broken} of {counted} broke it)")
+        return any(broken for broken, _ in checks.values())
+
+
+def _rules(target_latency: float) -> dict[str, Any]:
+    policy = {"target_latency_ms": target_latency * 1000}
+    selector = {
+        "match": {"kind": "repertoire"},
+        "group": {"app": FINDER.app},
+        "policy": policy,
+    }
+    return {"selectors": {"repertoire": selector}, "classes": {"librarian": {"weight": 2.0}}}
+
+
+def main(argv: list[str]) -> int:
+    """Run the demo.
+
+    Args:
+        argv: Program name and arguments left after flags.
+
+    Returns:
+        0 only if every promise held.
+    """
+    if len(argv) > 1:
+        return _common.fail(f"unexpected argument: {argv[1]}")
+    _common.set_up_logs(_LOG_LEVEL.value)
+    from twisted.internet import reactor
+
+    demo = _Demo(reactor, rich.console.Console(highlight=False))
+    return _common.run_reactor(reactor, demo.run)
+
+
+def run() -> None:
+    """Start from the command line."""
+    absl.app.run(lambda argv: sys.exit(main(argv)))
--- /dev/null
+++ b/src/lineworks/programs/entry.py
@@ -0,0 +1,63 @@
+"""`lineworks-entry`: one instance."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from typing import Any
+
+import absl.app
+import absl.flags
+from twisted.internet import error as net_error
+
+from lineworks.models import settings
+from lineworks.programs import _common
+from lineworks.services import instance
+
+_SETTINGS = absl.flags.DEFINE_string("settings", None, "JSON file with the instance's settings.")
+
+
+async def _serve(reactor: Any, options: settings.Settings) -> int:
+    entry = instance.Instance(reactor, options)
+    try:
+        await entry.start()
+    except net_error.CannotListenError as error:
+        for key in ("caller", "operator", "peer"):
+            if getattr(options, key).port == error.port:
+                return _common.fail(f"{key}.port: {error.port} is in use")
+        return _common.fail(f"port {error.port} is in use")
+
+    def on_signal(number: int, frame: Any) -> None:
+        reactor.callFromThread(entry.life.stop_asked)
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    await entry.stopped
+    return _common.EXIT_OK
+
+
+def main(argv: list[str]) -> int:
+    """Run an instance until it is asked to stop.
+
+    Args:
+        argv: Program name and arguments left after flags.
+
+    Returns:
+        The exit code: 0 after a planned stop, 2 when the settings cannot be used.
+    """
+    if len(argv) > 1 or _SETTINGS.value is None:
+        return _common.fail("usage: lineworks-entry --settings FILE")
+    try:
+        options = settings.load(_SETTINGS.value)
+        options.shared_secret()
+    except settings.SettingsError as error:
+        return _common.fail(str(error))
+    _common.set_up_logs(options.log_level)
+    from twisted.internet import reactor
+
+    return _common.run_reactor(reactor, lambda: _serve(reactor, options))
+
+
+def run() -> None:
+    """Start from the command line."""
+    absl.app.run(lambda argv: sys.exit(main(argv)))
--- /dev/null
+++ b/src/lineworks/services/caller_api.py
@@ -0,0 +1,198 @@
+"""The HTTP interface for callers; see docs/reference/callers.md."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING, Any
+
+import klein
+from twisted.internet import defer
+
+from lineworks.decisions import verdict
+from lineworks.engine import front
+from lineworks.models import caller_http
+from lineworks.services import http_server
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lineworks.models import settings
+    from lineworks.services import (
+        cluster,
+        config_keeper,
+        lifecycle,
+        metrics,
+        runs,
+        traces,
+    )
+
+DRAIN_RETRY = 0.1
+"""Seconds after which a caller refused by a leaving instance may ask another one."""
+
+
+class CallerApi:
+    """Serves searches and runs."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        options: settings.Settings,
+        core: cluster.Cluster,
+        runner: runs.Runs,
+        keeper: config_keeper.ConfigKeeper,
+        life: lifecycle.Lifecycle,
+        counts: metrics.Metrics,
+        timelines: traces.Traces,
+    ) -> None:
+        """Make the interface; nothing listens yet.
+
+        Args:
+            reactor: Twisted's reactor.
+            options: Settings of this instance.
+            core: The query engine.
+            runner: Runs single requests.
+            keeper: The configuration in force.
+            life: Says whether new work is taken.
+            counts: Takes measurements.
+            timelines: Holds the steps of queries.
+        """
+        self._reactor = reactor
+        self._options = options
+        self._core = core
+        self._runner = runner
+        self._keeper = keeper
+        self._life = life
+        self._counts = counts
+        self._timelines = timelines
+        self._port: Any = None
+        self._responding = 0
+        self._app = self._routes()
+
+    @property
+    def port(self) -> int:
+        """TCP port that callers connect to."""
+        number: int = self._port.getHost().port
+        return number
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no response is still being made."""
+        return self._responding == 0
+
+    def start(self) -> None:
+        """Listen."""
+        where = self._options.caller
+        self._port = http_server.listen(self._reactor, self._app, where.host, where.port)
+
+    def stop(self) -> Any:
+        """Stop listening."""
+        return http_server.close(self._port)
+
+    def _routes(self) -> klein.Klein:
+        app = klein.Klein()
+        routes: tuple[tuple[str, Callable[[Any], Any]], ...] = (
+            ("/v1/search", self._search),
+            ("/v1/run", self._run),
+            ("/v1/tickets", self._tickets),
+        )
+        for path, handler in routes:
+            http_server.add_route(app, "POST", path, self._guarded(handler))
+        http_server.add_route(app, "GET", "/healthz", http_server.answer_health)
+        http_server.add_route(app, "GET", "/readyz", self._readyz)
+        return app
+
+    def _guarded(self, handler: Callable[[Any], Any]) -> Callable[[Any], Any]:
+        """Wrap a handler: count it, refuse it while leaving, and answer bad requests."""
+
+        def handle(request: Any) -> defer.Deferred[bytes]:
+            return defer.ensureDeferred(guarded(request))
+
+        async def guarded(request: Any) -> bytes:
+            self._responding += 1
+            try:
+                reply = await self._dispatch(handler, request)
+            finally:
+                self._responding -= 1
+            return http_server.write_reply(request, reply)
+
+        return handle
+
+    async def _dispatch(self, handler: Callable[[Any], Any], request: Any) -> caller_http.Reply:
+        if self._life.state == "draining":
+            found = verdict.not_run(verdict.Reason.LEAVING, "this instance is leaving")
+            request.setHeader("Connection", "close")
+            return caller_http.verdict_reply(found, DRAIN_RETRY)
+        if self._life.state == "starting":
+            found = verdict.not_run(verdict.Reason.NOT_READY, "no configuration yet")
+            return caller_http.verdict_reply(found, 1.0)
+        try:
+            reply: caller_http.Reply = await handler(request)
+        except caller_http.RequestError as error:
+            return caller_http.problem_reply(400, "Bad request", str(error), field=error.field)
+        return reply
+
+    def _parse(self, request: Any, model: type) -> Any:
+        limit = self._options.max_body_bytes
+        return caller_http.parse(model, request.content.read(limit + 1), limit)
+
+    async def _search(self, request: Any) -> caller_http.Reply:
+        body: caller_http.SearchBody = self._parse(request, caller_http.SearchBody)
+        started = self._reactor.seconds()
+        search = front.SearchRequest(
+            body.selector_fields(),
+            body.body.encode(),
+            body.caller_class,
+            started + body.deadline_ms / 1000,
+            body.min_coverage,
+        )
+        done: defer.Deferred[front.Answer] = defer.Deferred()
+        _cancel_on_disconnect(request, self._core.front.search(search, done.callback), done)
+        answer = await done
+        self._counts.observe(
+            body.tenant, body.caller_class, answer, self._reactor.seconds() - started
+        )
+        reply = caller_http.answer_reply(answer, self._keeper.age)
+        if _wants_timeline(request):
+            reply.document["timeline"] = self._timelines.timeline(answer.query)
+        return reply
+
+    async def _run(self, request: Any) -> caller_http.Reply:
+        body: caller_http.RunBody = self._parse(request, caller_http.RunBody)
+        key = request.getHeader("Idempotency-Key")
+        if key is not None and not 1 <= len(key) <= 200:
+            raise caller_http.RequestError("Idempotency-Key", "must have 1 to 200 characters")
+        reply = await self._runner.run(
+            body, key, lambda cancel: _cancel_on_disconnect(request, cancel, None)
+        )
+        if _wants_timeline(request) and "query" in reply.document:
+            timeline = self._timelines.timeline(reply.document["query"])
+            return caller_http.Reply(
+                reply.status, {**reply.document, "timeline": timeline}, reply.retry_after
+            )
+        return reply
+
+    async def _tickets(self, request: Any) -> caller_http.Reply:
+        body: caller_http.TicketsBody = self._parse(request, caller_http.TicketsBody)
+        return caller_http.Reply(200, {"tickets": self._runner.mint(body)})
+
+    def _readyz(self, request: Any) -> bytes:
+        request.setResponseCode(200 if self._life.is_ready else 503)
+        return http_server.write_json(request, {"state": self._life.state})
+
+
+def _wants_timeline(request: Any) -> bool:
+    return bool(request.args.get(b"explain") == [b"1"])
+
+
+def _cancel_on_disconnect(
+    request: Any, cancel: Callable[[], None], done: defer.Deferred[Any] | None
+) -> None:
+    """Give a query up when its caller's connection breaks."""
+
+    def gone(_: Any) -> None:
+        cancel()
+        if done is not None and not done.called:
+            done.cancel()
+
+    with contextlib.suppress(Exception):
+        request.notifyFinish().addErrback(gone)
--- a/src/lineworks/services/cluster.py
+++ b/src/lineworks/services/cluster.py
@@ -4,11 +4,9 @@
 
 from typing import TYPE_CHECKING, Any
 
-import structlog
-from twisted.internet import defer
-
 from lineworks.decisions import catalog
 from lineworks.engine import front, gatherer, messages, views
+from lineworks.kernel import task
 from lineworks.services import platform_client
 from lineworks.wire import frames
 
@@ -33,8 +31,6 @@
 REPORT_SECONDS = 1.0
 """Seconds after which a target that sent no report is asked for one."""
 
-_log = structlog.get_logger(component="cluster")
-
 
 class Cluster:
     """The front and the gatherer of this instance, connected."""
@@ -73,8 +69,7 @@
         self._hall = options.hall
         self._incarnations: dict[str, str] = {}
         self._pending: dict[str, list[messages.ShardReply]] = {}
-        self._task: defer.Deferred[Any] | None = None
-        self._is_stopped = False
+        self._task = task.Task("cluster", self._ask_reports)
         self._is_holdings_due = False
         self.view = views.ClusterView(options.name, options.hall, self._delay)
         self.gatherer = gatherer.Gatherer(reactor, rng, pool, on_trace=timelines.note)
@@ -100,14 +95,11 @@
 
     def start(self) -> None:
         """Begin to ask targets for their reports."""
-        self._task = defer.ensureDeferred(self._ask_reports())
+        self._task.start()
 
     def stop(self) -> None:
         """Stop asking."""
-        self._is_stopped = True
-        if self._task is not None:
-            self._task.addErrback(lambda failure: failure.trap(defer.CancelledError))
-            self._task.cancel()
+        self._task.stop()
 
     def send(self, instance: str, request: messages.Request) -> bool:
         """Carry a message to a gatherer, this instance's own or a peer's.
@@ -225,7 +217,7 @@
         self._links.broadcast(frames.Holdings(self.gatherer.holdings()))
 
     async def _ask_reports(self) -> None:
-        while not self._is_stopped:
+        while True:
             self._ask_once()
             await platform_client.sleep(self._reactor, REPORT_SECONDS)
 
--- a/src/lineworks/services/config_keeper.py
+++ b/src/lineworks/services/config_keeper.py
@@ -11,9 +11,9 @@
 from typing import TYPE_CHECKING, Any
 
 import structlog
-from twisted.internet import defer
 
 from lineworks.decisions import catalog, changes, ownership
+from lineworks.kernel import task
 from lineworks.models import configuration
 from lineworks.services import config_store, platform_client
 from lineworks.wire import frames
@@ -72,8 +72,7 @@
         self._head = changes.EMPTY_HEAD
         self._changed_at = reactor.seconds()
         self._confirmed_at = 0.0
-        self._following: defer.Deferred[Any] | None = None
-        self._is_stopped = False
+        self._task = task.Task("config_keeper", self._follow_platform)
         self.alarms: dict[str, int] = {}
         self.listeners: list[Callable[[catalog.Catalog, dict[str, float]], None]] = []
         links.handle(frames.ConfigPull, self._on_pull)
@@ -113,14 +112,11 @@
 
     def start(self) -> None:
         """Begin to follow the platform's head."""
-        self._following = defer.ensureDeferred(self._follow_platform())
+        self._task.start()
 
     def stop(self) -> None:
         """Stop following."""
-        self._is_stopped = True
-        if self._following is not None:
-            self._following.addErrback(lambda failure: failure.trap(defer.CancelledError))
-            self._following.cancel()
+        self._task.stop()
 
     def on_heartbeat(self, peer: str, version: int, digest: str) -> None:
         """Compare a peer's version with the own one, and ask for what is lacking.
@@ -145,7 +141,7 @@
     async def _follow_platform(self) -> None:
         revision = 0
         pause = RETRY_START
-        while not self._is_stopped:
+        while True:
             try:
                 if self.is_watcher and revision:
                     head, revision = await self._store.watch_head(revision)
--- a/src/lineworks/services/config_store.py
+++ b/src/lineworks/services/config_store.py
@@ -297,7 +297,7 @@
 
     def _pause(self, attempt: int) -> float:
         longest = min(_RETRY_CAP, _RETRY_START * 2**attempt)
-        return longest * (0.5 + self._rng.random() / 2)
+        return float(longest * (0.5 + self._rng.random() / 2))
 
 
 def _parse_head(value: platform_client.Value) -> tuple[changes.Head, int]:
--- /dev/null
+++ b/src/lineworks/services/instance.py
@@ -0,0 +1,207 @@
+"""Puts the services of one instance together, by its settings."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import time
+from typing import Any
+
+import structlog
+from twisted.internet import defer
+
+from lineworks.kernel import registry
+from lineworks.models import settings as settings_models
+from lineworks.services import (
+    caller_api,
+    claim_writer,
+    cluster,
+    config_keeper,
+    config_store,
+    lifecycle,
+    membership,
+    metrics,
+    operator_api,
+    peer_links,
+    platform_client,
+    runs,
+    target_pool,
+    traces,
+)
+
+IDLE_POLL = 0.05
+"""Seconds between looks for work in progress while the instance is draining."""
+
+_log = structlog.get_logger(component="instance")
+
+
+class Instance:
+    """One instance: a kernel with all services of its roles."""
+
+    def __init__(self, reactor: Any, options: settings_models.Settings) -> None:
+        """Make the instance; nothing listens yet.
+
+        Args:
+            reactor: Twisted's reactor.
+            options: Its settings.
+        """
+        self._reactor = reactor
+        self._options = options
+        self._incarnation = secrets.token_hex(6)
+        self._rng = random.Random(secrets.randbits(64))
+        self.kernel = registry.Kernel()
+        self.life = lifecycle.Lifecycle(self._on_draining, self._on_stopped)
+        self.stopped: defer.Deferred[None] = defer.Deferred()
+
+    @property
+    def caller_port(self) -> int:
+        """TCP port that callers connect to."""
+        return self.kernel.get("caller_api", caller_api.CallerApi).port
+
+    @property
+    def operator_port(self) -> int:
+        """TCP port that operators connect to."""
+        return self.kernel.get("operator_api", operator_api.OperatorApi).port
+
+    @property
+    def core(self) -> cluster.Cluster:
+        """The query engine with its connections."""
+        return self.kernel.get("cluster", cluster.Cluster)
+
+    @property
+    def keeper(self) -> config_keeper.ConfigKeeper:
+        """The configuration in force."""
+        return self.kernel.get("config_keeper", config_keeper.ConfigKeeper)
+
+    async def start(self) -> None:
+        """Open the sockets and start all services.
+
+        Raises:
+            twisted.internet.error.CannotListenError: A port is in use.
+        """
+        options = self._options
+        links = peer_links.PeerLinks(
+            self._reactor,
+            options.name,
+            options.hall,
+            self._incarnation,
+            options.shared_secret(),
+        )
+        listening = await links.listen(options.peer.host, options.peer.port)
+        self._register(links, listening.getHost().port)
+        await self.kernel.start()
+        _log.info("started", name=options.name, hall=options.hall, services=self.kernel.names)
+
+    async def stop(self) -> None:
+        """Stop all services at once; a planned stop is `life.stop_asked`."""
+        await self.kernel.stop()
+
+    def _register(self, links: peer_links.PeerLinks, peer_port: int) -> None:
+        """Make the services in the order in which they start."""
+        options = self._options
+        reactor = self._reactor
+        kernel = self.kernel
+        platform = platform_client.PlatformClient(
+            reactor, options.platform.url, options.platform.timeout_ms / 1000
+        )
+        me = platform_client.Member(
+            options.name, options.hall, options.peer.host, peer_port, self._incarnation, False
+        )
+        seeds = [
+            platform_client.Member(seed.name, seed.hall, seed.host, seed.port, "", False)
+            for seed in options.seeds
+        ]
+        members = membership.Membership(reactor, self._rng, me, platform, links, seeds)
+        store = config_store.ConfigStore(reactor, platform, self._rng)
+        keeper = config_keeper.ConfigKeeper(
+            reactor, self._rng, options.name, store, links, members.hall_members
+        )
+        keeper.listeners.append(lambda config, weights: self.life.config_arrived())
+        pool = target_pool.TargetPool(reactor)
+        timelines = traces.Traces(reactor)
+        core = cluster.Cluster(reactor, self._rng, options, links, pool, keeper, members, timelines)
+        writer = claim_writer.ClaimWriter(reactor, self._rng, platform, time.time)
+        ticket_rng = random.SystemRandom()
+        runner = runs.Runs(
+            reactor, ticket_rng, options.name, self._incarnation, core, links, keeper, writer
+        )
+        counts = metrics.Metrics()
+        counts.collect_from(
+            lambda: metrics.engine_counts(core.front.counters, core.gatherer.counters)
+        )
+        counts.collect_from(lambda: _other_counts(platform, links, keeper))
+        kernel.register("platform_client", platform)
+        kernel.register("metrics", counts)
+        kernel.register("traces", timelines)
+        kernel.register("target_pool", pool)
+        kernel.register("peer_links", links)
+        kernel.register("membership", members)
+        kernel.register("config_keeper", keeper)
+        kernel.register("cluster", core)
+        kernel.register("claim_writer", writer)
+        kernel.register("runs", runner)
+        if "front" in options.roles:
+            kernel.register(
+                "caller_api",
+                caller_api.CallerApi(
+                    reactor, options, core, runner, keeper, self.life, counts, timelines
+                ),
+            )
+        kernel.register(
+            "operator_api",
+            operator_api.OperatorApi(
+                reactor,
+                options,
+                core,
+                keeper,
+                store,
+                self.life,
+                counts,
+                timelines,
+                links,
+                platform,
+            ),
+        )
+
+    def _on_draining(self) -> None:
+        _log.info("draining", name=self._options.name)
+        self.kernel.get("runs", runs.Runs).void_unused()
+        announcing = defer.ensureDeferred(
+            self.kernel.get("membership", membership.Membership).announce_leaving()
+        )
+        announcing.addErrback(lambda failure: _log.error("announce", error=str(failure.value)))
+        announcing.addBoth(lambda _: self._poll_idle())
+
+    def _poll_idle(self) -> None:
+        core = self.core
+        parts = [core.front.is_idle, core.gatherer.is_idle]
+        parts.append(self.kernel.get("runs", runs.Runs).is_idle)
+        if "caller_api" in self.kernel.names:
+            parts.append(self.kernel.get("caller_api", caller_api.CallerApi).is_idle)
+        if all(parts):
+            # One more turn lets the last responses leave their sockets.
+            self._reactor.callLater(IDLE_POLL, self.life.work_ended)
+        else:
+            self._reactor.callLater(IDLE_POLL, self._poll_idle)
+
+    def _on_stopped(self) -> None:
+        _log.info("stopped", name=self._options.name)
+        stopping = defer.ensureDeferred(self.kernel.stop())
+        stopping.addBoth(lambda _: self.stopped.callback(None))
+
+
+def _other_counts(
+    platform: platform_client.PlatformClient,
+    links: peer_links.PeerLinks,
+    keeper: config_keeper.ConfigKeeper,
+) -> list[tuple[str, str, dict[str, float]]]:
+    def floats(counts: Any) -> dict[str, float]:
+        return {name: float(value) for name, value in counts.items()}
+
+    in_force = {"version": float(keeper.version), "age_seconds": keeper.age}
+    return [
+        ("lineworks_platform_calls", "Calls to the platform by kind.", floats(platform.calls)),
+        ("lineworks_link_events", "Links closed by reason.", floats(links.counts)),
+        ("lineworks_configuration", "The configuration in force.", in_force),
+        ("lineworks_configuration_alarms", "Heads kept out by kind.", floats(keeper.alarms)),
+    ]
--- a/src/lineworks/services/membership.py
+++ b/src/lineworks/services/membership.py
@@ -10,9 +10,9 @@
 from typing import TYPE_CHECKING, Any
 
 import structlog
-from twisted.internet import defer
 
 from lineworks.decisions import members
+from lineworks.kernel import task
 from lineworks.services import platform_client
 from lineworks.wire import frames
 
@@ -61,8 +61,7 @@
         self._seeds = seeds
         self._state = members.MemberState(me.name, me.hall)
         self._listed: dict[str, platform_client.Member] = {}
-        self._task: defer.Deferred[Any] | None = None
-        self._is_stopped = False
+        self._task = task.Task("membership", self._run)
         self._published: dict[str, str] = {}
         self.is_leaving = False
         self.listeners: list[Callable[[dict[str, str]], None]] = []
@@ -85,14 +84,11 @@
     def start(self) -> None:
         """Begin to announce this instance and to read the list."""
         self._links.set_wanted({seed.name: seed for seed in self._seeds})
-        self._task = defer.ensureDeferred(self._run())
+        self._task.start()
 
     def stop(self) -> None:
         """Stop announcing."""
-        self._is_stopped = True
-        if self._task is not None:
-            self._task.addErrback(lambda failure: failure.trap(defer.CancelledError))
-            self._task.cancel()
+        self._task.stop()
 
     async def announce_leaving(self) -> None:
         """Tell all peers, and then the platform, that this instance takes no new work."""
@@ -116,7 +112,7 @@
         self._publish()
 
     async def _run(self) -> None:
-        while not self._is_stopped:
+        while True:
             try:
                 await self._announce()
                 self._take_list(await self._platform.members())
--- /dev/null
+++ b/src/lineworks/services/operator_api.py
@@ -0,0 +1,276 @@
+"""The HTTP interface for operators; see docs/reference/operators.md."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import TYPE_CHECKING, Any
+
+import klein
+import structlog
+from twisted.internet import defer
+
+from lineworks.decisions import selectors
+from lineworks.models import caller_http, configuration
+from lineworks.services import auth, config_store, http_server
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lineworks.models import settings
+    from lineworks.services import (
+        cluster,
+        config_keeper,
+        lifecycle,
+        metrics,
+        peer_links,
+        platform_client,
+        traces,
+    )
+
+MAX_CHANGE_BYTES = 4 * 1024 * 1024
+"""Bytes that a change may have."""
+
+_log = structlog.get_logger(component="operator_api")
+
+_STATUS_BY_REFUSAL = {"conflict": 409, "base": 409, "invalid": 400, "unknown": 404}
+
+
+class OperatorApi:
+    """Serves operators and the metrics collector."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        options: settings.Settings,
+        core: cluster.Cluster,
+        keeper: config_keeper.ConfigKeeper,
+        store: config_store.ConfigStore,
+        life: lifecycle.Lifecycle,
+        counts: metrics.Metrics,
+        timelines: traces.Traces,
+        links: peer_links.PeerLinks,
+        platform: platform_client.PlatformClient,
+    ) -> None:
+        """Make the interface; nothing listens yet.
+
+        Args:
+            reactor: Twisted's reactor.
+            options: Settings of this instance.
+            core: The query engine.
+            keeper: The configuration in force.
+            store: The configuration in the platform.
+            life: The life of this instance.
+            counts: All metrics.
+            timelines: The steps of queries.
+            links: Links to peers.
+            platform: The platform.
+        """
+        self._reactor = reactor
+        self._options = options
+        self._core = core
+        self._keeper = keeper
+        self._store = store
+        self._life = life
+        self._counts = counts
+        self._timelines = timelines
+        self._links = links
+        self._platform = platform
+        self._checker = auth.Checker(options.shared_secret())
+        self._port: Any = None
+        self._app = self._routes()
+
+    @property
+    def port(self) -> int:
+        """TCP port that operators connect to."""
+        number: int = self._port.getHost().port
+        return number
+
+    def start(self) -> None:
+        """Listen."""
+        where = self._options.operator
+        self._port = http_server.listen(self._reactor, self._app, where.host, where.port)
+
+    def stop(self) -> Any:
+        """Stop listening."""
+        return http_server.close(self._port)
+
+    def _routes(self) -> klein.Klein:
+        app = klein.Klein()
+        http_server.add_route(app, "GET", "/healthz", http_server.answer_health)
+        http_server.add_route(app, "GET", "/readyz", self._readyz)
+        http_server.add_route(app, "GET", "/metrics", self._metrics)
+        routes: tuple[tuple[str, str, Callable[..., Any]], ...] = (
+            ("GET", "/v1/status", self._status),
+            ("GET", "/v1/configuration", self._configuration),
+            ("POST", "/v1/changes", self._change),
+            ("GET", "/v1/changes/<change_id>", self._settle),
+            ("POST", "/v1/explain", self._explain),
+            ("GET", "/v1/traces/<query>", self._trace),
+            ("POST", "/v1/drain", self._drain),
+        )
+        for method, path, handler in routes:
+            http_server.add_route(app, method, path, self._signed(handler))
+        return app
+
+    def _signed(self, handler: Callable[..., Any]) -> Callable[..., Any]:
+        """Wrap a handler so that only signed requests reach it."""
+
+        def handle(request: Any, **parts: str) -> defer.Deferred[bytes]:
+            return defer.ensureDeferred(signed(request, parts))
+
+        async def signed(request: Any, parts: dict[str, str]) -> bytes:
+            body = request.content.read(MAX_CHANGE_BYTES + 1)
+            path = request.uri.decode()
+            method = request.method.decode()
+            try:
+                self._checker.check(request.getHeader(auth.HEADER), method, path, body, time.time())
+            except auth.RefusedError as error:
+                _log.warning("refused", path=path, reason=str(error))
+                reply = caller_http.problem_reply(401, "Not authorised", str(error))
+                return http_server.write_reply(request, reply)
+            return http_server.write_reply(request, await handler(body, **parts))
+
+        return handle
+
+    def _readyz(self, request: Any) -> bytes:
+        request.setResponseCode(200 if self._life.is_ready else 503)
+        document: dict[str, Any] = {"state": self._life.state}
+        if self._life.state == "starting":
+            document["why"] = "neither the platform nor a peer has given a configuration yet"
+        return http_server.write_json(request, document)
+
+    def _metrics(self, request: Any) -> bytes:
+        request.setHeader("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+        return self._counts.export()
+
+    async def _status(self, body: bytes) -> caller_http.Reply:
+        del body
+        view = self._core.view
+        replicas = [
+            {
+                "target": replica.target.name,
+                "service": replica.target.service,
+                "hall": replica.target.hall,
+                "in_flight": replica.in_flight,
+                "limit": replica.limit.value,
+                "holds": [str(snapshot) for snapshot in sorted(replica.holds)],
+                "leaving": replica.is_leaving,
+                "failures": replica.failures,
+            }
+            for replica in self._core.gatherer.owned
+        ]
+        document = {
+            "name": self._options.name,
+            "hall": self._options.hall,
+            "state": self._life.state,
+            "configuration": {
+                "version": self._keeper.version,
+                "digest": self._keeper.digest,
+                "age_ms": round(self._keeper.age * 1000),
+                "is_watcher": self._keeper.is_watcher,
+                "alarms": self._keeper.alarms,
+            },
+            "members": dict(view.members),
+            "links": sorted(self._links.up),
+            "platform_calls": dict(self._platform.calls),
+            "targets": replicas,
+        }
+        return caller_http.Reply(200, document)
+
+    async def _configuration(self, body: bytes) -> caller_http.Reply:
+        del body
+        items = {key: json.loads(text) for key, text in sorted(self._keeper.items.items())}
+        document = {
+            "version": self._keeper.version,
+            "digest": self._keeper.digest,
+            "items": items,
+            "changes": [
+                {
+                    "version": change.version,
+                    "id": change.id,
+                    "author": change.author,
+                    "keys": sorted(change.keys),
+                }
+                for change in self._keeper.head.changes
+            ],
+        }
+        return caller_http.Reply(200, document)
+
+    async def _change(self, body: bytes) -> caller_http.Reply:
+        if len(body) > MAX_CHANGE_BYTES:
+            detail = f"larger than {MAX_CHANGE_BYTES} bytes"
+            return caller_http.problem_reply(400, "Bad request", detail)
+        try:
+            document = json.loads(body)
+            change_id = str(document["id"])
+            author = str(document["author"])
+            base = document["base"]
+            file = configuration.parse_file(json.dumps(document["file"]))
+        except (ValueError, KeyError, TypeError) as error:
+            return caller_http.problem_reply(400, "Bad request", f"malformed change: {error}")
+        except configuration.ConfigurationError as error:
+            return caller_http.problem_reply(400, "Configuration refused", str(error))
+        if base is None:
+            base = (await self._store.read_head())[0].version if not self._keeper.version else None
+        wanted = self._keeper.version if base is None else int(base)
+        outcome = await self._store.apply(file.items(), wanted, change_id, author)
+        if isinstance(outcome, config_store.Accepted):
+            await self._refresh()
+        return _change_reply(outcome, change_id)
+
+    async def _settle(self, body: bytes, change_id: str) -> caller_http.Reply:
+        del body
+        return _change_reply(await self._store.settle(change_id), change_id)
+
+    async def _refresh(self) -> None:
+        """Put an accepted change in force here without waiting for the watch."""
+        try:
+            await self._keeper.refresh()
+        except Exception as error:
+            _log.warning("refresh_failed", error=str(error))
+
+    async def _explain(self, body: bytes) -> caller_http.Reply:
+        try:
+            search: caller_http.SearchBody = caller_http.parse(
+                caller_http.SearchBody, body, MAX_CHANGE_BYTES
+            )
+        except caller_http.RequestError as error:
+            return caller_http.problem_reply(400, "Bad request", str(error), field=error.field)
+        config = self._core.view.config
+        match = selectors.choose(config.selectors, search.selector_fields())
+        labels = match.selector.group if match.selector else {"": ""}
+        matched = match.selector.name if match.selector else None
+        document = caller_http.describe_match(matched, match.considered, config.group(labels))
+        return caller_http.Reply(200, document)
+
+    async def _trace(self, body: bytes, query: str) -> caller_http.Reply:
+        del body
+        timeline = self._timelines.timeline(query)
+        if timeline is None:
+            return caller_http.problem_reply(404, "Unknown query", f"{query} is not kept here")
+        return caller_http.Reply(200, {"query": query, "timeline": timeline})
+
+    async def _drain(self, body: bytes) -> caller_http.Reply:
+        del body
+        self._life.stop_asked()
+        return caller_http.Reply(200, {"state": self._life.state})
+
+
+def _change_reply(outcome: config_store.Outcome, change_id: str) -> caller_http.Reply:
+    if isinstance(outcome, config_store.Accepted):
+        change = outcome.change
+        return caller_http.Reply(
+            200, {"outcome": "accepted", "id": change.id, "version": change.version}
+        )
+    if isinstance(outcome, config_store.Unsure):
+        document = {"outcome": "MAY_HAVE_RUN", "id": change_id, "detail": outcome.detail}
+        return caller_http.Reply(502, document)
+    status = _STATUS_BY_REFUSAL.get(outcome.reason, 503)
+    document = {
+        "outcome": "refused",
+        "id": change_id,
+        "reason": outcome.reason,
+        "detail": outcome.detail,
+    }
+    return caller_http.Reply(status, document)
--- a/src/lineworks/services/peer_links.py
+++ b/src/lineworks/services/peer_links.py
@@ -63,6 +63,7 @@
     """One end of a link."""
 
     MAX_LENGTH = codec.MAX_FRAME
+    transport: Any
 
     def __init__(self, links: PeerLinks) -> None:
         self._links = links
@@ -212,7 +213,7 @@
         Returns:
             A deferred with the listening port.
         """
-        factory = protocol.Factory.forProtocol(lambda: self._make_link())
+        factory: Any = protocol.Factory.forProtocol(lambda: self._make_link())
         endpoint = endpoints.TCP4ServerEndpoint(self._reactor, port, interface=host)
 
         def keep(listening: Any) -> Any:
@@ -369,7 +370,7 @@
         endpoint = endpoints.TCP4ClientEndpoint(
             self._reactor, member.host, member.port, timeout=HANDSHAKE_SECONDS
         )
-        factory = protocol.Factory.forProtocol(lambda: self._make_link())
+        factory: Any = protocol.Factory.forProtocol(lambda: self._make_link())
         dialled = endpoint.connect(factory)
         dialled.addBoth(self._on_dialled, name)
 
--- a/src/lineworks/services/platform_client.py
+++ b/src/lineworks/services/platform_client.py
@@ -19,8 +19,6 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from twisted.internet import interfaces
-
 WATCH_SECONDS = 20.0
 """Seconds that one watch waits at the platform at most."""
 
@@ -86,7 +84,8 @@
         self._timeout = timeout
         self._pool = web_client.HTTPConnectionPool(reactor, persistent=True)
         self._pool.retryAutomatically = False
-        self._http = treq.client.HTTPClient(web_client.Agent(reactor, pool=self._pool))
+        agent: Any = web_client.Agent(reactor, pool=self._pool)
+        self._http = treq.client.HTTPClient(agent)
         self.calls: collections.Counter[str] = collections.Counter()
 
     def start(self) -> None:
@@ -227,7 +226,7 @@
         return response.code, body, headers
 
 
-def sleep(clock: interfaces.IReactorTime, seconds: float) -> defer.Deferred[None]:
+def sleep(clock: Any, seconds: float) -> defer.Deferred[None]:
     """Wait.
 
     Args:
--- a/src/lineworks/services/runs.py
+++ b/src/lineworks/services/runs.py
@@ -297,7 +297,11 @@
         name = link.hello.name
         serving = defer.ensureDeferred(self._serve_relay(frame))
         serving.addCallback(self._send_relay_reply, name, frame.number)
-        serving.addErrback(lambda failure: link.close(f"malformed frame: {failure.type.__name__}"))
+
+        def refuse(failure: Any) -> None:
+            link.close(f"malformed frame: {failure.type.__name__}")
+
+        serving.addErrback(refuse)
 
     async def _serve_relay(self, frame: frames.Relay) -> caller_http.Reply:
         if frame.ticket.startswith(_KEY_PREFIX):
--- a/src/lineworks/services/target_pool.py
+++ b/src/lineworks/services/target_pool.py
@@ -141,7 +141,7 @@
         target: catalog.Target,
         path: bytes,
         headers: dict[str, str],
-        body: _Body | None,
+        body: Any,
     ) -> defer.Deferred[Any]:
         url = f"http://{target.host}:{target.port}".encode() + path
         raw = http_headers.Headers({name: [value] for name, value in headers.items()})
--- /dev/null
+++ b/src/lineworks/standins/site.py
@@ -0,0 +1,92 @@
+"""A platform and the targets of several shapes, together on loopback, for trials."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Any
+
+from lineworks.decisions import catalog
+from lineworks.standins import platform_server, shapes, target_model, target_server
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+FIRST_SNAPSHOT = catalog.Snapshot(1, catalog.BASE_LAYOUT)
+"""Snapshot that every stand-in target holds at first."""
+
+
+class Site:
+    """Everything around the instances."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        planned: Sequence[shapes.Shape],
+        times: target_model.ServiceTimes,
+        seed: int,
+    ) -> None:
+        """Make the stand-ins; nothing listens yet.
+
+        Args:
+            reactor: Twisted's reactor.
+            planned: Shapes of the applications.
+            times: Service times of all targets.
+            seed: Seed of the service times.
+        """
+        self._reactor = reactor
+        self._shapes = planned
+        self.platform = platform_server.PlatformServer(reactor)
+        self.targets: dict[str, target_server.TargetServer] = {}
+        for shape in planned:
+            for target in shapes.plan_targets(shape):
+                model = target_model.TargetModel(
+                    target.name,
+                    reactor,
+                    random.Random(f"{seed}/{target.name}"),
+                    shape.slots,
+                    times,
+                    frozenset({FIRST_SNAPSHOT}),
+                )
+                self.targets[target.name] = target_server.TargetServer(
+                    reactor, model, shape.connections
+                )
+
+    def listen(self, host: str, platform_port: int = 0, first_target_port: int = 0) -> None:
+        """Open all sockets.
+
+        Args:
+            host: IP address.
+            platform_port: TCP port of the platform; 0 lets the system choose.
+            first_target_port: TCP port of the first target, the others following; 0 lets the
+                system choose all.
+        """
+        self.platform.listen(host, platform_port)
+        for number, target in enumerate(self.targets.values()):
+            target.listen(host, first_target_port + number if first_target_port else 0)
+
+    async def close(self) -> None:
+        """Close all sockets."""
+        for target in self.targets.values():
+            await target.close()
+        await self.platform.close()
+
+    def services(self) -> dict[str, Any]:
+        """Write the services as configuration items.
+
+        Returns:
+            Items by name.
+        """
+        ports = {name: target.port for name, target in self.targets.items()}
+        items: dict[str, Any] = {}
+        for shape in self._shapes:
+            items.update(shapes.service_items(shape, ports))
+        return items
+
+    def hold(self, held: frozenset[catalog.Snapshot]) -> None:
+        """Change what every target holds.
+
+        Args:
+            held: The snapshots.
+        """
+        for target in self.targets.values():
+            target.model.holds = held
--- /dev/null
+++ b/src/lineworks/standins/target_model.py
@@ -0,0 +1,321 @@
+"""A target as the stand-ins and the bench see it: slots, a queue, service times and faults.
+
+It runs on any clock, keeps books of its own (what it started, for whom, how often), and stamps
+each reply so that a mixed, crossed or doubled answer can be found by whoever receives it.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+from lineworks.decisions import catalog, replicas, verdict
+from lineworks.engine import ports
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+COLD_SLOWDOWN = 4.0
+"""Factor by which a target that has just started is slower, falling to 1."""
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceTimes:
+    """Log-normal service times, some of them much longer."""
+
+    median: float = 0.02
+    """Seconds."""
+
+    sigma: float = 0.5
+    """Standard deviation of the logarithm."""
+
+    straggler_share: float = 0.01
+    """Share (0 to 1) of requests that straggle."""
+
+    straggler_factor: float = 10.0
+    """How many times as long those take."""
+
+    def sample(self, rng: random.Random) -> float:
+        """Draw a service time.
+
+        Args:
+            rng: Random source.
+
+        Returns:
+            Seconds.
+        """
+        seconds = self.median * math.exp(self.sigma * rng.gauss(0.0, 1.0))
+        if rng.random() < self.straggler_share:
+            seconds *= self.straggler_factor
+        return seconds
+
+    @property
+    def mean(self) -> float:
+        """Mean service time in seconds."""
+        plain = self.median * math.exp(self.sigma**2 / 2)
+        return plain * (1 + self.straggler_share * (self.straggler_factor - 1))
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Job:
+    attempt: ports.Attempt
+    on_outcome: Callable[[ports.Outcome], None]
+    timer: ports.Timer | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Books:
+    """What a target counts itself."""
+
+    started: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
+    """Starts by the first part of the request body, which names the sub-query's cause."""
+
+    refused: int = 0
+    """Requests refused as not run."""
+
+    cancelled: int = 0
+    """Requests cancelled, whether they had started or not."""
+
+    started_after_leaving: int = 0
+    """Requests started more than `LEAVING_GRACE` seconds after it said it was leaving."""
+
+    total_started: int = 0
+    """All starts."""
+
+
+LEAVING_GRACE = 3.0
+"""Seconds after which a leaving target must get no new work."""
+
+
+class TargetModel:
+    """One target."""
+
+    def __init__(
+        self,
+        name: str,
+        clock: ports.Clock,
+        rng: random.Random,
+        slots: int,
+        times: ServiceTimes,
+        holds: frozenset[catalog.Snapshot],
+        queue_limit: int = 16,
+    ) -> None:
+        """Start serving.
+
+        Args:
+            name: Name of the target.
+            clock: Time and timers.
+            rng: Random source of service times.
+            slots: Requests worked on at once.
+            times: Service times.
+            holds: Snapshots held.
+            queue_limit: Requests that may wait; more are refused.
+        """
+        self.name = name
+        self._clock = clock
+        self._rng = rng
+        self._slots = slots
+        self._times = times
+        self._queue_limit = queue_limit
+        self._running: dict[str, _Job] = {}
+        self._queue: collections.deque[_Job] = collections.deque()
+        self._stalled_until = 0.0
+        self._cold_until = 0.0
+        self._cold_for = 1.0
+        self._left_at = math.inf
+        self._starts = 0
+        self.incarnation = f"{name}#0"
+        self.is_down = False
+        self.holds = holds
+        self.books = Books()
+        self.report_override: Callable[[replicas.Report], replicas.Report] | None = None
+
+    @property
+    def busy(self) -> int:
+        """Slots in use."""
+        return len(self._running)
+
+    @property
+    def queued(self) -> int:
+        """Requests waiting."""
+        return len(self._queue)
+
+    def report(self) -> replicas.Report:
+        """Say how it is, truly unless a fault is set.
+
+        Returns:
+            The report.
+        """
+        now = self._clock.seconds()
+        report = replicas.Report(
+            self.incarnation,
+            self.holds,
+            len(self._running),
+            len(self._queue),
+            now < self._cold_until,
+            now >= self._left_at,
+        )
+        return self.report_override(report) if self.report_override else report
+
+    def submit(self, attempt: ports.Attempt, on_outcome: Callable[[ports.Outcome], None]) -> None:
+        """Take a request.
+
+        Args:
+            attempt: The request.
+            on_outcome: Called once, unless the target goes down.
+        """
+        refusal = self._refusal(attempt)
+        if refusal is not None:
+            self.books.refused += 1
+            on_outcome(ports.Outcome(refusal, report=self.report()))
+            return
+        job = _Job(attempt, on_outcome)
+        if len(self._running) < self._slots:
+            self._start(job)
+        else:
+            self._queue.append(job)
+
+    def cancel(self, attempt_id: str) -> None:
+        """Give up a request.
+
+        Args:
+            attempt_id: Identity of the attempt; an unknown one is ignored.
+        """
+        running = self._running.pop(attempt_id, None)
+        if running is not None:
+            self.books.cancelled += 1
+            if running.timer is not None and running.timer.active():
+                running.timer.cancel()
+            found = verdict.may_have_run(verdict.Reason.CANCELLED, "cancelled while running")
+            running.on_outcome(ports.Outcome(found, report=self.report()))
+            self._next()
+            return
+        for job in self._queue:
+            if job.attempt.id == attempt_id:
+                self._queue.remove(job)
+                self.books.cancelled += 1
+                found = verdict.not_run(verdict.Reason.CANCELLED, "cancelled while waiting")
+                job.on_outcome(ports.Outcome(found, report=self.report()))
+                return
+
+    def stall(self, seconds: float) -> None:
+        """Stop making progress for a while; accepted requests stay.
+
+        Args:
+            seconds: How long.
+        """
+        self._stalled_until = self._clock.seconds() + seconds
+
+    def leave(self) -> None:
+        """Say from now on that it is leaving, and refuse new work after the grace."""
+        self._left_at = self._clock.seconds()
+
+    def go_down(self) -> list[ports.Attempt]:
+        """Lose everything at once.
+
+        Returns:
+            The attempts that were lost.
+        """
+        self.is_down = True
+        lost = [job.attempt for job in (*self._running.values(), *self._queue)]
+        for job in self._running.values():
+            if job.timer is not None and job.timer.active():
+                job.timer.cancel()
+        self._running.clear()
+        self._queue.clear()
+        return lost
+
+    def come_up(self, cold_seconds: float = 0.0) -> None:
+        """Start again as a new incarnation.
+
+        Args:
+            cold_seconds: Seconds for which it is slower than usual.
+        """
+        self.is_down = False
+        self._starts += 1
+        self.incarnation = f"{self.name}#{self._starts}"
+        self._left_at = math.inf
+        self._stalled_until = 0.0
+        self.warm_up(cold_seconds)
+
+    def warm_up(self, cold_seconds: float) -> None:
+        """Be slow for a while, as after loading a new index.
+
+        Args:
+            cold_seconds: How long.
+        """
+        self._cold_for = max(cold_seconds, 1e-9)
+        self._cold_until = self._clock.seconds() + cold_seconds
+
+    def _refusal(self, attempt: ports.Attempt) -> verdict.Verdict | None:
+        now = self._clock.seconds()
+        if now >= self._left_at:
+            return verdict.not_run(verdict.Reason.LEAVING, "leaving")
+        if attempt.snapshot is not None and attempt.snapshot not in self.holds:
+            return verdict.not_run(verdict.Reason.SNAPSHOT_GONE, "not held")
+        if attempt.deadline <= now:
+            return verdict.not_run(verdict.Reason.DEADLINE, "too late")
+        if len(self._running) >= self._slots and len(self._queue) >= self._queue_limit:
+            return verdict.not_run(verdict.Reason.OVERLOADED, "queue full")
+        return None
+
+    def _start(self, job: _Job) -> None:
+        now = self._clock.seconds()
+        self.books.total_started += 1
+        cause = job.attempt.body.partition(b"|")[0].decode(errors="replace")
+        self.books.started[f"{cause}/{job.attempt.shard}"] += 1
+        if now > self._left_at + LEAVING_GRACE:
+            self.books.started_after_leaving += 1
+        self._running[job.attempt.id] = job
+        seconds = self._times.sample(self._rng) * self._slowdown(now)
+        job.timer = self._clock.callLater(seconds, self._finish, job)
+
+    def _slowdown(self, now: float) -> float:
+        if now >= self._cold_until:
+            return 1.0
+        return 1.0 + (COLD_SLOWDOWN - 1.0) * (self._cold_until - now) / self._cold_for
+
+    def _finish(self, job: _Job) -> None:
+        late = self._stalled_until - self._clock.seconds()
+        if late > 0:
+            job.timer = self._clock.callLater(late, self._finish, job)
+            return
+        del self._running[job.attempt.id]
+        attempt = job.attempt
+        snapshot = attempt.snapshot or max(self.holds, default=None)
+        if snapshot is not None and snapshot not in self.holds:
+            found = verdict.ran(verdict.Reason.SNAPSHOT_GONE, "dropped while it ran")
+            job.on_outcome(ports.Outcome(found, report=self.report()))
+        else:
+            body = stamp(attempt.body, attempt.shard, snapshot)
+            job.on_outcome(ports.Outcome(verdict.OK, snapshot, body, self.report()))
+        self._next()
+
+    def _next(self) -> None:
+        now = self._clock.seconds()
+        while self._queue and len(self._running) < self._slots:
+            job = self._queue.popleft()
+            if job.attempt.deadline <= now:
+                found = verdict.not_run(verdict.Reason.DEADLINE, "expired in the queue")
+                self.books.refused += 1
+                job.on_outcome(ports.Outcome(found, report=self.report()))
+                continue
+            self._start(job)
+
+
+def stamp(body: bytes, shard: str, snapshot: catalog.Snapshot | None) -> bytes:
+    """Make a reply that names what it answers.
+
+    Args:
+        body: The request's body; its part before the first `|` names the query.
+        shard: The shard.
+        snapshot: The snapshot answered from.
+
+    Returns:
+        `query|shard|snapshot`.
+    """
+    cause = body.partition(b"|")[0].decode(errors="replace")
+    return f"{cause}|{shard}|{snapshot}".encode()
