--- a/src/lineworks/decisions/hedging.py
+++ b/src/lineworks/decisions/hedging.py
@@ -15,8 +15,13 @@
 
     from lineworks.decisions import estimators
 
-BUDGET_SHARE = 0.8
-"""Share of the hedge budget that the threshold alone is set to use up."""
+LEAST_SHARE = 0.5
+"""Share of the hedge budget that the threshold is set to use up when no token is left."""
+
+MOST_SHARE = 1.75
+"""Share of the hedge budget that the threshold is set to use up when all tokens are left."""
+
+_FILL_STEPS = 8
 
 MIN_LAST = 2
 """Outstanding sub-queries that count as a query's last stragglers in any case."""
@@ -41,6 +46,9 @@
     total: int
     """All sub-queries of the query."""
 
+    budget_fill: float = 0.5
+    """Share (0 to 1) of the hedge tokens that are left."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Advice:
@@ -97,16 +105,19 @@
     return rule
 
 
-def make_progress_rule(last_share: float = LAST_SHARE, budget_share: float = BUDGET_SHARE) -> Rule:
+def make_progress_rule(
+    last_share: float = LAST_SHARE, least: float = LEAST_SHARE, most: float = MOST_SHARE
+) -> Rule:
     """Make the rule in force: hedge a query's last stragglers at a threshold set by the budget.
 
-    The threshold is the latency that a share of sub-queries exceeds which would use up
-    `budget_share` of the budget. A query hedges only when few sub-queries are left, since an
-    earlier hedge cannot make its answer ready sooner.
+    The threshold is the latency that a share of sub-queries exceeds which would use up the
+    budget: more than all of it while tokens are plentiful, less when they run out. A query hedges
+    only when few sub-queries are left, since an earlier hedge cannot make its answer ready sooner.
 
     Args:
         last_share: Outstanding share of a query that counts as its last stragglers.
-        budget_share: Share of the budget that the threshold is set to use.
+        least: Share of the budget to aim at when no token is left.
+        most: Share of the budget to aim at when all tokens are left.
 
     Returns:
         The rule.
@@ -115,7 +126,9 @@
     def rule(progress: Progress, latencies: estimators.Quantiles, budget: float) -> Advice:
         if not latencies.has_samples:
             return NEVER
-        threshold = latencies.quantile(1.0 - budget * budget_share)
+        fill = round(progress.budget_fill * _FILL_STEPS) / _FILL_STEPS
+        aim = least + (most - least) * fill
+        threshold = latencies.quantile(1.0 - budget * aim)
         if progress.elapsed < threshold:
             return Advice(False, threshold - progress.elapsed)
         if progress.outstanding > max(MIN_LAST, progress.total * last_share):
--- a/src/lineworks/decisions/replicas.py
+++ b/src/lineworks/decisions/replicas.py
@@ -26,6 +26,9 @@
 FOREIGN_LOAD_CAP = 2.0
 """Load by other instances that a report can claim, as a multiple of the target's slots."""
 
+DISBELIEF = 5.0
+"""Seconds for which a snapshot that a target refused is not believed to be held by it."""
+
 SUSPECT_AFTER = 2
 """Slow attempts in a row, without a reply between them, that make a replica suspect."""
 
@@ -102,6 +105,9 @@
     rest_until: float = -math.inf
     """Time before which it is not tried again."""
 
+    disbelieved: dict[catalog.Snapshot, float] = dataclasses.field(default_factory=dict)
+    """Snapshots that the target claims and yet refused, each with the time until which."""
+
     progress_at: float = -math.inf
     """Last sign of progress: a reply, or the first attempt after an idle time."""
 
@@ -183,6 +189,16 @@
         rest = min(BACKOFF_CAP, BACKOFF_START * 2 ** min(self.failures, 10))
         self.rest_until = now + rest * (0.5 + rng.random() / 2)
 
+    def on_snapshot_refused(self, now: float, snapshot: catalog.Snapshot) -> None:
+        """Believe the target's refusal over its reports for a while.
+
+        Args:
+            now: The present, in seconds.
+            snapshot: The snapshot that it refused, or did not answer from.
+        """
+        self.disbelieved[snapshot] = now + DISBELIEF
+        self.holds = self.holds - {snapshot}
+
     def on_report(self, now: float, report: Report) -> None:
         """Take in what the target says of itself.
 
@@ -199,7 +215,8 @@
             self.limit.restart_cold()
         self.is_cold = report.is_cold
         self.is_leaving = self.is_leaving or report.is_leaving
-        self.holds = report.holds
+        self.disbelieved = {s: until for s, until in self.disbelieved.items() if until > now}
+        self.holds = report.holds.difference(self.disbelieved)
         claimed = max(0, report.busy + report.queue - self.in_flight)
         self.foreign = min(float(claimed), FOREIGN_LOAD_CAP * self.target.slots)
         self.reported_at = now
--- a/src/lineworks/engine/front.py
+++ b/src/lineworks/engine/front.py
@@ -31,7 +31,7 @@
 RETRY_BURST = 20.0
 """Retries that a group's budget holds at most."""
 
-HEDGE_BURST = 5.0
+HEDGE_BURST = 20.0
 """Hedges that a group's budget holds at most."""
 
 WAIT_SHARE = 0.25
@@ -592,7 +592,8 @@
             return
         state = self._state(query)
         elapsed = self._clock.seconds() - sent_at
-        progress = hedging.Progress(elapsed, query.outstanding, len(query.shards))
+        fill = state.hedges.tokens / HEDGE_BURST
+        progress = hedging.Progress(elapsed, query.outstanding, len(query.shards), fill)
         advice = self._tuning.hedge(progress, state.path_latencies(hall), state.hedge_budget)
         if advice.should_hedge:
             for position in waiting:
@@ -635,8 +636,11 @@
         load = self._loads[shard.service.name].get(frame.hall)
         if load is not None:
             load.on_reply(now, reply.waited)
+        state = self._state(query)
+        if shard.is_hedged and len(shard.tried_halls) == 1 and reply.attempts < 2:
+            # The gatherer found no room for the hedge, so it cost nothing.
+            state.hedges.give_back()
         if reply.verdict.is_ok and not frame.is_hedge:
-            state = self._state(query)
             state.path_latencies(frame.hall).record(now - shard.sent_at)
             spent = now - shard.sent_at - reply.waited
             state.service_time.record(spent)
@@ -694,6 +698,8 @@
 
     def _conclude(self, query: _Query, shard: _Shard, found: verdict.Verdict) -> None:
         """Settle a sub-query, cancel what else is under way for it, and perhaps answer."""
+        if query.is_over or shard.is_done:
+            return
         shard.is_done = True
         shard.verdict = found
         query.outstanding -= 1
--- a/src/lineworks/engine/gatherer.py
+++ b/src/lineworks/engine/gatherer.py
@@ -90,6 +90,8 @@
     running: dict[str, _Running] = dataclasses.field(default_factory=dict)
     tried: set[str] = dataclasses.field(default_factory=set)
     is_waiting: bool = False
+    hedge_after: float | None = None
+    """Seconds after its start at which a hedge that was asked for too early is due."""
     is_done: bool = False
     last: verdict.Verdict | None = None
     last_target: str = ""
@@ -121,6 +123,7 @@
     def __init__(self) -> None:
         self.replicas: list[replicas.Replica] = []
         self.waiting: collections.deque[_Sub] = collections.deque()
+        self.hedges_due: collections.deque[_Sub] = collections.deque()
         self.service_time = estimators.Average(0.05)
         self.retries = estimators.Budget(RETRY_SHARE, RETRY_BURST)
 
@@ -262,10 +265,19 @@
         if frame is None or not 0 <= hedge.index < len(frame.subs):
             return
         sub = frame.subs[hedge.index]
-        if sub.is_done or sub.is_waiting or not sub.request.is_repeatable:
+        if sub.is_waiting:
+            # It has not started, so it is not slow yet; it may be, as long after its start.
+            sub.hedge_after = self._clock.seconds() - sub.arrived
+            return
+        self._hedge(sub)
+
+    def _hedge(self, sub: _Sub) -> None:
+        if sub.is_done or len(sub.running) != 1 or not sub.request.is_repeatable:
             return
         replica = self._pick(self._able(sub))
-        if replica is not None:
+        if replica is None:
+            self._pool(sub.service).hedges_due.append(sub)
+        else:
             self.counters.hedges += 1
             self._start(sub, replica, "hedge")
 
@@ -356,6 +368,9 @@
         sub.running[attempt_id] = running
         replica.on_started(now)
         self.counters.started += 1
+        if sub.hedge_after is not None:
+            self._clock.callLater(sub.hedge_after, self._hedge, sub)
+            sub.hedge_after = None
         self._trace(sub, event, replica.target.name)
         attempt = ports.Attempt(
             attempt_id,
@@ -396,14 +411,23 @@
             replica.rest_until = now + SHED_REST
         elif reason is verdict.Reason.LEAVING:
             self.on_leaving(replica.target.name)
+        if self._is_wrong_snapshot(sub, outcome):
+            replica.on_snapshot_refused(now, sub.request.snapshot)
+            self.on_holdings()
         if outcome.verdict.is_not_run:
             self.counters.refused += 1
 
+    def _is_wrong_snapshot(self, sub: _Sub, outcome: ports.Outcome) -> bool:
+        if not sub.request.needs_snapshot:
+            return False
+        if outcome.verdict.reason is verdict.Reason.SNAPSHOT_GONE:
+            return True
+        return outcome.verdict.is_ok and outcome.snapshot != sub.request.snapshot
+
     def _judge(self, sub: _Sub, outcome: ports.Outcome) -> None:
         """Answer, retry or wait for another attempt, by how this one ended."""
-        request = sub.request
         found = outcome.verdict
-        if found.is_ok and request.needs_snapshot and outcome.snapshot != request.snapshot:
+        if found.is_ok and self._is_wrong_snapshot(sub, outcome):
             self.counters.wrong_snapshot += 1
             detail = f"the target answered from {outcome.snapshot}"
             found = verdict.ran(verdict.Reason.SNAPSHOT_GONE, detail)
@@ -446,6 +470,9 @@
                 self._finish(sub, sub.last or self._why_none(sub))
             else:
                 self._start(sub, replica, "retry" if sub.attempts else "attempt")
+        # Hedges come after first attempts, and each is looked at once.
+        for _ in range(len(pool.hedges_due)):
+            self._hedge(pool.hedges_due.popleft())
 
     def _finish(
         self, sub: _Sub, found: verdict.Verdict, outcome: ports.Outcome | None = None
