Hedge at the gatherer by the end-to-end time of a sub-query

Cause: a front hears of a slow sub-query in another hall one network delay late, so many of its hedges came after the reply had left; and censored latencies made the budget's threshold too low, which emptied the tokens before real stragglers. Change: the gatherer hedges within its hall, on the time since arrival plus the network delay that the front states; hedged sub-queries count as slow; fronts hedge only across halls.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -108,8 +108,6 @@
             self.gatherer.on_sub_queries(
                 sender.name, request, lambda reply: self._reply(sender, reply)
             )
-        elif isinstance(request, messages.Hedge):
-            self.gatherer.on_hedge(sender.name, request)
         else:
             self.gatherer.on_cancel(sender.name, request)
 
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -31,14 +31,14 @@
     """Whether stragglers and faults are left out."""
 
 
-def _unbounded(choose: replicas.Choice) -> gatherer.Tuning:
-    return gatherer.Tuning(choose=choose, is_bounded=False, ejects_stalled=False)
+def _unbounded(choose: replicas.Choice, hedge: hedging.Rule) -> gatherer.Tuning:
+    return gatherer.Tuning(choose, is_bounded=False, ejects_stalled=False, hedge=hedge)
 
 
 POLICIES: dict[str, Callable[[], PolicyUnderTest]] = {
     "baseline_random": lambda: PolicyUnderTest(
         front.Tuning(hedge=hedging.never, is_admitting=False, is_routing_by_load=False),
-        _unbounded(replicas.choose_random),
+        _unbounded(replicas.choose_random, hedging.never),
     ),
     "baseline_p95_hedge": lambda: PolicyUnderTest(
         front.Tuning(
@@ -47,11 +47,11 @@
             is_routing_by_load=False,
             hedge_budget=1.0,
         ),
-        _unbounded(replicas.choose_own_in_flight),
+        _unbounded(replicas.choose_own_in_flight, hedging.make_percentile_rule(0.95)),
     ),
     "lineworks": lambda: PolicyUnderTest(front.Tuning(), gatherer.Tuning()),
     "oracle": lambda: PolicyUnderTest(
-        front.Tuning(hedge=hedging.never), gatherer.Tuning(), is_ideal=True
+        front.Tuning(hedge=hedging.never), gatherer.Tuning(hedge=hedging.never), is_ideal=True
     ),
 }
 """The policies that every scenario is run under, by name."""
@@ -106,7 +106,9 @@
         self._cluster.clock.run_until(plan.seconds + plan.deadline_ms / 1000 + 1.0)
         figures = self._books.figures(self._cluster.gates, plan.seconds - plan.warm_up)
         counters = [entry.front.counters for entry in self._entries]
-        figures["hedges"] = sum(item.hedges for item in counters)
+        figures["hedges"] = sum(item.hedges for item in counters) + sum(
+            entry.gatherer.counters.hedges for entry in self._entries
+        )
         figures["late_replies"] = sum(item.late_replies for item in counters)
         figures["restarts"] = sum(item.restarts for item in counters)
         return figures
--- a/src/lineworks/decisions/estimators.py
+++ b/src/lineworks/decisions/estimators.py
@@ -108,16 +108,14 @@
 
 
 class Budget:
-    """Tokens earned as a share of regular work and spent on extra work."""
+    """Tokens earned by regular work and spent on extra work."""
 
-    def __init__(self, share: float, burst: float) -> None:
+    def __init__(self, burst: float) -> None:
         """Start with a full burst.
 
         Args:
-            share: Tokens earned for each regular piece of work.
             burst: Tokens kept at most.
         """
-        self._share = share
         self._burst = burst
         self._tokens = burst
 
@@ -126,13 +124,13 @@
         """Tokens left."""
         return self._tokens
 
-    def earn(self, pieces: int) -> None:
+    def earn(self, tokens: float) -> None:
         """Add tokens for regular work.
 
         Args:
-            pieces: How many pieces of work were started.
+            tokens: How many, usually a fraction of one for each piece of work.
         """
-        self._tokens = min(self._burst, self._tokens + self._share * pieces)
+        self._tokens = min(self._burst, self._tokens + tokens)
 
     def spend(self) -> bool:
         """Take one token.
@@ -144,7 +142,3 @@
             return False
         self._tokens -= 1.0
         return True
-
-    def give_back(self) -> None:
-        """Return a token whose extra work was not started after all."""
-        self._tokens = min(self._burst, self._tokens + 1.0)
--- a/src/lineworks/engine/front.py
+++ b/src/lineworks/engine/front.py
@@ -226,8 +226,9 @@
         limit = limits.QueryLimit(policy.target_latency * WAIT_SHARE)
         self.admission: admission.Admission[_Query] = admission.Admission(limit, on_expired)
         self.hedge_budget = hedge_budget
-        self.hedges = estimators.Budget(hedge_budget, HEDGE_BURST)
-        self.retries = estimators.Budget(policy.retry_budget, RETRY_BURST)
+        self.hedges = estimators.Budget(HEDGE_BURST)
+        self.retries = estimators.Budget(RETRY_BURST)
+        self.retry_budget = policy.retry_budget
         self.latencies: dict[str, estimators.Quantiles] = {}
         self.service_time = estimators.Average(0.02)
 
@@ -472,8 +473,8 @@
         query.shards = planned
         query.outstanding = len(planned)
         state = self._state(query)
-        state.hedges.earn(len(planned))
-        state.retries.earn(len(planned))
+        state.hedges.earn(state.hedge_budget * len(planned))
+        state.retries.earn(state.retry_budget * len(planned))
         self.counters.sub_queries += len(planned)
         self._trace(query, "", "plan", f"{query.snapshot or 'any'}, {len(planned)} shards")
         return True
@@ -548,6 +549,9 @@
             deadline=deadlines.for_next_hop(query.deadline, delay),
             is_repeatable=query.is_repeatable,
             needs_snapshot=query.needs_snapshot,
+            group=query.group.name,
+            hedge_budget=self._state(query).hedge_budget,
+            network_delay=2 * delay,
         )
         self._frames[number] = _Frame(query, instance, hall, batch, is_hedge, len(batch))
         query.frames.add(number)
@@ -587,7 +591,7 @@
         """Ask the hedge rule about a batch, act on it, and set the next check."""
         if query.is_over:
             return
-        waiting = [position for position in batch if not query.shards[position].is_done]
+        waiting = [position for position in batch if self._is_hedged_here(query.shards[position])]
         if not waiting:
             return
         state = self._state(query)
@@ -610,13 +614,13 @@
             return
         shard.is_hedged = True
         self.counters.hedges += 1
-        number, index = next(iter(shard.pending.items()))
-        replicas_there = sum(1 for t in shard.service.targets if t.hall == shard.hall)
-        if replicas_there > 1:
-            self._trace(query, shard.shard, "hedge", f"another replica in {shard.hall}")
-            self._gatherers.send(self._frames[number].instance, messages.Hedge(number, index))
-        else:
-            self._send(query, [position], is_hedge=True)
+        self._send(query, [position], is_hedge=True)
+
+    def _is_hedged_here(self, shard: _Shard) -> bool:
+        """Say whether the front hedges a sub-query, in another hall, and not its gatherer."""
+        if shard.is_done:
+            return False
+        return sum(1 for target in shard.service.targets if target.hall == shard.hall) == 1
 
     def _settle(self, number: int, frame: _Frame, service: str) -> None:
         """Count one sub-query of a frame as settled, and forget the frame after its last."""
@@ -636,11 +640,8 @@
         load = self._loads[shard.service.name].get(frame.hall)
         if load is not None:
             load.on_reply(now, reply.waited)
-        state = self._state(query)
-        if shard.is_hedged and len(shard.tried_halls) == 1 and reply.attempts < 2:
-            # The gatherer found no room for the hedge, so it cost nothing.
-            state.hedges.give_back()
         if reply.verdict.is_ok and not frame.is_hedge:
+            state = self._state(query)
             state.path_latencies(frame.hall).record(now - shard.sent_at)
             spent = now - shard.sent_at - reply.waited
             state.service_time.record(spent)
--- a/src/lineworks/engine/gatherer.py
+++ b/src/lineworks/engine/gatherer.py
@@ -11,7 +11,7 @@
 import functools
 from typing import TYPE_CHECKING
 
-from lineworks.decisions import deadlines, estimators, replicas, verdict
+from lineworks.decisions import deadlines, estimators, hedging, replicas, verdict
 from lineworks.engine import messages, ports
 
 if TYPE_CHECKING:
@@ -35,6 +35,12 @@
 RETRY_SHARE = 0.1
 """Retries earned for each sub-query."""
 
+HEDGE_BURST = 20.0
+"""Hedges that a group's budget holds at most."""
+
+LEAST_CHECK = 0.001
+"""Seconds between looks at one frame's slow sub-queries at least."""
+
 SHED_REST = 0.02
 """Seconds that a target is left alone after it shed a request."""
 
@@ -52,6 +58,9 @@
     ejects_stalled: bool = True
     """Whether replicas without progress are passed over."""
 
+    hedge: hedging.Rule = dataclasses.field(default_factory=hedging.make_progress_rule)
+    """When a sub-query is hedged at another replica of the hall."""
+
 
 @dataclasses.dataclass(slots=True)
 class Counters:
@@ -90,8 +99,7 @@
     running: dict[str, _Running] = dataclasses.field(default_factory=dict)
     tried: set[str] = dataclasses.field(default_factory=set)
     is_waiting: bool = False
-    hedge_after: float | None = None
-    """Seconds after its start at which a hedge that was asked for too early is due."""
+    is_hedged: bool = False
     is_done: bool = False
     last: verdict.Verdict | None = None
     last_target: str = ""
@@ -108,6 +116,7 @@
     subs: list[_Sub]
     open: int
     timer: ports.Timer
+    hedge_timer: ports.Timer | None = None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -123,15 +132,23 @@
     def __init__(self) -> None:
         self.replicas: list[replicas.Replica] = []
         self.waiting: collections.deque[_Sub] = collections.deque()
-        self.hedges_due: collections.deque[_Sub] = collections.deque()
         self.service_time = estimators.Average(0.05)
-        self.retries = estimators.Budget(RETRY_SHARE, RETRY_BURST)
+        self.retries = estimators.Budget(RETRY_BURST)
 
     @property
     def patience(self) -> float:
         return max(STALL_FLOOR, STALL_FACTOR * self.service_time.value)
 
 
+class _Group:
+    """What a gatherer has learned about one group."""
+
+    def __init__(self) -> None:
+        self.latencies = estimators.Quantiles()
+        self.hedges = estimators.Budget(HEDGE_BURST)
+        self.hedge_budget = 0.0
+
+
 class Gatherer:
     """Runs the sub-queries that fronts send to this instance."""
 
@@ -159,6 +176,7 @@
         self._on_trace = on_trace
         self._pools: dict[str, _Pool] = {}
         self._by_target: dict[str, replicas.Replica] = {}
+        self._groups: dict[str, _Group] = {}
         self._frames: dict[tuple[str, int], _Frame] = {}
         self.counters = Counters()
         self.on_holdings: Callable[[], None] = lambda: None
@@ -251,35 +269,13 @@
         timer = self._clock.callLater(delay, self._on_deadline, key)
         self._frames[key] = _Frame(subs, len(subs), timer)
         for sub in subs:
-            self._pool(sub.service).retries.earn(1)
+            self._pool(sub.service).retries.earn(RETRY_SHARE)
             self._place(sub)
-
-    def on_hedge(self, origin: str, hedge: messages.Hedge) -> None:
-        """Start a second attempt, unless the first has not started or no other replica can.
-
-        Args:
-            origin: Incarnation of the front that asks.
-            hedge: Which sub-query.
-        """
-        frame = self._frames.get((origin, hedge.frame))
-        if frame is None or not 0 <= hedge.index < len(frame.subs):
-            return
-        sub = frame.subs[hedge.index]
-        if sub.is_waiting:
-            # It has not started, so it is not slow yet; it may be, as long after its start.
-            sub.hedge_after = self._clock.seconds() - sub.arrived
-            return
-        self._hedge(sub)
-
-    def _hedge(self, sub: _Sub) -> None:
-        if sub.is_done or len(sub.running) != 1 or not sub.request.is_repeatable:
-            return
-        replica = self._pick(self._able(sub))
-        if replica is None:
-            self._pool(sub.service).hedges_due.append(sub)
-        else:
-            self.counters.hedges += 1
-            self._start(sub, replica, "hedge")
+        if request.is_repeatable:
+            group = self._group(request.group)
+            group.hedge_budget = request.hedge_budget
+            group.hedges.earn(request.hedge_budget * len(subs))
+            self._check_hedges(key)
 
     def on_cancel(self, origin: str, cancel: messages.Cancel) -> None:
         """Give up sub-queries and the attempts at them.
@@ -306,6 +302,55 @@
             if self._frames[key].subs[0].request.is_repeatable:
                 self.on_cancel(origin, messages.Cancel(key[1]))
 
+    def _check_hedges(self, key: tuple[str, int]) -> None:
+        """Ask the hedge rule about each running sub-query of a frame, and set the next check."""
+        frame = self._frames.get(key)
+        if frame is None:
+            return
+        next_check: float | None = None
+        for sub in frame.subs:
+            if sub.is_done or sub.is_hedged:
+                continue
+            check_in = self._check_hedge(sub, frame)
+            if check_in is not None and (next_check is None or check_in < next_check):
+                next_check = check_in
+        if next_check is not None:
+            delay = max(next_check, LEAST_CHECK)
+            frame.hedge_timer = self._clock.callLater(delay, self._check_hedges, key)
+
+    def _check_hedge(self, sub: _Sub, frame: _Frame) -> float | None:
+        """Hedge a sub-query if it is time, and say in how many seconds to look again."""
+        group = self._group(sub.request.group)
+        elapsed = self._elapsed(sub)
+        fill = group.hedges.tokens / HEDGE_BURST
+        progress = hedging.Progress(elapsed, frame.open, len(frame.subs), fill)
+        advice = self._tuning.hedge(progress, group.latencies, group.hedge_budget)
+        if advice.should_hedge and sub.running:
+            self._hedge(sub, group)
+        return None if sub.is_hedged else advice.check_in
+
+    def _elapsed(self, sub: _Sub) -> float:
+        """Tell how long a sub-query holds up its query, network both ways included."""
+        return self._clock.seconds() - sub.arrived + sub.request.network_delay
+
+    def _hedge(self, sub: _Sub, group: _Group) -> None:
+        able = self._able(sub)
+        if not able:
+            sub.is_hedged = True
+            return
+        replica = self._pick(able)
+        if replica is None or not group.hedges.spend():
+            return
+        sub.is_hedged = True
+        self.counters.hedges += 1
+        self._start(sub, replica, "hedge")
+
+    def _group(self, name: str) -> _Group:
+        group = self._groups.get(name)
+        if group is None:
+            group = self._groups[name] = _Group()
+        return group
+
     def _pool(self, service: str) -> _Pool:
         pool = self._pools.get(service)
         if pool is None:
@@ -368,9 +413,6 @@
         sub.running[attempt_id] = running
         replica.on_started(now)
         self.counters.started += 1
-        if sub.hedge_after is not None:
-            self._clock.callLater(sub.hedge_after, self._hedge, sub)
-            sub.hedge_after = None
         self._trace(sub, event, replica.target.name)
         attempt = ports.Attempt(
             attempt_id,
@@ -433,6 +475,8 @@
             found = verdict.ran(verdict.Reason.SNAPSHOT_GONE, detail)
         self._trace(sub, "outcome", f"{found.certainty.value} {found.reason.value}")
         if found.is_ok:
+            # From the arrival, so that a hedged sub-query counts as slow though its hedge was fast.
+            self._group(sub.request.group).latencies.record(self._elapsed(sub))
             self._finish(sub, found, outcome)
             return
         sub.last = found if sub.last is None or not found.is_not_run else sub.last
@@ -470,9 +514,6 @@
                 self._finish(sub, sub.last or self._why_none(sub))
             else:
                 self._start(sub, replica, "retry" if sub.attempts else "attempt")
-        # Hedges come after first attempts, and each is looked at once.
-        for _ in range(len(pool.hedges_due)):
-            self._hedge(pool.hedges_due.popleft())
 
     def _finish(
         self, sub: _Sub, found: verdict.Verdict, outcome: ports.Outcome | None = None
@@ -535,8 +576,9 @@
         if frame.open:
             return
         del self._frames[key]
-        if frame.timer.active():
-            frame.timer.cancel()
+        for timer in (frame.timer, frame.hedge_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
 
     def _trace(self, sub: _Sub, event: str, detail: str) -> None:
         if self._on_trace is not None:
--- a/src/lineworks/engine/messages.py
+++ b/src/lineworks/engine/messages.py
@@ -49,16 +49,14 @@
     needs_snapshot: bool = True
     """Whether only replicas that hold the snapshot may answer."""
 
+    group: str = ""
+    """Group that the query reaches; latencies and hedge tokens are kept by group."""
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Hedge:
-    """Asks for a second attempt at one sub-query, at another replica of the same hall."""
-
-    frame: int
-    """The frame that asked for the sub-query."""
+    hedge_budget: float = 0.0
+    """Hedges that the group's policy allows, as a share of sub-queries."""
 
-    index: int
-    """Position of the sub-query in that frame."""
+    network_delay: float = 0.0
+    """Seconds that this message and a reply to it spend on the way, as the front expects."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,5 +99,5 @@
     """Attempts that were handed to targets."""
 
 
-Request: TypeAlias = SubQueries | Hedge | Cancel
+Request: TypeAlias = SubQueries | Cancel
 """What a front sends to a gatherer."""
--- a/src/lineworks/services/cluster.py
+++ b/src/lineworks/services/cluster.py
@@ -85,7 +85,6 @@
         links.handle(frames.Replies, self._on_replies)
         links.handle(frames.Holdings, self._on_holdings)
         links.handle(messages.SubQueries, self._on_sub_queries)
-        links.handle(messages.Hedge, self._on_hedge)
         links.handle(messages.Cancel, self._on_cancel)
         links.on_up.append(self._on_up)
         links.on_down.append(self._on_down)
@@ -120,8 +119,6 @@
     def _hand_to_own(self, request: messages.Request) -> None:
         if isinstance(request, messages.SubQueries):
             self.gatherer.on_sub_queries("", request, self._reply_to_own)
-        elif isinstance(request, messages.Hedge):
-            self.gatherer.on_hedge("", request)
         else:
             self.gatherer.on_cancel("", request)
 
@@ -170,10 +167,6 @@
             link.hello.incarnation, frame, lambda reply: self._reply_to_peer(name, reply)
         )
 
-    def _on_hedge(self, link: peer_links.PeerLink, frame: messages.Hedge) -> None:
-        assert link.hello is not None
-        self.gatherer.on_hedge(link.hello.incarnation, frame)
-
     def _on_cancel(self, link: peer_links.PeerLink, frame: messages.Cancel) -> None:
         assert link.hello is not None
         self.gatherer.on_cancel(link.hello.incarnation, frame)
--- a/src/lineworks/wire/codec.py
+++ b/src/lineworks/wire/codec.py
@@ -116,12 +116,9 @@
     body.remaining = _remaining(frame.deadline, now)
     body.isRepeatable = frame.is_repeatable
     body.needsSnapshot = frame.needs_snapshot
-
-
-def _write_hedge(builder: Any, frame: messages.Hedge, now: float) -> None:
-    body = builder.init("hedge")
-    body.frame = frame.frame
-    body.index = frame.index
+    body.group = frame.group
+    body.hedgeBudget = frame.hedge_budget
+    body.networkDelay = min(_MAX_REMAINING, int(frame.network_delay * _MICROSECONDS))
 
 
 def _write_cancel(builder: Any, frame: messages.Cancel, now: float) -> None:
@@ -205,13 +202,12 @@
         deadline=now + body.remaining / _MICROSECONDS,
         is_repeatable=body.isRepeatable,
         needs_snapshot=body.needsSnapshot,
+        group=body.group,
+        hedge_budget=round(body.hedgeBudget, 6),
+        network_delay=body.networkDelay / _MICROSECONDS,
     )
 
 
-def _read_hedge(body: Any, now: float) -> frames.Frame:
-    return messages.Hedge(body.frame, body.index)
-
-
 def _read_cancel(body: Any, now: float) -> frames.Frame:
     return messages.Cancel(body.frame, tuple(body.indices))
 
@@ -306,7 +302,6 @@
     frames.Hello: _write_hello,
     frames.Heartbeat: _write_heartbeat,
     messages.SubQueries: _write_sub_queries,
-    messages.Hedge: _write_hedge,
     messages.Cancel: _write_cancel,
     frames.Replies: _write_replies,
     frames.Holdings: _write_holdings,
@@ -321,7 +316,6 @@
     "hello": ("hello", _read_hello),
     "heartbeat": ("heartbeat", _read_heartbeat),
     "subQueries": ("subQueries", _read_sub_queries),
-    "hedge": ("hedge", _read_hedge),
     "cancel": ("cancel", _read_cancel),
     "replies": ("replies", _read_replies),
     "holdings": ("holdings", _read_holdings),
--- a/src/lineworks/wire/frames.py
+++ b/src/lineworks/wire/frames.py
@@ -120,7 +120,6 @@
     | Hello
     | Heartbeat
     | messages.SubQueries
-    | messages.Hedge
     | messages.Cancel
     | Replies
     | Holdings
--- a/src/lineworks/wire/peer.capnp
+++ b/src/lineworks/wire/peer.capnp
@@ -8,14 +8,13 @@
     hello @1 :Hello;
     heartbeat @2 :Heartbeat;
     subQueries @3 :SubQueries;
-    hedge @4 :Hedge;
-    cancel @5 :Cancel;
-    replies @6 :Replies;
-    holdings @7 :Holdings;
-    configPull @8 :ConfigPull;
-    configChanges @9 :ConfigChanges;
-    relay @10 :Relay;
-    relayReply @11 :RelayReply;
+    cancel @4 :Cancel;
+    replies @5 :Replies;
+    holdings @6 :Holdings;
+    configPull @7 :ConfigPull;
+    configChanges @8 :ConfigChanges;
+    relay @9 :Relay;
+    relayReply @10 :RelayReply;
   }
 }
 
@@ -46,10 +45,11 @@
   remaining @8 :UInt32;
   isRepeatable @9 :Bool;
   needsSnapshot @10 :Bool;
+  group @11 :Text;
+  hedgeBudget @12 :Float32;
+  networkDelay @13 :UInt32;
 }
 
-struct Hedge { frame @0 :UInt64; index @1 :UInt32; }
-
 struct Cancel { frame @0 :UInt64; indices @1 :List(UInt32); }
 
 struct Replies {
