--- a/bench/runner.py
+++ b/bench/runner.py
@@ -17,6 +17,10 @@
     from bench import scenario
 
 
+BOOT_SECONDS = 0.1
+"""Seconds before the first arrival, in which instances tell each other what they can serve."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PolicyUnderTest:
     """A way to run the machinery."""
@@ -84,7 +88,7 @@
         self._entries = list(self._cluster.instances.values())
         if not policy.is_ideal:
             faults.schedule(self._cluster, plan.faults)
-        self._cluster.clock.callLater(0, self._arrive, 0)
+        self._cluster.clock.callLater(BOOT_SECONDS, self._arrive, 0)
 
     @property
     def cluster(self) -> clusters.Cluster:
--- a/src/lineworks/decisions/estimators.py
+++ b/src/lineworks/decisions/estimators.py
@@ -110,14 +110,15 @@
 class Budget:
     """Tokens earned by regular work and spent on extra work."""
 
-    def __init__(self, burst: float) -> None:
-        """Start with a full burst.
+    def __init__(self, burst: float, start: float | None = None) -> None:
+        """Start with some tokens.
 
         Args:
             burst: Tokens kept at most.
+            start: Tokens at the start; `burst` when not given.
         """
         self._burst = burst
-        self._tokens = burst
+        self._tokens = burst if start is None else start
 
     @property
     def tokens(self) -> float:
--- a/src/lineworks/engine/front.py
+++ b/src/lineworks/engine/front.py
@@ -34,6 +34,9 @@
 HEDGE_BURST = 20.0
 """Hedges that a group's budget holds at most."""
 
+HEDGE_START = 4.0
+"""Hedges that a group's budget holds at first, so that many restarts add little load."""
+
 WAIT_SHARE = 0.25
 """Share of a policy's target latency that waiting for a slot may take."""
 
@@ -156,7 +159,7 @@
     """Replies dropped because they came from another snapshot."""
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class _Shard:
     """One sub-query of a query."""
 
@@ -226,7 +229,7 @@
         limit = limits.QueryLimit(policy.target_latency * WAIT_SHARE)
         self.admission: admission.Admission[_Query] = admission.Admission(limit, on_expired)
         self.hedge_budget = hedge_budget
-        self.hedges = estimators.Budget(HEDGE_BURST)
+        self.hedges = estimators.Budget(HEDGE_BURST, HEDGE_START)
         self.retries = estimators.Budget(RETRY_BURST)
         self.retry_budget = policy.retry_budget
         self.latencies: dict[str, estimators.Quantiles] = {}
@@ -491,11 +494,19 @@
                 batches.setdefault(chosen, []).append(position)
         for (hall, instance), batch in batches.items():
             self._send_batch(query, hall, instance, batch, is_hedge)
-        for position in unreachable:
-            shard = query.shards[position]
-            if not is_hedge and not shard.is_done and not shard.pending:
-                reason = verdict.Reason.NO_REPLICA
-                self._give_up(query, shard, verdict.not_run(reason, "no data hall can serve it"))
+        if is_hedge:
+            return
+        for shard in [query.shards[position] for position in unreachable]:
+            if query.is_over or shard not in query.shards:
+                return
+            if not shard.is_done and not shard.pending:
+                self._fail(query, shard, self._why_unreachable(query, shard))
+
+    def _why_unreachable(self, query: _Query, shard: _Shard) -> verdict.Verdict:
+        if query.needs_snapshot and self._view.paths(shard.service, None):
+            detail = f"no replica is known to hold {query.snapshot} any more"
+            return verdict.not_run(verdict.Reason.SNAPSHOT_GONE, detail)
+        return verdict.not_run(verdict.Reason.NO_REPLICA, "no data hall can serve it")
 
     def _route(self, query: _Query, shard: _Shard, is_hedge: bool) -> tuple[str, str] | None:
         service = shard.service
@@ -666,11 +677,15 @@
             position = query.shards.index(shard)
             self._send(query, [position])
             return
+        shard.waited = reply.waited
+        self._fail(query, shard, found)
+
+    def _fail(self, query: _Query, shard: _Shard, found: verdict.Verdict) -> None:
+        """Deal with a sub-query that nothing is left to try for."""
         if self._may_restart(query, found):
             self._restart(query)
             return
-        shard.waited = reply.waited
-        self._give_up(query, shard, shard.verdict)
+        self._conclude(query, shard, _worse(shard.verdict, found))
 
     def _may_retry(self, query: _Query, found: verdict.Verdict) -> bool:
         if not found.is_not_run and not query.is_repeatable:
@@ -694,9 +709,6 @@
         if self._plan(query, excluded=gone):
             self._send(query, list(range(len(query.shards))))
 
-    def _give_up(self, query: _Query, shard: _Shard, found: verdict.Verdict) -> None:
-        self._conclude(query, shard, _worse(shard.verdict, found))
-
     def _conclude(self, query: _Query, shard: _Shard, found: verdict.Verdict) -> None:
         """Settle a sub-query, cancel what else is under way for it, and perhaps answer."""
         if query.is_over or shard.is_done:
--- a/src/lineworks/engine/gatherer.py
+++ b/src/lineworks/engine/gatherer.py
@@ -38,6 +38,9 @@
 HEDGE_BURST = 20.0
 """Hedges that a group's budget holds at most."""
 
+HEDGE_START = 4.0
+"""Hedges that a group's budget holds at first, so that many restarts add little load."""
+
 LEAST_CHECK = 0.001
 """Seconds between looks at one frame's slow sub-queries at least."""
 
@@ -145,7 +148,7 @@
 
     def __init__(self) -> None:
         self.latencies = estimators.Quantiles()
-        self.hedges = estimators.Budget(HEDGE_BURST)
+        self.hedges = estimators.Budget(HEDGE_BURST, HEDGE_START)
         self.hedge_budget = 0.0
 
 
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,178 @@
+"""The promises on answers, over the real query machinery on a virtual clock."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest_bdd
+from pytest_bdd import given, parsers, then, when
+
+from bench import cluster as clusters
+from bench import faults, scenario
+from lineworks.decisions import catalog
+from tests import builders
+
+pytest_bdd.scenarios("features/answers.feature")
+
+
+def _schedule(run, **fault) -> None:
+    planned = scenario.Fault.model_validate(fault)
+    faults.schedule(run.cluster, [planned])
+
+
+@given("a small cluster under searches", target_fixture="run")
+def small_cluster():
+    return builders.run_plan(builders.plan(run_share=0.1))
+
+
+@given("a small cluster that answers in part", target_fixture="run")
+def partial_cluster():
+    policy = {"allows_partial": True, "min_coverage": 0.1}
+    plan = builders.plan(policy=policy, seconds=10.0)
+    return builders.run_plan(plan)
+
+
+@given(parsers.parse("the index is re-versioned after {at:d} seconds"))
+def reversion(run, at):
+    _schedule(run, at=float(at), kind="reversion")
+
+
+@given(parsers.parse("the index is repartitioned after {at:d} seconds"))
+def repartition(run, at):
+    _schedule(run, at=float(at), kind="repartition")
+
+
+@given(parsers.parse("every target claims a snapshot that it lacks after {at:d} seconds"))
+def all_lie(run, at):
+    for gate in run.cluster.gates.values():
+        run.cluster.clock.callLater(at, setattr, gate.model, "report_override", clusters.lie)
+
+
+@given("every reply is delivered again, once late and once under another number")
+def stray_replies(run):
+    clock = run.cluster.clock
+    for instance in run.cluster.instances.values():
+        on_reply = instance.front.on_reply
+
+        def again(sender, reply, on_reply=on_reply):
+            on_reply(sender, reply)
+            on_reply(sender, reply)
+            clock.callLater(0.2, on_reply, sender, reply)
+            # Another query's frame, asked of the same gatherer, gets this reply's body.
+            other = dataclasses.replace(reply, frame=reply.frame + 1_000_000)
+            on_reply(sender, other)
+            on_reply("nobody", dataclasses.replace(reply, frame=reply.frame + 1))
+
+        instance.front.on_reply = again
+
+
+@given(parsers.parse("the hall {hall} is cut off after {at:d} seconds for {seconds:d} seconds"))
+def cut(run, hall, at, seconds):
+    _schedule(run, at=float(at), kind="cut_hall", hall=hall, seconds=float(seconds))
+
+
+@given(parsers.parse("the instance {name} is killed after {at:d} seconds"), target_fixture="dead")
+def kill(run, name, at):
+    run.cluster.clock.callLater(at, run.cluster.kill_instance, name)
+    return name
+
+
+@given(parsers.parse("a target leaves after {at:d} seconds"), target_fixture="leaving")
+def leave(run, at):
+    name = sorted(run.cluster.gates)[0]
+    _schedule(run, at=float(at), kind="leave", target=name)
+    return name
+
+
+@when("the searches have ended", target_fixture="figures")
+def finish(run):
+    figures = run.finish()
+    assert figures["sent"] > 50
+    return figures
+
+
+@then("no promise was broken")
+def none_broken(figures):
+    assert builders.broken(figures) == {}
+
+
+@then("no promise was broken, but for callers of the killed instance")
+def none_broken_by_others(figures, run, dead):
+    lost = [entry for entry in run.books.entries if entry.answers != 1]
+    assert all(not entry.answers for entry in lost)
+    # Only what the killed instance had in hand at that moment may stay without an answer.
+    assert all(1.0 < entry.sent_at <= 2.0 for entry in lost)
+    assert {name for name in builders.broken(figures) if name != "lost"} == set()
+
+
+@then(parsers.parse("answers were given from {count:d} snapshots"))
+def snapshots_seen(run, count):
+    assert len({entry.answer.snapshot for entry in _answered(run)}) == count
+
+
+@then(parsers.parse("answers cover {few:d} shards or {many:d} shards"))
+def layouts_seen(run, few, many):
+    sizes = {len(entry.answer.coverage.covered) for entry in _answered(run)}
+    assert sizes == {few, many}
+
+
+@then(parsers.parse("at least {percent:d} in 100 searches were answered"))
+def answered_share(figures, percent):
+    assert figures["answered"] >= figures["sent"] * percent / 100
+
+
+@then(parsers.parse("at least {percent:d} in 100 searches of the others were answered"))
+def answered_by_others(run, percent):
+    entries = [entry for entry in run.books.entries if not entry.is_run and entry.answers]
+    assert len(_answered(run)) >= len(entries) * percent / 100
+
+
+@then("the stray replies were dropped and counted")
+def strays_counted(run):
+    counted = sum(
+        instance.front.counters.late_replies for instance in run.cluster.instances.values()
+    )
+    replies = sum(len(entry.answer.coverage.covered) for entry in _answered(run))
+    assert counted >= 3 * replies
+
+
+@then("every lacking shard has a reason")
+def reasons_given(run):
+    partial = [entry for entry in _answered(run) if entry.answer.coverage.lacking]
+    assert partial
+    for entry in partial:
+        found = entry.answer.coverage
+        assert len(found.covered) + len(found.lacking) == 6
+        assert all(item.reason.value for item in found.lacking.values())
+
+
+@then("both sides of the cut answered searches")
+def both_sides(run):
+    late = [entry for entry in _answered(run) if 4.0 < entry.sent_at < 9.0]
+    sides = {entry.answer.query.rpartition("-")[0].split("-")[0] for entry in late}
+    assert sides == {"h1", "h2"}
+
+
+@then(parsers.parse("the leaving target refused fewer than {count:d} requests"))
+def few_refused(run, leaving, count):
+    assert run.cluster.gates[leaving].model.books.refused < count
+
+
+def _answered(run):
+    return [
+        entry
+        for entry in run.books.entries
+        if not entry.is_run and entry.answer is not None and entry.answer.verdict.is_ok
+    ]
+
+
+def test_same_seed_gives_the_same_figures():
+    plan = builders.plan(seconds=3.0, faults=[{"at": 1.0, "kind": "reversion"}])
+    first = builders.run_plan(plan, seed=5).finish()
+    second = builders.run_plan(plan, seed=5).finish()
+    assert first == second
+    assert first != builders.run_plan(plan, seed=6).finish()
+
+
+def test_snapshot_type_is_read_and_written():
+    assert catalog.parse_snapshot("7@base") == catalog.Snapshot(7, "base")
--- /dev/null
+++ b/tests/test_codec.py
@@ -0,0 +1,130 @@
+"""The peer link's codec: round trips, and bytes of any kind."""
+
+from __future__ import annotations
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from lineworks.decisions import catalog, verdict
+from lineworks.engine import messages
+from lineworks.wire import codec, frames
+
+_text = st.text(st.characters(exclude_categories=("Cs",), exclude_characters="\0"), max_size=20)
+_number = st.integers(0, 2**63 - 1)
+_snapshot = st.builds(catalog.Snapshot, st.integers(0, 2**40), st.sampled_from(["base", "split"]))
+_verdict = st.builds(
+    verdict.Verdict,
+    st.sampled_from(list(verdict.Certainty)),
+    st.sampled_from(list(verdict.Reason)),
+    _text,
+)
+_micros = st.integers(0, 10**9).map(lambda value: value / 1_000_000)
+_reply = st.builds(
+    messages.ShardReply,
+    _number,
+    st.integers(0, 2**31),
+    _verdict,
+    st.none() | _snapshot,
+    st.binary(max_size=60),
+    _micros,
+    _text,
+    st.integers(0, 60000),
+)
+
+
+@st.composite
+def _sub_queries(draw):
+    count = draw(st.integers(1, 6))
+    return messages.SubQueries(
+        frame=draw(_number),
+        query=draw(_text),
+        hall=draw(_text),
+        snapshot=draw(_snapshot),
+        services=tuple(draw(st.lists(_text, min_size=count, max_size=count))),
+        shards=tuple(draw(st.lists(_text, min_size=count, max_size=count))),
+        body=draw(st.binary(max_size=100)),
+        deadline=draw(_micros),
+        is_repeatable=draw(st.booleans()),
+        needs_snapshot=draw(st.booleans()),
+        group=draw(_text),
+        hedge_budget=draw(st.sampled_from([0.0, 0.02, 0.05])),
+        network_delay=draw(_micros),
+    )
+
+
+_frame = st.one_of(
+    st.builds(frames.Challenge, st.binary(max_size=32)),
+    st.builds(frames.Hello, _text, _text, _text, st.binary(max_size=32)),
+    st.builds(frames.Heartbeat, st.booleans(), _number, _text),
+    _sub_queries(),
+    st.builds(messages.Cancel, _number, st.lists(st.integers(0, 2**31), max_size=5).map(tuple)),
+    st.builds(frames.Replies, st.lists(_reply, max_size=5).map(tuple)),
+    st.builds(frames.Holdings, st.dictionaries(_text, st.frozensets(_snapshot, max_size=3))),
+    st.builds(frames.ConfigPull, _number, _text),
+    st.builds(frames.ConfigChanges, st.binary(max_size=100)),
+    st.builds(frames.Relay, _number, _text, st.binary(max_size=100), _micros),
+    st.builds(frames.RelayReply, _number, st.binary(max_size=100)),
+)
+
+
+@hypothesis.given(_frame)
+@hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+def test_round_trip(frame):
+    found = codec.decode(codec.encode(frame, 0.0), 0.0)
+    assert _near(found) == _near(frame)
+
+
+def _near(frame):
+    """Round times to microseconds, as the link does."""
+    if isinstance(frame, messages.SubQueries):
+        times = (round(frame.deadline, 5), round(frame.network_delay, 5))
+        return (frame.frame, frame.query, frame.services, frame.shards, frame.body, times)
+    if isinstance(frame, frames.Replies):
+        return [(row.frame, row.verdict, row.body, round(row.waited, 5)) for row in frame.replies]
+    if isinstance(frame, frames.Relay):
+        return (frame.number, frame.ticket, frame.document, round(frame.deadline, 5))
+    return frame
+
+
+@hypothesis.given(st.binary(max_size=400))
+@hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+def test_any_bytes_are_a_frame_or_malformed(data):
+    try:
+        codec.decode(data, 0.0)
+    except codec.MalformedFrameError as error:
+        assert str(error)
+
+
+@hypothesis.given(_frame, st.data())
+@hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+def test_damaged_frames_never_raise_anything_else(frame, data):
+    damaged = bytearray(codec.encode(frame, 0.0))
+    for _ in range(data.draw(st.integers(1, 4))):
+        damaged[data.draw(st.integers(0, len(damaged) - 1))] = data.draw(st.integers(0, 255))
+    cut = data.draw(st.integers(0, len(damaged)))
+    try:
+        codec.decode(bytes(damaged[:cut]), 0.0)
+    except codec.MalformedFrameError as error:
+        assert str(error)
+
+
+def test_columns_of_different_lengths_are_malformed():
+    whole = messages.SubQueries(
+        1, "q", "h", catalog.Snapshot(1, "base"), ("a", "b"), ("a", "b"), b"", 1.0
+    )
+    uneven = messages.SubQueries(
+        1, "q", "h", catalog.Snapshot(1, "base"), ("a", "b"), ("a",), b"", 1.0
+    )
+    assert codec.decode(codec.encode(whole, 0.0), 0.0)
+    with pytest.raises(codec.MalformedFrameError, match="different lengths"):
+        codec.decode(codec.encode(uneven, 0.0), 0.0)
+
+
+def test_deadlines_travel_as_remaining_time():
+    asked = messages.SubQueries(
+        1, "q", "h", catalog.Snapshot(1, "base"), ("a",), ("a",), b"", deadline=100.5
+    )
+    found = codec.decode(codec.encode(asked, 100.0), 7.0)
+    assert isinstance(found, messages.SubQueries)
+    assert found.deadline == pytest.approx(7.5, abs=1e-5)
--- /dev/null
+++ b/tests/test_peer_links.py
@@ -0,0 +1,147 @@
+"""Peer links over in-memory transports."""
+
+from __future__ import annotations
+
+import pytest
+from twisted.internet import task
+from twisted.internet.testing import StringTransport
+
+from lineworks.decisions import catalog
+from lineworks.engine import messages
+from lineworks.services import peer_links
+from lineworks.wire import frames
+
+
+class _Transport(StringTransport):
+    def setTcpNoDelay(self, enabled):  # noqa: N802
+        pass
+
+    def abortConnection(self):  # noqa: N802
+        self.aborted = True
+        self.disconnecting = True
+
+
+class _Pair:
+    """Two ends of one link."""
+
+    def __init__(self, clock, secret=b"s", other_secret=b"s"):
+        self.a = peer_links.PeerLinks(clock, "a", "h", "inc-a", secret)
+        self.b = peer_links.PeerLinks(clock, "b", "h", "inc-b", other_secret)
+        self.ends = (peer_links.PeerLink(self.a), peer_links.PeerLink(self.b))
+        self.transports = (_Transport(), _Transport())
+        for end, transport in zip(self.ends, self.transports, strict=True):
+            end.makeConnection(transport)
+
+    def pump(self):
+        moved = True
+        while moved:
+            moved = False
+            for sender, receiver in ((0, 1), (1, 0)):
+                data = self.transports[sender].value()
+                self.transports[sender].clear()
+                if data:
+                    self.ends[receiver].dataReceived(data)
+                    moved = True
+
+
+@pytest.fixture
+def clock():
+    return task.Clock()
+
+
+def test_both_ends_prove_themselves(clock):
+    pair = _Pair(clock)
+    heard = []
+    pair.b.handle(frames.Heartbeat, lambda link, frame: heard.append((link.hello.name, frame)))
+    pair.a.handle(frames.Heartbeat, lambda link, frame: None)
+    pair.pump()
+    assert set(pair.a.up) == {"b"}
+    assert set(pair.b.up) == {"a"}
+    assert heard[0][0] == "a"
+
+
+def test_a_wrong_secret_is_refused(clock):
+    pair = _Pair(clock, other_secret=b"other")
+    pair.pump()
+    assert not pair.a.up
+    assert not pair.b.up
+    assert pair.a.counts == {"closed:refused": 1}
+
+
+def test_a_replayed_hello_is_refused(clock):
+    """A hello that was signed over another challenge proves nothing."""
+    links = peer_links.PeerLinks(clock, "a", "h", "inc", b"s")
+    link = peer_links.PeerLink(links)
+    link.makeConnection(_Transport())
+    mac = peer_links.sign(b"s", b"an older challenge", "b", "h", "inc-b")
+    hello = frames.Hello("b", "h", "inc-b", mac)
+    from lineworks.wire import codec
+
+    link.stringReceived(codec.encode(hello, 0.0))
+    assert not links.up
+    assert link.transport.aborted
+
+
+def test_work_before_the_hello_closes_the_link(clock):
+    from lineworks.wire import codec
+
+    links = peer_links.PeerLinks(clock, "a", "h", "inc", b"s")
+    taken = []
+    links.handle(messages.Cancel, lambda link, frame: taken.append(frame))
+    link = peer_links.PeerLink(links)
+    link.makeConnection(_Transport())
+    link.stringReceived(codec.encode(messages.Cancel(1), 0.0))
+    assert taken == []
+    assert link.transport.aborted
+
+
+@pytest.mark.parametrize("data", [b"", b"junk", b"\xff" * 64])
+def test_a_malformed_frame_closes_only_its_link(clock, data):
+    first, second = _Pair(clock), _Pair(clock)
+    for pair in (first, second):
+        for links in (pair.a, pair.b):
+            links.handle(frames.Heartbeat, lambda link, frame: None)
+        pair.pump()
+    first.ends[0].stringReceived(data)
+    assert first.transports[0].aborted
+    assert not hasattr(second.transports[0], "aborted")
+    assert set(second.a.up) == {"b"}
+
+
+def test_an_oversized_frame_closes_the_link(clock):
+    pair = _Pair(clock)
+    for links in (pair.a, pair.b):
+        links.handle(frames.Heartbeat, lambda link, frame: None)
+    pair.pump()
+    pair.ends[0].dataReceived(b"\x7f\xff\xff\xff")
+    assert pair.transports[0].aborted
+
+
+def test_a_silent_link_is_closed_and_told_as_down(clock):
+    pair = _Pair(clock)
+    for links in (pair.a, pair.b):
+        links.handle(frames.Heartbeat, lambda link, frame: None)
+    lost = []
+    pair.a.on_down.append(lost.append)
+    pair.pump()
+    pair.a.start()
+    clock.pump([0.5] * 20)
+    assert pair.transports[0].aborted
+    pair.ends[0].connectionLost(None)
+    assert lost == ["b"]
+
+
+def test_frames_reach_the_service_that_takes_them(clock):
+    pair = _Pair(clock)
+    got = []
+    for links in (pair.a, pair.b):
+        links.handle(frames.Heartbeat, lambda link, frame: None)
+    pair.b.handle(messages.SubQueries, lambda link, frame: got.append(frame.query))
+    pair.pump()
+    asked = messages.SubQueries(
+        1, "q-1", "h", catalog.Snapshot(1, "base"), ("s",), ("s",), b"", 1.0
+    )
+    assert pair.a.send("b", asked)
+    assert not pair.a.send("nobody", asked)
+    pair.pump()
+    assert got == ["q-1"]
