Keep goodput under overload: fix the limit's growth, refuse from standing queues

Cause: the limit compared in-flight queries with a fraction of its unrounded value and so stayed at 2 after a shrink; it began at 32 for each of 7 fronts, which filled every queue for 4 s; and a standing queue let waits grow to the deadline.

--- a/src/lineworks/decisions/admission.py
+++ b/src/lineworks/decisions/admission.py
@@ -21,6 +21,9 @@
 MAX_WAITING = 4096
 """Queries that may wait before one group; more are refused at once."""
 
+STANDING = 1.0
+"""Seconds after which a queue that was never empty counts as standing, not as a burst."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Waiting(Generic[T]):
@@ -38,15 +41,22 @@
     """The queue before one group."""
 
     def __init__(
-        self, limit: limits.QueryLimit, on_expired: Callable[[T, verdict.Verdict], None]
+        self,
+        limit: limits.QueryLimit,
+        patience: float,
+        on_expired: Callable[[T, verdict.Verdict], None],
     ) -> None:
         """Start empty.
 
         Args:
             limit: The limit of concurrent queries.
+            patience: Seconds that a query may wait while the queue is standing; in a burst it
+                may wait up to its deadline.
             on_expired: Called with each item that is refused after it waited.
         """
         self._limit = limit
+        self._patience = patience
+        self._empty_at = 0.0
         self._on_expired = on_expired
         self._queues: dict[str, _ClassQueue[T]] = {}
         self._weights: dict[str, float] = {}
@@ -92,7 +102,11 @@
         length = len(queue.waiting) if queue else 0
         share = weight / self._total_weight(caller_class, weight)
         wait = (length + 1) * self._latency.value / max(1, self._limit.value) / share
-        if self._waiting >= MAX_WAITING or now + wait + self._latency.value > deadline:
+        if not self._waiting:
+            self._empty_at = now
+        is_late = now + wait + self._latency.value > deadline
+        is_standing = now - self._empty_at > STANDING and wait > self._patience
+        if self._waiting >= MAX_WAITING or is_late or is_standing:
             return verdict.not_run(verdict.Reason.OVERLOADED, f"expected wait {wait:.3f} s")
         if queue is None:
             queue = self._queues[caller_class] = _ClassQueue(0.0, collections.deque())
@@ -149,7 +163,7 @@
         """
         while self._waiting and self._in_flight < self._limit.value:
             entry = self._pop()
-            if now + self._latency.value * 0.5 > entry.deadline:
+            if now + self._latency.value > entry.deadline:
                 self._on_expired(
                     entry.item, verdict.not_run(verdict.Reason.OVERLOADED, "waited too long")
                 )
--- a/src/lineworks/decisions/limits.py
+++ b/src/lineworks/decisions/limits.py
@@ -51,7 +51,7 @@
     """
 
     def __init__(
-        self, wait_target: float, start: float = 32.0, floor: float = 2.0, ceiling: float = 1024.0
+        self, wait_target: float, start: float = 8.0, floor: float = 2.0, ceiling: float = 1024.0
     ) -> None:
         """Start at a limit that any small deployment bears.
 
@@ -93,5 +93,5 @@
             if now >= self._next_shrink:
                 self._value = max(self._floor, min(self._value, in_flight + 1.0) * 0.85)
                 self._next_shrink = now + max(latency, self._wait_target)
-        elif in_flight + 1 >= self._value * 0.8:
+        elif in_flight + 1 >= self.value:
             self._value = min(self._ceiling, self._value + 1.0 / self._value)
--- a/src/lineworks/engine/front.py
+++ b/src/lineworks/engine/front.py
@@ -227,7 +227,9 @@
         on_expired: Callable[[_Query, verdict.Verdict], None],
     ) -> None:
         limit = limits.QueryLimit(policy.target_latency * WAIT_SHARE)
-        self.admission: admission.Admission[_Query] = admission.Admission(limit, on_expired)
+        self.admission: admission.Admission[_Query] = admission.Admission(
+            limit, policy.target_latency, on_expired
+        )
         self.hedge_budget = hedge_budget
         self.hedges = estimators.Budget(HEDGE_BURST, HEDGE_START)
         self.retries = estimators.Budget(RETRY_BURST)
