--- a/bench/books.py
+++ b/bench/books.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from bench import fakes
-    from lineworks.engine import front
+    from lineworks.engine import requests
 
 LATE_MARGIN = 0.005
 """Seconds after its deadline, besides the way to the caller, at which an answer is late."""
@@ -43,7 +43,7 @@
     received_at: float = 0.0
     """When the answer came."""
 
-    answer: front.Answer | None = None
+    answer: requests.Answer | None = None
     """The answer."""
 
 
@@ -139,14 +139,14 @@
     return entry.answer is not None and entry.answer.verdict.is_not_run
 
 
-def _is_mixed(answer: front.Answer) -> bool:
+def _is_mixed(answer: requests.Answer) -> bool:
     stamps = {body.split(b"|")[2] for body in answer.bodies.values()}
     if answer.snapshot is not None:
         stamps.add(str(answer.snapshot).encode())
     return len(stamps) > 1
 
 
-def _is_crossed(entry: Entry, answer: front.Answer) -> bool:
+def _is_crossed(entry: Entry, answer: requests.Answer) -> bool:
     for shard, body in answer.bodies.items():
         cause, stamped, _ = body.split(b"|")
         if cause.decode() != entry.cause or stamped.decode() != shard:
@@ -154,7 +154,7 @@
     return set(answer.bodies) != set(answer.coverage.covered) and answer.verdict.is_ok
 
 
-def _is_untrue(answer: front.Answer, started: int) -> bool:
+def _is_untrue(answer: requests.Answer, started: int) -> bool:
     """Say whether the verdict contradicts the targets' books."""
     if answer.verdict.is_not_run:
         return started > 0
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -7,7 +7,7 @@
 
 from bench import fakes
 from lineworks.decisions import catalog, replicas
-from lineworks.engine import front, gatherer, messages, views
+from lineworks.engine import dispatcher, front, gatherer, messages, views
 from lineworks.services import peer_links
 from lineworks.standins import shapes, target_model
 
@@ -34,7 +34,7 @@
         cluster: Cluster,
         name: str,
         hall: str,
-        front_tuning: front.Tuning | None,
+        front_tuning: dispatcher.Tuning | None,
         gatherer_tuning: gatherer.Tuning | None,
     ) -> None:
         """Make the instance.
@@ -136,7 +136,7 @@
         self,
         plan: scenario.Scenario,
         seed: int,
-        front_tuning: front.Tuning | None = None,
+        front_tuning: dispatcher.Tuning | None = None,
         gatherer_tuning: gatherer.Tuning | None = None,
         has_stragglers: bool = True,
         on_trace: Callable[[str, str, str, str], None] | None = None,
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -9,7 +9,7 @@
 from bench import cluster as clusters
 from bench import faults
 from lineworks.decisions import hedging, replicas
-from lineworks.engine import front, gatherer
+from lineworks.engine import dispatcher, gatherer, requests
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,7 +25,7 @@
 class PolicyUnderTest:
     """A way to run the machinery."""
 
-    front: front.Tuning
+    front: dispatcher.Tuning
     """Choices of the fronts."""
 
     gatherer: gatherer.Tuning
@@ -41,11 +41,11 @@
 
 POLICIES: dict[str, Callable[[], PolicyUnderTest]] = {
     "baseline_random": lambda: PolicyUnderTest(
-        front.Tuning(hedge=hedging.never, is_admitting=False, is_routing_by_load=False),
+        dispatcher.Tuning(hedge=hedging.never, is_admitting=False, is_routing_by_load=False),
         _unbounded(replicas.choose_random, hedging.never),
     ),
     "baseline_p95_hedge": lambda: PolicyUnderTest(
-        front.Tuning(
+        dispatcher.Tuning(
             hedge=hedging.make_percentile_rule(0.95),
             is_admitting=False,
             is_routing_by_load=False,
@@ -53,9 +53,9 @@
         ),
         _unbounded(replicas.choose_own_in_flight, hedging.make_percentile_rule(0.95)),
     ),
-    "lineworks": lambda: PolicyUnderTest(front.Tuning(), gatherer.Tuning()),
+    "lineworks": lambda: PolicyUnderTest(dispatcher.Tuning(), gatherer.Tuning()),
     "oracle": lambda: PolicyUnderTest(
-        front.Tuning(hedge=hedging.never), gatherer.Tuning(hedge=hedging.never), is_ideal=True
+        dispatcher.Tuning(hedge=hedging.never), gatherer.Tuning(hedge=hedging.never), is_ideal=True
     ),
 }
 """The policies that every scenario is run under, by name."""
@@ -159,19 +159,19 @@
         # The front's own deadline leaves the time that its answer needs to the caller.
         deadline = entry.deadline - client
 
-        def on_answer(answer: front.Answer) -> None:
+        def on_answer(answer: requests.Answer) -> None:
             self._cluster.clock.callLater(client, self._receive, entry, answer)
 
         if entry.is_run:
             names = list(self._cluster.config.services)
             service = names[int(self._rng.random() * len(names))]
-            run = front.RunRequest(service, service, body, entry.caller_class, deadline)
+            run = requests.RunRequest(service, service, body, entry.caller_class, deadline)
             instance.front.run(run, on_answer)
             return
-        search = front.SearchRequest({}, body, entry.caller_class, deadline)
+        search = requests.SearchRequest({}, body, entry.caller_class, deadline)
         instance.front.search(search, on_answer)
 
-    def _receive(self, entry: records.Entry, answer: front.Answer) -> None:
+    def _receive(self, entry: records.Entry, answer: requests.Answer) -> None:
         entry.answers += 1
         entry.received_at = self._cluster.clock.seconds()
         entry.answer = answer
--- a/src/lineworks/decisions/hedging.py
+++ b/src/lineworks/decisions/hedging.py
@@ -29,6 +29,9 @@
 LAST_SHARE = 0.1
 """Outstanding sub-queries, as a share of all, that count as its last stragglers."""
 
+LEAST_CHECK = 0.001
+"""Seconds between looks at one message's slow sub-queries at least."""
+
 WAIT_FOR_BULK = 0.002
 """Seconds after which a query whose bulk is still out is looked at again."""
 
--- a/src/lineworks/engine/gatherer.py
+++ b/src/lineworks/engine/gatherer.py
@@ -41,9 +41,6 @@
 HEDGE_START = 4.0
 """Hedges that a group's budget holds at first, so that many restarts add little load."""
 
-LEAST_CHECK = 0.001
-"""Seconds between looks at one frame's slow sub-queries at least."""
-
 SHED_REST = 0.02
 """Seconds that a target is left alone after it shed a request."""
 
@@ -318,7 +315,7 @@
             if check_in is not None and (next_check is None or check_in < next_check):
                 next_check = check_in
         if next_check is not None:
-            delay = max(next_check, LEAST_CHECK)
+            delay = max(next_check, hedging.LEAST_CHECK)
             frame.hedge_timer = self._clock.callLater(delay, self._check_hedges, key)
 
     def _check_hedge(self, sub: _Sub, frame: _Frame) -> float | None:
--- a/src/lineworks/models/caller_http.py
+++ b/src/lineworks/models/caller_http.py
@@ -20,7 +20,7 @@
     from collections.abc import Sequence
 
     from lineworks.decisions import catalog
-    from lineworks.engine import front
+    from lineworks.engine import requests
 
 DEFAULT_DEADLINE_MS = 1000
 """Milliseconds that a caller waits when it names no deadline."""
@@ -210,7 +210,7 @@
     """Seconds after which the caller may ask again."""
 
 
-def answer_reply(answer: front.Answer, config_age: float) -> Reply:
+def answer_reply(answer: requests.Answer, config_age: float) -> Reply:
     """Describe an answer to its caller.
 
     Args:
--- a/src/lineworks/services/caller_api.py
+++ b/src/lineworks/services/caller_api.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 
 from lineworks.decisions import verdict
-from lineworks.engine import front
+from lineworks.engine import requests
 from lineworks.models import caller_http
 from lineworks.services import http_server
 
@@ -138,14 +138,14 @@
     async def _search(self, request: Any) -> caller_http.Reply:
         body: caller_http.SearchBody = self._parse(request, caller_http.SearchBody)
         started = self._reactor.seconds()
-        search = front.SearchRequest(
+        search = requests.SearchRequest(
             body.selector_fields(),
             body.body.encode(),
             body.caller_class,
             started + body.deadline_ms / 1000,
             body.min_coverage,
         )
-        done: defer.Deferred[front.Answer] = defer.Deferred()
+        done: defer.Deferred[requests.Answer] = defer.Deferred()
         _cancel_on_disconnect(request, self._core.front.search(search, done.callback), done)
         answer = await done
         self._counts.observe(
--- a/src/lineworks/services/metrics.py
+++ b/src/lineworks/services/metrics.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from lineworks.engine import front, gatherer
+    from lineworks.engine import dispatcher, gatherer, requests
 
 MAX_LABELS = 50
 """Tenants, and classes, that get a label of their own; later ones are counted as `other`."""
@@ -68,7 +68,9 @@
     def stop(self) -> None:
         """Do nothing."""
 
-    def observe(self, tenant: str, caller_class: str, answer: front.Answer, seconds: float) -> None:
+    def observe(
+        self, tenant: str, caller_class: str, answer: requests.Answer, seconds: float
+    ) -> None:
         """Count an answer.
 
         Args:
@@ -118,7 +120,7 @@
 
 
 def engine_counts(
-    front_counters: front.Counters, gatherer_counters: gatherer.Counters
+    front_counters: dispatcher.Counters, gatherer_counters: gatherer.Counters
 ) -> Iterable[tuple[str, str, dict[str, float]]]:
     """List the engine's counts.
 
--- a/src/lineworks/services/runs.py
+++ b/src/lineworks/services/runs.py
@@ -10,7 +10,7 @@
 from twisted.internet import defer
 
 from lineworks.decisions import claims, deadlines, tickets, verdict
-from lineworks.engine import front
+from lineworks.engine import requests
 from lineworks.models import caller_http
 from lineworks.wire import frames
 
@@ -138,7 +138,7 @@
         deadline: float,
         set_cancel: Callable[[Callable[[], None]], None] | None = None,
     ) -> caller_http.Reply:
-        request = front.RunRequest(
+        request = requests.RunRequest(
             body.service,
             body.shard,
             body.body.encode(),
@@ -146,7 +146,7 @@
             deadline,
             is_repeatable=not body.unrepeatable,
         )
-        done: defer.Deferred[front.Answer] = defer.Deferred()
+        done: defer.Deferred[requests.Answer] = defer.Deferred()
         cancel = self._core.front.run(request, done.callback)
         if set_cancel is not None:
             set_cancel(cancel)
