--- a/src/lineworks/models/settings.py
+++ b/src/lineworks/models/settings.py
@@ -131,12 +131,14 @@
         SettingsError: The file cannot be read, is not JSON, or breaks a rule.
     """
     try:
-        document = json.loads(pathlib.Path(path).read_text())
+        text = pathlib.Path(path).read_text()
+        json.loads(text)
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
     except ValueError as error:
         raise SettingsError(f"{path}: not JSON: {error}") from error
     try:
-        return Settings.model_validate(document)
+        # From the text, since strict validation takes lists for tuples only from JSON.
+        return Settings.model_validate_json(text)
     except pydantic.ValidationError as error:
         raise SettingsError(_base.first_problem(error)) from error
--- /dev/null
+++ b/tests/test_border.py
@@ -0,0 +1,157 @@
+"""Border models: settings, configuration, caller requests and operators' signatures."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from lineworks.decisions import verdict
+from lineworks.models import caller_http, configuration, settings, target_http
+from lineworks.services import auth
+
+GOOD = {"name": "a1", "hall": "h", "platform": {"url": "http://127.0.0.1:1"}, "secret": "s"}
+
+
+def load(tmp_path, document):
+    path = tmp_path / "settings.json"
+    path.write_text(document if isinstance(document, str) else json.dumps(document))
+    return settings.load(str(path))
+
+
+def test_good_settings(tmp_path):
+    assert load(tmp_path, GOOD).roles == ("front", "gather")
+
+
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        ({"nme": "x"}, "nme"),
+        ({"caller": {"port": "80"}}, "caller.port"),
+        ({"caller": {"port": 70000}}, "caller.port"),
+        ({"roles": ["fly"]}, "roles.0"),
+        ({"platform": {"url": "ftp://x"}}, "platform.url"),
+        ({"secret": None}, "exactly one"),
+    ],
+)
+def test_bad_settings_name_the_key(tmp_path, change, key):
+    with pytest.raises(settings.SettingsError, match=key) as caught:
+        load(tmp_path, {**GOOD, **change})
+    assert "\n" not in str(caught.value)
+
+
+def test_unreadable_settings(tmp_path):
+    with pytest.raises(settings.SettingsError, match="not JSON"):
+        load(tmp_path, "{")
+    with pytest.raises(settings.SettingsError, match="No such file"):
+        settings.load(str(tmp_path / "none"))
+
+
+def test_secrets_do_not_show(tmp_path):
+    found = load(tmp_path, {**GOOD, "secret": "very-secret"})
+    assert "very-secret" not in repr(found)
+    assert found.shared_secret() == b"very-secret"
+
+
+def service(**more):
+    target = {"name": "t", "hall": "h", "port": 1}
+    return {"layouts": {"base": ["x"]}, "targets": [target], **more}
+
+
+@pytest.mark.parametrize(
+    ("file", "path"),
+    [
+        ({"services": {"s": service(label={})}}, "services.s.label"),
+        ({"services": {"s": {"layouts": {}, "targets": []}}}, "services.s.layouts"),
+        ({"services": {"s": {"layouts": {"base": ["x", "x"]}, "targets": []}}}, "twice"),
+        ({"selectors": {"q": {"group": {}}}}, "selectors.q.group"),
+        ({"selectors": {"q": {"group": {"a": "b"}, "policy": {"min_coverage": 2}}}}, "min_cov"),
+    ],
+)
+def test_bad_configuration_names_the_path(file, path):
+    with pytest.raises(configuration.ConfigurationError, match=path):
+        configuration.parse_file(json.dumps(file))
+
+
+def build(file):
+    items = configuration.parse_file(json.dumps(file)).items()
+    return configuration.build({k: v for k, v in items.items() if v is not None}, 1, "d")
+
+
+def test_ambiguous_selectors_are_refused():
+    one = {"match": {"kind": "x"}, "group": {"a": "b"}}
+    two = {"match": {"class": "c"}, "group": {"a": "b"}}
+    with pytest.raises(configuration.ConfigurationError, match="ambiguous"):
+        build({"selectors": {"one": one, "two": two}})
+    assert build({"selectors": {"one": one, "two": {**two, "match": {"kind": "y"}}}})
+
+
+def test_names_are_used_once():
+    with pytest.raises(configuration.ConfigurationError, match="target 't' is also in"):
+        build({"services": {"s": service(), "r": service(layouts={"base": ["y"]})}})
+
+
+@pytest.mark.parametrize(
+    ("body", "field"),
+    [
+        ({"deadline_ms": 0}, "deadline_ms"),
+        ({"deadline_ms": "soon"}, "deadline_ms"),
+        ({"min_coverage": 1.5}, "min_coverage"),
+        ({"extra": 1}, "extra"),
+        ({"fields": {"a": 1}}, "fields.a"),
+    ],
+)
+def test_bad_searches_name_the_field(body, field):
+    with pytest.raises(caller_http.RequestError) as caught:
+        caller_http.parse(caller_http.SearchBody, json.dumps(body).encode(), 1000)
+    assert caught.value.field == field
+
+
+def test_oversized_and_broken_bodies():
+    with pytest.raises(caller_http.RequestError, match="larger than 10 bytes"):
+        caller_http.parse(caller_http.SearchBody, b" " * 11, 10)
+    with pytest.raises(caller_http.RequestError):
+        caller_http.parse(caller_http.SearchBody, b"{", 10)
+
+
+def test_every_reason_has_a_status():
+    for reason in verdict.Reason:
+        status = caller_http.status_of(verdict.not_run(reason))
+        assert 400 <= status < 600
+    assert caller_http.status_of(verdict.OK) == 200
+
+
+def test_a_refusal_is_not_run_only_where_the_target_says_so():
+    said = target_http.read_outcome(503, {target_http.NOT_RUN: "overloaded"}, b"")
+    assert said.verdict.is_not_run
+    unsaid = target_http.read_outcome(503, {}, b"")
+    assert unsaid.verdict.certainty is verdict.Certainty.RAN
+    garbled = target_http.read_outcome(200, {target_http.SNAPSHOT: "junk"}, b"")
+    assert garbled.verdict.certainty is verdict.Certainty.MAY_HAVE_RUN
+
+
+def test_signed_requests_are_taken_once():
+    checker = auth.Checker(b"s")
+    header = auth.sign(b"s", "POST", "/v1/x", b"body", 100.0)
+    checker.check(header, "POST", "/v1/x", b"body", 101.0)
+    with pytest.raises(auth.RefusedError, match="seen before"):
+        checker.check(header, "POST", "/v1/x", b"body", 101.0)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "now"),
+    [
+        ("GET", "/v1/x", b"body", 100.0),
+        ("POST", "/v1/y", b"body", 100.0),
+        ("POST", "/v1/x", b"other", 100.0),
+        ("POST", "/v1/x", b"body", 100.0 + auth.MAX_SKEW + 1),
+    ],
+)
+def test_changed_or_old_requests_are_refused(method, path, body, now):
+    header = auth.sign(b"s", "POST", "/v1/x", b"body", 100.0)
+    with pytest.raises(auth.RefusedError):
+        auth.Checker(b"s").check(header, method, path, body, now)
+    with pytest.raises(auth.RefusedError):
+        auth.Checker(b"other").check(header, "POST", "/v1/x", b"body", 100.0)
+    with pytest.raises(auth.RefusedError):
+        auth.Checker(b"s").check(None, "POST", "/v1/x", b"body", 100.0)
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,128 @@
+"""Claims of idempotency keys: the pure merge, and the writer under faults of the platform."""
+
+from __future__ import annotations
+
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from bench import fakes
+from bench import platform as platforms
+from lineworks.decisions import claims, verdict
+from lineworks.services import claim_writer
+
+
+def claim(key="ab" * 16, nonce="n", instance="a", expires=1e6) -> claims.Claim:
+    return claims.Claim(key, nonce, instance, "f", expires)
+
+
+def test_the_first_claim_of_a_key_holds():
+    first, second = claim(nonce="1"), claim(nonce="2", instance="b")
+    merged = claims.merge(claims.merge(None, [first], 0.0).data, [second], 0.0)
+    assert merged.won == ()
+    assert merged.lost == {"2": first}
+
+
+def test_an_expired_claim_is_forgotten():
+    old = claims.merge(None, [claim(expires=10.0)], 0.0).data
+    assert claims.merge(old, [claim(nonce="2")], 11.0).won[0].nonce == "2"
+
+
+def test_a_full_bucket_takes_no_more():
+    many = [claim(key=f"{number:032d}") for number in range(20000)]
+    with pytest.raises(claims.FullBucketError):
+        claims.merge(None, many, 0.0)
+
+
+def test_tenants_have_keys_of_their_own():
+    assert claims.digest("a", "k") != claims.digest("b", "k")
+
+
+class _World:
+    def __init__(self, seed=1, writers=3):
+        self.clock = fakes.VirtualClock()
+        self.platform = platforms.Platform(self.clock, random.Random(seed))
+        self.ports = [platforms.PlatformPort(self.platform) for _ in range(writers)]
+        self.writers = [
+            claim_writer.ClaimWriter(
+                self.clock, random.Random(f"{seed}/{n}"), port, self.clock.seconds
+            )
+            for n, port in enumerate(self.ports)
+        ]
+
+    def ask(self, writer, wanted, deadline=2.0):
+        found = []
+        self.writers[writer].claim(wanted, self.clock.seconds() + deadline).addCallback(
+            found.append
+        )
+        return found
+
+
+def test_many_claims_are_written_together():
+    world = _World()
+    key = "0" * 8
+    found = [world.ask(0, claim(key=f"{key}{n:024d}", nonce=str(n))) for n in range(50)]
+    world.clock.run_until(1.0)
+    assert [item[0].nonce for item in found] == [str(n) for n in range(50)]
+    assert world.platform.calls["cas"] == 1
+
+
+def test_the_platform_is_down():
+    world = _World()
+    world.platform.faults.is_down = True
+    found = world.ask(0, claim())
+    world.clock.run_until(3.0)
+    assert found[0].is_not_run
+    assert found[0].reason is verdict.Reason.PLATFORM_DOWN
+    assert "ticket" in found[0].detail
+
+
+def test_a_lost_reply_is_settled_by_reading_back():
+    world = _World()
+    port = world.ports[0]
+    write = port.compare_and_swap
+    lost = []
+
+    async def lose_first(key, data, expect):
+        done = await write(key, data, expect)
+        if not lost:
+            lost.append(done)
+            raise platforms.platform_client.PlatformUnsureError("the reply was lost")
+        return done
+
+    port.compare_and_swap = lose_first
+    found = world.ask(0, claim())
+    world.clock.run_until(2.0)
+    assert lost == [True]
+    assert found[0].nonce == "n"
+    assert world.platform.calls["cas"] == 1
+
+
+@hypothesis.given(
+    st.integers(0, 10_000), st.floats(0.0, 0.4), st.floats(0.0, 0.4), st.integers(2, 6)
+)
+@hypothesis.settings(max_examples=60, deadline=None, derandomize=True)
+def test_a_key_is_never_won_twice(seed, lost_reply, lost_request, tries):
+    world = _World(seed)
+    world.platform.faults.lost_reply_share = lost_reply
+    world.platform.faults.lost_request_share = lost_request
+    rng = random.Random(seed)
+    found = []
+    for number in range(tries):
+        wanted = claim(nonce=str(number))
+        world.clock.callLater(
+            rng.random() * 0.3,
+            lambda w=wanted, n=number: found.append((w, world.ask(n % 3, w))),
+        )
+    world.clock.run_until(10.0)
+    won = [
+        w
+        for w, result in found
+        if not isinstance(result[0], verdict.Verdict) and result[0].nonce == w.nonce
+    ]
+    assert len(won) <= 1
+    assert all(len(result) == 1 for _, result in found)
+    refused = [result[0] for _, result in found if isinstance(result[0], verdict.Verdict)]
+    assert all(item.is_not_run for item in refused)
