Send sub-queries over pooled connections with a library's parser; bound report polls

Cause: at the gatherer Twisted's HTTP client took most of the processor time, and targets were all asked for reports each second, 820 of them in one turn.

--- a/src/lineworks/services/cluster.py
+++ b/src/lineworks/services/cluster.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     import random
 
+    from lineworks.decisions import replicas
     from lineworks.models import settings
     from lineworks.services import (
         config_keeper,
@@ -31,6 +32,12 @@
 REPORT_SECONDS = 1.0
 """Seconds after which a target that sent no report is asked for one."""
 
+REPORT_TICK = 0.1
+"""Seconds between looks for targets to ask."""
+
+REPORTS_PER_TICK = 5
+"""Targets asked at one look at most, so that asking costs a bounded share of the processor."""
+
 
 class Cluster:
     """The front and the gatherer of this instance, connected."""
@@ -70,6 +77,7 @@
         self._incarnations: dict[str, str] = {}
         self._pending: dict[str, list[messages.ShardReply]] = {}
         self._task = task.Task("cluster", self._ask_reports)
+        self._asked: dict[str, float] = {}
         self._is_holdings_due = False
         self.view = views.ClusterView(options.name, options.hall, self._delay)
         self.gatherer = gatherer.Gatherer(reactor, rng, pool, on_trace=timelines.note)
@@ -196,7 +204,7 @@
     def _own(self) -> None:
         if self._is_gatherer:
             self.gatherer.set_targets(self.view.owned_targets())
-            self._reactor.callLater(0, self._ask_once)
+            self._reactor.callLater(0, self._ask_some)
 
     def _on_holdings_changed(self) -> None:
         """Tell the own front at once, and all peers once in this turn of the reactor."""
@@ -211,16 +219,23 @@
 
     async def _ask_reports(self) -> None:
         while True:
-            self._ask_once()
-            await platform_client.sleep(self._reactor, REPORT_SECONDS)
+            self._ask_some()
+            await platform_client.sleep(self._reactor, REPORT_TICK)
 
-    def _ask_once(self) -> None:
-        """Ask the targets that told nothing lately."""
+    def _ask_some(self) -> None:
+        """Ask targets that told nothing lately: new ones all at once, others a few at a time."""
         now = self._reactor.seconds()
-        for replica in list(self.gatherer.owned):
-            if now - replica.reported_at >= REPORT_SECONDS:
-                asked = self._pool.ask_report(replica.target)
-                asked.addCallback(self._on_report, replica.target.name)
+        owned = list(self.gatherer.owned)
+        unknown = [r for r in owned if not r.incarnation and r.target.name not in self._asked]
+        due = [r for r in owned if now - self._heard_or_asked(r) >= REPORT_SECONDS]
+        due.sort(key=self._heard_or_asked)
+        for replica in unknown or due[:REPORTS_PER_TICK]:
+            self._asked[replica.target.name] = now
+            asked = self._pool.ask_report(replica.target)
+            asked.addCallback(self._on_report, replica.target.name)
+
+    def _heard_or_asked(self, replica: replicas.Replica) -> float:
+        return max(replica.reported_at, self._asked.get(replica.target.name, 0.0))
 
     def _on_report(self, report: Any, target: str) -> None:
         if report is not None:
--- a/src/lineworks/services/target_pool.py
+++ b/src/lineworks/services/target_pool.py
@@ -6,18 +6,16 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import json
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet import defer
-from twisted.internet import error as net_error
-from twisted.web import client as web_client
-from twisted.web import http_headers, iweb
-from zope.interface import implementer
+from twisted.internet import defer, endpoints, protocol
 
 from lineworks.decisions import ownership, replicas, verdict
 from lineworks.engine import ports
 from lineworks.models import target_http
+from lineworks.services import target_connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,43 +28,95 @@
 REPORT_TIMEOUT = 1.0
 """Seconds to wait for a target's report."""
 
-_CONNECT_TIMEOUT = 1.0
+CONNECT_TIMEOUT = 1.0
+"""Seconds to wait for a connection."""
 
 
-@implementer(iweb.IBodyProducer)
-class _Body:
-    """Writes a request's body, and notes that bytes were handed over."""
+@dataclasses.dataclass(slots=True, eq=False)
+class _Exchange:
+    """An attempt and its connection."""
 
-    def __init__(self, data: bytes) -> None:
-        self.length = len(data)
-        self._data = data
-        self.is_sent = False
+    on_outcome: Callable[[ports.Outcome], None] | None
+    connection: target_connection.TargetConnection | None = None
+    is_cancelled: bool = False
 
-    def startProducing(self, consumer: Any) -> defer.Deferred[None]:  # noqa: N802
-        self.is_sent = True
-        consumer.write(self._data)
-        return defer.succeed(None)
 
-    def pauseProducing(self) -> None:  # noqa: N802
-        pass
+class _TargetPool:
+    """The connections to one target."""
 
-    def resumeProducing(self) -> None:  # noqa: N802
-        pass
+    def __init__(self, reactor: Any, target: catalog.Target) -> None:
+        self._reactor = reactor
+        self._target = target
+        self._idle: list[target_connection.TargetConnection] = []
+        self._open = 0
 
-    def stopProducing(self) -> None:  # noqa: N802
-        pass
+    def take(
+        self,
+        on_ready: Callable[[target_connection.TargetConnection], None],
+        on_refused: Callable[[str], None],
+    ) -> bool:
+        """Get a connection, idle or new.
 
+        Args:
+            on_ready: Called with the connection, at once when one is idle.
+            on_refused: Called with the error when a new one could not be opened.
 
-@dataclasses.dataclass(slots=True)
-class _Exchange:
-    """A request on its connection."""
+        Returns:
+            False when the share of connections is used up; then neither is called.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.is_closed:
+                on_ready(connection)
+                return True
+        if self._open >= ownership.connection_share(self._target.connections):
+            return False
+        self._open += 1
+        self._connect(on_ready, on_refused)
+        return True
 
-    on_outcome: Callable[[ports.Outcome], None] | None
-    request: defer.Deferred[Any] | None = None
+    def give_back(self, connection: target_connection.TargetConnection) -> None:
+        """Keep a connection for the next request.
+
+        Args:
+            connection: The connection.
+        """
+        if connection.is_idle:
+            self._idle.append(connection)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.transport.loseConnection()
+        self._idle.clear()
+
+    def _connect(
+        self,
+        on_ready: Callable[[target_connection.TargetConnection], None],
+        on_refused: Callable[[str], None],
+    ) -> None:
+        target = self._target
+        endpoint = endpoints.TCP4ClientEndpoint(
+            self._reactor, target.host, target.port, timeout=CONNECT_TIMEOUT
+        )
+        factory: Any = protocol.Factory.forProtocol(
+            lambda: target_connection.TargetConnection(self._on_closed)
+        )
+
+        def refused(failure: Any) -> None:
+            self._open -= 1
+            on_refused(failure.getErrorMessage())
+
+        endpoint.connect(factory).addCallbacks(on_ready, refused)
+
+    def _on_closed(self, connection: target_connection.TargetConnection) -> None:
+        self._open -= 1
+        if connection in self._idle:
+            self._idle.remove(connection)
 
 
 class TargetPool:
-    """Implements the engine's target port over Twisted's HTTP client."""
+    """Implements the engine's target port."""
 
     def __init__(self, reactor: Any) -> None:
         """Make a pool without connections.
@@ -75,18 +125,15 @@
             reactor: Twisted's reactor.
         """
         self._reactor = reactor
-        self._pool = web_client.HTTPConnectionPool(reactor, persistent=True)
-        self._pool.retryAutomatically = False
-        self._pool.maxPersistentPerHost = 64
-        self._agent = web_client.Agent(reactor, pool=self._pool, connectTimeout=_CONNECT_TIMEOUT)
-        self._open: dict[str, int] = {}
+        self._pools: dict[str, _TargetPool] = {}
 
     def start(self) -> None:
         """Do nothing; the first attempt connects."""
 
-    def stop(self) -> defer.Deferred[Any]:
+    def stop(self) -> None:
         """Close the idle connections."""
-        return self._pool.closeCachedConnections()
+        for pool in self._pools.values():
+            pool.close()
 
     def send(
         self,
@@ -105,17 +152,21 @@
             A function that cancels the attempt.
         """
         exchange = _Exchange(on_outcome)
-        if not self._take(target):
-            found = verdict.not_run(verdict.Reason.CAPPED, "own share of connections is used up")
-            self._reactor.callLater(0, _report_once, exchange, ports.Outcome(found))
-            return lambda: _forget(exchange)
-        body = _Body(attempt.body)
         remaining = max(0.0, attempt.deadline - self._reactor.seconds())
         headers = target_http.request_headers(attempt, remaining)
-        exchange.request = self._request(target, b"/v1/sub-query", headers, body)
-        done = exchange.request.addCallbacks(self._on_reply, self._on_failure, errbackArgs=(body,))
-        done.addCallback(self._on_done, target, exchange)
-        return lambda: self._cancel(target, attempt, exchange)
+        try:
+            data = _write("POST", "/v1/sub-query", target, headers, attempt.body)
+        except target_connection.UnsafeHeaderError as error:
+            return self._refuse_later(exchange, verdict.Reason.INVALID, str(error))
+        pool = self._pool(target)
+        is_taken = pool.take(
+            functools.partial(self._send_on, pool, exchange, data),
+            functools.partial(_refuse, exchange, verdict.Reason.UNREACHABLE),
+        )
+        if not is_taken:
+            detail = "own share of connections is used up"
+            return self._refuse_later(exchange, verdict.Reason.CAPPED, detail)
+        return functools.partial(self._cancel, target, attempt, exchange)
 
     def ask_report(self, target: catalog.Target) -> defer.Deferred[replicas.Report | None]:
         """Ask a target how it is.
@@ -126,74 +177,110 @@
         Returns:
             A deferred with its report, or None when there was no connection to spare or no reply.
         """
-        if not self._take(target):
-            return defer.succeed(None)
-        url = f"http://{target.host}:{target.port}/v1/report".encode()
-        asked = self._agent.request(b"GET", url)
-        asked.addCallback(web_client.readBody)
-        asked.addTimeout(REPORT_TIMEOUT, self._reactor)
-        asked.addCallback(lambda data: target_http.parse_report(json.loads(data)))
-        asked.addErrback(lambda _: None)
-        return asked.addBoth(self._give_back, target)
-
-    def _request(
+        asked: defer.Deferred[replicas.Report | None] = defer.Deferred()
+
+        def take(response: target_connection.Response | None) -> None:
+            if not asked.called:
+                asked.callback(_parse_report(response))
+
+        self._call(target, _write("GET", "/v1/report", target, {}, b""), take)
+        return asked
+
+    def _call(
         self,
         target: catalog.Target,
-        path: bytes,
-        headers: dict[str, str],
-        body: Any,
-    ) -> defer.Deferred[Any]:
-        url = f"http://{target.host}:{target.port}".encode() + path
-        raw = http_headers.Headers({name: [value] for name, value in headers.items()})
-        return self._agent.request(b"POST", url, raw, body)
-
-    def _on_reply(self, response: Any) -> defer.Deferred[ports.Outcome]:
-        read = web_client.readBody(response)
-        return read.addCallbacks(
-            lambda data: target_http.read_outcome(response.code, _headers(response), data),
-            lambda _: ports.Outcome(
-                verdict.may_have_run(verdict.Reason.LINK_LOST, "the reply broke off")
-            ),
-        )
+        data: bytes,
+        on_response: Callable[[target_connection.Response | None], None],
+    ) -> None:
+        """Send a small request beside the attempts; a slow one costs its connection."""
+        pool = self._pool(target)
+
+        def send(connection: target_connection.TargetConnection) -> None:
+            timer = self._reactor.callLater(REPORT_TIMEOUT, connection.close)
+
+            def take(response: target_connection.Response | None) -> None:
+                if timer.active():
+                    timer.cancel()
+                pool.give_back(connection)
+                on_response(response)
+
+            connection.send(data, take)
+
+        if not pool.take(send, lambda error: on_response(None)):
+            on_response(None)
+
+    def _pool(self, target: catalog.Target) -> _TargetPool:
+        pool = self._pools.get(target.name)
+        if pool is None:
+            pool = self._pools[target.name] = _TargetPool(self._reactor, target)
+        return pool
+
+    def _send_on(
+        self,
+        pool: _TargetPool,
+        exchange: _Exchange,
+        data: bytes,
+        connection: target_connection.TargetConnection,
+    ) -> None:
+        if exchange.is_cancelled:
+            pool.give_back(connection)
+            return
+        exchange.connection = connection
+        connection.send(data, functools.partial(self._on_response, pool, exchange))
 
-    def _on_failure(self, failure: Any, body: _Body) -> ports.Outcome:
-        if failure.check(net_error.ConnectError, net_error.ConnectionRefusedError):
-            found = verdict.not_run(verdict.Reason.UNREACHABLE, failure.getErrorMessage())
-        elif not body.is_sent:
-            found = verdict.not_run(verdict.Reason.UNREACHABLE, failure.type.__name__)
-        else:
-            found = verdict.may_have_run(verdict.Reason.LINK_LOST, failure.type.__name__)
-        return ports.Outcome(found)
-
-    def _on_done(self, outcome: ports.Outcome, target: catalog.Target, exchange: _Exchange) -> None:
-        self._give_back(None, target)
-        exchange.request = None
+    def _on_response(
+        self,
+        pool: _TargetPool,
+        exchange: _Exchange,
+        response: target_connection.Response | None,
+    ) -> None:
+        connection = exchange.connection
+        assert connection is not None
+        exchange.connection = None
+        pool.give_back(connection)
+        if response is None:
+            found = verdict.may_have_run(verdict.Reason.LINK_LOST, "the connection broke")
+            _report_once(exchange, ports.Outcome(found))
+            return
+        outcome = target_http.read_outcome(response.status, response.headers, response.body)
         _report_once(exchange, outcome)
 
+    def _refuse_later(
+        self, exchange: _Exchange, reason: verdict.Reason, detail: str
+    ) -> Callable[[], None]:
+        self._reactor.callLater(0, _refuse, exchange, reason, detail)
+        return functools.partial(_forget, exchange)
+
     def _cancel(self, target: catalog.Target, attempt: ports.Attempt, exchange: _Exchange) -> None:
         """Tell the target to cancel; close the connection where that does not help."""
         _forget(exchange)
-        if exchange.request is None:
+        exchange.is_cancelled = True
+        connection = exchange.connection
+        if connection is None:
             return
-        if self._take(target):
-            headers = {target_http.REQUEST: attempt.id}
-            told = self._request(target, b"/v1/cancel", headers, None)
-            told.addCallback(web_client.readBody)
-            told.addTimeout(REPORT_TIMEOUT, self._reactor)
-            told.addErrback(lambda _: None)
-            told.addBoth(self._give_back, target)
-        self._reactor.callLater(CANCEL_GRACE, _close, exchange)
-
-    def _take(self, target: catalog.Target) -> bool:
-        open_now = self._open.get(target.name, 0)
-        if open_now >= ownership.connection_share(target.connections):
-            return False
-        self._open[target.name] = open_now + 1
-        return True
+        headers = {target_http.REQUEST: attempt.id}
+        self._call(target, _write("POST", "/v1/cancel", target, headers, b""), _ignore)
+        self._reactor.callLater(CANCEL_GRACE, _close_if_busy, exchange)
+
+
+def _write(
+    method: str, path: str, target: catalog.Target, headers: dict[str, str], body: bytes
+) -> bytes:
+    host = f"{target.host}:{target.port}"
+    return target_connection.write_request(method, path, host, headers, body)
+
+
+def _parse_report(response: target_connection.Response | None) -> replicas.Report | None:
+    if response is None or response.status != 200:
+        return None
+    try:
+        return target_http.parse_report(json.loads(response.body))
+    except ValueError:
+        return None
+
 
-    def _give_back(self, result: Any, target: catalog.Target) -> Any:
-        self._open[target.name] -= 1
-        return result
+def _refuse(exchange: _Exchange, reason: verdict.Reason, detail: str) -> None:
+    _report_once(exchange, ports.Outcome(verdict.not_run(reason, detail)))
 
 
 def _report_once(exchange: _Exchange, outcome: ports.Outcome) -> None:
@@ -207,13 +294,10 @@
     exchange.on_outcome = None
 
 
-def _close(exchange: _Exchange) -> None:
-    if exchange.request is not None:
-        exchange.request.cancel()
+def _ignore(response: target_connection.Response | None) -> None:
+    del response
 
 
-def _headers(response: Any) -> dict[str, str]:
-    return {
-        name.decode().title(): values[-1].decode()
-        for name, values in response.headers.getAllRawHeaders()
-    }
+def _close_if_busy(exchange: _Exchange) -> None:
+    if exchange.connection is not None:
+        exchange.connection.close()
