--- a/bench/runner.py
+++ b/bench/runner.py
@@ -160,6 +160,8 @@
         deadline = entry.deadline - client
 
         def on_answer(answer: requests.Answer) -> None:
+            if instance.name in self._cluster.links.dead:
+                return
             self._cluster.clock.callLater(client, self._receive, entry, answer)
 
         if entry.is_run:
--- a/src/lineworks/engine/front.py
+++ b/src/lineworks/engine/front.py
@@ -270,6 +270,9 @@
         self._send(query, [query.shards.index(shard)])
 
     def _why_unreachable(self, query: queries.Query, shard: queries.Shard) -> verdict.Verdict:
+        snapshot = query.snapshot
+        if shard.tried_owners and self._view.paths(shard.service, snapshot):
+            return verdict.not_run(verdict.Reason.UNREACHABLE, "no other owner is left to ask")
         if query.needs_snapshot and self._view.paths(shard.service, None):
             detail = f"no replica is known to hold {query.snapshot} any more"
             return verdict.not_run(verdict.Reason.SNAPSHOT_GONE, detail)
@@ -306,11 +309,17 @@
     def _fail(self, query: queries.Query, shard: queries.Shard, found: verdict.Verdict) -> None:
         """Deal with a sub-query that nothing is left to try for."""
         is_gone = found.reason is verdict.Reason.SNAPSHOT_GONE
-        if is_gone and query.is_repeatable and not query.has_restarted:
+        if is_gone and query.is_repeatable and self._has_other_snapshot(query):
             self._restart(query)
         else:
             self._conclude(query, shard, _worse(shard.verdict, found))
 
+    def _has_other_snapshot(self, query: queries.Query) -> bool:
+        """Say whether a restart would find a whole snapshot; it may happen once."""
+        if query.has_restarted:
+            return False
+        return snapshots.pin(query.group, self._view.held, query.snapshot).is_whole
+
     def _restart(self, query: queries.Query) -> None:
         """Start the whole query again on another snapshot, once."""
         gone = query.snapshot
--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -56,5 +56,12 @@
     And the instance h2-0 is killed after 2 seconds
     When the searches have ended
     Then no promise was broken, but for callers of the killed instance
-    And at least 99 in 100 searches of the others were answered
+    And at least 100 in 100 searches of the others were answered
     And every unrepeatable request in its hands may have run
+
+  Scenario: Targets are lost with unrepeatable requests in their hands
+    Given a small cluster under unrepeatable requests
+    And each target is lost for a moment, one after another
+    When the searches have ended
+    Then no promise was broken
+    And some unrepeatable requests may have run and none ran twice
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -35,7 +35,19 @@
 @given("a small cluster with one instance in each hall", target_fixture="run")
 def one_each():
     halls = [{"name": "h1", "instances": 1}, {"name": "h2", "instances": 1}]
-    return builders.run_plan(builders.plan(run_share=0.1, deployment={"halls": halls}))
+    plan = builders.plan(run_share=0.8, load=2.0, deployment={"halls": halls})
+    return builders.run_plan(plan)
+
+
+@given("a small cluster under unrepeatable requests", target_fixture="run")
+def runs_only():
+    return builders.run_plan(builders.plan(run_share=0.8, load=2.0))
+
+
+@given("each target is lost for a moment, one after another")
+def lose_each(run):
+    for number, name in enumerate(sorted(run.cluster.gates)):
+        _schedule(run, at=0.5 + 0.4 * number, kind="lose_target", target=name, seconds=0.3)
 
 
 @given(parsers.parse("the index is re-versioned after {at:d} seconds"))
@@ -173,6 +185,13 @@
     assert {found.reason for found in failed} == {verdict.Reason.LINK_LOST}
 
 
+@then("some unrepeatable requests may have run and none ran twice")
+def none_doubled(run, figures):
+    verdicts = [entry.answer.verdict for entry in run.books.entries if entry.is_run]
+    assert any(found.certainty is verdict.Certainty.MAY_HAVE_RUN for found in verdicts)
+    assert figures["doubled"] == 0
+
+
 def _answered(run):
     return [
         entry
