--- a/src/lineworks/programs/demo.py
+++ b/src/lineworks/programs/demo.py
@@ -77,6 +77,8 @@
         self.snapshots: set[str] = set()
         self.verdicts: dict[str, int] = {}
         self.ran: list[str] = []
+        self.second_tries = 0
+        self.second_differ = 0
         self.not_run: list[str] = []
         self.sample: dict[str, Any] | None = None
 
@@ -101,6 +103,12 @@
         self.mixed += len({stamp[2] for stamp in stamps} | {document["snapshot"]}) > 1
         self.sample = document
 
+    def take_second_try(self, first: dict[str, Any], second: dict[str, Any]) -> None:
+        self.second_tries += 1
+        is_unknown = second["verdict"]["certainty"] == "MAY_HAVE_RUN"
+        is_same = first.get("replies") == second.get("replies")
+        self.second_differ += not (is_same or is_unknown)
+
     def take_run(self, cause: str, document: dict[str, Any]) -> None:
         self.answered += 1
         found = document["verdict"]
@@ -247,7 +255,7 @@
         # The caller asks again through another instance, as after a lost connection.
         _, again = await self._post("/v1/run", body, {"Idempotency-Key": cause})
         self._books.sent -= 1
-        del again
+        self._books.take_second_try(document, again)
 
     async def _post(
         self, path: str, body: dict[str, Any], headers: dict[str, str]
@@ -328,6 +336,10 @@
                 sum(1 for cause in books.ran if not starts.get(cause)),
                 len(books.ran),
             ),
+            "a second try with the same key got the first outcome": (
+                books.second_differ,
+                books.second_tries,
+            ),
             "a leaving target got no new work after 3 s": (
                 sum(server.model.books.started_after_leaving for server in servers),
                 len(self._site.targets),
