--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -7,7 +7,7 @@
 
 from bench import fakes
 from lineworks.decisions import catalog, replicas
-from lineworks.engine import dispatcher, front, gatherer, messages, views
+from lineworks.engine import dispatcher, front, gatherer, messages, sub_query, views
 from lineworks.services import peer_links
 from lineworks.standins import shapes, target_model
 
@@ -35,7 +35,7 @@
         name: str,
         hall: str,
         front_tuning: dispatcher.Tuning | None,
-        gatherer_tuning: gatherer.Tuning | None,
+        gatherer_tuning: sub_query.Tuning | None,
     ) -> None:
         """Make the instance.
 
@@ -140,7 +140,7 @@
         plan: scenario.Scenario,
         seed: int,
         front_tuning: dispatcher.Tuning | None = None,
-        gatherer_tuning: gatherer.Tuning | None = None,
+        gatherer_tuning: sub_query.Tuning | None = None,
         has_stragglers: bool = True,
         on_trace: Callable[[str, str, str, str], None] | None = None,
     ) -> None:
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -9,7 +9,7 @@
 from bench import cluster as clusters
 from bench import faults
 from lineworks.decisions import hedging, replicas
-from lineworks.engine import dispatcher, gatherer, requests
+from lineworks.engine import dispatcher, requests, sub_query
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,15 +28,15 @@
     front: dispatcher.Tuning
     """Choices of the fronts."""
 
-    gatherer: gatherer.Tuning
+    gatherer: sub_query.Tuning
     """Choices of the gatherers."""
 
     is_ideal: bool = False
     """Whether stragglers and faults are left out."""
 
 
-def _unbounded(choose: replicas.Choice, hedge: hedging.Rule) -> gatherer.Tuning:
-    return gatherer.Tuning(choose, is_bounded=False, ejects_stalled=False, hedge=hedge)
+def _unbounded(choose: replicas.Choice, hedge: hedging.Rule) -> sub_query.Tuning:
+    return sub_query.Tuning(choose, is_bounded=False, ejects_stalled=False, hedge=hedge)
 
 
 POLICIES: dict[str, Callable[[], PolicyUnderTest]] = {
@@ -53,9 +53,9 @@
         ),
         _unbounded(replicas.choose_own_in_flight, hedging.make_percentile_rule(0.95)),
     ),
-    "lineworks": lambda: PolicyUnderTest(dispatcher.Tuning(), gatherer.Tuning()),
+    "lineworks": lambda: PolicyUnderTest(dispatcher.Tuning(), sub_query.Tuning()),
     "oracle": lambda: PolicyUnderTest(
-        dispatcher.Tuning(hedge=hedging.never), gatherer.Tuning(hedge=hedging.never), is_ideal=True
+        dispatcher.Tuning(hedge=hedging.never), sub_query.Tuning(hedge=hedging.never), is_ideal=True
     ),
 }
 """The policies that every scenario is run under, by name."""
--- a/src/lineworks/engine/gatherer.py
+++ b/src/lineworks/engine/gatherer.py
@@ -6,13 +6,12 @@
 
 from __future__ import annotations
 
-import collections
-import dataclasses
 import functools
 from typing import TYPE_CHECKING
 
-from lineworks.decisions import deadlines, estimators, hedging, replicas, verdict
+from lineworks.decisions import deadlines, hedging, replicas, verdict
 from lineworks.engine import messages, ports
+from lineworks.engine import sub_query as state
 
 if TYPE_CHECKING:
     import random
@@ -20,134 +19,6 @@
 
     from lineworks.decisions import catalog
 
-STALL_FACTOR = 6.0
-"""A replica without progress for this many usual service times counts as stalled."""
-
-STALL_FLOOR = 0.05
-"""Seconds without progress that are never a stall."""
-
-SLOW_FACTOR = 2.0
-"""An attempt given up after this many usual service times counts against its replica."""
-
-RETRY_BURST = 10.0
-"""Retries that a service's budget holds at most."""
-
-RETRY_SHARE = 0.1
-"""Retries earned for each sub-query."""
-
-HEDGE_BURST = 20.0
-"""Hedges that a group's budget holds at most."""
-
-HEDGE_START = 8.0
-"""Hedges that a group's budget holds at first, so that many restarts add little load."""
-
-SHED_REST = 0.02
-"""Seconds that a target is left alone after it shed a request."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tuning:
-    """Choices of a gatherer that the bench varies."""
-
-    choose: replicas.Choice = replicas.choose_least_loaded
-    """Rule that picks among replicas with room."""
-
-    is_bounded: bool = True
-    """Whether attempts are limited for each target and sub-queries wait for room."""
-
-    ejects_stalled: bool = True
-    """Whether replicas without progress are passed over."""
-
-    hedge: hedging.Rule = dataclasses.field(default_factory=hedging.make_progress_rule)
-    """When a sub-query is hedged at another replica of the hall."""
-
-
-@dataclasses.dataclass(slots=True)
-class Counters:
-    """Counts of what a gatherer did, for metrics."""
-
-    started: int = 0
-    """Attempts handed to targets."""
-
-    hedges: int = 0
-    """Of those, second attempts that a front asked for."""
-
-    retries: int = 0
-    """Of those, attempts after a failed one."""
-
-    refused: int = 0
-    """Attempts that targets refused as not run."""
-
-    cancelled: int = 0
-    """Attempts given up."""
-
-    wrong_snapshot: int = 0
-    """Replies discarded because they came from another snapshot."""
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class _Sub:
-    """A sub-query under way."""
-
-    origin: str
-    request: messages.SubQueries
-    index: int
-    reply: Callable[[messages.ShardReply], None]
-    arrived: float
-    waited: float = 0.0
-    attempts: int = 0
-    running: dict[str, _Running] = dataclasses.field(default_factory=dict)
-    tried: set[str] = dataclasses.field(default_factory=set)
-    is_waiting: bool = False
-    is_hedged: bool = False
-    is_done: bool = False
-    last: verdict.Verdict | None = None
-    last_target: str = ""
-
-    @property
-    def service(self) -> str:
-        return self.request.services[self.index]
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class _Frame:
-    """The sub-queries of one message that have no outcome yet, counted."""
-
-    subs: list[_Sub]
-    open: int
-    timer: ports.Timer
-    hedge_timer: ports.Timer | None = None
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class _Running:
-    replica: replicas.Replica
-    started: float
-    cancel: Callable[[], None] | None = None
-
-
-class _Pool:
-    """The replicas of one service, with the sub-queries that wait for one."""
-
-    def __init__(self) -> None:
-        self.replicas: list[replicas.Replica] = []
-        self.waiting: collections.deque[_Sub] = collections.deque()
-        self.service_time = estimators.Average(0.05)
-        self.retries = estimators.Budget(RETRY_BURST)
-
-    @property
-    def patience(self) -> float:
-        return max(STALL_FLOOR, STALL_FACTOR * self.service_time.value)
-
-
-class _Group:
-    """What a gatherer has learned about one group."""
-
-    def __init__(self) -> None:
-        self.latencies = estimators.Quantiles()
-        self.hedges = estimators.Budget(HEDGE_BURST, HEDGE_START)
-        self.hedge_budget = 0.0
-
 
 class Gatherer:
     """Runs the sub-queries that fronts send to this instance."""
@@ -157,7 +28,7 @@
         clock: ports.Clock,
         rng: random.Random,
         targets: ports.TargetPort,
-        tuning: Tuning | None = None,
+        tuning: state.Tuning | None = None,
         on_trace: Callable[[str, str, str, str], None] | None = None,
     ) -> None:
         """Start without targets.
@@ -172,13 +43,13 @@
         self._clock = clock
         self._rng = rng
         self._targets = targets
-        self._tuning = tuning or Tuning()
+        self._tuning = tuning or state.Tuning()
         self._on_trace = on_trace
-        self._pools: dict[str, _Pool] = {}
+        self._pools: dict[str, state.Pool] = {}
         self._by_target: dict[str, replicas.Replica] = {}
-        self._groups: dict[str, _Group] = {}
-        self._frames: dict[tuple[str, int], _Frame] = {}
-        self.counters = Counters()
+        self._groups: dict[str, state.Group] = {}
+        self._frames: dict[tuple[str, int], state.Frame] = {}
+        self.counters = state.Counters()
         self.on_holdings: Callable[[], None] = lambda: None
 
     @property
@@ -264,12 +135,15 @@
         """
         now = self._clock.seconds()
         key = (origin, request.frame)
-        subs = [_Sub(origin, request, index, reply, now) for index in range(len(request.services))]
+        subs = [
+            state.SubQuery(origin, request, index, reply, now)
+            for index in range(len(request.services))
+        ]
         delay = max(0.0, request.deadline - now)
         timer = self._clock.callLater(delay, self._on_deadline, key)
-        self._frames[key] = _Frame(subs, len(subs), timer)
+        self._frames[key] = state.Frame(subs, len(subs), timer)
         for sub in subs:
-            self._pool(sub.service).retries.earn(RETRY_SHARE)
+            self._pool(sub.service).retries.earn(state.RETRY_SHARE)
             self._place(sub)
         if request.is_repeatable:
             group = self._group(request.group)
@@ -318,22 +192,22 @@
             delay = max(next_check, hedging.LEAST_CHECK)
             frame.hedge_timer = self._clock.callLater(delay, self._check_hedges, key)
 
-    def _check_hedge(self, sub: _Sub, frame: _Frame) -> float | None:
+    def _check_hedge(self, sub: state.SubQuery, frame: state.Frame) -> float | None:
         """Hedge a sub-query if it is time, and say in how many seconds to look again."""
         group = self._group(sub.request.group)
         elapsed = self._elapsed(sub)
-        fill = group.hedges.tokens / HEDGE_BURST
+        fill = group.hedges.tokens / state.HEDGE_BURST
         progress = hedging.Progress(elapsed, frame.open, len(frame.subs), fill)
         advice = self._tuning.hedge(progress, group.latencies, group.hedge_budget)
         if advice.should_hedge and sub.running:
             self._hedge(sub, group)
         return None if sub.is_hedged else advice.check_in
 
-    def _elapsed(self, sub: _Sub) -> float:
+    def _elapsed(self, sub: state.SubQuery) -> float:
         """Tell how long a sub-query holds up its query, network both ways included."""
         return self._clock.seconds() - sub.arrived + sub.request.network_delay
 
-    def _hedge(self, sub: _Sub, group: _Group) -> None:
+    def _hedge(self, sub: state.SubQuery, group: state.Group) -> None:
         able = self._able(sub)
         if not able:
             sub.is_hedged = True
@@ -345,19 +219,19 @@
         self.counters.hedges += 1
         self._start(sub, replica, "hedge")
 
-    def _group(self, name: str) -> _Group:
+    def _group(self, name: str) -> state.Group:
         group = self._groups.get(name)
         if group is None:
-            group = self._groups[name] = _Group()
+            group = self._groups[name] = state.Group()
         return group
 
-    def _pool(self, service: str) -> _Pool:
+    def _pool(self, service: str) -> state.Pool:
         pool = self._pools.get(service)
         if pool is None:
-            pool = self._pools[service] = _Pool()
+            pool = self._pools[service] = state.Pool()
         return pool
 
-    def _able(self, sub: _Sub) -> list[replicas.Replica]:
+    def _able(self, sub: state.SubQuery) -> list[replicas.Replica]:
         """List the replicas that may still serve a sub-query, with or without room."""
         pool = self._pool(sub.service)
         request = sub.request
@@ -374,7 +248,7 @@
             return None
         return self._tuning.choose(able, self._clock.seconds(), self._rng)
 
-    def _place(self, sub: _Sub) -> None:
+    def _place(self, sub: state.SubQuery) -> None:
         """Start a sub-query's next attempt, or let it wait, or give it up."""
         able = self._able(sub)
         replica = self._pick(able)
@@ -388,7 +262,7 @@
             return
         self._finish(sub, sub.last or self._why_none(sub))
 
-    def _why_none(self, sub: _Sub) -> verdict.Verdict:
+    def _why_none(self, sub: state.SubQuery) -> verdict.Verdict:
         pool = self._pool(sub.service)
         present = [replica for replica in pool.replicas if not replica.is_leaving]
         if not pool.replicas:
@@ -400,7 +274,7 @@
             return verdict.not_run(verdict.Reason.SNAPSHOT_GONE, f"no replica holds {snapshot}")
         return verdict.not_run(verdict.Reason.UNREACHABLE, "all replicas are resting")
 
-    def _start(self, sub: _Sub, replica: replicas.Replica, event: str) -> None:
+    def _start(self, sub: state.SubQuery, replica: replicas.Replica, event: str) -> None:
         now = self._clock.seconds()
         request = sub.request
         if sub.attempts == 0:
@@ -409,7 +283,7 @@
         sub.attempts += 1
         sub.last_target = replica.target.name
         sub.tried.add(replica.target.name)
-        running = _Running(replica, now)
+        running = state.Running(replica, now)
         sub.running[attempt_id] = running
         replica.on_started(now)
         self.counters.started += 1
@@ -425,7 +299,7 @@
             replica.target, attempt, functools.partial(self._on_outcome, sub, attempt_id)
         )
 
-    def _on_outcome(self, sub: _Sub, attempt_id: str, outcome: ports.Outcome) -> None:
+    def _on_outcome(self, sub: state.SubQuery, attempt_id: str, outcome: ports.Outcome) -> None:
         running = sub.running.pop(attempt_id)
         replica = running.replica
         self._learn(sub, running, outcome)
@@ -433,7 +307,7 @@
             self._judge(sub, outcome)
         self._drain(self._pool(replica.target.service))
 
-    def _learn(self, sub: _Sub, running: _Running, outcome: ports.Outcome) -> None:
+    def _learn(self, sub: state.SubQuery, running: state.Running, outcome: ports.Outcome) -> None:
         """Update the view of the target from how an attempt at it ended."""
         now = self._clock.seconds()
         replica = running.replica
@@ -450,7 +324,7 @@
             replica.limit.on_refused()
         elif reason is verdict.Reason.OVERLOADED:
             replica.limit.on_refused()
-            replica.rest_until = now + SHED_REST
+            replica.rest_until = now + state.SHED_REST
         elif reason is verdict.Reason.LEAVING:
             self.on_leaving(replica.target.name)
         if self._is_wrong_snapshot(sub, outcome):
@@ -459,14 +333,14 @@
         if outcome.verdict.is_not_run:
             self.counters.refused += 1
 
-    def _is_wrong_snapshot(self, sub: _Sub, outcome: ports.Outcome) -> bool:
+    def _is_wrong_snapshot(self, sub: state.SubQuery, outcome: ports.Outcome) -> bool:
         if not sub.request.needs_snapshot:
             return False
         if outcome.verdict.reason is verdict.Reason.SNAPSHOT_GONE:
             return True
         return outcome.verdict.is_ok and outcome.snapshot != sub.request.snapshot
 
-    def _judge(self, sub: _Sub, outcome: ports.Outcome) -> None:
+    def _judge(self, sub: state.SubQuery, outcome: ports.Outcome) -> None:
         """Answer, retry or wait for another attempt, by how this one ended."""
         found = outcome.verdict
         if found.is_ok and self._is_wrong_snapshot(sub, outcome):
@@ -488,14 +362,14 @@
             return
         self._finish(sub, sub.last)
 
-    def _may_retry(self, sub: _Sub, found: verdict.Verdict) -> bool:
+    def _may_retry(self, sub: state.SubQuery, found: verdict.Verdict) -> bool:
         if not found.is_not_run and not sub.request.is_repeatable:
             return False
         if self._clock.seconds() + deadlines.HOP_MARGIN >= sub.request.deadline:
             return False
         return self._pool(sub.service).retries.spend()
 
-    def _drain(self, pool: _Pool) -> None:
+    def _drain(self, pool: state.Pool) -> None:
         """Bind waiting sub-queries to replicas that have room now."""
         waiting = pool.waiting
         now = self._clock.seconds()
@@ -516,7 +390,7 @@
                 self._start(sub, replica, "retry" if sub.attempts else "attempt")
 
     def _finish(
-        self, sub: _Sub, found: verdict.Verdict, outcome: ports.Outcome | None = None
+        self, sub: state.SubQuery, found: verdict.Verdict, outcome: ports.Outcome | None = None
     ) -> None:
         self._abandon(sub)
         request = sub.request
@@ -534,7 +408,7 @@
             )
         )
 
-    def _abandon(self, sub: _Sub) -> None:
+    def _abandon(self, sub: state.SubQuery) -> None:
         """End a sub-query and cancel the attempts at it that still run."""
         if sub.is_done:
             return
@@ -545,7 +419,7 @@
             return
         now = self._clock.seconds()
         pool = self._pool(sub.service)
-        slow = SLOW_FACTOR * pool.service_time.value
+        slow = state.SLOW_FACTOR * pool.service_time.value
         for running in sub.running.values():
             if running.cancel is not None:
                 running.cancel()
@@ -580,6 +454,6 @@
             if timer is not None and timer.active():
                 timer.cancel()
 
-    def _trace(self, sub: _Sub, event: str, detail: str) -> None:
+    def _trace(self, sub: state.SubQuery, event: str, detail: str) -> None:
         if self._on_trace is not None:
             self._on_trace(sub.request.query, sub.request.shards[sub.index], event, detail)
