--- a/src/lineworks/programs/standin.py
+++ b/src/lineworks/programs/standin.py
@@ -57,7 +57,9 @@
         return _common.fail(f"port {error.port} is in use")
     if _WRITE.value:
         text = json.dumps(_configuration(made), indent=1)
-        pathlib.Path(_WRITE.value).write_text(text + "\n")
+        path = pathlib.Path(_WRITE.value)
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(text + "\n")
     print(f"platform at {made.platform.url}, {len(made.targets)} targets", flush=True)
     stopped: defer.Deferred[None] = defer.Deferred()
 
--- a/src/lineworks/services/config_keeper.py
+++ b/src/lineworks/services/config_keeper.py
@@ -71,7 +71,7 @@
         self._items: dict[str, str] = {}
         self._head = changes.EMPTY_HEAD
         self._changed_at = reactor.seconds()
-        self._confirmed_at = 0.0
+        self._confirmed_at = reactor.seconds()
         self._task = task.Task("config_keeper", self._follow_platform)
         self.alarms: dict[str, int] = {}
         self.listeners: list[Callable[[catalog.Catalog, dict[str, float]], None]] = []
