--- a/src/lineworks/engine/gatherer.py
+++ b/src/lineworks/engine/gatherer.py
@@ -425,7 +425,7 @@
                 running.cancel()
             self.counters.cancelled += 1
             running.replica.on_ended(now, is_progress=False)
-            if now - running.started > slow:
+            if slow and now - running.started > slow:
                 running.replica.on_lost_race(now)
         sub.running.clear()
         if pool.waiting:
