--- a/bench/scenario.py
+++ b/bench/scenario.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import pathlib
 from typing import Literal
 
@@ -10,6 +9,22 @@
 
 from lineworks.models import _base
 
+FaultKind = Literal[
+    "stall",
+    "stall_in_turns",
+    "lose_target",
+    "lose_rack",
+    "leave",
+    "reversion",
+    "repartition",
+    "reports_lag",
+    "reports_lie",
+    "cut_hall",
+    "kill_instance",
+    "cold_start",
+]
+"""What can go wrong in a scenario."""
+
 
 class ScenarioError(Exception):
     """A scenario file cannot be used; the message is one line that names the key."""
@@ -126,20 +141,7 @@
     at: float
     """When it begins, in seconds."""
 
-    kind: Literal[
-        "stall",
-        "stall_in_turns",
-        "lose_target",
-        "lose_rack",
-        "leave",
-        "reversion",
-        "repartition",
-        "reports_lag",
-        "reports_lie",
-        "cut_hall",
-        "kill_instance",
-        "cold_start",
-    ]
+    kind: FaultKind
     """What goes wrong."""
 
     seconds: float = 1.0
@@ -194,9 +196,6 @@
     faults: list[Fault] = []
     """Faults on the time line."""
 
-    checks_saturation: bool = False
-    """Whether the scenario is about overload, where refusals are expected."""
-
 
 def load(path: str) -> Scenario:
     """Read and check a scenario file.
@@ -216,15 +215,3 @@
         raise ScenarioError(f"{path}: {error.strerror}") from error
     except pydantic.ValidationError as error:
         raise ScenarioError(f"{path}: {_base.first_problem(error)}") from error
-
-
-def dump(scenario: Scenario) -> str:
-    """Write a scenario.
-
-    Args:
-        scenario: The scenario.
-
-    Returns:
-        JSON.
-    """
-    return json.dumps(scenario.model_dump(), indent=1)
--- a/src/lineworks/decisions/catalog.py
+++ b/src/lineworks/decisions/catalog.py
@@ -50,6 +50,21 @@
     return Snapshot(int(version), layout)
 
 
+def parse_snapshots(text: str) -> frozenset[Snapshot]:
+    """Read snapshots joined by commas.
+
+    Args:
+        text: For example `7@base,6@base`; empty for none.
+
+    Returns:
+        The snapshots.
+
+    Raises:
+        ValueError: A part is not a snapshot.
+    """
+    return frozenset(parse_snapshot(part) for part in text.split(",") if part)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Target:
     """One replica of a service: a process that answers sub-queries."""
--- a/src/lineworks/decisions/limits.py
+++ b/src/lineworks/decisions/limits.py
@@ -14,16 +14,15 @@
 class TargetLimit:
     """Concurrent attempts that one gatherer allows itself at one target."""
 
-    def __init__(self, slots: int, connection_share: int, is_cold: bool = False) -> None:
-        """Start at the target's slots, or at one attempt where the target is cold.
+    def __init__(self, slots: int, connection_share: int) -> None:
+        """Start at the target's slots.
 
         Args:
             slots: Requests that the target works on at once.
             connection_share: Connections that this gatherer may hold to it.
-            is_cold: Whether the target has just started.
         """
         self._ceiling = float(max(1, min(connection_share, slots + _QUEUE_ALLOWANCE)))
-        self._value = _RAMP_START if is_cold else float(max(1, min(connection_share, slots)))
+        self._value = float(max(1, min(connection_share, slots)))
 
     @property
     def value(self) -> int:
--- a/src/lineworks/decisions/snapshots.py
+++ b/src/lineworks/decisions/snapshots.py
@@ -48,7 +48,8 @@
     for service in group.services:
         for snapshot in set(held(service.name)):
             counts[snapshot] = counts.get(snapshot, 0) + 1
-    counts.pop(excluded, None) if excluded is not None else None
+    if excluded is not None:
+        counts.pop(excluded, None)
     if not counts:
         return Pin(None, False)
     whole = len(group.services)
--- a/src/lineworks/models/target_http.py
+++ b/src/lineworks/models/target_http.py
@@ -160,11 +160,10 @@
     if INCARNATION not in headers:
         return None
     busy, _, queue = headers.get(LOAD, "0,0").partition(",")
-    holds = (part for part in headers.get(HOLDS, "").split(",") if part)
     state = headers.get(STATE, "serving")
     return replicas.Report(
         headers[INCARNATION],
-        frozenset(catalog.parse_snapshot(part) for part in holds),
+        catalog.parse_snapshots(headers.get(HOLDS, "")),
         int(busy),
         int(queue or "0"),
         state == "cold",
--- a/src/lineworks/services/config_keeper.py
+++ b/src/lineworks/services/config_keeper.py
@@ -70,7 +70,6 @@
         self._hall_members = hall_members
         self._items: dict[str, str] = {}
         self._head = changes.EMPTY_HEAD
-        self._changed_at = reactor.seconds()
         self._confirmed_at = reactor.seconds()
         self._task = task.Task("config_keeper", self._follow_platform)
         self.alarms: dict[str, int] = {}
@@ -228,7 +227,7 @@
         built = configuration.build(items, head.version, head.digest)
         self._items = items
         self._head = head
-        self._changed_at = self._confirmed_at = self._reactor.seconds()
+        self._confirmed_at = self._reactor.seconds()
         _log.info("configuration_in_force", version=head.version, digest=head.digest[:12])
         weights = configuration.class_weights(items)
         for listener in self.listeners:
--- a/src/lineworks/services/peer_links.py
+++ b/src/lineworks/services/peer_links.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 import hashlib
 import hmac
 import os
@@ -140,9 +141,7 @@
         self._is_dead = True
         name = self.hello.name if self.hello else None
         _log.warning("link_closed", peer=name, reason=reason)
-        self._links.counts[f"closed:{reason.partition(':')[0]}"] = (
-            self._links.counts.get(f"closed:{reason.partition(':')[0]}", 0) + 1
-        )
+        self._links.counts[f"closed:{reason.partition(':')[0]}"] += 1
         self.transport.abortConnection()
 
     def _on_handshake(self, frame: frames.Frame) -> None:
@@ -185,7 +184,7 @@
         self._port: Any = None
         self._timer: Any = None
         self._is_stopped = False
-        self.counts: dict[str, int] = {}
+        self.counts: collections.Counter[str] = collections.Counter()
         self.make_heartbeat: Callable[[], frames.Heartbeat] = lambda: frames.Heartbeat(False, 0, "")
         self.on_up: list[Callable[[frames.Hello], None]] = []
         self.on_down: list[Callable[[str], None]] = []
--- a/src/lineworks/wire/codec.py
+++ b/src/lineworks/wire/codec.py
@@ -69,10 +69,10 @@
     """
     try:
         with _FRAME.from_bytes(data, traversal_limit_in_words=_TRAVERSAL_LIMIT) as reader:
-            decoder = _DECODERS.get(str(reader.which()))
-            if decoder is None:
+            kind = str(reader.which())
+            read = _DECODERS.get(kind)
+            if read is None:
                 raise MalformedFrameError("unknown kind of frame")
-            kind, read = decoder
             return read(getattr(reader, kind), now)
     except MalformedFrameError:
         raise
@@ -261,25 +261,13 @@
     if len(services) != len(held):
         raise MalformedFrameError("columns of different lengths")
     return frames.Holdings(
-        {service: parse_snapshots(text) for service, text in zip(services, held, strict=True)}
+        {
+            service: catalog.parse_snapshots(text)
+            for service, text in zip(services, held, strict=True)
+        }
     )
 
 
-def parse_snapshots(text: str) -> frozenset[catalog.Snapshot]:
-    """Read snapshots joined by commas.
-
-    Args:
-        text: For example `7@base,6@base`; empty for none.
-
-    Returns:
-        The snapshots.
-
-    Raises:
-        ValueError: A part is not a snapshot.
-    """
-    return frozenset(catalog.parse_snapshot(part.strip()) for part in text.split(",") if part)
-
-
 def _read_config_pull(body: Any, now: float) -> frames.Frame:
     return frames.ConfigPull(body.version, body.digest)
 
@@ -311,16 +299,16 @@
     frames.RelayReply: _write_relay_reply,
 }
 
-_DECODERS: dict[str, tuple[str, Callable[[Any, float], frames.Frame]]] = {
-    "challenge": ("challenge", _read_challenge),
-    "hello": ("hello", _read_hello),
-    "heartbeat": ("heartbeat", _read_heartbeat),
-    "subQueries": ("subQueries", _read_sub_queries),
-    "cancel": ("cancel", _read_cancel),
-    "replies": ("replies", _read_replies),
-    "holdings": ("holdings", _read_holdings),
-    "configPull": ("configPull", _read_config_pull),
-    "configChanges": ("configChanges", _read_config_changes),
-    "relay": ("relay", _read_relay),
-    "relayReply": ("relayReply", _read_relay_reply),
+_DECODERS: dict[str, Callable[[Any, float], frames.Frame]] = {
+    "challenge": _read_challenge,
+    "hello": _read_hello,
+    "heartbeat": _read_heartbeat,
+    "subQueries": _read_sub_queries,
+    "cancel": _read_cancel,
+    "replies": _read_replies,
+    "holdings": _read_holdings,
+    "configPull": _read_config_pull,
+    "configChanges": _read_config_changes,
+    "relay": _read_relay,
+    "relayReply": _read_relay_reply,
 }
--- a/tests/test_fault_timelines.py
+++ b/tests/test_fault_timelines.py
@@ -2,25 +2,15 @@
 
 from __future__ import annotations
 
+import typing
+
 import hypothesis
 from hypothesis import strategies as st
 
+from bench import scenario
 from tests import builders
 
-_KINDS = [
-    "stall",
-    "stall_in_turns",
-    "lose_target",
-    "lose_rack",
-    "leave",
-    "reversion",
-    "repartition",
-    "reports_lag",
-    "reports_lie",
-    "cut_hall",
-    "kill_instance",
-    "cold_start",
-]
+_KINDS = typing.get_args(scenario.FaultKind)
 
 _fault = st.fixed_dictionaries(
     {
