--- a/bench/control.py
+++ b/bench/control.py
@@ -12,7 +12,8 @@
 
 from bench import fakes
 from bench import platform as platforms
-from lineworks.services import config_keeper, config_store, membership, peer_links, platform_client
+from lineworks.models import member
+from lineworks.services import config_keeper, config_store, membership, peer_links
 from lineworks.wire import codec, frames
 
 if TYPE_CHECKING:
@@ -65,7 +66,7 @@
         """Say who takes a kind of frame."""
         self._handlers[kind] = handler
 
-    def set_wanted(self, members: Mapping[str, platform_client.Member]) -> None:
+    def set_wanted(self, members: Mapping[str, member.Member]) -> None:
         """Open the links to members that can be reached."""
         for name in sorted(members):
             self._control.connect(self.me.name, name)
@@ -127,7 +128,7 @@
         self.clock = clock
         self.port = platforms.PlatformPort(control.platform)
         self.links = MemoryLinks(control, name, hall)
-        me = platform_client.Member(name, hall, "", 0, f"{name}-1", False)
+        me = member.Member(name, hall, "", 0, f"{name}-1", False)
         port: Any = self.port
         links: Any = self.links
         self.members = membership.Membership(clock, rng, me, port, links, [])
--- a/bench/platform.py
+++ b/bench/platform.py
@@ -11,6 +11,8 @@
 
 from twisted.internet import defer
 
+from lineworks.kernel import task
+from lineworks.models import member
 from lineworks.services import platform_client
 
 if TYPE_CHECKING:
@@ -62,8 +64,8 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.bytes = 0
         self._watchers: dict[str, list[defer.Deferred[None]]] = {}
-        self._members: dict[str, tuple[platform_client.Member, float]] = {}
-        self._published: list[tuple[float, list[platform_client.Member]]] = []
+        self._members: dict[str, tuple[member.Member, float]] = {}
+        self._published: list[tuple[float, list[member.Member]]] = []
 
     def write(self, key: str, data: str) -> None:
         """Set a value and wake its watchers.
@@ -124,7 +126,7 @@
             if not waiting.called:
                 waiting.errback(platform_client.PlatformError("watch lost"))
 
-    def announce(self, member: platform_client.Member, lease: float) -> None:
+    def announce(self, member: member.Member, lease: float) -> None:
         """List a member for a while.
 
         Args:
@@ -133,7 +135,7 @@
         """
         self._members[member.name] = (member, self.clock.seconds() + lease)
 
-    def list_members(self) -> list[platform_client.Member]:
+    def list_members(self) -> list[member.Member]:
         """List the members, perhaps as they were some time ago.
 
         Returns:
@@ -193,12 +195,12 @@
         self._platform.bytes += len(data)
         self._maybe_lose(lambda: self._platform.write(key, data))
 
-    async def members(self) -> list[platform_client.Member]:
+    async def members(self) -> list[member.Member]:
         """List the members; see `PlatformClient.members`."""
         await self._travel("members")
         return self._platform.list_members()
 
-    async def announce(self, member: platform_client.Member, lease_seconds: float) -> None:
+    async def announce(self, member: member.Member, lease_seconds: float) -> None:
         """Announce a member; see `PlatformClient.announce`."""
         await self._travel("announce")
         self._platform.announce(member, lease_seconds)
@@ -210,7 +212,7 @@
     async def _travel(self, label: str) -> None:
         self.calls[label] += 1
         self._platform.calls[label] += 1
-        await platform_client.sleep(self._platform.clock, self._platform.faults.delay)
+        await task.sleep(self._platform.clock, self._platform.faults.delay)
         if self._is_out:
             raise platform_client.PlatformError(f"{label}: no connection")
 
--- /dev/null
+++ b/src/lineworks/forwarding/directory.py
@@ -0,0 +1,326 @@
+"""Keeps the configuration and the targets up to date, with few calls to the platform's store.
+
+In each data hall one instance asks the store in short intervals and tells its peers what changed;
+the others ask only when they hear nothing. So the calls grow with the halls, not with the
+instances, and no instance depends on another: one whose knowledge gets old asks for itself.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+from lineworks.decisions import ownership, routes, target_view
+from lineworks.forwarding import messages, target_documents
+from lineworks.kernel import task
+from lineworks.platform import configuration, store, target_entries
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Iterable
+
+    from lineworks.services import peer_links
+    from lineworks.wire import frames
+
+TICK = 0.1
+"""Seconds between looks at whether the store should be asked."""
+
+POLL_SECONDS = 0.9
+"""Age of the knowledge, in seconds, at which a hall's reader asks the store. With the answer and
+the way to the peers it stays well below the three seconds in which a change must be in force."""
+
+FALLBACK_SECONDS = 1.7
+"""Age at which any instance asks for itself, because its hall's reader is silent."""
+
+FALLBACK_SPREAD = 0.3
+"""Seconds over which instances spread their own first calls."""
+
+RETRY_SECONDS = 0.4
+"""Seconds between calls while the store fails; doubled with each failure."""
+
+MOST_RETRY_SECONDS = 1.0
+"""Seconds between calls while the store fails at most: its return must be noticed soon."""
+
+PULL_SECONDS = 0.5
+"""Seconds between requests to peers for a newer configuration."""
+
+_ANY = ""
+_log = structlog.get_logger(component="directory")
+
+
+class Directory:
+    """What one instance knows of the configuration and the targets."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        rng: random.Random,
+        name: str,
+        hall: str,
+        client: store.Store,
+        links: peer_links.PeerLinks,
+    ) -> None:
+        """Start without knowledge.
+
+        Args:
+            reactor: Twisted's reactor.
+            rng: Spreads calls.
+            name: Name of this instance.
+            hall: Its data hall.
+            client: The platform's store.
+            links: Links to the other instances.
+        """
+        self._reactor = reactor
+        self._rng = rng
+        self._name = name
+        self._hall = hall
+        self._store = client
+        self._links = links
+        self._view = target_view.TargetView()
+        self._table: routes.RouteTable | None = None
+        self._document = b""
+        self._has_targets = False
+        self._fresh_at = float("-inf")
+        self._next_call = 0.0
+        self._failures = 0
+        self._outage_since: float | None = None
+        self._hold_until = 0.0
+        self._pulled_at = float("-inf")
+        self._spread = rng.random() * FALLBACK_SPREAD
+        self._task = task.Task("directory", self._run)
+        self.on_table: Callable[[routes.RouteTable], None] = lambda table: None
+        self.on_targets: Callable[[], None] = lambda: None
+        links.handle(messages.TargetUpdate, self._on_target_update)
+        links.handle(messages.TableUpdate, self._on_table_update)
+        links.handle(messages.TablePull, self._on_pull)
+        links.on_up.append(self._on_up)
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether there are a configuration and targets to work with."""
+        return self._table is not None and self._has_targets
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 for none."""
+        return self._table.version if self._table is not None else 0
+
+    @property
+    def age(self) -> float:
+        """Seconds since the store is known to have held nothing newer."""
+        age: float = self._reactor.seconds() - self._fresh_at
+        return age
+
+    @property
+    def entries(self) -> Iterable[target_view.TargetEntry]:
+        """Entries of all targets."""
+        return self._view.entries.values()
+
+    def start(self) -> None:
+        """Begin to ask the store."""
+        self._task.start()
+
+    def stop(self) -> None:
+        """Stop asking."""
+        self._task.stop()
+
+    def on_peer_version(self, peer: str, version: int) -> None:
+        """Ask a peer for its configuration if that is newer.
+
+        Args:
+            peer: The peer.
+            version: Version in force there.
+        """
+        now = self._reactor.seconds()
+        if version > self.version and now - self._pulled_at >= PULL_SECONDS:
+            self._pulled_at = now
+            self._links.send(peer, messages.TablePull(self.version))
+
+    async def _run(self) -> None:
+        while True:
+            if self._is_due():
+                await self._ask()
+            if self._view.expire(self._reactor.seconds()):
+                self.on_targets()
+            await task.sleep(self._reactor, TICK)
+
+    def _is_due(self) -> bool:
+        if self._reactor.seconds() < self._next_call:
+            return False
+        if not self.is_complete:
+            return True
+        if self._is_reader():
+            return self.age >= POLL_SECONDS
+        return self.age >= FALLBACK_SECONDS + self._spread
+
+    def _is_reader(self) -> bool:
+        """Say whether this instance reads the store for its hall."""
+        peers = [
+            name
+            for name, link in self._links.up.items()
+            if link.hello is not None and link.hello.hall == self._hall
+        ]
+        return ownership.owners("reader", [*peers, self._name], 1)[0] == self._name
+
+    async def _ask(self) -> None:
+        """Ask the store what is new, or for everything at first."""
+        asked_at = self._reactor.seconds()
+        try:
+            if self._view.revision:
+                await self._read_changes(asked_at)
+            else:
+                await self._read_all(asked_at)
+        except store.StoreError as error:
+            self._on_failure(str(error))
+            return
+        self._on_success()
+
+    async def _read_all(self, asked_at: float) -> None:
+        """Read everything there is."""
+        listing = await self._store.list_items(target_entries.PREFIX)
+        item = await self._store.get(configuration.KEY)
+        rows = [store.Change(item.key, item.revision, item.value) for item in listing.items]
+        entries = self._decode(rows)
+        is_changed = self._view.replace(entries, listing.revision, self._hold())
+        self._has_targets = True
+        if item is not None:
+            self._take_table(item.value)
+        self._fresh_at = max(self._fresh_at, asked_at)
+        if is_changed:
+            self.on_targets()
+        self._tell_peers(0, self._all_entries())
+
+    async def _read_changes(self, asked_at: float) -> None:
+        """Read what changed since the last time."""
+        before = self._view.revision
+        try:
+            found = await self._store.watch(_ANY, before, 0.0)
+        except store.HistoryGoneError:
+            _log.info("history_gone", revision=before)
+            await self._read_all(asked_at)
+            return
+        rows = [row for row in found.changes if row.key.startswith(target_entries.PREFIX)]
+        known = dict(self._view.entries)
+        entries = self._decode(rows)
+        is_changed = self._view.apply(entries, self._hold())
+        self._view.revision = max(self._view.revision, found.revision)
+        self._fresh_at = max(self._fresh_at, asked_at)
+        for row in found.changes:
+            if row.key == configuration.KEY and row.value is not None:
+                self._take_table(row.value)
+        if is_changed:
+            self.on_targets()
+        news = [change for change in entries if known.get(change.id) != change.entry]
+        self._tell_peers(before, news)
+
+    def _decode(self, rows: Iterable[store.Change]) -> list[target_view.TargetChange]:
+        changes = []
+        for row in rows:
+            name = row.key.removeprefix(target_entries.PREFIX)
+            try:
+                entry = None if row.value is None else target_entries.decode(row.key, row.value)
+            except target_entries.EntryError as error:
+                _log.warning("entry_refused", error=str(error))
+                continue
+            changes.append(target_view.TargetChange(name, row.revision, entry))
+        return changes
+
+    def _all_entries(self) -> list[target_view.TargetChange]:
+        return self._view.all_changes()
+
+    def _take_table(self, document: bytes) -> None:
+        try:
+            table = configuration.decode(document)
+        except configuration.ConfigurationError as error:
+            _log.error("configuration_refused", error=str(error), in_force=self.version)
+            return
+        if table.version <= self.version:
+            return
+        _log.info("configuration", version=table.version, before=self.version)
+        self._table = table
+        self._document = document
+        self.on_table(table)
+        update = messages.TableUpdate(table.version, document)
+        for name in self._hall_peers():
+            self._links.send(name, update)
+
+    def _hall_peers(self) -> list[str]:
+        return [
+            name
+            for name, link in self._links.up.items()
+            if link.hello is not None and link.hello.hall == self._hall
+        ]
+
+    def _tell_peers(self, before: int, news: list[target_view.TargetChange]) -> None:
+        update = messages.TargetUpdate(
+            before, self._view.revision, max(0.0, self.age), target_documents.encode(news)
+        )
+        for name in self._hall_peers():
+            self._links.send(name, update)
+
+    def _on_target_update(self, link: Any, frame: messages.TargetUpdate) -> None:
+        """Take in what a peer read from the store."""
+        if frame.from_revision > self._view.revision:
+            return
+        try:
+            changes = target_documents.decode(frame.document)
+        except target_documents.TargetDocumentError as error:
+            link.close(f"malformed frame: {error}")
+            return
+        self._note_return()
+        if frame.from_revision == 0:
+            is_changed = self._view.replace(changes, frame.to_revision, self._hold())
+        else:
+            is_changed = self._view.apply(changes, self._hold())
+        self._view.revision = max(self._view.revision, frame.to_revision)
+        self._has_targets = True
+        self._fresh_at = max(self._fresh_at, self._reactor.seconds() - frame.age)
+        if is_changed:
+            self.on_targets()
+
+    def _on_table_update(self, link: Any, frame: messages.TableUpdate) -> None:
+        if frame.version > self.version:
+            self._take_table(frame.document)
+
+    def _on_pull(self, link: Any, frame: messages.TablePull) -> None:
+        """Give a peer what it lacks."""
+        if self._table is not None and self.version > frame.version:
+            link.send(messages.TableUpdate(self.version, self._document))
+        if frame.version == 0 and self._has_targets:
+            document = target_documents.encode(self._all_entries())
+            link.send(messages.TargetUpdate(0, self._view.revision, max(0.0, self.age), document))
+
+    def _on_up(self, hello: frames.Hello) -> None:
+        """Ask the first peer for everything while nothing is known."""
+        if not self.is_complete:
+            self._links.send(hello.name, messages.TablePull(0))
+
+    def _hold(self) -> float:
+        """Tell until when missing entries prove nothing; 0 outside an outage."""
+        now = self._reactor.seconds()
+        if self._outage_since is not None:
+            return float(now + target_view.LAPSE_GRACE)
+        return self._hold_until if now < self._hold_until else 0.0
+
+    def _on_failure(self, error: str) -> None:
+        now = self._reactor.seconds()
+        if self._outage_since is None:
+            self._outage_since = now
+            _log.warning("store_lost", error=error, age=round(self.age, 3))
+        pause = min(MOST_RETRY_SECONDS, RETRY_SECONDS * 2**self._failures)
+        self._failures += 1
+        self._next_call = now + pause * (0.75 + self._rng.random() / 2)
+
+    def _on_success(self) -> None:
+        self._failures = 0
+        self._note_return()
+
+    def _note_return(self) -> None:
+        """Note that the store answers, here or at a peer."""
+        if self._outage_since is None:
+            return
+        now = self._reactor.seconds()
+        _log.info("store_regained", seconds=round(now - self._outage_since, 3))
+        self._outage_since = None
+        self._hold_until = now + target_view.LAPSE_GRACE
--- /dev/null
+++ b/src/lineworks/forwarding/front.py
@@ -0,0 +1,163 @@
+"""The front: admits callers' requests and answers them."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING
+
+from lineworks.decisions import deadlines, routes, verdict
+from lineworks.forwarding import outcome, search, single, target_calls
+from lineworks.http1 import fields as http_fields
+from lineworks.http1 import server_connection
+from lineworks.platform import headers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lineworks.forwarding import request_log, tools
+
+_BODY_METHODS = frozenset((b"POST", b"PUT", b"PATCH"))
+_DROPPED = frozenset((headers.BUDGET, headers.EXPECT))
+
+
+class Front:
+    """Requests of callers at one instance."""
+
+    def __init__(self, shared: tools.Tools, log: request_log.RequestLog) -> None:
+        """Start without a configuration; every request is refused as not run.
+
+        Args:
+            shared: What the requests share.
+            log: Takes note of every request.
+        """
+        self._shared = shared
+        self._log = log
+        self._table: routes.RouteTable | None = None
+        self._turns = routes.WeightedTurns()
+        self._open = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is under way."""
+        return self._open == 0
+
+    @property
+    def table(self) -> routes.RouteTable | None:
+        """The configuration in force."""
+        return self._table
+
+    def set_table(self, table: routes.RouteTable) -> None:
+        """Put a configuration in force for requests that arrive from now on.
+
+        Args:
+            table: The configuration.
+        """
+        self._table = table
+        self._turns.forget_absent(table.routes)
+
+    def limits(self) -> server_connection.Limits:
+        """Tell what callers may send."""
+        if self._table is None:
+            return server_connection.Limits()
+        found = self._table.limits
+        return server_connection.Limits(
+            found.header_bytes, found.body_bytes, found.header_seconds, found.idle_seconds
+        )
+
+    def on_request(
+        self,
+        request: server_connection.Request,
+        answer: Callable[[server_connection.Answer], None],
+    ) -> Callable[[], None] | None:
+        """Start a request.
+
+        Args:
+            request: The request.
+            answer: Takes the answer, once.
+
+        Returns:
+            A function that cancels the request when its caller has gone, or None when it was
+            answered at once.
+        """
+        table = self._table
+        if table is None:
+            found = verdict.not_run(verdict.Reason.NOT_READY, "no configuration yet")
+            return self._answer_at_once(request, answer, outcome.refuse(found))
+        host = request.header(b"host")
+        attempt = request.header(headers.ATTEMPT)
+        if host is None or attempt is None or not request.target.startswith(b"/"):
+            return self._answer_at_once(request, answer, _plain(400, verdict.Reason.INVALID))
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        route = table.match(host.decode("latin-1").partition(":")[0], path)
+        if route is None:
+            return self._answer_at_once(request, answer, _plain(404, verdict.Reason.NO_SERVICE))
+        return self._forward(request, answer, table, route, attempt)
+
+    def _forward(
+        self,
+        request: server_connection.Request,
+        answer: Callable[[server_connection.Answer], None],
+        table: routes.RouteTable,
+        route: routes.Route,
+        attempt: bytes,
+    ) -> Callable[[], None]:
+        budget = headers.read_budget(request.header(headers.BUDGET))
+        allowed = min(route.timeout, budget if budget is not None else route.timeout)
+        call = target_calls.TargetCall(
+            head=_head(request),
+            body=request.body,
+            attempt=attempt,
+            deadline=deadlines.for_answer(request.arrived, allowed),
+            is_repeatable=route.is_repeatable,
+        )
+        self._open += 1
+
+        def on_end(found: outcome.Outcome) -> None:
+            self._open -= 1
+            self._log.on_end(request, attempt, route, table.version, found)
+            answer(found.answer)
+
+        work: search.Search | single.SingleRequest
+        if route.is_search:
+            work = search.Search(self._shared, route, call, request.arrived, on_end)
+        else:
+            service = self._turns.choose(route)
+            work = single.SingleRequest(self._shared, route, service, call, request.arrived, on_end)
+        work.start()
+        return functools.partial(self._cancel, work, request, attempt, route)
+
+    def _cancel(
+        self,
+        work: search.Search | single.SingleRequest,
+        request: server_connection.Request,
+        attempt: bytes,
+        route: routes.Route,
+    ) -> None:
+        self._open -= 1
+        self._log.on_caller_gone(request, attempt, route)
+        work.cancel()
+
+    def _answer_at_once(
+        self,
+        request: server_connection.Request,
+        answer: Callable[[server_connection.Answer], None],
+        found: outcome.Outcome,
+    ) -> None:
+        attempt = request.header(headers.ATTEMPT) or b""
+        self._log.on_end(request, attempt, None, 0, found)
+        answer(found.answer)
+
+
+def _plain(status: int, reason: verdict.Reason) -> outcome.Outcome:
+    return outcome.Outcome(server_connection.Answer(status), verdict.not_run(reason))
+
+
+def _head(request: server_connection.Request) -> bytes:
+    """Write the part of a request's head that all targets get."""
+    lines = [request.method + b" " + request.target + b" HTTP/1.1"]
+    for name, value in http_fields.end_to_end(request.fields):
+        if name not in _DROPPED:
+            lines.append(name + b": " + value)
+    if request.body or request.method in _BODY_METHODS:
+        lines.append(b"Content-Length: %d" % len(request.body))
+    return b"\r\n".join(lines) + b"\r\n"
--- /dev/null
+++ b/src/lineworks/forwarding/gatherers.py
@@ -0,0 +1,174 @@
+"""The front's view of the gatherers in other data halls: whom to ask, and what they owe."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+from typing import TYPE_CHECKING, Any
+
+from lineworks.forwarding import messages
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from lineworks.services import peer_links
+
+SILENCE = 0.3
+"""Seconds with work in hand and no frame at all after which a gatherer is passed over. Its first
+frame of a query is due far earlier, and so is the next heartbeat."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    """What one gatherer owes."""
+
+    open: int = 0
+    waiting_since: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Order:
+    """A query sent to a gatherer."""
+
+    peer: str
+    on_parts: Callable[[messages.GatherParts], None]
+    on_lost: Callable[[], None]
+
+
+class Gatherers:
+    """Sends queries to gatherers and matches what comes back."""
+
+    def __init__(self, reactor: Any, links: peer_links.PeerLinks, rng: random.Random) -> None:
+        """Start with nothing under way.
+
+        Args:
+            reactor: Twisted's reactor.
+            links: Links to the other instances.
+            rng: Spreads queries over the gatherers of a hall.
+        """
+        self._reactor = reactor
+        self._links = links
+        self._rng = rng
+        self._numbers = itertools.count(1)
+        self._orders: dict[int, _Order] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._leaving: set[str] = set()
+        links.handle(messages.GatherParts, self._on_parts)
+        links.on_down.append(self._on_down)
+
+    def choose(self, hall: str) -> str | None:
+        """Choose a gatherer of a hall: one that is heard of, with the least work.
+
+        Args:
+            hall: The hall.
+
+        Returns:
+            Name of the instance, or None when none can be asked.
+        """
+        now = self._reactor.seconds()
+        able = [
+            name
+            for name, link in self._links.up.items()
+            if link.hello is not None
+            and link.hello.hall == hall
+            and name not in self._leaving
+            and not self._is_silent(name, link, now)
+        ]
+        if not able:
+            return None
+        return min(able, key=lambda name: (self._peer(name).open, self._rng.random()))
+
+    def set_leaving(self, peer: str, is_leaving: bool) -> None:
+        """Note whether a gatherer takes no new work.
+
+        Args:
+            peer: The gatherer.
+            is_leaving: Whether it is about to stop.
+        """
+        if is_leaving:
+            self._leaving.add(peer)
+        else:
+            self._leaving.discard(peer)
+
+    def next_number(self) -> int:
+        """Number a query."""
+        return next(self._numbers)
+
+    def send(
+        self,
+        peer: str,
+        query: messages.GatherQuery,
+        on_parts: Callable[[messages.GatherParts], None],
+        on_lost: Callable[[], None],
+    ) -> bool:
+        """Send a query.
+
+        Args:
+            peer: The gatherer.
+            query: The query.
+            on_parts: Takes what comes back, in one or more pieces.
+            on_lost: Called when the link is gone; nothing more comes.
+
+        Returns:
+            False when there is no link, and so nothing was sent.
+        """
+        if not self._links.send(peer, query):
+            return False
+        state = self._peer(peer)
+        if not state.open:
+            state.waiting_since = self._reactor.seconds()
+        state.open += 1
+        self._orders[query.number] = _Order(peer, on_parts, on_lost)
+        return True
+
+    def close(self, number: int, shards: tuple[int, ...] | None) -> None:
+        """Stop waiting for a query.
+
+        Args:
+            number: Number of the query.
+            shards: Shards that the gatherer still works on, which it gives up; None or empty
+                when there are none.
+        """
+        order = self._orders.pop(number, None)
+        if order is None:
+            return
+        self._peer(order.peer).open -= 1
+        if shards:
+            self._links.send(order.peer, messages.GatherCancel(number, ()))
+
+    def cancel(self, number: int, shards: tuple[int, ...]) -> None:
+        """Give up some shards of a query.
+
+        Args:
+            number: Number of the query.
+            shards: Their positions in the query.
+        """
+        order = self._orders.get(number)
+        if order is not None and shards:
+            self._links.send(order.peer, messages.GatherCancel(number, shards))
+
+    def _peer(self, name: str) -> _Peer:
+        peer = self._peers.get(name)
+        if peer is None:
+            peer = self._peers[name] = _Peer()
+        return peer
+
+    def _is_silent(self, name: str, link: Any, now: float) -> bool:
+        peer = self._peer(name)
+        if not peer.open:
+            return False
+        return now - max(link.heard_at, peer.waiting_since) > SILENCE
+
+    def _on_parts(self, link: Any, frame: messages.GatherParts) -> None:
+        order = self._orders.get(frame.number)
+        if order is not None and link.hello is not None and order.peer == link.hello.name:
+            order.on_parts(frame)
+
+    def _on_down(self, name: str) -> None:
+        self._leaving.discard(name)
+        lost = [number for number, order in self._orders.items() if order.peer == name]
+        for number in lost:
+            order = self._orders.pop(number)
+            self._peer(name).open -= 1
+            order.on_lost()
--- /dev/null
+++ b/src/lineworks/forwarding/gathering.py
@@ -0,0 +1,212 @@
+"""The gatherer's side: asks the targets of its own data hall for several shards of one search.
+
+What comes in is merged before it travels. Parts travel when all are in, when the front wants to
+know what is late, and soon after each later one; failures travel at once, since only the front
+decides about further attempts.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+from typing import TYPE_CHECKING, Any
+
+from lineworks.decisions import parts, verdict
+from lineworks.forwarding import messages, target_calls
+from lineworks.platform import headers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lineworks.forwarding import target_book
+
+COALESCE_SECONDS = 0.003
+"""Seconds that a late part waits for others before it travels."""
+
+_FAILURES = {
+    verdict.Certainty.NOT_RUN: messages.Failure.NOT_RUN,
+    verdict.Certainty.MAY_HAVE_RUN: messages.Failure.MAY_HAVE_RUN,
+    verdict.Certainty.RAN: messages.Failure.RAN,
+}
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Job:
+    """A query under way."""
+
+    origin: str
+    query: messages.GatherQuery
+    reply: Callable[[messages.GatherParts], None]
+    running: dict[int, Callable[[], None]] = dataclasses.field(default_factory=dict)
+    ready: list[parts.Part] = dataclasses.field(default_factory=list)
+    failed: dict[int, messages.Failure] = dataclasses.field(default_factory=dict)
+    flush: Any = None
+    timeout: Any = None
+    is_flushed: bool = False
+
+
+class Gatherer:
+    """Queries of other instances that this one works on."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        hall: str,
+        book: target_book.TargetBook,
+        calls: target_calls.TargetCalls,
+    ) -> None:
+        """Start without queries.
+
+        Args:
+            reactor: Twisted's reactor.
+            hall: Data hall whose targets are asked.
+            book: The targets.
+            calls: Sends requests.
+        """
+        self._reactor = reactor
+        self._hall = hall
+        self._book = book
+        self._calls = calls
+        self._jobs: dict[tuple[str, int], _Job] = {}
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no query is under way."""
+        return not self._jobs
+
+    def on_query(
+        self,
+        origin: str,
+        query: messages.GatherQuery,
+        reply: Callable[[messages.GatherParts], None],
+    ) -> None:
+        """Ask the targets of a query's shards.
+
+        Args:
+            origin: Incarnation of the front that asks.
+            query: The query.
+            reply: Takes parts, each shard at most once.
+        """
+        now = self._reactor.seconds()
+        job = _Job(origin, query, reply)
+        key = (origin, query.number)
+        self._jobs[key] = job
+        call = target_calls.TargetCall(
+            query.head, query.body, query.attempt, query.deadline, is_repeatable=True
+        )
+        for shard, service in enumerate(query.services):
+            state = self._book.choose(service, now, (), self._is_here)
+            if state is None:
+                job.failed[shard] = messages.Failure.NOT_RUN
+                continue
+            on_end = functools.partial(self._on_end, key, shard)
+            job.running[shard] = self._calls.send(state, call, on_end)
+        delay = max(0.0, query.deadline - now)
+        job.timeout = self._reactor.callLater(delay, self._give_up, key)
+        if job.failed:
+            self._send(job)
+        if job.running:
+            wait = max(0.0, query.flush_at - now)
+            job.flush = self._reactor.callLater(wait, self._on_flush, key)
+        else:
+            self._close(key)
+
+    def on_cancel(self, origin: str, cancel: messages.GatherCancel) -> None:
+        """Give up shards that the front has no more use for.
+
+        Args:
+            origin: Incarnation of the front.
+            cancel: Which ones.
+        """
+        key = (origin, cancel.number)
+        job = self._jobs.get(key)
+        if job is None:
+            return
+        wanted = cancel.shards or tuple(range(len(job.query.services)))
+        for shard in wanted:
+            stop = job.running.pop(shard, None)
+            if stop is not None:
+                stop()
+        job.ready = [part for part in job.ready if part.shards.isdisjoint(wanted)]
+        if not job.running:
+            self._finish(key)
+
+    def on_origin_lost(self, origin: str) -> None:
+        """Give up all queries of a front whose link is gone.
+
+        Args:
+            origin: Its incarnation.
+        """
+        for key in [key for key in self._jobs if key[0] == origin]:
+            self._give_up(key)
+
+    def _is_here(self, state: target_book.TargetState) -> bool:
+        return state.hall == self._hall
+
+    def _on_end(self, key: tuple[str, int], shard: int, end: target_calls.CallEnd) -> None:
+        job = self._jobs.get(key)
+        if job is None or job.running.pop(shard, None) is None:
+            return
+        if end.verdict.is_ok and end.response is not None:
+            records = parts.split_records(end.response.body)
+            kept = [record for record in records if record >= job.query.floor]
+            top = parts.greatest(kept, job.query.top)
+            stamp = headers.read_stamp(end.response.headers)
+            job.ready.append(parts.Part(frozenset((shard,)), (stamp,), top))
+        else:
+            job.failed[shard] = _FAILURES[end.verdict.certainty]
+        if not job.running:
+            self._finish(key)
+        elif job.failed:
+            self._send(job)
+        elif job.is_flushed and job.flush is None:
+            job.flush = self._reactor.callLater(COALESCE_SECONDS, self._on_flush, key)
+
+    def _on_flush(self, key: tuple[str, int]) -> None:
+        job = self._jobs[key]
+        job.flush = None
+        job.is_flushed = True
+        self._send(job)
+
+    def _finish(self, key: tuple[str, int]) -> None:
+        """Send what is in; nothing more will come."""
+        self._send(self._jobs[key])
+        self._close(key)
+
+    def _send(self, job: _Job) -> None:
+        """Send what has not travelled yet; before the flush only failures."""
+        is_due = job.is_flushed or not job.running
+        ready = job.ready if is_due else []
+        if not ready and not job.failed:
+            return
+        shards = tuple(shard for part in ready for shard in part.shards)
+        merged = parts.merge(ready, job.query.top)
+        failed = job.failed
+        if is_due:
+            job.ready = []
+        job.failed = {}
+        job.reply(
+            messages.GatherParts(
+                job.query.number,
+                shards,
+                merged.stamps,
+                b"".join(merged.records),
+                tuple(failed),
+                tuple(failed.values()),
+            )
+        )
+
+    def _give_up(self, key: tuple[str, int]) -> None:
+        job = self._jobs.get(key)
+        if job is None:
+            return
+        for stop in job.running.values():
+            stop()
+        job.running.clear()
+        self._close(key)
+
+    def _close(self, key: tuple[str, int]) -> None:
+        job = self._jobs.pop(key)
+        for timer in (job.flush, job.timeout):
+            if timer is not None and timer.active():
+                timer.cancel()
--- /dev/null
+++ b/src/lineworks/forwarding/messages.py
@@ -0,0 +1,121 @@
+"""Messages between a front and the gatherers in other data halls."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class Failure(enum.IntEnum):
+    """Why a gatherer has no part of a shard."""
+
+    NOT_RUN = 0
+    """No target ran the request."""
+
+    MAY_HAVE_RUN = 1
+    """A target may have run it, and no whole answer came."""
+
+    RAN = 2
+    """A target ran it and failed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatherQuery:
+    """Asks a gatherer for the parts of several shards."""
+
+    number: int
+    """Number of this message, unique for the sending process."""
+
+    services: tuple[str, ...]
+    """Services that are the shards."""
+
+    head: bytes
+    """Request line and headers for every target, without those that differ by target."""
+
+    body: bytes
+    """The request's body."""
+
+    attempt: bytes
+    """Identity of the caller's try; targets repeat it."""
+
+    top: int
+    """Records wanted at most."""
+
+    floor: bytes
+    """Records below this one are of no use; empty for none."""
+
+    deadline: float
+    """Time by which parts are of use, in seconds on the receiver's clock."""
+
+    flush_at: float
+    """Time at which the parts that are in are sent, in seconds on the receiver's clock."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatherParts:
+    """Some of the shards that a `GatherQuery` asked for, merged."""
+
+    number: int
+    """Number of the query."""
+
+    shards: tuple[int, ...]
+    """Positions in the query's services of the shards that are in."""
+
+    stamps: tuple[str, ...]
+    """The targets' signatures, one for each of these shards."""
+
+    records: bytes
+    """The greatest records of these shards, falling, one after the other."""
+
+    failed: tuple[int, ...]
+    """Positions of the shards that nothing is to be expected for."""
+
+    failures: tuple[Failure, ...]
+    """For each of those, why."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatherCancel:
+    """Gives up shards of a `GatherQuery`."""
+
+    number: int
+    """Number of the query."""
+
+    shards: tuple[int, ...] = ()
+    """Positions given up; empty for all."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetUpdate:
+    """Tells the peers of a data hall what the platform's store said of the targets."""
+
+    from_revision: int
+    """Revision after which the changes begin; 0 when they list all targets there are."""
+
+    to_revision: int
+    """Revision up to which they go."""
+
+    age: float
+    """Seconds since the store was asked."""
+
+    document: bytes
+    """The changes, as `target_documents` writes them."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableUpdate:
+    """Carries a whole configuration."""
+
+    version: int
+    """Its version."""
+
+    document: bytes
+    """The document as it lies in the store."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TablePull:
+    """Asks for the configuration in force at a peer."""
+
+    version: int
+    """Version in force at the sender."""
--- /dev/null
+++ b/src/lineworks/forwarding/node.py
@@ -0,0 +1,245 @@
+"""Puts the services of one process on the users' machines together."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import random
+import secrets
+from typing import Any
+
+import structlog
+
+from lineworks.decisions import extra_attempts, routes
+from lineworks.forwarding import (
+    directory,
+    front,
+    gatherers,
+    gathering,
+    messages,
+    metrics,
+    registration,
+    request_log,
+    target_book,
+    target_calls,
+    tools,
+)
+from lineworks.http1 import server_connection
+from lineworks.kernel import registry
+from lineworks.models import node_settings
+from lineworks.platform import headers, store
+from lineworks.services import peer_links
+from lineworks.wire import frames
+
+HEARTBEAT_SECONDS = 2.0
+"""Seconds between heartbeats on a link: a silent link counts as lost after twice that."""
+
+BACKLOG = 512
+"""Connections that may wait to be accepted."""
+
+HAND_OVER_SECONDS = 3.2
+"""Seconds after SIGTERM in which new connections may still come: the balancer asks once a second
+and lets go after two misses."""
+
+STOP_MARGIN = 0.4
+"""Seconds before the platform kills the process at which it ends in any case."""
+
+STOP_CHECK = 0.05
+"""Seconds between looks for requests under way while the process stops."""
+
+_log = structlog.get_logger(component="node")
+
+
+class Node:
+    """One process: front and gatherer."""
+
+    def __init__(self, reactor: Any, settings: node_settings.NodeSettings) -> None:
+        """Make the process's services; nothing listens yet.
+
+        Args:
+            reactor: Twisted's reactor, on the steady clock.
+            settings: Settings of the process.
+        """
+        self._reactor = reactor
+        self._settings = settings
+        self._rng = random.Random(secrets.randbits(64))
+        self._is_stopping = False
+        self._stop_by = 0.0
+        self._hand_over_until = 0.0
+        self._ports: list[Any] = []
+        self._counters = tools.Counters()
+        self._metrics = metrics.RequestMetrics()
+        self._extra = extra_attempts.ExtraAttempts(settings.allowance)
+        self._links = peer_links.PeerLinks(
+            reactor,
+            settings.name,
+            settings.hall,
+            secrets.token_hex(6),
+            _link_secret(settings),
+        )
+        self._links.heartbeat_seconds = HEARTBEAT_SECONDS
+        self._links.make_heartbeat = self._heartbeat
+        self._links.handle(frames.Heartbeat, self._on_heartbeat)
+        self._store = store.Store(reactor, settings.store)
+        self._book = target_book.TargetBook(settings.hall, settings.regions, self._rng)
+        self._calls = target_calls.TargetCalls(reactor, self._book, self._rng)
+        self._gatherers = gatherers.Gatherers(reactor, self._links, self._rng)
+        self._gatherer = gathering.Gatherer(reactor, settings.hall, self._book, self._calls)
+        self._directory = directory.Directory(
+            reactor, self._rng, settings.name, settings.hall, self._store, self._links
+        )
+        self._registration = registration.Registration(
+            reactor, settings, self._store, self._links, self._rng.random
+        )
+        shared = tools.Tools(
+            reactor,
+            settings.hall,
+            self._book,
+            self._calls,
+            self._gatherers,
+            self._extra,
+            tools.HedgeTimes(),
+            self._counters,
+        )
+        self._front = front.Front(shared, request_log.RequestLog(reactor, self._metrics))
+        self._callers = server_connection.Server(
+            reactor, self._front.limits, self._front.on_request, lambda: self._is_stopping
+        )
+        self._kernel = registry.Kernel()
+        self._connect()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send new connections."""
+        return self._directory.is_complete and not self._is_stopping
+
+    async def start(self) -> None:
+        """Open the sockets and start all services.
+
+        Raises:
+            twisted.internet.error.CannotListenError: A port is in use.
+        """
+        settings = self._settings
+        self._listen(settings.callers, self._callers)
+        self._listen(settings.readiness, self._server(self._on_readiness))
+        self._listen(settings.metrics, self._server(self._on_metrics))
+        self._links.listen_on(settings.peers.host, settings.peers.port)
+        await self._kernel.start()
+        _log.info("started", name=settings.name, hall=settings.hall)
+
+    def stop(self) -> None:
+        """Begin a planned stop: no new connections, then the end when all work is done."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        now = self._reactor.seconds()
+        self._stop_by = now + self._settings.stop_seconds - STOP_MARGIN
+        self._hand_over_until = now + min(HAND_OVER_SECONDS, self._settings.stop_seconds / 2)
+        _log.info("stopping", name=self._settings.name)
+        self._links.broadcast(self._heartbeat())
+        self._check_stopped()
+
+    def _connect(self) -> None:
+        """Tie the services together."""
+        self._directory.on_table = self._on_table
+        self._directory.on_targets = self._on_targets
+        links = self._links
+        links.handle(messages.GatherQuery, self._on_query)
+        links.handle(messages.GatherCancel, self._on_cancel)
+        links.on_up.append(lambda hello: self._count_instances())
+        links.on_down.append(lambda name: self._count_instances())
+        links.on_closed_by.append(self._gatherer.on_origin_lost)
+        self._metrics.collect_from(self._counts)
+        self._kernel.register("store", self._store)
+        self._kernel.register("target_calls", self._calls)
+        self._kernel.register("peer_links", self._links)
+        self._kernel.register("directory", self._directory)
+        self._kernel.register("registration", self._registration)
+
+    def _server(self, handle: Any) -> server_connection.Server:
+        def on_request(request: server_connection.Request, answer: Any) -> None:
+            answer(handle(request))
+
+        return server_connection.Server(self._reactor, server_connection.Limits, on_request)
+
+    def _listen(self, address: node_settings.Address, factory: Any) -> None:
+        port = self._reactor.listenTCP(
+            address.port, factory, interface=address.host, backlog=BACKLOG
+        )
+        self._ports.append(port)
+
+    def _on_readiness(self, request: server_connection.Request) -> server_connection.Answer:
+        if request.target.partition(b"?")[0] != headers.READINESS_PATH:
+            return server_connection.Answer(404)
+        return server_connection.Answer(200 if self.is_ready else 503)
+
+    def _on_metrics(self, request: server_connection.Request) -> server_connection.Answer:
+        kind = (b"Content-Type", b"text/plain; version=0.0.4")
+        return server_connection.Answer(200, [kind], self._metrics.export())
+
+    def _on_table(self, table: routes.RouteTable) -> None:
+        self._front.set_table(table)
+        self._on_targets()
+        self._links.broadcast(self._heartbeat())
+
+    def _on_targets(self) -> None:
+        table = self._front.table
+        services = table.services if table is not None else {}
+        for state in self._book.update(self._directory.entries, services):
+            self._calls.forget(state.id)
+
+    def _on_query(self, link: Any, query: messages.GatherQuery) -> None:
+        self._gatherer.on_query(link.hello.incarnation, query, link.send)
+
+    def _on_cancel(self, link: Any, cancel: messages.GatherCancel) -> None:
+        self._gatherer.on_cancel(link.hello.incarnation, cancel)
+
+    def _heartbeat(self) -> frames.Heartbeat:
+        return frames.Heartbeat(self._is_stopping, self._directory.version, "")
+
+    def _on_heartbeat(self, link: Any, frame: frames.Heartbeat) -> None:
+        self._gatherers.set_leaving(link.hello.name, frame.is_leaving)
+        self._directory.on_peer_version(link.hello.name, frame.config_version)
+
+    def _count_instances(self) -> None:
+        alive = len(self._links.up) + 1
+        self._extra.instances = max(alive, self._registration.known)
+
+    def _check_stopped(self) -> None:
+        """End when the balancer has let go and no request is under way, or time is up."""
+        now = self._reactor.seconds()
+        if now >= self._hand_over_until:
+            for connection in list(self._callers.connections):
+                connection.close_if_idle()
+        is_idle = self._front.is_idle and self._gatherer.is_idle
+        is_handed_over = now >= self._hand_over_until and not self._callers.connections
+        if now >= self._stop_by or (is_handed_over and is_idle):
+            _log.info("stopped", name=self._settings.name, is_idle=is_idle)
+            self._reactor.callLater(0, self._reactor.stop)
+            return
+        self._reactor.callLater(STOP_CHECK, self._check_stopped)
+
+    def _counts(self) -> dict[str, dict[str, float]]:
+        counters = dataclasses.asdict(self._counters)
+        return {
+            "lineworks_front_events": {name: float(value) for name, value in counters.items()},
+            "lineworks_store_calls": dict(self._store.calls),
+            "lineworks_configuration": {
+                "version": float(self._directory.version),
+                "age_seconds": min(1e9, self._directory.age),
+            },
+            "lineworks_connections": {
+                "callers": float(len(self._callers.connections)),
+                "opened_to_targets": float(self._calls.opened),
+                "links": float(len(self._links.up)),
+            },
+        }
+
+
+def _link_secret(settings: node_settings.NodeSettings) -> bytes:
+    """Derive what the links of one deployment share.
+
+    The platform gives no secret; this keeps the instances of two deployments apart, no more.
+    """
+    text = f"{settings.store.host}:{settings.store.port}|{sorted(settings.regions.items())}"
+    return hashlib.sha256(text.encode()).digest()
--- /dev/null
+++ b/src/lineworks/forwarding/outcome.py
@@ -0,0 +1,55 @@
+"""How a forwarded request ended, and what its caller is told."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from lineworks.decisions import verdict
+from lineworks.http1 import server_connection
+
+RETRY_AFTER = 0.25
+"""Seconds after which a caller may ask again: a replica's pause is over, or a restart is known."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """The end of a forwarded request."""
+
+    answer: server_connection.Answer
+    """What the caller gets."""
+
+    verdict: verdict.Verdict
+    """What is known of the request."""
+
+    attempts: int = 0
+    """Attempts that were handed to targets or gatherers."""
+
+    covered: int = 0
+    """Shards that are in, of a search."""
+
+    total: int = 0
+    """Shards of a search."""
+
+    target: str = ""
+    """The target that answered, or the last one tried."""
+
+
+def refuse(found: verdict.Verdict, attempts: int = 0) -> Outcome:
+    """Make the outcome of a request that ends without a target's answer.
+
+    Args:
+        found: What is known of it. Only one that has not run becomes a refusal that callers take
+            as a promise.
+        attempts: Attempts that were made.
+
+    Returns:
+        503 for a request that has not run, 504 at the deadline, 502 otherwise.
+    """
+    if found.is_not_run:
+        status = 503
+    elif found.reason is verdict.Reason.DEADLINE:
+        status = 504
+    else:
+        status = 502
+    fields = [(b"Retry-After", b"%.2f" % RETRY_AFTER)] if status != 504 else []
+    return Outcome(server_connection.Answer(status, fields), found, attempts)
--- /dev/null
+++ b/src/lineworks/forwarding/registration.py
@@ -0,0 +1,131 @@
+"""Tells the other instances where this one is, through the platform's store.
+
+Every instance keeps one key under a lease and, when it starts, dials all that it finds listed.
+The key only helps to find each other: whether an instance is alive is shown by its links, so a key
+that is late, gone or wrong decides nothing.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+from lineworks.kernel import task
+from lineworks.models import member
+from lineworks.platform import store
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lineworks.models import node_settings
+    from lineworks.services import peer_links
+
+PREFIX = "lineworks/nodes/"
+"""Prefix of the keys; what follows is the instance's name."""
+
+LEASE_SECONDS = 40.0
+"""Seconds after which the key of a dead instance goes; others dial it in vain until then."""
+
+RENEW_SECONDS = 15.0
+"""Seconds between renewals: two may fail before the lease ends."""
+
+RETRY_SECONDS = 1.0
+"""Seconds between tries while the store fails."""
+
+FIRST_LOOK_SECONDS = 0.5
+"""Seconds after the registration at which the list is read: instances that start together have
+registered by then, so that every pair knows of each other."""
+
+_log = structlog.get_logger(component="registration")
+
+
+class Registration:
+    """The key of this instance."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: node_settings.NodeSettings,
+        client: store.Store,
+        links: peer_links.PeerLinks,
+        jitter: Callable[[], float],
+    ) -> None:
+        """Make a registration; nothing is written yet.
+
+        Args:
+            reactor: Twisted's reactor.
+            settings: Settings of this instance.
+            client: The platform's store.
+            links: Dials the instances that are listed.
+            jitter: Draws a number between 0 and 1 that spreads calls.
+        """
+        self._reactor = reactor
+        self._settings = settings
+        self._store = client
+        self._links = links
+        self._jitter = jitter
+        self._lease = 0
+        self._members: dict[str, member.Member] = {}
+        self._task = task.Task("registration", self._run)
+
+    @property
+    def known(self) -> int:
+        """Instances listed, this one included."""
+        return max(1, len(self._members))
+
+    def start(self) -> None:
+        """Begin to register."""
+        self._task.start()
+
+    def stop(self) -> None:
+        """Stop renewing; the key goes with its lease."""
+        self._task.stop()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._register()
+                await task.sleep(self._reactor, FIRST_LOOK_SECONDS)
+                await self._read_list()
+                await self._keep()
+            except store.StoreError as error:
+                _log.warning("registration_failed", error=str(error))
+                self._lease = 0
+                await task.sleep(self._reactor, RETRY_SECONDS * (1 + self._jitter()))
+
+    async def _register(self) -> None:
+        mine = self._settings
+        document = {"hall": mine.hall, "host": mine.peers.host, "port": mine.peers.port}
+        self._lease = await self._store.grant_lease(LEASE_SECONDS)
+        value = json.dumps(document).encode()
+        await self._store.transact([store.Write(PREFIX + mine.name, value, self._lease)])
+
+    async def _read_list(self) -> None:
+        listing = await self._store.list_items(PREFIX)
+        found = {}
+        for item in listing.items:
+            listed = _member(item)
+            if listed is not None:
+                found[listed.name] = listed
+        # Instances with a link stay wanted even if their key is gone.
+        kept = {name: known for name, known in self._members.items() if name in self._links.up}
+        self._members = {**kept, **found}
+        self._links.set_wanted(self._members)
+
+    async def _keep(self) -> None:
+        while True:
+            await task.sleep(self._reactor, RENEW_SECONDS * (0.9 + self._jitter() / 5))
+            await self._store.renew_lease(self._lease)
+
+
+def _member(item: store.Item) -> member.Member | None:
+    name = item.key.removeprefix(PREFIX)
+    try:
+        found = json.loads(item.value)
+        host, port, hall = str(found["host"]), int(found["port"]), str(found["hall"])
+    except (ValueError, KeyError, TypeError) as error:
+        _log.warning("node_key_refused", key=item.key, error=repr(error))
+        return None
+    return member.Member(name, hall, host, port, "", False)
--- /dev/null
+++ b/src/lineworks/forwarding/search.py
@@ -0,0 +1,544 @@
+"""One search: its shards, the attempts at them, and the answer that becomes of the parts.
+
+Shards with a target in the own data hall are asked directly, the others through a gatherer in a
+hall that has most of them. Whatever is late is asked once more elsewhere, as far as the extra
+attempts last. Just before the route's aim the answer is given with the shards that are in, if
+they are enough; a later answer is worth little.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+from typing import TYPE_CHECKING, Any
+
+from lineworks.decisions import parts, verdict
+from lineworks.forwarding import messages, outcome, target_calls
+from lineworks.http1 import server_connection
+from lineworks.platform import headers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Sequence
+
+    from lineworks.decisions import routes
+    from lineworks.forwarding import target_book, tools
+
+AIM_SHARE = 0.05
+"""Share of the aim that is kept for the way to the caller and back."""
+
+AIM_MARGIN = 0.008
+"""Seconds that are kept besides, for a caller's new connection."""
+
+RETRY_PAUSE = 0.025
+"""Seconds before a shard is tried again when all its targets were tried: a slot gets free."""
+
+MOST_TRIES = 4
+"""Attempts at one shard in all."""
+
+HEDGE_RECHECK = 0.02
+"""Seconds after which shards that could not be hedged are looked at again."""
+
+MOST_RECHECKS = 4
+"""Looks at late shards after the first."""
+
+FLUSH_LEAD = 0.004
+"""Seconds that a gatherer's first parts should be here before the hedges are decided."""
+
+
+_OVERLAP = verdict.ran(verdict.Reason.FAILED, "merged with a shard that was in already")
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Try:
+    """One attempt at one shard."""
+
+    shard: int
+    state: target_book.TargetState
+    started: float
+    is_hedge: bool = False
+    cancel: Callable[[], None] | None = None
+    query: int = 0
+    position: int = 0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Shard:
+    """One shard."""
+
+    service: str
+    running: list[_Try] = dataclasses.field(default_factory=list)
+    tried: set[str] = dataclasses.field(default_factory=set)
+    tries: int = 0
+    is_hedged: bool = False
+    is_waiting: bool = False
+    is_given_up: bool = False
+
+
+class Search:
+    """One search under way."""
+
+    def __init__(
+        self,
+        shared: tools.Tools,
+        route: routes.Route,
+        call: target_calls.TargetCall,
+        arrived: float,
+        on_end: Callable[[outcome.Outcome], None],
+    ) -> None:
+        """Make a search; nothing is sent yet.
+
+        Args:
+            shared: What the front's requests share.
+            route: The route, with one version's set of shards.
+            call: The request as every target gets it.
+            arrived: When the request's first byte was read, in seconds.
+            on_end: Called once with the outcome, unless the search is cancelled.
+        """
+        self._shared = shared
+        self._route = route
+        self._call = call
+        self._arrived = arrived
+        self._on_end: Callable[[outcome.Outcome], None] | None = on_end
+        self._shards = [_Shard(service) for service in route.shards]
+        self._parts = parts.PartSet(len(self._shards), route.top)
+        self._needed = parts.needed(len(self._shards), route.least_share)
+        self._queries: dict[int, list[_Try]] = {}
+        self._timers: list[Any] = []
+        self._is_late = False
+        self._attempts = 0
+        self._rechecks = 0
+        self._certainties: list[verdict.Verdict] = []
+        self._hedge_at = 0.0
+
+    def start(self) -> None:
+        """Send the first attempts."""
+        shared = self._shared
+        now = shared.reactor.seconds()
+        for shard in self._shards:
+            shared.extra.note_request(shard.service, now)
+        reachable = sum(1 for shard in self._shards if shared.book.has_any(shard.service))
+        if reachable < self._needed:
+            detail = f"{reachable} of {len(self._shards)} shards have a target"
+            self._finish_without(verdict.not_run(verdict.Reason.NO_REPLICA, detail))
+            return
+        delay = shared.hedges.delay(self._route.name, self._route.aim)
+        self._hedge_at = now + delay
+        self._set_timer(self._aim_at() - now, self._on_aim)
+        self._set_timer(self._call.deadline - now, self._on_deadline)
+        self._dispatch(range(len(self._shards)), is_hedge=False, is_extra=False)
+        if self._on_end is not None:
+            self._set_timer(delay, self._on_hedge)
+            self._check()
+
+    def cancel(self) -> None:
+        """Give the search up, because its caller has gone."""
+        self._on_end = None
+        self._stop()
+
+    def _aim_at(self) -> float:
+        aim = self._route.aim
+        return self._arrived + aim - AIM_MARGIN - AIM_SHARE * aim
+
+    def _set_timer(self, delay: float, call: Callable[[], None]) -> None:
+        self._timers.append(self._shared.reactor.callLater(max(0.0, delay), call))
+
+    def _dispatch(self, wanted: Iterable[int], is_hedge: bool, is_extra: bool) -> None:
+        """Send attempts at shards, those for one other hall together."""
+        now = self._shared.reactor.seconds()
+        remote: list[int] = []
+        for index in wanted:
+            shard = self._shards[index]
+            state = self._choose(shard, now)
+            if state is None:
+                self._on_unreachable(index)
+            elif is_extra and not self._may_spend(shard, now):
+                self._on_no_budget(index)
+            elif state.hall == self._shared.hall:
+                self._call_target(index, state, now, is_hedge)
+            else:
+                remote.append(index)
+        if remote:
+            self._dispatch_remote(remote, now, is_hedge)
+
+    def _choose(self, shard: _Shard, now: float) -> target_book.TargetState | None:
+        return self._shared.book.choose(shard.service, now, shard.tried)
+
+    def _may_spend(self, shard: _Shard, now: float) -> bool:
+        if self._shared.extra.spend(shard.service, now):
+            return True
+        self._shared.counters.budget_spent += 1
+        return False
+
+    def _dispatch_remote(self, wanted: list[int], now: float, is_hedge: bool) -> None:
+        """Send attempts to as few other halls as will do, the best covered first."""
+        left = dict.fromkeys(wanted)
+        while left:
+            by_hall: dict[str, list[tuple[int, target_book.TargetState]]] = {}
+            for index in left:
+                shard = self._shards[index]
+                for state in self._shared.book.usable(shard.service, now, shard.tried):
+                    by_hall.setdefault(state.hall, []).append((index, state))
+            if not by_hall:
+                for index in left:
+                    self._on_unreachable(index)
+                return
+            hall = max(by_hall, key=lambda name: self._hall_value(by_hall[name], now))
+            chosen = dict(by_hall[hall])
+            self._send_to_hall(hall, chosen, now, is_hedge)
+            for index in chosen:
+                del left[index]
+
+    def _hall_value(
+        self, found: Sequence[tuple[int, target_book.TargetState]], now: float
+    ) -> tuple[int, float]:
+        """Value a hall by the shards that it covers, then by the slowest of their targets."""
+        slowest = max(self._shared.book.expected(state, now) for _, state in found)
+        return len({index for index, _ in found}), -slowest
+
+    def _send_to_hall(
+        self,
+        hall: str,
+        chosen: dict[int, target_book.TargetState],
+        now: float,
+        is_hedge: bool,
+    ) -> None:
+        shared = self._shared
+        peer = shared.gatherers.choose(hall) if hall != shared.hall else None
+        if peer is None or not self._ask_gatherer(peer, hall, chosen, now, is_hedge):
+            for index, state in chosen.items():
+                self._call_target(index, state, now, is_hedge)
+
+    def _ask_gatherer(
+        self,
+        peer: str,
+        hall: str,
+        chosen: dict[int, target_book.TargetState],
+        now: float,
+        is_hedge: bool,
+    ) -> bool:
+        shared = self._shared
+        way = shared.book.round_trip(hall)
+        number = shared.gatherers.next_number()
+        query = messages.GatherQuery(
+            number=number,
+            services=tuple(self._shards[index].service for index in chosen),
+            head=self._call.head,
+            body=self._call.body,
+            attempt=self._call.attempt,
+            top=self._route.top,
+            floor=self._parts.floor(),
+            deadline=self._call.deadline - way / 2,
+            flush_at=now if is_hedge else self._hedge_at - way - FLUSH_LEAD,
+        )
+        on_parts = functools.partial(self._on_parts, number)
+        on_lost = functools.partial(self._on_gatherer_lost, number)
+        if not shared.gatherers.send(peer, query, on_parts, on_lost):
+            return False
+        shared.counters.gather_queries += 1
+        tries = []
+        for position, (index, state) in enumerate(chosen.items()):
+            attempt = self._note_try(index, state, now, is_hedge)
+            attempt.query = number
+            attempt.position = position
+            tries.append(attempt)
+        self._queries[number] = tries
+        return True
+
+    def _call_target(
+        self, index: int, state: target_book.TargetState, now: float, is_hedge: bool
+    ) -> None:
+        attempt = self._note_try(index, state, now, is_hedge)
+        on_end = functools.partial(self._on_call_end, attempt)
+        attempt.cancel = self._shared.calls.send(state, self._call, on_end)
+
+    def _note_try(
+        self, index: int, state: target_book.TargetState, now: float, is_hedge: bool
+    ) -> _Try:
+        shard = self._shards[index]
+        attempt = _Try(index, state, now, is_hedge)
+        shard.running.append(attempt)
+        shard.tried.add(state.id)
+        shard.tries += 1
+        self._attempts += 1
+        return attempt
+
+    def _on_call_end(self, attempt: _Try, end: target_calls.CallEnd) -> None:
+        """Take in the answer of a target that was asked directly."""
+        shard = self._shards[attempt.shard]
+        shard.running.remove(attempt)
+        if not end.verdict.is_ok or end.response is None:
+            self._on_failure(attempt.shard, end.verdict)
+            return
+        self._record(attempt)
+        records = parts.split_records(end.response.body)
+        top = parts.greatest(records, self._route.top)
+        stamp = headers.read_stamp(end.response.headers)
+        self._take(parts.Part(frozenset((attempt.shard,)), (stamp,), top), (attempt,))
+
+    def _on_parts(self, number: int, frame: messages.GatherParts) -> None:
+        """Take in what a gatherer sent."""
+        tries = self._queries.get(number)
+        if tries is None or self._on_end is None:
+            return
+        now = self._shared.reactor.seconds()
+        arrived = [tries[position] for position in frame.shards if position < len(tries)]
+        done = [attempt for attempt in arrived if attempt in self._shards[attempt.shard].running]
+        for attempt in done:
+            self._shards[attempt.shard].running.remove(attempt)
+            self._note_remote(attempt, now)
+        failures = list(zip(frame.failed, frame.failures, strict=True))
+        self._close_query_if_over(number)
+        if done:
+            self._take(_read_part(arrived, frame), done)
+        for position, failure in failures:
+            if self._on_end is None:
+                return
+            if position < len(tries):
+                self._on_remote_failure(tries[position], failure, now)
+
+    def _note_remote(self, attempt: _Try, now: float) -> None:
+        """Learn how long a target took that a gatherer asked."""
+        book = self._shared.book
+        seconds = now - attempt.started - book.round_trip(attempt.state.hall)
+        # Parts wait at the gatherer for the slowest of their query, so only a target that is
+        # later than the first parts is known to be slow.
+        usual = book.service_time(attempt.state.replica.target.service)
+        is_first = now <= self._hedge_at + FLUSH_LEAD
+        book.note_answer(attempt.state, now, min(seconds, usual) if is_first and usual else seconds)
+        self._record(attempt)
+
+    def _on_remote_failure(self, attempt: _Try, failure: messages.Failure, now: float) -> None:
+        shard = self._shards[attempt.shard]
+        if attempt not in shard.running:
+            return
+        shard.running.remove(attempt)
+        self._close_query_if_over(attempt.query)
+        self._shared.book.note_failure(attempt.state, now)
+        self._on_failure(attempt.shard, _remote_verdict(failure))
+
+    def _on_gatherer_lost(self, number: int) -> None:
+        tries = self._queries.pop(number, [])
+        found = verdict.may_have_run(verdict.Reason.LINK_LOST, "the gatherer is gone")
+        lost = [attempt for attempt in tries if attempt in self._shards[attempt.shard].running]
+        for attempt in lost:
+            self._shards[attempt.shard].running.remove(attempt)
+        for attempt in lost:
+            self._on_failure(attempt.shard, found)
+
+    def _record(self, attempt: _Try) -> None:
+        now = self._shared.reactor.seconds()
+        if attempt.is_hedge:
+            self._shared.counters.hedges_won += 1
+        else:
+            self._shared.hedges.record(self._route.name, now - attempt.started)
+
+    def _take(self, part: parts.Part, done: Iterable[_Try]) -> None:
+        """Use a part, and stop the other attempts at its shards."""
+        if self._on_end is None:
+            return
+        if not self._parts.add(part):
+            self._shared.counters.parts_dropped += 1
+        for attempt in done:
+            if attempt.shard in self._parts.covered:
+                self._stop_tries(self._shards[attempt.shard])
+            else:
+                self._on_failure(attempt.shard, _OVERLAP)
+        self._check()
+
+    def _on_failure(self, index: int, found: verdict.Verdict) -> None:
+        """Deal with an attempt that failed: try elsewhere, or wait for another one."""
+        if self._on_end is None:
+            return
+        self._certainties.append(found)
+        shard = self._shards[index]
+        if index in self._parts.covered or shard.running or shard.is_waiting:
+            return
+        if shard.tries >= MOST_TRIES:
+            shard.is_given_up = True
+        else:
+            self._shared.counters.retries += 1
+            self._dispatch((index,), is_hedge=False, is_extra=True)
+        self._check()
+
+    def _on_unreachable(self, index: int) -> None:
+        """Deal with a shard that no target is left for: begin anew after a pause, or give up."""
+        shard = self._shards[index]
+        if shard.running or shard.is_waiting:
+            return
+        now = self._shared.reactor.seconds()
+        is_in_time = now + RETRY_PAUSE < self._call.deadline
+        if shard.tries < MOST_TRIES and is_in_time and self._shared.book.has_any(shard.service):
+            shard.is_waiting = True
+            shard.tried.clear()
+            self._set_timer(RETRY_PAUSE, functools.partial(self._on_retry, index))
+        else:
+            shard.is_given_up = True
+
+    def _on_retry(self, index: int) -> None:
+        shard = self._shards[index]
+        shard.is_waiting = False
+        if self._on_end is None or index in self._parts.covered or shard.running:
+            return
+        is_extra = shard.tries > 0
+        shard.tries += 1
+        self._dispatch((index,), is_hedge=False, is_extra=is_extra)
+        self._check()
+
+    def _on_no_budget(self, index: int) -> None:
+        shard = self._shards[index]
+        if not shard.running and not shard.is_waiting:
+            shard.is_given_up = True
+
+    def _on_hedge(self) -> None:
+        """Ask once more for the shards that are late."""
+        if self._on_end is None:
+            return
+        late = [
+            index
+            for index, shard in enumerate(self._shards)
+            if index not in self._parts.covered and self._may_hedge(shard)
+        ]
+        if late:
+            for index in late:
+                self._hedge(index)
+        hedged = [index for index in late if self._shards[index].is_hedged]
+        if hedged:
+            self._shared.counters.hedges += len(hedged)
+            self._dispatch(hedged, is_hedge=True, is_extra=False)
+        if self._rechecks < MOST_RECHECKS:
+            self._rechecks += 1
+            self._set_timer(HEDGE_RECHECK, self._on_hedge)
+        self._check()
+
+    def _may_hedge(self, shard: _Shard) -> bool:
+        if shard.is_hedged or len(shard.running) != 1:
+            return False
+        return len(shard.running) < self._route.max_attempts
+
+    def _hedge(self, index: int) -> None:
+        """Mark a shard for a hedge if another target may be asked and an attempt is left."""
+        shard = self._shards[index]
+        now = self._shared.reactor.seconds()
+        if self._choose(shard, now) is not None:
+            shard.is_hedged = self._may_spend(shard, now)
+
+    def _on_aim(self) -> None:
+        self._is_late = True
+        self._check()
+
+    def _on_deadline(self) -> None:
+        if self._on_end is None:
+            return
+        if len(self._parts.covered) >= self._needed:
+            self._finish()
+            return
+        detail = f"{len(self._parts.covered)} of {len(self._shards)} shards in time"
+        self._finish_without(verdict.may_have_run(verdict.Reason.DEADLINE, detail))
+
+    def _check(self) -> None:
+        """Answer as soon as waiting any longer brings nothing."""
+        if self._on_end is None:
+            return
+        covered = len(self._parts.covered)
+        is_enough = covered >= self._needed
+        open_shards = sum(
+            1
+            for index, shard in enumerate(self._shards)
+            if index not in self._parts.covered and not shard.is_given_up
+        )
+        if not self._parts.missing or (is_enough and (self._is_late or not open_shards)):
+            self._finish()
+        elif covered + open_shards < self._needed:
+            self._finish_without(self._what_is_known())
+
+    def _what_is_known(self) -> verdict.Verdict:
+        detail = f"{len(self._parts.covered)} of {len(self._shards)} shards answered"
+        certainty = verdict.combine(self._certainties)
+        is_running = any(shard.running for shard in self._shards)
+        if self._parts.covered or is_running:
+            certainty = verdict.Certainty.RAN
+        return verdict.Verdict(certainty, verdict.Reason.COVERAGE, detail)
+
+    def _finish(self) -> None:
+        merged = self._parts.merged()
+        fields = headers.write_coverage(merged.stamps, self._parts.missing)
+        answer = server_connection.Answer(200, fields, b"".join(merged.records))
+        if self._parts.missing:
+            self._shared.counters.partial += 1
+        covered = len(self._parts.covered)
+        self._end(outcome.Outcome(answer, verdict.OK, self._attempts, covered, len(self._shards)))
+
+    def _finish_without(self, found: verdict.Verdict) -> None:
+        refused = outcome.refuse(found, self._attempts)
+        covered = len(self._parts.covered)
+        self._end(dataclasses.replace(refused, covered=covered, total=len(self._shards)))
+
+    def _end(self, found: outcome.Outcome) -> None:
+        on_end = self._on_end
+        self._on_end = None
+        self._stop()
+        if on_end is not None:
+            on_end(found)
+
+    def _stop(self) -> None:
+        """Cancel all timers and attempts."""
+        for timer in self._timers:
+            if timer.active():
+                timer.cancel()
+        self._timers.clear()
+        for shard in self._shards:
+            for attempt in shard.running:
+                if attempt.cancel is not None:
+                    attempt.cancel()
+        for number, tries in self._queries.items():
+            open_positions = tuple(
+                attempt.position
+                for attempt in tries
+                if attempt in self._shards[attempt.shard].running
+            )
+            self._note_given_up(tries)
+            self._shared.gatherers.close(number, open_positions)
+        self._queries.clear()
+
+    def _note_given_up(self, tries: Iterable[_Try]) -> None:
+        now = self._shared.reactor.seconds()
+        for attempt in tries:
+            if attempt in self._shards[attempt.shard].running:
+                self._shared.book.note_given_up(attempt.state, now, now - attempt.started)
+
+    def _stop_tries(self, shard: _Shard) -> None:
+        """Cancel the attempts at a shard that is in."""
+        running = list(shard.running)
+        shard.running.clear()
+        now = self._shared.reactor.seconds()
+        for attempt in running:
+            if attempt.cancel is not None:
+                attempt.cancel()
+            elif attempt.query:
+                self._shared.book.note_given_up(attempt.state, now, now - attempt.started)
+                self._shared.gatherers.cancel(attempt.query, (attempt.position,))
+                self._close_query_if_over(attempt.query)
+
+    def _close_query_if_over(self, number: int) -> None:
+        tries = self._queries.get(number)
+        if tries is None:
+            return
+        if any(attempt in self._shards[attempt.shard].running for attempt in tries):
+            return
+        del self._queries[number]
+        self._shared.gatherers.close(number, None)
+
+
+def _read_part(arrived: Sequence[_Try], frame: messages.GatherParts) -> parts.Part:
+    size = parts.RECORD_BYTES
+    data = frame.records
+    records = tuple(data[at : at + size] for at in range(0, len(data), size))
+    return parts.Part(frozenset(attempt.shard for attempt in arrived), frame.stamps, records)
+
+
+def _remote_verdict(failure: messages.Failure) -> verdict.Verdict:
+    if failure is messages.Failure.NOT_RUN:
+        return verdict.not_run(verdict.Reason.OVERLOADED, "no target of the hall ran it")
+    if failure is messages.Failure.RAN:
+        return verdict.ran(verdict.Reason.FAILED, "a target of the hall failed")
+    return verdict.may_have_run(verdict.Reason.LINK_LOST, "a target of the hall broke off")
--- /dev/null
+++ b/src/lineworks/forwarding/single.py
@@ -0,0 +1,237 @@
+"""One request to one target: chosen, perhaps tried again, and passed back byte for byte.
+
+A request that may run only once is sent again only when its target, or the lack of a connection,
+proves that it has not run.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+from typing import TYPE_CHECKING, Any
+
+from lineworks.decisions import verdict
+from lineworks.forwarding import outcome
+from lineworks.http1 import fields as http_fields
+from lineworks.http1 import server_connection
+from lineworks.platform import headers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lineworks.decisions import routes
+    from lineworks.forwarding import target_book, target_calls, tools
+    from lineworks.http1 import client_connection
+
+ROOM_PAUSE = 0.02
+"""Seconds between looks for a target with room."""
+
+WAIT_SHARE = 0.2
+"""Share of the aim that a request waits for a target with room before it is refused: a refusal
+within a quarter of the aim still leaves time for another try."""
+
+MOST_ATTEMPTS = 6
+"""Attempts at one request in all, refused ones included."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Attempt:
+    state: target_book.TargetState
+    started: float
+    is_hedge: bool
+    cancel: Callable[[], None] | None = None
+
+
+class SingleRequest:
+    """One request under way."""
+
+    def __init__(
+        self,
+        shared: tools.Tools,
+        route: routes.Route,
+        service: str,
+        call: target_calls.TargetCall,
+        arrived: float,
+        on_end: Callable[[outcome.Outcome], None],
+    ) -> None:
+        """Make a request; nothing is sent yet.
+
+        Args:
+            shared: What the front's requests share.
+            route: The route.
+            service: Service that gets it.
+            call: The request as a target gets it.
+            arrived: When its first byte was read, in seconds.
+            on_end: Called once with the outcome, unless the request is cancelled.
+        """
+        self._shared = shared
+        self._route = route
+        self._service = service
+        self._call = call
+        self._arrived = arrived
+        self._on_end: Callable[[outcome.Outcome], None] | None = on_end
+        self._running: list[_Attempt] = []
+        self._tried: set[str] = set()
+        self._attempts = 0
+        self._timers: list[Any] = []
+        self._known: list[verdict.Verdict] = []
+        self._failure: client_connection.Response | None = None
+        self._target = ""
+
+    def start(self) -> None:
+        """Send the first attempt."""
+        shared = self._shared
+        now = shared.reactor.seconds()
+        shared.extra.note_request(self._service, now)
+        self._set_timer(self._call.deadline - now, self._on_deadline)
+        self._place()
+        if self._route.is_repeatable and self._route.max_attempts > 1:
+            delay = shared.hedges.delay(self._route.name, self._route.aim)
+            self._set_timer(delay, self._on_hedge)
+
+    def cancel(self) -> None:
+        """Give the request up, because its caller has gone.
+
+        One that may run only once goes on at its target, so that it ends there in order.
+        """
+        self._on_end = None
+        self._stop(cancels_attempts=self._call.is_repeatable)
+
+    def _set_timer(self, delay: float, call: Callable[[], None]) -> None:
+        self._timers.append(self._shared.reactor.callLater(max(0.0, delay), call))
+
+    def _place(self) -> None:
+        """Send an attempt to the best target; wait a little for one with room, or refuse."""
+        if self._on_end is None or self._running:
+            return
+        now = self._shared.reactor.seconds()
+        state = self._shared.book.choose(self._service, now, self._tried)
+        if state is None and self._tried:
+            self._tried.clear()
+            state = self._shared.book.choose(self._service, now, ())
+        if state is not None:
+            self._send(state, now, is_hedge=False)
+        elif self._may_wait(now):
+            self._set_timer(ROOM_PAUSE, self._place)
+        else:
+            self._finish_without(verdict.Reason.NO_REPLICA, "no target has room")
+
+    def _may_wait(self, now: float) -> bool:
+        if not self._shared.book.has_any(self._service):
+            return False
+        last = self._arrived + WAIT_SHARE * self._route.aim - ROOM_PAUSE
+        return now < min(last, self._call.deadline)
+
+    def _send(self, state: target_book.TargetState, now: float, is_hedge: bool) -> None:
+        attempt = _Attempt(state, now, is_hedge)
+        self._running.append(attempt)
+        self._tried.add(state.id)
+        self._attempts += 1
+        self._target = state.id
+        on_end = functools.partial(self._on_call_end, attempt)
+        attempt.cancel = self._shared.calls.send(state, self._call, on_end)
+
+    def _on_call_end(self, attempt: _Attempt, end: target_calls.CallEnd) -> None:
+        self._running.remove(attempt)
+        if self._on_end is None:
+            return
+        if end.verdict.is_ok and end.response is not None:
+            self._record(attempt)
+            self._target = attempt.state.id
+            self._pass_back(end.response, end.verdict)
+            return
+        self._known.append(end.verdict)
+        if end.response is not None and not end.verdict.is_not_run:
+            self._failure = end.response
+        if not self._running:
+            self._go_on(end.verdict)
+
+    def _record(self, attempt: _Attempt) -> None:
+        now = self._shared.reactor.seconds()
+        if attempt.is_hedge:
+            self._shared.counters.hedges_won += 1
+        else:
+            self._shared.hedges.record(self._route.name, now - attempt.started)
+
+    def _go_on(self, last: verdict.Verdict) -> None:
+        """After the last attempt failed: try once more, or tell the caller."""
+        if self._may_retry(last):
+            self._shared.counters.retries += 1
+            self._place()
+        elif self._failure is not None:
+            self._pass_back(self._failure, last)
+        else:
+            self._finish_without(last.reason, last.detail)
+
+    def _may_retry(self, last: verdict.Verdict) -> bool:
+        shared = self._shared
+        now = shared.reactor.seconds()
+        if not last.is_not_run and not self._call.is_repeatable:
+            return False
+        if self._attempts >= MOST_ATTEMPTS or now + ROOM_PAUSE >= self._call.deadline:
+            return False
+        if not shared.book.has_any(self._service):
+            return False
+        if shared.extra.spend(self._service, now):
+            return True
+        shared.counters.budget_spent += 1
+        return False
+
+    def _on_hedge(self) -> None:
+        """Ask a second target while the first is slow."""
+        if self._on_end is None or len(self._running) != 1:
+            return
+        shared = self._shared
+        now = shared.reactor.seconds()
+        state = shared.book.choose(self._service, now, self._tried)
+        if state is None:
+            return
+        if not shared.extra.spend(self._service, now):
+            shared.counters.budget_spent += 1
+            return
+        shared.counters.hedges += 1
+        self._send(state, now, is_hedge=True)
+
+    def _on_deadline(self) -> None:
+        if self._on_end is None:
+            return
+        if self._attempts:
+            found = verdict.may_have_run(verdict.Reason.DEADLINE, "no answer in time")
+            self._end(outcome.refuse(found, self._attempts))
+        else:
+            self._finish_without(verdict.Reason.OVERLOADED, "no target had room in time")
+
+    def _pass_back(self, response: client_connection.Response, found: verdict.Verdict) -> None:
+        """Give the caller a target's answer unchanged."""
+        is_false_promise = headers.is_promise(response.status) and not found.is_not_run
+        if is_false_promise and not self._call.is_repeatable:
+            self._finish_without(found.reason, f"the target ran it and answered {response.status}")
+            return
+        if 200 <= response.status < 300 and not found.is_ok:
+            self._finish_without(found.reason, "a success without signature or with another body")
+            return
+        passed = http_fields.end_to_end(response.fields)
+        answer = server_connection.Answer(response.status, passed, response.body)
+        self._end(outcome.Outcome(answer, found, self._attempts, target=self._target))
+
+    def _finish_without(self, reason: verdict.Reason, detail: str) -> None:
+        certainty = verdict.combine(self._known)
+        found = verdict.Verdict(certainty, reason, detail)
+        self._end(outcome.refuse(found, self._attempts))
+
+    def _end(self, found: outcome.Outcome) -> None:
+        on_end = self._on_end
+        self._on_end = None
+        self._stop(cancels_attempts=True)
+        if on_end is not None:
+            on_end(dataclasses.replace(found, target=self._target))
+
+    def _stop(self, cancels_attempts: bool) -> None:
+        for timer in self._timers:
+            if timer.active():
+                timer.cancel()
+        self._timers.clear()
+        if cancels_attempts:
+            for attempt in self._running:
+                if attempt.cancel is not None:
+                    attempt.cancel()
--- /dev/null
+++ b/src/lineworks/forwarding/target_book.py
@@ -0,0 +1,305 @@
+"""The targets as one instance sees them: who there is, how they do, and which one to ask.
+
+A front keeps a record of every target that it asked, directly or through a gatherer. What a
+target took lately decides, together with the way to its hall, which replica of a shard is asked.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+from lineworks.decisions import catalog, estimators, replicas
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Collection, Iterable, Mapping
+
+    from lineworks.decisions import routes, target_view
+
+SAME_HALL_SECONDS = 0.0005
+"""Way there and back within a data hall, in seconds: under a millisecond on the users' sheets."""
+
+SAME_REGION_SECONDS = 0.002
+"""Way there and back between data halls of one region, in seconds."""
+
+OTHER_REGION_SECONDS = 0.02
+"""Way there and back between regions, in seconds: 16 and 24 ms on the users' sheets."""
+
+REMOTE_RELUCTANCE = 0.02
+"""Seconds that a target in another hall must be faster by before it is preferred: its answer
+costs bytes between halls."""
+
+LATENCY_WEIGHT = 0.25
+"""Weight of one sample in a target's average."""
+
+ERROR_WEIGHT = 0.15
+"""Weight of one outcome in a target's share of failures."""
+
+ERROR_SECONDS = 0.3
+"""Seconds that a target with nothing but failures counts as slower: about one more try."""
+
+MEMORY_HALF_LIFE = 2.0
+"""Seconds after which a target's record counts half, so that it is tried again."""
+
+STALL_FACTOR = 2.5
+"""A target without progress for this many usual service times counts as stalled."""
+
+STALL_FLOOR = 0.04
+"""Seconds without progress that are never a stall."""
+
+COLD_SECONDS = 0.03
+"""Seconds that a target counts as slower while it has just started."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class TargetState:
+    """One target as this instance sees it."""
+
+    replica: replicas.Replica
+    """Load, limit, back-off and stalls."""
+
+    latency: estimators.Average
+    """Seconds that it took lately."""
+
+    errors: estimators.Average
+    """Share of its answers that were failures."""
+
+    noted_at: float = -math.inf
+    """When it last answered, failed or was given up, in seconds."""
+
+    is_cold: bool = False
+    """Whether it has just started."""
+
+    @property
+    def id(self) -> str:
+        """Identity of the target's process."""
+        return self.replica.target.name
+
+    @property
+    def hall(self) -> str:
+        """Data hall that it stands in."""
+        return self.replica.target.hall
+
+
+class TargetBook:
+    """All targets by service."""
+
+    def __init__(self, hall: str, regions: Mapping[str, str], rng: random.Random) -> None:
+        """Start without targets.
+
+        Args:
+            hall: Data hall of this instance.
+            regions: For each hall, its region.
+            rng: Breaks ties.
+        """
+        self._hall = hall
+        self._regions = regions
+        self._rng = rng
+        self._states: dict[str, TargetState] = {}
+        self._by_service: dict[str, list[TargetState]] = {}
+        self._service_times: dict[str, estimators.Average] = {}
+
+    @property
+    def states(self) -> Mapping[str, TargetState]:
+        """All targets by identity."""
+        return self._states
+
+    def update(
+        self,
+        entries: Iterable[target_view.TargetEntry],
+        services: Mapping[str, routes.ServiceSpec],
+    ) -> list[TargetState]:
+        """Replace the set of targets; what is known of those that stay is kept.
+
+        Args:
+            entries: The targets' entries.
+            services: The configured services.
+
+        Returns:
+            Targets that are gone.
+        """
+        present: dict[str, TargetState] = {}
+        by_service: dict[str, list[TargetState]] = {}
+        for entry in entries:
+            spec = services.get(entry.service)
+            connections = spec.connections if spec is not None else 1
+            state = self._states.get(entry.id)
+            target = _target(entry, connections)
+            if state is None:
+                replica = replicas.make_replica(target)
+                average = estimators.Average(LATENCY_WEIGHT)
+                state = TargetState(replica, average, estimators.Average(ERROR_WEIGHT))
+            state.replica.target = target
+            state.replica.is_leaving = state.replica.is_leaving or entry.is_leaving
+            state.is_cold = entry.is_cold
+            present[entry.id] = state
+            by_service.setdefault(entry.service, []).append(state)
+        gone = [state for name, state in self._states.items() if name not in present]
+        for state in gone:
+            state.replica.is_leaving = True
+        self._states = present
+        self._by_service = by_service
+        return gone
+
+    def usable(self, service: str, now: float, excluded: Collection[str]) -> list[TargetState]:
+        """List the targets of a service that may be asked now.
+
+        Args:
+            service: The service.
+            now: The present, in seconds.
+            excluded: Identities of targets that were tried.
+
+        Returns:
+            Targets with room that are neither leaving nor resting; stalled ones only if there is
+            no other.
+        """
+        able = [
+            state
+            for state in self._by_service.get(service, ())
+            if state.id not in excluded
+            and not state.replica.is_leaving
+            and state.replica.rest_until <= now
+            and state.replica.in_flight < state.replica.limit.value
+        ]
+        patience = self.patience(service)
+        lively = [state for state in able if not state.replica.is_stalled(now, patience)]
+        return lively or able
+
+    def has_any(self, service: str) -> bool:
+        """Say whether a service has a target that is not leaving."""
+        return any(not state.replica.is_leaving for state in self._by_service.get(service, ()))
+
+    def choose(
+        self,
+        service: str,
+        now: float,
+        excluded: Collection[str],
+        accept: Callable[[TargetState], bool] = lambda state: True,
+    ) -> TargetState | None:
+        """Choose the target of a service that should answer first.
+
+        Args:
+            service: The service.
+            now: The present, in seconds.
+            excluded: Identities of targets that were tried.
+            accept: Says which targets come into question.
+
+        Returns:
+            The target, or None when none may be asked.
+        """
+        able = [state for state in self.usable(service, now, excluded) if accept(state)]
+        if not able:
+            return None
+        if len(able) == 1:
+            return able[0]
+        return min(able, key=lambda state: (self.expected(state, now), self._rng.random()))
+
+    def expected(self, state: TargetState, now: float) -> float:
+        """Estimate how long a target takes to answer, with the way there and back.
+
+        Args:
+            state: The target.
+            now: The present, in seconds.
+
+        Returns:
+            Seconds.
+        """
+        usual = self.service_time(state.replica.target.service)
+        weight = 0.5 ** ((now - state.noted_at) / MEMORY_HALF_LIFE)
+        own = usual + (state.latency.value - usual) * weight
+        slots = max(1, state.replica.target.slots)
+        queued = max(0.0, state.replica.load(now) + 1 - slots) / slots
+        failing = state.errors.value * weight * ERROR_SECONDS
+        cold = COLD_SECONDS if state.is_cold else 0.0
+        return own + queued * usual + failing + cold + self.way(state.hall)
+
+    def way(self, hall: str) -> float:
+        """Tell what the way to a hall costs.
+
+        Args:
+            hall: The hall.
+
+        Returns:
+            Seconds there and back, with the reluctance to leave the own hall.
+        """
+        if hall == self._hall:
+            return SAME_HALL_SECONDS
+        return self.round_trip(hall) + REMOTE_RELUCTANCE
+
+    def round_trip(self, hall: str) -> float:
+        """Tell how long the way to a hall and back takes.
+
+        Args:
+            hall: The hall.
+
+        Returns:
+            Seconds.
+        """
+        if hall == self._hall:
+            return SAME_HALL_SECONDS
+        if self._regions.get(hall) == self._regions.get(self._hall):
+            return SAME_REGION_SECONDS
+        return OTHER_REGION_SECONDS
+
+    def service_time(self, service: str) -> float:
+        """Tell how long the targets of a service usually take, in seconds; 0 when unknown."""
+        found = self._service_times.get(service)
+        return found.value if found is not None else 0.0
+
+    def patience(self, service: str) -> float:
+        """Tell after how many seconds without progress a target of a service is stalled."""
+        return max(STALL_FLOOR, STALL_FACTOR * self.service_time(service))
+
+    def note_answer(self, state: TargetState, now: float, seconds: float) -> None:
+        """Note that a target answered with success.
+
+        Args:
+            state: The target.
+            now: The present, in seconds.
+            seconds: How long it took.
+        """
+        service = state.replica.target.service
+        usual = self._service_times.get(service)
+        if usual is None:
+            usual = self._service_times[service] = estimators.Average(0.05)
+        usual.record(seconds)
+        state.latency.record(seconds)
+        state.errors.record(0.0)
+        state.noted_at = now
+
+    def note_failure(self, state: TargetState, now: float) -> None:
+        """Note that a target failed, refused or broke off.
+
+        Args:
+            state: The target.
+            now: The present, in seconds.
+        """
+        state.errors.record(1.0)
+        state.noted_at = now
+
+    def note_given_up(self, state: TargetState, now: float, seconds: float) -> None:
+        """Note that a target had not answered when it was no longer waited for.
+
+        Args:
+            state: The target.
+            now: The present, in seconds.
+            seconds: How long it had been waited for.
+        """
+        if seconds > max(state.latency.value, self.service_time(state.replica.target.service)):
+            state.latency.record(seconds)
+            state.noted_at = now
+
+
+def _target(entry: target_view.TargetEntry, connections: int) -> catalog.Target:
+    return catalog.Target(
+        name=entry.id,
+        service=entry.service,
+        hall=entry.hall,
+        host=entry.host,
+        port=entry.port,
+        slots=entry.slots,
+        connections=connections,
+        is_leaving=entry.is_leaving,
+    )
--- /dev/null
+++ b/src/lineworks/forwarding/target_calls.py
@@ -0,0 +1,394 @@
+"""Sends callers' requests to targets, over connections that are kept for reuse.
+
+Every call ends with a verdict that says whether the target may have run the request. A request
+that must not run twice goes over a kept connection only well within the time that the target
+keeps it open, and is never sent again.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import protocol
+
+from lineworks.decisions import ownership, replicas, verdict
+from lineworks.http1 import client_connection
+from lineworks.platform import headers
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from lineworks.forwarding import target_book
+
+CONNECT_SECONDS = 0.5
+"""Seconds to wait for a connection: many times the longest way, and a fraction of any deadline."""
+
+UNREPEATABLE_IDLE_SHARE = 0.5
+"""Part of a target's idle time after which its connection gets no unrepeatable request."""
+
+SHED_REST = 0.02
+"""Seconds that a target is left alone after it refused a request for lack of room."""
+
+SWEEP_SECONDS = 1.0
+"""Seconds between looks for connections that were idle too long."""
+
+SLOW_FACTOR = 2.0
+"""A call given up after this many usual service times counts against its target."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetCall:
+    """A request as every target gets it."""
+
+    head: bytes
+    """Request line and headers, without those that differ by target and without the blank line."""
+
+    body: bytes
+    """The body."""
+
+    attempt: bytes
+    """Identity of the caller's try, which the answer repeats."""
+
+    deadline: float
+    """Time by which an answer is of use, in seconds on this process's clock."""
+
+    is_repeatable: bool
+    """Whether the request may run more than once."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallEnd:
+    """How a call ended."""
+
+    verdict: verdict.Verdict
+    """What is known of it."""
+
+    response: client_connection.Response | None = None
+    """The target's answer, if a whole one came."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Exchange:
+    """A call under way."""
+
+    state: target_book.TargetState
+    call: TargetCall
+    on_end: Callable[[CallEnd], None] | None
+    started: float
+    connection: client_connection.ClientConnection | None = None
+    connector: Any = None
+
+
+class TargetCalls:
+    """Calls and connections of one instance."""
+
+    def __init__(self, reactor: Any, book: target_book.TargetBook, rng: random.Random) -> None:
+        """Start without connections.
+
+        Args:
+            reactor: Twisted's reactor.
+            book: Takes note of how targets do.
+            rng: Jitter of back-offs.
+        """
+        self._reactor = reactor
+        self._book = book
+        self._rng = rng
+        self._pools: dict[str, _Pool] = {}
+        self._timer: Any = None
+        self.opened = 0
+        """Connections opened so far."""
+
+    def start(self) -> None:
+        """Begin to look for connections that were idle too long."""
+        self._timer = self._reactor.callLater(SWEEP_SECONDS, self._sweep)
+
+    def stop(self) -> None:
+        """Close all idle connections."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        for pool in self._pools.values():
+            pool.close_idle()
+
+    def forget(self, target: str) -> None:
+        """Close the idle connections to a target that is gone.
+
+        Args:
+            target: Identity of its process.
+        """
+        pool = self._pools.pop(target, None)
+        if pool is not None:
+            pool.close_idle()
+
+    def send(
+        self,
+        state: target_book.TargetState,
+        call: TargetCall,
+        on_end: Callable[[CallEnd], None],
+    ) -> Callable[[], None]:
+        """Start a call.
+
+        Args:
+            state: The target.
+            call: The request.
+            on_end: Called once, never from inside this function, unless the call is cancelled.
+
+        Returns:
+            A function that cancels the call and what the target does for it.
+        """
+        now = self._reactor.seconds()
+        exchange = _Exchange(state, call, on_end, now)
+        state.replica.on_started(now)
+        pool = self._pool(state)
+        share = 1.0 if call.is_repeatable else UNREPEATABLE_IDLE_SHARE
+        connection = pool.take(now, share)
+        if connection is not None:
+            self._send_on(exchange, connection)
+        elif pool.has_room:
+            self._connect(pool, exchange)
+        else:
+            self._reactor.callLater(0, self._on_capped, exchange)
+        return lambda: self._cancel(exchange)
+
+    def _pool(self, state: target_book.TargetState) -> _Pool:
+        pool = self._pools.get(state.id)
+        if pool is None:
+            share = ownership.connection_share(state.replica.target.connections)
+            pool = self._pools[state.id] = _Pool(share)
+        return pool
+
+    def _connect(self, pool: _Pool, exchange: _Exchange) -> None:
+        self.opened += 1
+        pool.open += 1
+        target = exchange.state.replica.target
+        factory = _Factory(self, pool, exchange)
+        exchange.connector = self._reactor.connectTCP(
+            target.host, target.port, factory, timeout=CONNECT_SECONDS
+        )
+
+    def on_connected(
+        self, exchange: _Exchange, connection: client_connection.ClientConnection
+    ) -> None:
+        """Send the request that a connection was opened for."""
+        exchange.connector = None
+        if exchange.on_end is None:
+            self._keep(exchange, connection)
+            return
+        self._send_on(exchange, connection)
+
+    def on_connect_failed(self, pool: _Pool, exchange: _Exchange, detail: str) -> None:
+        """End a call whose connection could not be opened; nothing was sent."""
+        pool.open -= 1
+        exchange.connector = None
+        if exchange.on_end is None:
+            return
+        found = verdict.not_run(verdict.Reason.UNREACHABLE, detail)
+        self._end(exchange, CallEnd(found), is_progress=False)
+
+    def _on_capped(self, exchange: _Exchange) -> None:
+        if exchange.on_end is None:
+            return
+        found = verdict.not_run(verdict.Reason.CAPPED, "own share of connections is used up")
+        self._end(exchange, CallEnd(found), is_progress=False)
+
+    def _send_on(self, exchange: _Exchange, connection: client_connection.ClientConnection) -> None:
+        exchange.connection = connection
+        call = exchange.call
+        remaining = call.deadline - self._reactor.seconds()
+        data = b"".join(
+            (
+                call.head,
+                headers.write_target_fields(exchange.state.id, remaining),
+                b"\r\n",
+                call.body,
+            )
+        )
+        connection.send(
+            data,
+            bool(call.body),
+            lambda end: self._on_end(exchange, end),
+            (headers.ATTEMPT, call.attempt),
+        )
+
+    def _on_end(
+        self,
+        exchange: _Exchange,
+        end: client_connection.Response | client_connection.Broken,
+    ) -> None:
+        connection = exchange.connection
+        exchange.connection = None
+        if isinstance(end, client_connection.Broken):
+            found = verdict.may_have_run(verdict.Reason.LINK_LOST, end.detail)
+            self._end(exchange, CallEnd(found), is_progress=False)
+            return
+        if connection is not None:
+            self._keep(exchange, connection)
+        found = judge(end)
+        self._end(exchange, CallEnd(found, end), is_progress=True)
+
+    def _keep(self, exchange: _Exchange, connection: client_connection.ClientConnection) -> None:
+        pool = self._pools.get(exchange.state.id)
+        if pool is None or exchange.state.replica.is_leaving:
+            connection.abort()
+        elif not connection.is_closed:
+            pool.idle.append(connection)
+
+    def _end(self, exchange: _Exchange, end: CallEnd, is_progress: bool) -> None:
+        """Learn from a call's end and report it."""
+        on_end = exchange.on_end
+        exchange.on_end = None
+        if on_end is None:
+            return
+        now = self._reactor.seconds()
+        exchange.state.replica.on_ended(now, is_progress)
+        self._learn(exchange, end, now)
+        on_end(end)
+
+    def _learn(self, exchange: _Exchange, end: CallEnd, now: float) -> None:
+        state = exchange.state
+        replica = state.replica
+        reason = end.verdict.reason
+        if end.verdict.is_ok:
+            replica.limit.on_success()
+            self._book.note_answer(state, now, now - exchange.started)
+        elif reason is verdict.Reason.CAPPED:
+            replica.limit.on_refused()
+        else:
+            self._book.note_failure(state, now)
+        if reason is verdict.Reason.OVERLOADED:
+            replica.limit.on_refused()
+            replica.rest_until = now + SHED_REST
+        elif reason in (verdict.Reason.UNREACHABLE, verdict.Reason.LINK_LOST):
+            replica.on_unreachable(now, self._rng)
+        elif reason is verdict.Reason.LEAVING:
+            # Another process has the address, so this one is gone for good.
+            replica.is_leaving = True
+        load = headers.read_load(end.response.headers) if end.response is not None else None
+        if load is not None:
+            report = replicas.Report(state.id, frozenset(), load.running, load.waiting)
+            replica.on_report(now, report)
+
+    def _cancel(self, exchange: _Exchange) -> None:
+        """Give a call up; closing its connection makes the target drop the request."""
+        if exchange.on_end is None:
+            return
+        exchange.on_end = None
+        now = self._reactor.seconds()
+        state = exchange.state
+        seconds = now - exchange.started
+        state.replica.on_ended(now, is_progress=False)
+        usual = self._book.service_time(state.replica.target.service)
+        if usual and seconds > SLOW_FACTOR * usual:
+            state.replica.on_lost_race(now)
+        self._book.note_given_up(state, now, seconds)
+        if exchange.connection is not None:
+            exchange.connection.abort()
+            exchange.connection = None
+
+    def _sweep(self) -> None:
+        self._timer = self._reactor.callLater(SWEEP_SECONDS, self._sweep)
+        now = self._reactor.seconds()
+        for pool in self._pools.values():
+            pool.drop_old(now)
+
+
+class _Pool:
+    """The connections to one target."""
+
+    def __init__(self, share: int) -> None:
+        """Start without connections.
+
+        Args:
+            share: Connections that this instance may hold.
+        """
+        self._share = share
+        self.idle: list[client_connection.ClientConnection] = []
+        self.open = 0
+
+    @property
+    def has_room(self) -> bool:
+        """Whether another connection may be opened."""
+        return self.open < self._share
+
+    def take(self, now: float, share: float) -> client_connection.ClientConnection | None:
+        """Take the connection that was used last, if the target still waits on it."""
+        kept = [connection for connection in self.idle if not connection.is_closed]
+        self.idle = kept
+        if kept and kept[-1].is_reusable(now, share):
+            return kept.pop()
+        return None
+
+    def drop_old(self, now: float) -> None:
+        """Close connections that were idle too long."""
+        for connection in self.idle:
+            if not connection.is_reusable(now):
+                connection.abort()
+        self.idle = [connection for connection in self.idle if not connection.is_closed]
+
+    def close_idle(self) -> None:
+        """Close all idle connections."""
+        for connection in self.idle:
+            connection.abort()
+        self.idle = []
+
+
+class _Factory(protocol.ClientFactory):
+    """Opens one connection for one call."""
+
+    noisy = False
+
+    def __init__(self, calls: TargetCalls, pool: _Pool, exchange: _Exchange) -> None:
+        self._calls = calls
+        self._pool = pool
+        self._exchange = exchange
+
+    def buildProtocol(self, addr: Any) -> _TargetConnection:  # noqa: N802
+        """Make the connection's end."""
+        return _TargetConnection(self._calls, self._pool, self._exchange)
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
+        """Report that it could not be opened."""
+        detail = type(reason.value).__name__
+        self._calls.on_connect_failed(self._pool, self._exchange, detail)
+
+
+class _TargetConnection(client_connection.ClientConnection):
+    """A connection that reports when it is open, and is counted until it is closed."""
+
+    def __init__(self, calls: TargetCalls, pool: _Pool, exchange: _Exchange) -> None:
+        super().__init__(calls._reactor.seconds, self._on_gone)
+        self._calls = calls
+        self._pool = pool
+        self._exchange: _Exchange | None = exchange
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Send the request that waits."""
+        super().connectionMade()
+        exchange = self._exchange
+        self._exchange = None
+        assert exchange is not None
+        self._calls.on_connected(exchange, self)
+
+    def _on_gone(self, connection: client_connection.ClientConnection) -> None:
+        self._pool.open -= 1
+
+
+def judge(response: client_connection.Response) -> verdict.Verdict:
+    """Decide what an answer says of its request.
+
+    Args:
+        response: A target's whole answer.
+
+    Returns:
+        OK only for a success with the target's signature and an unchanged body.
+    """
+    found = response.headers
+    status = response.status
+    if headers.is_wrong_instance(status):
+        return verdict.not_run(verdict.Reason.LEAVING, "another process has the address")
+    if headers.is_not_run(status, found):
+        return verdict.not_run(verdict.Reason.OVERLOADED, f"refused with {status}")
+    if 200 <= status < 300 and headers.read_stamp(found) and b"content-encoding" not in found:
+        return verdict.OK
+    return verdict.ran(verdict.Reason.FAILED, f"answered {status}")
--- /dev/null
+++ b/src/lineworks/forwarding/tools.py
@@ -0,0 +1,115 @@
+"""What every request under way needs from its front."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING, Any
+
+from lineworks.decisions import estimators
+
+if TYPE_CHECKING:
+    from lineworks.decisions import extra_attempts
+    from lineworks.forwarding import gatherers, target_book, target_calls
+
+HEDGE_QUANTILE = 0.8
+"""Share of a route's sub-queries that are faster than the time after which one is hedged."""
+
+HEDGE_FACTOR = 1.3
+"""Multiple of that quantile: the rest of a usual spread is waited for."""
+
+LEAST_HEDGE_SHARE = 0.08
+"""Share of a route's aim before which nothing is hedged."""
+
+MOST_HEDGE_SHARE = 0.4
+"""Share of a route's aim after which everything is hedged; also used while nothing is known."""
+
+
+class HedgeTimes:
+    """Learns, for each route, when a sub-query counts as late."""
+
+    def __init__(self) -> None:
+        self._latencies: dict[str, estimators.Quantiles] = {}
+
+    def record(self, route: str, seconds: float) -> None:
+        """Add the time of a sub-query that was answered.
+
+        Args:
+            route: Name of the route.
+            seconds: How long it took.
+        """
+        found = self._latencies.get(route)
+        if found is None:
+            found = self._latencies[route] = estimators.Quantiles()
+        found.record(seconds)
+
+    def delay(self, route: str, aim: float) -> float:
+        """Tell after how long a sub-query is hedged.
+
+        Args:
+            route: Name of the route.
+            aim: Time within which its answer is worth most, in seconds.
+
+        Returns:
+            Seconds.
+        """
+        found = self._latencies.get(route)
+        most = MOST_HEDGE_SHARE * aim
+        if found is None or not found.has_samples:
+            return most
+        late = HEDGE_FACTOR * found.quantile(HEDGE_QUANTILE)
+        return min(most, max(LEAST_HEDGE_SHARE * aim, late))
+
+
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """Counts of a front, for metrics."""
+
+    hedges: int = 0
+    """Second attempts at slow sub-queries."""
+
+    hedges_won: int = 0
+    """Of those, the ones that were answered first."""
+
+    retries: int = 0
+    """Attempts after a failed one."""
+
+    budget_spent: int = 0
+    """Attempts not made because no extra attempt was left."""
+
+    gather_queries: int = 0
+    """Queries sent to gatherers in other halls."""
+
+    parts_dropped: int = 0
+    """Merged results dropped because a shard of theirs was in already."""
+
+    partial: int = 0
+    """Searches answered in part."""
+
+
+@dataclasses.dataclass(slots=True)
+class Tools:
+    """Shared by all requests of a front."""
+
+    reactor: Any
+    """Twisted's reactor."""
+
+    hall: str
+    """Data hall of this instance."""
+
+    book: target_book.TargetBook
+    """The targets."""
+
+    calls: target_calls.TargetCalls
+    """Sends requests to targets."""
+
+    gatherers: gatherers.Gatherers
+    """Sends queries to gatherers in other halls."""
+
+    extra: extra_attempts.ExtraAttempts
+    """Attempts beyond the first that are left."""
+
+    hedges: HedgeTimes
+    """When a sub-query counts as late."""
+
+    counters: Counters
+    """Counts for metrics."""
--- a/src/lineworks/kernel/task.py
+++ b/src/lineworks/kernel/task.py
@@ -40,3 +40,18 @@
     def _on_error(self, failure: Any) -> None:
         if not failure.check(defer.CancelledError):
             _log.error("task_failed", task=self._name, error=failure.getTraceback())
+
+
+def sleep(clock: Any, seconds: float) -> defer.Deferred[None]:
+    """Wait.
+
+    Args:
+        clock: Twisted's reactor.
+        seconds: How long.
+
+    Returns:
+        A deferred that fires then; cancelling it ends the wait.
+    """
+    waiting: defer.Deferred[None] = defer.Deferred(lambda _: call.cancel())
+    call = clock.callLater(seconds, waiting.callback, None)
+    return waiting
--- /dev/null
+++ b/src/lineworks/platform/_fields.py
@@ -0,0 +1,127 @@
+"""Typed access to decoded documents; every error names the field."""
+
+from __future__ import annotations
+
+from typing import Any
+
+
+class DocumentError(ValueError):
+    """A document lacks a field or a field has a value of another kind."""
+
+
+class Fields:
+    """One table of a document, with the path that leads to it."""
+
+    def __init__(self, table: Any, path: str = "") -> None:
+        """Wrap a table.
+
+        Args:
+            table: The decoded value.
+            path: Where it stands in the document, for errors.
+
+        Raises:
+            DocumentError: It is no table.
+        """
+        if not isinstance(table, dict):
+            raise DocumentError(f"{path or '(document)'}: expected a table")
+        self._table = table
+        self._path = path
+
+    def __contains__(self, name: str) -> bool:
+        return self._table.get(name) is not None
+
+    @property
+    def names(self) -> list[str]:
+        """Names of all fields."""
+        return list(self._table)
+
+    def text(self, name: str, default: str | None = None) -> str:
+        """Read a text that is not empty."""
+        value = self._get(name, default)
+        if not isinstance(value, str) or not value:
+            raise self._wrong(name, "a text")
+        return value
+
+    def any_text(self, name: str) -> str:
+        """Read a text; a missing one is empty."""
+        value = self._table.get(name, "")
+        if not isinstance(value, str):
+            raise self._wrong(name, "a text")
+        return value
+
+    def number(self, name: str, default: float | None = None, least: float = 0.0) -> float:
+        """Read a number of at least `least`."""
+        value = self._get(name, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or value < least:
+            raise self._wrong(name, f"a number of at least {least:g}")
+        return float(value)
+
+    def integer(self, name: str, default: int | None = None, least: int = 0) -> int:
+        """Read a whole number of at least `least`."""
+        value = self._get(name, default)
+        if isinstance(value, bool) or not isinstance(value, int) or value < least:
+            raise self._wrong(name, f"a whole number of at least {least}")
+        return value
+
+    def table(self, name: str) -> Fields:
+        """Read a table."""
+        return Fields(self._get(name, None), self._at(name))
+
+    def tables(self, name: str) -> list[Fields]:
+        """Read a list of tables; a missing one is empty."""
+        listed = self.items(name)
+        return [Fields(item, f"{self._at(name)}.{index}") for index, item in enumerate(listed)]
+
+    def items(self, name: str) -> list[Any]:
+        """Read a list; a missing one is empty."""
+        value = self._table.get(name)
+        if value is None:
+            return []
+        if not isinstance(value, list):
+            raise self._wrong(name, "a list")
+        return value
+
+    def texts(self, name: str) -> tuple[str, ...]:
+        """Read a list of texts; a missing one is empty."""
+        listed = self.items(name)
+        if not all(isinstance(item, str) and item for item in listed):
+            raise self._wrong(name, "a list of texts")
+        return tuple(listed)
+
+    def address(self, name: str) -> tuple[str, int]:
+        """Read an address of the form IP:PORT."""
+        return parse_address(self.text(name), self._at(name))
+
+    def _get(self, name: str, default: Any) -> Any:
+        value = self._table.get(name)
+        if value is None:
+            value = default
+        if value is None:
+            raise DocumentError(f"{self._at(name)}: missing")
+        return value
+
+    def _at(self, name: str) -> str:
+        return f"{self._path}.{name}" if self._path else name
+
+    def _wrong(self, name: str, expected: str) -> DocumentError:
+        found = self._table.get(name)
+        return DocumentError(f"{self._at(name)}: expected {expected}, found {str(found)[:80]!r}")
+
+
+def parse_address(text: str, path: str) -> tuple[str, int]:
+    """Read an address.
+
+    Args:
+        text: The form IP:PORT.
+        path: Where it stands, for errors.
+
+    Returns:
+        Host and port.
+
+    Raises:
+        DocumentError: It has another form.
+    """
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise DocumentError(f"{path}: expected IP:PORT, found {text[:80]!r}")
+    return host, int(port)
--- /dev/null
+++ b/src/lineworks/platform/headers.py
@@ -0,0 +1,134 @@
+"""Headers of requests and answers on the users' platform.
+
+All names are kept in lower case, as the parsers hand them over.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+ATTEMPT = b"x-attempt-id"
+"""Identity of one try of a caller; a target repeats it in its answer."""
+
+BUDGET = b"x-time-budget"
+"""Milliseconds that the sender still waits."""
+
+EXPECT = b"x-expect-instance"
+"""Identity of the only process that may run the request."""
+
+_EXPECT = "X-Expect-Instance"
+_STAMP = b"x-response-stamp"
+_LOAD = b"x-server-load"
+_NOT_RUN = b"x-not-executed"
+_WRONG_INSTANCE = 421
+_PROMISES = frozenset((408, 421, 429, 503))
+_MOST_BUDGET = 600_000
+
+READINESS_PATH = b"/lineworks/readiness"
+"""Path that the balancer asks."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a target says of its load."""
+
+    running: int
+    """Requests that it works on."""
+
+    waiting: int
+    """Requests in its queue."""
+
+
+def read_budget(value: bytes | None) -> float | None:
+    """Read a caller's time budget.
+
+    Args:
+        value: The header's value, or None.
+
+    Returns:
+        Seconds, or None where the header is missing or no number.
+    """
+    if value is None or not value.strip().isdigit():
+        return None
+    return min(int(value), _MOST_BUDGET) / 1000
+
+
+def write_target_fields(target: str, seconds: float) -> bytes:
+    """Write the headers that differ from target to target.
+
+    Args:
+        target: Identity of the target's process; any other process refuses the request.
+        seconds: Time that is left.
+
+    Returns:
+        Header lines, each with its line end.
+    """
+    return f"X-Time-Budget: {max(1, int(seconds * 1000))}\r\n{_EXPECT}: {target}\r\n".encode()
+
+
+def is_not_run(status: int, found: Mapping[bytes, bytes]) -> bool:
+    """Say whether a target states that it did not run the request.
+
+    Args:
+        status: Status of its answer.
+        found: Headers of its answer.
+
+    Returns:
+        Whether it is certain that the request has not run there and will not.
+    """
+    return status == _WRONG_INSTANCE or _NOT_RUN in found
+
+
+def is_wrong_instance(status: int) -> bool:
+    """Say whether the address belongs to another process than the one expected."""
+    return status == _WRONG_INSTANCE
+
+
+def is_promise(status: int) -> bool:
+    """Say whether callers take a status as a promise that the request has not run."""
+    return status in _PROMISES
+
+
+def read_stamp(found: Mapping[bytes, bytes]) -> str:
+    """Read the target's signature of its answer.
+
+    Args:
+        found: Headers of the answer.
+
+    Returns:
+        The signature, or an empty text.
+    """
+    return found.get(_STAMP, b"").decode("latin-1")
+
+
+def read_load(found: Mapping[bytes, bytes]) -> LoadReport | None:
+    """Read a target's report of its load.
+
+    Args:
+        found: Headers of the answer.
+
+    Returns:
+        The report, or None where there is none that can be read.
+    """
+    parts = found.get(_LOAD, b"").split(b",")
+    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts[:2]):
+        return None
+    return LoadReport(int(parts[0]), int(parts[1]))
+
+
+def write_coverage(stamps: Iterable[str], missing: int) -> list[tuple[bytes, bytes]]:
+    """Write the headers of a search's answer.
+
+    Args:
+        stamps: Signatures of the parts that are in.
+        missing: Shards that are left out.
+
+    Returns:
+        Names and values.
+    """
+    listed = ", ".join(stamps).encode("latin-1")
+    return [(b"X-Part-Stamps", listed), (b"X-Parts-Missing", str(missing).encode())]
--- /dev/null
+++ b/src/lineworks/platform/settings.py
@@ -0,0 +1,101 @@
+"""The settings file that the platform writes for each process (YAML)."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+
+import yaml
+
+from lineworks.decisions import extra_attempts
+from lineworks.models import node_settings
+from lineworks.platform import _fields
+
+VARIABLE = "LINEWORKS_SETTINGS"
+"""Environment variable that holds the path of the settings file."""
+
+PEER_PORT = 0
+"""Offset in the machine's range of free ports at which instances talk to each other."""
+
+METRICS_PORT = 1
+"""Offset in that range at which metrics are served."""
+
+_LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+
+class SettingsError(Exception):
+    """The settings cannot be used; the message is one line that names the field."""
+
+
+def load(environment: Mapping[str, str] | None = None) -> node_settings.NodeSettings:
+    """Read the settings file that the environment names.
+
+    Args:
+        environment: Variables; those of the process when not given.
+
+    Returns:
+        The settings.
+
+    Raises:
+        SettingsError: There is no such file, or a field is missing or wrong.
+    """
+    path = (os.environ if environment is None else environment).get(VARIABLE)
+    if not path:
+        raise SettingsError(f"{VARIABLE}: not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            return parse(file.read())
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+
+
+def parse(text: str) -> node_settings.NodeSettings:
+    """Read settings.
+
+    Args:
+        text: The file's text.
+
+    Returns:
+        The settings.
+
+    Raises:
+        SettingsError: A field is missing or wrong, or the text is no YAML.
+    """
+    try:
+        return _decode(_fields.Fields(yaml.load(text, _LOADER)))
+    except yaml.YAMLError as error:
+        raise SettingsError(f"(document): {str(error).splitlines()[0]}") from error
+    except _fields.DocumentError as error:
+        raise SettingsError(str(error)) from error
+
+
+def _decode(found: _fields.Fields) -> node_settings.NodeSettings:
+    host = found.text("Ip")
+    listen = found.table("ListenAddrs")
+    ports = found.items("PortRange")
+    if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
+        raise _fields.DocumentError("PortRange: expected the first and the last port")
+    if ports[0] + METRICS_PORT > ports[1]:
+        raise _fields.DocumentError("PortRange: expected at least two ports")
+    bounds = found.table("TimingBounds")
+    allowance = extra_attempts.Allowance(
+        bounds.number("RetryRatio", 0.0),
+        bounds.number("RetrySlack", 0.0),
+        bounds.number("RetryWindowS", 10.0, least=0.1),
+    )
+    hall = found.text("Zone")
+    halls = found.table("Zones")
+    regions = {name: halls.text(name) for name in halls.names}
+    return node_settings.NodeSettings(
+        name=found.text("NodeName"),
+        hall=hall,
+        region=found.text("Region"),
+        regions={hall: found.text("Region"), **regions},
+        callers=node_settings.Address(*listen.address("Front")),
+        readiness=node_settings.Address(*listen.address("Ready")),
+        peers=node_settings.Address(host, ports[0] + PEER_PORT),
+        metrics=node_settings.Address(host, ports[0] + METRICS_PORT),
+        store=node_settings.Address(*found.table("platform").address("Address")),
+        allowance=allowance,
+        stop_seconds=bounds.number("GraceS", 6.0, least=1.0),
+    )
--- /dev/null
+++ b/src/lineworks/platform/store.py
@@ -0,0 +1,432 @@
+"""Client of the platform's store: items with revisions, watches, transactions and leases.
+
+Every call is counted, because every call has a price. A write without an answer is reported as
+unsure, never as failed: it may take effect seconds later.
+"""
+
+from __future__ import annotations
+
+import base64
+import collections
+import dataclasses
+import json
+import urllib.parse
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer, protocol
+
+from lineworks.http1 import client_connection
+from lineworks.platform import _fields
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from lineworks.models import node_settings
+
+CALL_SECONDS = 1.5
+"""Seconds to wait for an answer; the store usually takes 4 ms, and 0.4 s when it is slow."""
+
+CONNECT_SECONDS = 1.0
+"""Seconds to wait for a connection."""
+
+_KEY = "PrivateKey"  # Any key of the store; nothing about it is private.
+_JSON = b"Content-Type: application/json\r\n"
+_MAX_PAGES = 100
+
+
+class StoreError(Exception):
+    """The store did not do what it was asked; nothing was written."""
+
+
+class StoreUnsureError(StoreError):
+    """No answer came, so a write may have taken effect or may still do so."""
+
+
+class HistoryGoneError(StoreError):
+    """The changes after the given revision are not known any more."""
+
+
+class LeaseGoneError(StoreError):
+    """There is no such lease."""
+
+
+class ConflictError(StoreError):
+    """A key had another revision than expected."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """A key with its value."""
+
+    key: str
+    """The key."""
+
+    value: bytes
+    """The value."""
+
+    revision: int
+    """Revision of its last change."""
+
+    lease: int = 0
+    """Lease that it ends with; 0 for none."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """A key that was written or removed."""
+
+    key: str
+    """The key."""
+
+    revision: int
+    """Revision of the change."""
+
+    value: bytes | None
+    """The new value, or None when the key was removed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """All items below a prefix."""
+
+    items: list[Item]
+    """The items."""
+
+    revision: int
+    """Revision that nothing in the listing is older than."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """What has changed below a prefix."""
+
+    changes: list[Change]
+    """The changes in order."""
+
+    revision: int
+    """Revision up to which they go."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Write:
+    """A key to write in a transaction."""
+
+    key: str
+    """The key."""
+
+    value: bytes
+    """The value."""
+
+    lease: int = 0
+    """Lease that it ends with; 0 for none."""
+
+
+class Store:
+    """Talks to the store over HTTP."""
+
+    def __init__(self, reactor: Any, address: node_settings.Address) -> None:
+        """Make a client; nothing is sent yet.
+
+        Args:
+            reactor: Twisted's reactor.
+            address: Where the store listens.
+        """
+        self._reactor = reactor
+        self._address = address
+        self._idle: list[_StoreConnection] = []
+        self.calls: collections.Counter[str] = collections.Counter()
+        """Calls made so far, by kind."""
+
+    def start(self) -> None:
+        """Do nothing; the first call connects."""
+
+    def stop(self) -> None:
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.abort()
+        self._idle.clear()
+
+    async def get(self, key: str) -> Item | None:
+        """Read a key.
+
+        Args:
+            key: The key.
+
+        Returns:
+            The item, or None where there is none.
+
+        Raises:
+            StoreError: The store cannot be reached or refused.
+        """
+        path = f"/lineworks/kv-key?{_query({_KEY: key})}"
+        status, found = await self._call("get", "GET", path)
+        if status == 404:
+            return None
+        _expect_ok("get", status)
+        return _read(lambda: _item(_fields.Fields(found)))
+
+    async def list_items(self, prefix: str) -> Listing:
+        """Read all items below a prefix, page by page.
+
+        Args:
+            prefix: The prefix.
+
+        Returns:
+            The items. Pages are no snapshot, so the listing's revision is that of the first.
+
+        Raises:
+            StoreError: The store cannot be reached or refused.
+        """
+        items: list[Item] = []
+        revision = 0
+        after = ""
+        for _ in range(_MAX_PAGES):
+            wanted = {"PathPrefix": prefix, **({"after": after} if after else {})}
+            status, found = await self._call("list", "GET", f"/lineworks/kv-range?{_query(wanted)}")
+            _expect_ok("list", status)
+            page = _read(lambda found=found: _fields.Fields(found))
+            rows = _read(lambda page=page: [_item(row) for row in page.tables("items")])
+            revision = revision or _read(lambda page=page: page.integer("AtRev"))
+            items += rows
+            if not rows or found.get("HasMore") is not True:
+                return Listing(items, revision)
+            after = rows[-1].key
+        raise StoreError("list: too many pages")
+
+    async def watch(self, prefix: str, after: int, wait: float) -> Changes:
+        """Read what has changed below a prefix; wait for a change if there is none.
+
+        Args:
+            prefix: The prefix.
+            after: Revision that is known.
+            wait: Seconds to wait at most.
+
+        Returns:
+            The changes.
+
+        Raises:
+            HistoryGoneError: The changes since that revision are not known any more.
+            StoreError: The store cannot be reached or refused.
+        """
+        wanted = {"PathPrefix": prefix, "after": after, "WaitMs": int(wait * 1000)}
+        path = f"/lineworks/kv-watch?{_query(wanted)}"
+        status, found = await self._call("watch", "GET", path, timeout=CALL_SECONDS + wait)
+        if status == 410:
+            raise HistoryGoneError("watch: the history is gone")
+        _expect_ok("watch", status)
+        return _read(lambda: _changes(_fields.Fields(found)))
+
+    async def transact(
+        self,
+        writes: Iterable[Write],
+        expected: Sequence[tuple[str, int]] = (),
+        removed: Sequence[str] = (),
+    ) -> int:
+        """Write and remove keys, all or none.
+
+        Args:
+            writes: Keys to write.
+            expected: Keys with the revision that each must have; 0 for an absent one.
+            removed: Keys to remove.
+
+        Returns:
+            Revision of the change.
+
+        Raises:
+            ConflictError: A key had another revision.
+            LeaseGoneError: There is no such lease.
+            StoreUnsureError: No answer came.
+            StoreError: Nothing was written.
+        """
+        document = {
+            "ExpectedRev": [{_KEY: key, "Revision": revision} for key, revision in expected],
+            "Write": [
+                {
+                    _KEY: write.key,
+                    "Value": base64.b64encode(write.value).decode(),
+                    "LeaseId": write.lease,
+                }
+                for write in writes
+            ],
+            "Remove": list(removed),
+        }
+        status, found = await self._call("write", "POST", "/lineworks/kv-txn", document)
+        if status == 412:
+            raise ConflictError("write: another revision")
+        if status == 404:
+            raise LeaseGoneError("write: no such lease")
+        _expect_ok("write", status)
+        return _read(lambda: _fields.Fields(found).integer("Revision"))
+
+    async def grant_lease(self, seconds: float) -> int:
+        """Open a lease.
+
+        Args:
+            seconds: How long it lasts unless it is renewed.
+
+        Returns:
+            Its identity.
+
+        Raises:
+            StoreError: There is none, or it is not known.
+        """
+        document = {"TtlMs": int(seconds * 1000)}
+        status, found = await self._call("lease", "POST", "/lineworks/kv-lease", document)
+        _expect_ok("lease", status)
+        return _read(lambda: _fields.Fields(found).integer("LeaseId"))
+
+    async def renew_lease(self, lease: int) -> None:
+        """Renew a lease.
+
+        Args:
+            lease: Its identity.
+
+        Raises:
+            LeaseGoneError: It is over.
+            StoreError: It is not known whether it was renewed.
+        """
+        status, _ = await self._call("renew", "POST", f"/lineworks/kv-keep/{lease}", {})
+        if status == 404:
+            raise LeaseGoneError("renew: the lease is over")
+        _expect_ok("renew", status)
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease; its keys disappear.
+
+        Args:
+            lease: Its identity.
+
+        Raises:
+            StoreError: It is not known whether it ended.
+        """
+        await self._call("end", "DELETE", f"/lineworks/kv-lease-end/{lease}")
+
+    async def _call(
+        self,
+        kind: str,
+        method: str,
+        path: str,
+        document: Any = None,
+        timeout: float = CALL_SECONDS,
+    ) -> tuple[int, Any]:
+        self.calls[kind] += 1
+        connection = await self._connect(kind)
+        data = _request(method, path, self._address, document)
+        end = await self._exchange(connection, data, timeout)
+        if isinstance(end, client_connection.Broken):
+            raise StoreUnsureError(f"{kind}: {end.detail}")
+        if end.status in (429, 503):
+            raise StoreError(f"{kind}: refused with {end.status}")
+        try:
+            return end.status, json.loads(end.body) if end.body else {}
+        except ValueError as error:
+            raise StoreUnsureError(f"{kind}: the answer is no JSON") from error
+
+    async def _exchange(
+        self, connection: _StoreConnection, data: bytes, timeout: float
+    ) -> client_connection.Response | client_connection.Broken:
+        ended: defer.Deferred[Any] = defer.Deferred()
+        timer = self._reactor.callLater(timeout, _give_up, connection, ended)
+        connection.send(data, False, lambda end: None if ended.called else ended.callback(end))
+        end = await ended
+        if timer.active():
+            timer.cancel()
+        if not connection.is_closed:
+            self._idle.append(connection)
+        return end
+
+    async def _connect(self, kind: str) -> _StoreConnection:
+        now = self._reactor.seconds()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_reusable(now):
+                return connection
+            connection.abort()
+        opened: defer.Deferred[Any] = defer.Deferred()
+        factory = _StoreFactory(self._reactor, opened)
+        address = self._address
+        self._reactor.connectTCP(address.host, address.port, factory, timeout=CONNECT_SECONDS)
+        connected = await opened
+        if not isinstance(connected, _StoreConnection):
+            raise StoreError(f"{kind}: {connected}")
+        return connected
+
+
+class _StoreConnection(client_connection.ClientConnection):
+    """A connection to the store that reports when it is open."""
+
+    def __init__(self, reactor: Any, opened: defer.Deferred[Any]) -> None:
+        super().__init__(reactor.seconds, lambda connection: None)
+        self._opened = opened
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Report that it is open."""
+        super().connectionMade()
+        self._opened.callback(self)
+
+
+class _StoreFactory(protocol.ClientFactory):
+    noisy = False
+
+    def __init__(self, reactor: Any, opened: defer.Deferred[Any]) -> None:
+        self._reactor = reactor
+        self._opened = opened
+
+    def buildProtocol(self, addr: Any) -> _StoreConnection:  # noqa: N802
+        """Make the connection's end."""
+        return _StoreConnection(self._reactor, self._opened)
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
+        """Report that it could not be opened."""
+        self._opened.callback(type(reason.value).__name__)
+
+
+def _give_up(connection: _StoreConnection, ended: defer.Deferred[Any]) -> None:
+    connection.abort()
+    ended.callback(client_connection.Broken("no answer in time", False))
+
+
+def _request(method: str, path: str, address: node_settings.Address, document: Any) -> bytes:
+    body = b"" if document is None else json.dumps(document).encode()
+    head = f"{method} {path} HTTP/1.1\r\nHost: {address.host}:{address.port}\r\n".encode()
+    if document is not None:
+        head += _JSON + b"Content-Length: %d\r\n" % len(body)
+    return head + b"\r\n" + body
+
+
+def _query(wanted: dict[str, Any]) -> str:
+    return urllib.parse.urlencode(wanted, safe="/")
+
+
+def _expect_ok(kind: str, status: int) -> None:
+    if status != 200:
+        raise StoreError(f"{kind}: status {status}")
+
+
+def _read(decode: Any) -> Any:
+    try:
+        return decode()
+    except _fields.DocumentError as error:
+        raise StoreError(f"the store's answer: {error}") from error
+
+
+def _item(row: _fields.Fields) -> Item:
+    lease = row.integer("LeaseId", 0)
+    return Item(row.text(_KEY), _value(row), row.integer("Revision"), lease)
+
+
+def _changes(found: _fields.Fields) -> Changes:
+    rows = []
+    for row in found.tables("events"):
+        # "Compacted" marks a removed key; it says nothing about the history.
+        is_gone = "Compacted" in row
+        value = None if is_gone else _value(row)
+        rows.append(Change(row.text(_KEY), row.integer("Revision"), value))
+    return Changes(rows, found.integer("AtRev"))
+
+
+def _value(row: _fields.Fields) -> bytes:
+    try:
+        return base64.b64decode(row.any_text("Value"), validate=True)
+    except ValueError as error:
+        raise _fields.DocumentError(f"Value: {error}") from error
--- a/src/lineworks/programs/demo.py
+++ b/src/lineworks/programs/demo.py
@@ -26,9 +26,10 @@
 from twisted.web import http_headers
 
 from lineworks.decisions import catalog
+from lineworks.kernel import task
 from lineworks.models import settings
 from lineworks.programs import _common
-from lineworks.services import auth, instance, platform_client
+from lineworks.services import auth, instance
 from lineworks.standins import shapes, site, target_model
 
 _SEARCHES = absl.flags.DEFINE_integer("searches", 300, "Searches to send.", lower_bound=20)
@@ -175,7 +176,7 @@
         while self._reactor.seconds() < limit:
             if all(self._is_whole(entry) for entry in self._entries):
                 return
-            await platform_client.sleep(self._reactor, 0.05)
+            await task.sleep(self._reactor, 0.05)
         raise RuntimeError("the instances did not become ready in time")
 
     def _is_whole(self, entry: instance.Instance) -> bool:
@@ -204,7 +205,7 @@
                 call = self._search if kind == "search" else self._run_part
                 waiting.append(defer.ensureDeferred(call(number)))
                 progress.advance(bar)
-                await platform_client.sleep(self._reactor, self._rng.expovariate(RATE))
+                await task.sleep(self._reactor, self._rng.expovariate(RATE))
             await defer.gatherResults(waiting)
 
     def _progress(self) -> rich.progress.Progress:
@@ -221,7 +222,7 @@
     async def _reversion(self) -> None:
         """Load the new version everywhere, then drop the old one."""
         self._site.hold(frozenset({site.FIRST_SNAPSHOT, NEXT_SNAPSHOT}))
-        await platform_client.sleep(self._reactor, 1.2)
+        await task.sleep(self._reactor, 1.2)
         self._site.hold(frozenset({NEXT_SNAPSHOT}))
 
     async def _reconfigure(self) -> None:
--- a/src/lineworks/programs/load.py
+++ b/src/lineworks/programs/load.py
@@ -18,8 +18,8 @@
 from twisted.internet import error as net_error
 from twisted.web import client as web_client
 
+from lineworks.kernel import task
 from lineworks.programs import _common
-from lineworks.services import platform_client
 
 _ENTRIES = absl.flags.DEFINE_list(
     "entries", ["http://127.0.0.1:8101"], "Caller endpoints, used in turn."
@@ -102,7 +102,7 @@
             waiting.append(defer.ensureDeferred(self._search(number, name, due)))
             number += 1
             due += self._rng.expovariate(_RATE.value)
-            await platform_client.sleep(self._reactor, max(0.0, due - self._reactor.seconds()))
+            await task.sleep(self._reactor, max(0.0, due - self._reactor.seconds()))
         await defer.gatherResults(waiting)
         self._print(before, await self._books())
         await self._pool.closeCachedConnections()
--- a/src/lineworks/services/claim_writer.py
+++ b/src/lineworks/services/claim_writer.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer
 
 from lineworks.decisions import claims, verdict
+from lineworks.kernel import task
 from lineworks.services import platform_client
 
 if TYPE_CHECKING:
@@ -122,7 +123,7 @@
             except claims.FullBucketError as error:
                 self._refuse(group, verdict.Reason.OVERLOADED, str(error))
                 return
-            await platform_client.sleep(self._reactor, pause * (0.5 + self._rng.random()))
+            await task.sleep(self._reactor, pause * (0.5 + self._rng.random()))
             pause *= 2
         self._refuse(group, verdict.Reason.PLATFORM_UNSURE, reason)
 
--- a/src/lineworks/services/cluster.py
+++ b/src/lineworks/services/cluster.py
@@ -7,7 +7,6 @@
 from lineworks.decisions import catalog
 from lineworks.engine import front, gatherer, messages, views
 from lineworks.kernel import task
-from lineworks.services import platform_client
 from lineworks.wire import frames
 
 if TYPE_CHECKING:
@@ -221,7 +220,7 @@
     async def _ask_reports(self) -> None:
         while True:
             self._ask_some()
-            await platform_client.sleep(self._reactor, REPORT_TICK)
+            await task.sleep(self._reactor, REPORT_TICK)
 
     def _ask_some(self) -> None:
         """Ask targets that told nothing lately: new ones all at once, others a few at a time."""
--- a/src/lineworks/services/config_keeper.py
+++ b/src/lineworks/services/config_keeper.py
@@ -239,7 +239,7 @@
         _log.error("configuration_alarm", kind=kind, detail=detail)
 
     async def _sleep(self, seconds: float) -> None:
-        await platform_client.sleep(self._reactor, seconds * (0.5 + self._rng.random() / 2))
+        await task.sleep(self._reactor, seconds * (0.5 + self._rng.random() / 2))
 
 
 def _net(steps: tuple[changes.Change, ...]) -> tuple[dict[str, str], set[str]]:
--- a/src/lineworks/services/config_store.py
+++ b/src/lineworks/services/config_store.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import changes
+from lineworks.kernel import task
 from lineworks.models import configuration
 from lineworks.services import platform_client
 
@@ -207,7 +208,7 @@
                 return Refused("invalid", str(error))
             if outcome is not None:
                 return outcome
-            await platform_client.sleep(self._clock, self._pause(attempt))
+            await task.sleep(self._clock, self._pause(attempt))
         if is_sent:
             return Unsure(change_id, "the platform gave no clear reply")
         return Refused("busy", f"other changes came first {_MAX_TRIES} times")
--- a/src/lineworks/services/instance.py
+++ b/src/lineworks/services/instance.py
@@ -11,6 +11,7 @@
 from twisted.internet import defer
 
 from lineworks.kernel import registry
+from lineworks.models import member
 from lineworks.models import settings as settings_models
 from lineworks.services import (
     caller_api,
@@ -104,11 +105,11 @@
         platform = platform_client.PlatformClient(
             reactor, options.platform.url, options.platform.timeout_ms / 1000
         )
-        me = platform_client.Member(
+        me = member.Member(
             options.name, options.hall, options.peer.host, peer_port, self._incarnation, False
         )
         seeds = [
-            platform_client.Member(seed.name, seed.hall, seed.host, seed.port, "", False)
+            member.Member(seed.name, seed.hall, seed.host, seed.port, "", False)
             for seed in options.seeds
         ]
         members = membership.Membership(reactor, self._rng, me, platform, links, seeds)
--- a/src/lineworks/services/membership.py
+++ b/src/lineworks/services/membership.py
@@ -13,6 +13,7 @@
 
 from lineworks.decisions import members, ownership
 from lineworks.kernel import task
+from lineworks.models import member
 from lineworks.services import platform_client
 from lineworks.wire import frames
 
@@ -49,10 +50,10 @@
         self,
         reactor: Any,
         rng: random.Random,
-        me: platform_client.Member,
+        me: member.Member,
         platform: platform_client.PlatformClient,
         links: peer_links.PeerLinks,
-        seeds: list[platform_client.Member],
+        seeds: list[member.Member],
     ) -> None:
         """Start alone.
 
@@ -71,7 +72,7 @@
         self._links = links
         self._seeds = seeds
         self._state = members.MemberState(me.name, me.hall)
-        self._listed: dict[str, platform_client.Member] = {}
+        self._listed: dict[str, member.Member] = {}
         self._task = task.Task("membership", self._run)
         self._published: dict[str, str] = {}
         self.is_leaving = False
@@ -138,7 +139,7 @@
                 _log.warning("membership_failed", error=str(error))
             self._publish()
             pause = LIST_SECONDS * (0.75 + self._rng.random() / 2)
-            await platform_client.sleep(self._reactor, pause)
+            await task.sleep(self._reactor, pause)
 
     @property
     def _is_reader(self) -> bool:
@@ -147,12 +148,10 @@
 
     async def _announce(self) -> None:
         me = self._me
-        entry = platform_client.Member(
-            me.name, me.hall, me.host, me.port, me.incarnation, self.is_leaving
-        )
+        entry = member.Member(me.name, me.hall, me.host, me.port, me.incarnation, self.is_leaving)
         await self._platform.announce(entry, LEASE_SECONDS)
 
-    def _take_list(self, listed: list[platform_client.Member]) -> None:
+    def _take_list(self, listed: list[member.Member]) -> None:
         now = self._reactor.seconds()
         self._listed = {member.name: member for member in listed if member.name != self._me.name}
         self._state.on_list(
--- a/src/lineworks/services/peer_links.py
+++ b/src/lineworks/services/peer_links.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from lineworks.services import platform_client
+    from lineworks.models import member
 
 HEARTBEAT_SECONDS = 1.0
 """Seconds between heartbeats on a link."""
@@ -177,13 +177,15 @@
         self._secret = secret
         self._links: dict[str, PeerLink] = {}
         self._unproven: set[PeerLink] = set()
-        self._wanted: dict[str, platform_client.Member] = {}
+        self._wanted: dict[str, member.Member] = {}
         self._dialling: set[str] = set()
         self._delays: dict[str, float] = {}
         self._handlers: dict[type, Callable[[PeerLink, Any], None]] = {}
         self._port: Any = None
         self._timer: Any = None
         self._is_stopped = False
+        self.heartbeat_seconds = HEARTBEAT_SECONDS
+        self.on_closed_by: list[Callable[[str], None]] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self.make_heartbeat: Callable[[], frames.Heartbeat] = lambda: frames.Heartbeat(False, 0, "")
         self.on_up: list[Callable[[frames.Hello], None]] = []
@@ -228,9 +230,23 @@
 
         return endpoint.listen(factory).addCallback(keep)
 
+    def listen_on(self, host: str, port: int) -> None:
+        """Accept links at once.
+
+        Args:
+            host: IP address.
+            port: TCP port.
+
+        Raises:
+            twisted.internet.error.CannotListenError: The port is in use.
+        """
+        factory: Any = protocol.Factory.forProtocol(lambda: self._make_link())
+        factory.noisy = False
+        self._port = self._reactor.listenTCP(port, factory, interface=host)
+
     def start(self) -> None:
         """Begin the heartbeats."""
-        self._timer = self._reactor.callLater(HEARTBEAT_SECONDS, self._beat)
+        self._timer = self._reactor.callLater(self.heartbeat_seconds, self._beat)
 
     def stop(self) -> Any:
         """Close every link and stop listening."""
@@ -241,7 +257,7 @@
             link.transport.loseConnection()
         return self._port.stopListening() if self._port is not None else None
 
-    def set_wanted(self, members: Mapping[str, platform_client.Member]) -> None:
+    def set_wanted(self, members: Mapping[str, member.Member]) -> None:
         """Say which peers there are; those without a link are dialled.
 
         Args:
@@ -359,6 +375,9 @@
         """
         self._unproven.discard(link)
         name = link.hello.name if link.hello else ""
+        if link.hello is not None:
+            for listener in self.on_closed_by:
+                listener(link.hello.incarnation)
         if self._links.get(name) is link:
             del self._links[name]
             _log.info("link_down", peer=name)
@@ -412,10 +431,10 @@
         self._reactor.callLater(delay, self._dial_if_needed, name)
 
     def _beat(self) -> None:
-        self._timer = self._reactor.callLater(HEARTBEAT_SECONDS, self._beat)
+        self._timer = self._reactor.callLater(self.heartbeat_seconds, self._beat)
         heartbeat = self.make_heartbeat()
         for link in list(self._links.values()):
-            if self.now - link.heard_at > SILENCE_SECONDS:
+            if self.now - link.heard_at > max(SILENCE_SECONDS, 2 * self.heartbeat_seconds + 0.5):
                 link.close("silent: no frame in time")
             else:
                 link.send(heartbeat)
--- a/src/lineworks/services/platform_client.py
+++ b/src/lineworks/services/platform_client.py
@@ -16,6 +16,8 @@
 from twisted.internet import error as net_error
 from twisted.web import client as web_client
 
+from lineworks.models import member
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -45,29 +47,6 @@
     """Revision of the key; 0 where it is absent."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Member:
-    """An entry of the membership list."""
-
-    name: str
-    """Name of the instance."""
-
-    hall: str
-    """Its data hall."""
-
-    host: str
-    """IP address of its peer endpoint."""
-
-    port: int
-    """TCP port of its peer endpoint."""
-
-    incarnation: str
-    """Identity of its process."""
-
-    is_leaving: bool
-    """Whether it takes no new work."""
-
-
 class PlatformClient:
     """Talks to the platform over HTTP."""
 
@@ -157,7 +136,7 @@
         """
         await self._write("PUT", f"/v1/kv/{key}", data.encode(), "put")
 
-    async def members(self) -> list[Member]:
+    async def members(self) -> list[member.Member]:
         """Read the membership list.
 
         Returns:
@@ -169,9 +148,9 @@
         status, body, _ = await self._call("GET", "/v1/members", b"", "members", self._timeout)
         if status != 200:
             raise PlatformError(f"members: status {status}")
-        return [Member(**entry) for entry in json.loads(body)["members"]]
+        return [member.Member(**entry) for entry in json.loads(body)["members"]]
 
-    async def announce(self, member: Member, lease_seconds: float) -> None:
+    async def announce(self, member: member.Member, lease_seconds: float) -> None:
         """Put this instance on the membership list for a while.
 
         Args:
@@ -224,18 +203,3 @@
             for name, values in response.headers.getAllRawHeaders()
         }
         return response.code, body, headers
-
-
-def sleep(clock: Any, seconds: float) -> defer.Deferred[None]:
-    """Wait.
-
-    Args:
-        clock: Twisted's reactor.
-        seconds: How long.
-
-    Returns:
-        A deferred that fires then; cancelling it ends the wait.
-    """
-    waiting: defer.Deferred[None] = defer.Deferred(lambda _: call.cancel())
-    call = clock.callLater(seconds, waiting.callback, None)
-    return waiting
--- a/src/lineworks/standins/platform_server.py
+++ b/src/lineworks/standins/platform_server.py
@@ -14,7 +14,8 @@
 import klein
 from twisted.internet import defer
 
-from lineworks.services import http_server, platform_client
+from lineworks.kernel import task
+from lineworks.services import http_server
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -102,7 +103,7 @@
                 request.transport.abortConnection()
                 return b""
             if self.faults.delay:
-                await platform_client.sleep(self._reactor, self.faults.delay)
+                await task.sleep(self._reactor, self.faults.delay)
             body: bytes = await handler(request, **parts)
             if request.method == b"PUT" and self.faults.lose_replies > 0:
                 self.faults.lose_replies -= 1
--- /dev/null
+++ b/src/lineworks/wire/_gather_codec.py
@@ -0,0 +1,130 @@
+"""Encodes and decodes the frames between fronts and gatherers of forwarded requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from lineworks.forwarding import messages
+from lineworks.wire import _base
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_FAILURES = tuple(messages.Failure)
+
+
+def _write_query(builder: Any, frame: messages.GatherQuery, now: float) -> None:
+    body = builder.init("gatherQuery")
+    body.number = frame.number
+    body.services = list(frame.services)
+    body.head = frame.head
+    body.body = frame.body
+    body.attempt = frame.attempt
+    body.top = frame.top
+    body.floor = frame.floor
+    body.remaining = _base.remaining(frame.deadline, now)
+    body.flushIn = _base.remaining(frame.flush_at, now)
+
+
+def _read_query(body: Any, now: float) -> messages.GatherQuery:
+    services = tuple(body.services)
+    if not services:
+        raise _base.MalformedFrameError("a query without shards")
+    return messages.GatherQuery(
+        number=body.number,
+        services=services,
+        head=bytes(body.head),
+        body=bytes(body.body),
+        attempt=bytes(body.attempt),
+        top=body.top,
+        floor=bytes(body.floor),
+        deadline=now + body.remaining / _base.MICROSECONDS,
+        flush_at=now + body.flushIn / _base.MICROSECONDS,
+    )
+
+
+def _write_parts(builder: Any, frame: messages.GatherParts, now: float) -> None:
+    body = builder.init("gatherParts")
+    body.number = frame.number
+    body.shards = list(frame.shards)
+    body.stamps = list(frame.stamps)
+    body.records = frame.records
+    body.failed = list(frame.failed)
+    body.failures = [int(failure) for failure in frame.failures]
+
+
+def _read_parts(body: Any, now: float) -> messages.GatherParts:
+    shards, stamps = tuple(body.shards), tuple(body.stamps)
+    failed, failures = tuple(body.failed), tuple(body.failures)
+    if len(shards) != len(stamps) or len(failed) != len(failures):
+        raise _base.MalformedFrameError("columns of different lengths")
+    return messages.GatherParts(
+        body.number,
+        shards,
+        stamps,
+        bytes(body.records),
+        failed,
+        tuple(_FAILURES[number] for number in failures),
+    )
+
+
+def _write_cancel(builder: Any, frame: messages.GatherCancel, now: float) -> None:
+    body = builder.init("gatherCancel")
+    body.number = frame.number
+    body.shards = list(frame.shards)
+
+
+def _read_cancel(body: Any, now: float) -> messages.GatherCancel:
+    return messages.GatherCancel(body.number, tuple(body.shards))
+
+
+def _write_targets(builder: Any, frame: messages.TargetUpdate, now: float) -> None:
+    body = builder.init("targetUpdate")
+    body.fromRevision = frame.from_revision
+    body.toRevision = frame.to_revision
+    body.age = min(_base.MAX_REMAINING, int(frame.age * _base.MICROSECONDS))
+    body.document = frame.document
+
+
+def _read_targets(body: Any, now: float) -> messages.TargetUpdate:
+    age = body.age / _base.MICROSECONDS
+    return messages.TargetUpdate(body.fromRevision, body.toRevision, age, bytes(body.document))
+
+
+def _write_table(builder: Any, frame: messages.TableUpdate, now: float) -> None:
+    body = builder.init("tableUpdate")
+    body.version = frame.version
+    body.document = frame.document
+
+
+def _read_table(body: Any, now: float) -> messages.TableUpdate:
+    return messages.TableUpdate(body.version, bytes(body.document))
+
+
+def _write_pull(builder: Any, frame: messages.TablePull, now: float) -> None:
+    builder.init("tablePull").version = frame.version
+
+
+def _read_pull(body: Any, now: float) -> messages.TablePull:
+    return messages.TablePull(body.version)
+
+
+ENCODERS: dict[type, Callable[[Any, Any, float], None]] = {
+    messages.GatherQuery: _write_query,
+    messages.GatherParts: _write_parts,
+    messages.GatherCancel: _write_cancel,
+    messages.TargetUpdate: _write_targets,
+    messages.TableUpdate: _write_table,
+    messages.TablePull: _write_pull,
+}
+"""Writers by message class: (builder of a frame, message, present)."""
+
+DECODERS: dict[str, Callable[[Any, float], Any]] = {
+    "gatherQuery": _read_query,
+    "gatherParts": _read_parts,
+    "gatherCancel": _read_cancel,
+    "targetUpdate": _read_targets,
+    "tableUpdate": _read_table,
+    "tablePull": _read_pull,
+}
+"""Readers by the frame's kind: (body, present)."""
--- a/src/lineworks/wire/codec.py
+++ b/src/lineworks/wire/codec.py
@@ -12,7 +12,7 @@
 
 from lineworks.decisions import catalog, verdict
 from lineworks.engine import messages
-from lineworks.wire import frames
+from lineworks.wire import _base, _gather_codec, frames
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,22 +21,19 @@
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
 _FRAME = _SCHEMA.Frame
 
+MalformedFrameError = _base.MalformedFrameError
+"""The bytes are not a frame of the peer link."""
+
 MAX_FRAME = 4 * 1024 * 1024
 """Bytes that a frame may have."""
 
 _TRAVERSAL_LIMIT = MAX_FRAME
-_MICROSECONDS = 1_000_000
-_MAX_REMAINING = 2**32 - 1
 _CERTAINTIES = tuple(verdict.Certainty)
 _REASONS = tuple(verdict.Reason)
 _CERTAINTY_NUMBERS = {item: number for number, item in enumerate(_CERTAINTIES)}
 _REASON_NUMBERS = {item: number for number, item in enumerate(_REASONS)}
 
 
-class MalformedFrameError(Exception):
-    """The bytes are not a frame of the peer link."""
-
-
 def encode(frame: frames.Frame, now: float) -> bytes:
     """Write a frame.
 
@@ -64,7 +61,7 @@
         The message.
 
     Raises:
-        MalformedFrameError: The bytes are truncated, damaged, of an unknown kind, or their
+        _base.MalformedFrameError: The bytes are truncated, damaged, of an unknown kind, or their
             columns have different lengths.
     """
     try:
@@ -72,16 +69,14 @@
             kind = str(reader.which())
             read = _DECODERS.get(kind)
             if read is None:
-                raise MalformedFrameError("unknown kind of frame")
+                raise _base.MalformedFrameError("unknown kind of frame")
             return read(getattr(reader, kind), now)
-    except MalformedFrameError:
+    except _base.MalformedFrameError:
         raise
     except (capnp.KjException, ValueError, IndexError, UnicodeDecodeError, TypeError) as error:
-        raise MalformedFrameError(str(error).splitlines()[0] if str(error) else "?") from error
-
-
-def _remaining(deadline: float, now: float) -> int:
-    return min(_MAX_REMAINING, max(0, int((deadline - now) * _MICROSECONDS)))
+        raise _base.MalformedFrameError(
+            str(error).splitlines()[0] if str(error) else "?"
+        ) from error
 
 
 def _write_challenge(builder: Any, frame: frames.Challenge, now: float) -> None:
@@ -113,12 +108,12 @@
     body.services = list(frame.services)
     body.shards = list(frame.shards)
     body.body = frame.body
-    body.remaining = _remaining(frame.deadline, now)
+    body.remaining = _base.remaining(frame.deadline, now)
     body.isRepeatable = frame.is_repeatable
     body.needsSnapshot = frame.needs_snapshot
     body.group = frame.group
     body.hedgeBudget = frame.hedge_budget
-    body.networkDelay = min(_MAX_REMAINING, int(frame.network_delay * _MICROSECONDS))
+    body.networkDelay = min(_base.MAX_REMAINING, int(frame.network_delay * _base.MICROSECONDS))
 
 
 def _write_cancel(builder: Any, frame: messages.Cancel, now: float) -> None:
@@ -137,7 +132,7 @@
     body.details = [row.verdict.detail for row in rows]
     body.snapshots = [str(row.snapshot) if row.snapshot else "" for row in rows]
     body.bodies = [row.body for row in rows]
-    body.waits = [min(_MAX_REMAINING, int(row.waited * _MICROSECONDS)) for row in rows]
+    body.waits = [min(_base.MAX_REMAINING, int(row.waited * _base.MICROSECONDS)) for row in rows]
     body.targets = [row.target for row in rows]
     body.attempts = [row.attempts for row in rows]
 
@@ -165,7 +160,7 @@
     body.number = frame.number
     body.ticket = frame.ticket
     body.document = frame.document
-    body.remaining = _remaining(frame.deadline, now)
+    body.remaining = _base.remaining(frame.deadline, now)
 
 
 def _write_relay_reply(builder: Any, frame: frames.RelayReply, now: float) -> None:
@@ -190,7 +185,7 @@
     services = tuple(body.services)
     shards = tuple(body.shards)
     if len(services) != len(shards) or not services:
-        raise MalformedFrameError("columns of different lengths")
+        raise _base.MalformedFrameError("columns of different lengths")
     return messages.SubQueries(
         frame=body.frame,
         query=body.query,
@@ -199,12 +194,12 @@
         services=services,
         shards=shards,
         body=bytes(body.body),
-        deadline=now + body.remaining / _MICROSECONDS,
+        deadline=now + body.remaining / _base.MICROSECONDS,
         is_repeatable=body.isRepeatable,
         needs_snapshot=body.needsSnapshot,
         group=body.group,
         hedge_budget=round(body.hedgeBudget, 6),
-        network_delay=body.networkDelay / _MICROSECONDS,
+        network_delay=body.networkDelay / _base.MICROSECONDS,
     )
 
 
@@ -226,7 +221,7 @@
         list(body.attempts),
     ]
     if len({len(column) for column in columns}) != 1:
-        raise MalformedFrameError("columns of different lengths")
+        raise _base.MalformedFrameError("columns of different lengths")
     return frames.Replies(tuple(_read_reply(*row) for row in zip(*columns, strict=True)))
 
 
@@ -249,7 +244,7 @@
         found,
         catalog.parse_snapshot(snapshot) if snapshot else None,
         bytes(body),
-        waited / _MICROSECONDS,
+        waited / _base.MICROSECONDS,
         target,
         attempts,
     )
@@ -259,7 +254,7 @@
     services = list(body.services)
     held = list(body.snapshots)
     if len(services) != len(held):
-        raise MalformedFrameError("columns of different lengths")
+        raise _base.MalformedFrameError("columns of different lengths")
     return frames.Holdings(
         {
             service: catalog.parse_snapshots(text)
@@ -277,7 +272,7 @@
 
 
 def _read_relay(body: Any, now: float) -> frames.Frame:
-    deadline = now + body.remaining / _MICROSECONDS
+    deadline = now + body.remaining / _base.MICROSECONDS
     return frames.Relay(body.number, body.ticket, bytes(body.document), deadline)
 
 
@@ -297,6 +292,7 @@
     frames.ConfigChanges: _write_config_changes,
     frames.Relay: _write_relay,
     frames.RelayReply: _write_relay_reply,
+    **_gather_codec.ENCODERS,
 }
 
 _DECODERS: dict[str, Callable[[Any, float], frames.Frame]] = {
@@ -311,4 +307,5 @@
     "configChanges": _read_config_changes,
     "relay": _read_relay,
     "relayReply": _read_relay_reply,
+    **_gather_codec.DECODERS,
 }
--- a/src/lineworks/wire/frames.py
+++ b/src/lineworks/wire/frames.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 from lineworks.engine import messages
+from lineworks.forwarding import messages as forwarding_messages
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -127,5 +128,11 @@
     | ConfigChanges
     | Relay
     | RelayReply
+    | forwarding_messages.GatherQuery
+    | forwarding_messages.GatherParts
+    | forwarding_messages.GatherCancel
+    | forwarding_messages.TargetUpdate
+    | forwarding_messages.TableUpdate
+    | forwarding_messages.TablePull
 )
 """Everything that travels on a peer link."""
--- a/src/lineworks/wire/peer.capnp
+++ b/src/lineworks/wire/peer.capnp
@@ -15,6 +15,12 @@
     configChanges @8 :ConfigChanges;
     relay @9 :Relay;
     relayReply @10 :RelayReply;
+    gatherQuery @11 :GatherQuery;
+    gatherParts @12 :GatherParts;
+    gatherCancel @13 :GatherCancel;
+    targetUpdate @14 :TargetUpdate;
+    tableUpdate @15 :TableUpdate;
+    tablePull @16 :TablePull;
   }
 }
 
@@ -79,3 +85,37 @@
 }
 
 struct RelayReply { number @0 :UInt64; document @1 :Data; }
+
+struct GatherQuery {
+  number @0 :UInt64;
+  services @1 :List(Text);
+  head @2 :Data;
+  body @3 :Data;
+  attempt @4 :Data;
+  top @5 :UInt32;
+  floor @6 :Data;
+  remaining @7 :UInt32;
+  flushIn @8 :UInt32;
+}
+
+struct GatherParts {
+  number @0 :UInt64;
+  shards @1 :List(UInt16);
+  stamps @2 :List(Text);
+  records @3 :Data;
+  failed @4 :List(UInt16);
+  failures @5 :List(UInt8);
+}
+
+struct GatherCancel { number @0 :UInt64; shards @1 :List(UInt16); }
+
+struct TargetUpdate {
+  fromRevision @0 :UInt64;
+  toRevision @1 :UInt64;
+  age @2 :UInt32;
+  document @3 :Data;
+}
+
+struct TableUpdate { version @0 :UInt64; document @1 :Data; }
+
+struct TablePull { version @0 :UInt64; }
--- /dev/null
+++ b/src/lineworks_node.py
@@ -0,0 +1,12 @@
+"""Starts one process on the users' machines.
+
+The file stands beside the package so that `src/` is on the path, and not `src/lineworks/`, whose
+folder `platform` would hide the standard library's module of that name.
+"""
+
+import sys
+
+from lineworks.programs import node
+
+if __name__ == "__main__":
+    sys.exit(node.main())
