Hedge by way, choose halls among good targets, retry what was not sent for free, fewer calls

Cause: one hedge delay for local and remote sub-queries made local ones wait for the remote spread; a hall was chosen whole even with a slow target in it; a gatherer without room counted as an extra attempt; each start read the store four times.

--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -18,22 +18,22 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
     from lineworks.services import peer_links
     from lineworks.wire import frames
 
-TICK = 0.1
+TICK = 0.05
 """Seconds between looks at whether the store should be asked."""
 
-POLL_SECONDS = 0.9
+POLL_SECONDS = 1.2
 """Age of the knowledge, in seconds, at which a hall's reader asks the store. With the answer and
 the way to the peers it stays well below the three seconds in which a change must be in force."""
 
-FALLBACK_SECONDS = 1.7
+FALLBACK_SECONDS = 1.9
 """Age at which any instance asks for itself, because its hall's reader is silent."""
 
-FALLBACK_SPREAD = 0.3
+FALLBACK_SPREAD = 0.2
 """Seconds over which instances spread their own first calls."""
 
 RETRY_SECONDS = 0.4
@@ -45,6 +45,10 @@
 PULL_SECONDS = 0.5
 """Seconds between requests to peers for a newer configuration."""
 
+FIRST_WAIT_SECONDS = 0.3
+"""Seconds that the first look waits for this instance's own key to be written, so that of two
+instances which start together one finds the other."""
+
 _ANY = ""
 _log = structlog.get_logger(component="directory")
 
@@ -83,6 +87,7 @@
         self._has_targets = False
         self._fresh_at = float("-inf")
         self._next_call = 0.0
+        self._first_look = 0.0
         self._failures = 0
         self._outage_since: float | None = None
         self._hold_until = 0.0
@@ -91,6 +96,7 @@
         self._task = task.Task("directory", self._run)
         self.on_table: Callable[[routes.RouteTable], None] = lambda table: None
         self.on_targets: Callable[[], None] = lambda: None
+        self.on_instances: Callable[[Sequence[store.Change]], None] = lambda rows: None
         links.handle(messages.TargetUpdate, self._on_target_update)
         links.handle(messages.TableUpdate, self._on_table_update)
         links.handle(messages.TablePull, self._on_pull)
@@ -119,12 +125,17 @@
 
     def start(self) -> None:
         """Begin to ask the store."""
+        self._first_look = self._reactor.seconds() + FIRST_WAIT_SECONDS
         self._task.start()
 
     def stop(self) -> None:
         """Stop asking."""
         self._task.stop()
 
+    def on_registered(self) -> None:
+        """Note that this instance's key is written, so that the first look need not wait."""
+        self._first_look = 0.0
+
     def on_peer_version(self, peer: str, version: int) -> None:
         """Ask a peer for its configuration if that is newer.
 
@@ -146,7 +157,7 @@
             await task.sleep(self._reactor, TICK)
 
     def _is_due(self) -> bool:
-        if self._reactor.seconds() < self._next_call:
+        if self._reactor.seconds() < max(self._next_call, self._first_look):
             return False
         if not self.is_complete:
             return True
@@ -178,15 +189,13 @@
 
     async def _read_all(self, asked_at: float) -> None:
         """Read everything there is."""
-        listing = await self._store.list_items(target_entries.PREFIX)
-        item = await self._store.get(configuration.KEY)
+        listing = await self._store.list_items(_ANY)
         rows = [store.Change(item.key, item.revision, item.value) for item in listing.items]
         entries = self._decode(rows)
         is_changed = self._view.replace(entries, listing.revision, self._hold())
         self._has_targets = True
-        if item is not None:
-            self._take_table(item.value)
         self._fresh_at = max(self._fresh_at, asked_at)
+        self._take_others(rows)
         if is_changed:
             self.on_targets()
         self._tell_peers(0, self._all_entries())
@@ -200,15 +209,12 @@
             _log.info("history_gone", revision=before)
             await self._read_all(asked_at)
             return
-        rows = [row for row in found.changes if row.key.startswith(target_entries.PREFIX)]
         known = dict(self._view.entries)
-        entries = self._decode(rows)
+        entries = self._decode(found.changes)
         is_changed = self._view.apply(entries, self._hold())
         self._view.revision = max(self._view.revision, found.revision)
         self._fresh_at = max(self._fresh_at, asked_at)
-        for row in found.changes:
-            if row.key == configuration.KEY and row.value is not None:
-                self._take_table(row.value)
+        self._take_others(found.changes)
         if is_changed:
             self.on_targets()
         news = [change for change in entries if known.get(change.id) != change.entry]
@@ -218,6 +224,8 @@
         changes = []
         for row in rows:
             name = row.key.removeprefix(target_entries.PREFIX)
+            if name == row.key:
+                continue
             try:
                 entry = None if row.value is None else target_entries.decode(row.key, row.value)
             except target_entries.EntryError as error:
@@ -226,6 +234,13 @@
             changes.append(target_view.TargetChange(name, row.revision, entry))
         return changes
 
+    def _take_others(self, rows: Sequence[store.Change]) -> None:
+        """Take in what is no target's entry: the configuration and the instances' keys."""
+        for row in rows:
+            if row.key == configuration.KEY and row.value is not None:
+                self._take_table(row.value)
+        self.on_instances(rows)
+
     def _all_entries(self) -> list[target_view.TargetChange]:
         return self._view.all_changes()
 
--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -82,15 +82,18 @@
         table = self._table
         if table is None:
             found = verdict.not_run(verdict.Reason.NOT_READY, "no configuration yet")
-            return self._answer_at_once(request, answer, outcome.refuse(found))
+            self._answer_at_once(request, answer, outcome.refuse(found))
+            return None
         host = request.header(b"host")
         attempt = request.header(headers.ATTEMPT)
         if host is None or attempt is None or not request.target.startswith(b"/"):
-            return self._answer_at_once(request, answer, _plain(400, verdict.Reason.INVALID))
+            self._answer_at_once(request, answer, _plain(400, verdict.Reason.INVALID))
+            return None
         path = request.target.partition(b"?")[0].decode("latin-1")
         route = table.match(host.decode("latin-1").partition(":")[0], path)
         if route is None:
-            return self._answer_at_once(request, answer, _plain(404, verdict.Reason.NO_SERVICE))
+            self._answer_at_once(request, answer, _plain(404, verdict.Reason.NO_SERVICE))
+            return None
         return self._forward(request, answer, table, route, attempt)
 
     def _forward(
--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -97,7 +97,7 @@
         for shard, service in enumerate(query.services):
             state = self._book.choose(service, now, (), self._is_here)
             if state is None:
-                job.failed[shard] = messages.Failure.NOT_RUN
+                job.failed[shard] = messages.Failure.NOT_SENT
                 continue
             on_end = functools.partial(self._on_end, key, shard)
             job.running[shard] = self._calls.send(state, call, on_end)
@@ -154,7 +154,9 @@
             stamp = headers.read_stamp(end.response.headers)
             job.ready.append(parts.Part(frozenset((shard,)), (stamp,), top))
         else:
-            job.failed[shard] = _FAILURES[end.verdict.certainty]
+            is_sent = target_calls.was_sent(end.verdict)
+            failure = _FAILURES[end.verdict.certainty] if is_sent else messages.Failure.NOT_SENT
+            job.failed[shard] = failure
         if not job.running:
             self._finish(key)
         elif job.failed:
--- a/src/lineworks/forwarding/messages.py
+++ b/src/lineworks/forwarding/messages.py
@@ -9,13 +9,16 @@
 class Failure(enum.IntEnum):
     """Why a gatherer has no part of a shard."""
 
-    NOT_RUN = 0
-    """No target ran the request."""
+    NOT_SENT = 0
+    """The request reached no target."""
 
-    MAY_HAVE_RUN = 1
+    NOT_RUN = 1
+    """A target refused it without running it."""
+
+    MAY_HAVE_RUN = 2
     """A target may have run it, and no whole answer came."""
 
-    RAN = 2
+    RAN = 3
     """A target ran it and failed."""
 
 
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -143,6 +143,8 @@
         """Tie the services together."""
         self._directory.on_table = self._on_table
         self._directory.on_targets = self._on_targets
+        self._directory.on_instances = self._registration.on_changes
+        self._registration.on_registered = self._directory.on_registered
         links = self._links
         links.handle(messages.GatherQuery, self._on_query)
         links.handle(messages.GatherCancel, self._on_cancel)
--- a/src/lineworks/forwarding/registration.py
+++ b/src/lineworks/forwarding/registration.py
@@ -1,6 +1,8 @@
 """Tells the other instances where this one is, through the platform's store.
 
-Every instance keeps one key under a lease and, when it starts, dials all that it finds listed.
+Every instance keeps one key under a lease and dials all that are listed. The list comes with what
+the directory reads from the store anyway; an instance registers before it reads for the first
+time, so of two that start together at least one finds the other.
 The key only helps to find each other: whether an instance is alive is shown by its links, so a key
 that is late, gone or wrong decides nothing.
 """
@@ -17,7 +19,7 @@
 from lineworks.platform import store
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from lineworks.models import node_settings
     from lineworks.services import peer_links
@@ -25,19 +27,15 @@
 PREFIX = "lineworks/nodes/"
 """Prefix of the keys; what follows is the instance's name."""
 
-LEASE_SECONDS = 40.0
+LEASE_SECONDS = 120.0
 """Seconds after which the key of a dead instance goes; others dial it in vain until then."""
 
-RENEW_SECONDS = 15.0
-"""Seconds between renewals: two may fail before the lease ends."""
+RENEW_SECONDS = 45.0
+"""Seconds between renewals: one may fail before the lease ends. Each call has a price."""
 
 RETRY_SECONDS = 1.0
 """Seconds between tries while the store fails."""
 
-FIRST_LOOK_SECONDS = 0.5
-"""Seconds after the registration at which the list is read: instances that start together have
-registered by then, so that every pair knows of each other."""
-
 _log = structlog.get_logger(component="registration")
 
 
@@ -68,6 +66,7 @@
         self._jitter = jitter
         self._lease = 0
         self._members: dict[str, member.Member] = {}
+        self.on_registered: Callable[[], None] = lambda: None
         self._task = task.Task("registration", self._run)
 
     @property
@@ -87,8 +86,6 @@
         while True:
             try:
                 await self._register()
-                await task.sleep(self._reactor, FIRST_LOOK_SECONDS)
-                await self._read_list()
                 await self._keep()
             except store.StoreError as error:
                 _log.warning("registration_failed", error=str(error))
@@ -101,18 +98,28 @@
         self._lease = await self._store.grant_lease(LEASE_SECONDS)
         value = json.dumps(document).encode()
         await self._store.transact([store.Write(PREFIX + mine.name, value, self._lease)])
+        self.on_registered()
+
+    def on_changes(self, changes: Iterable[store.Change]) -> None:
+        """Take in keys of instances that were written or removed.
 
-    async def _read_list(self) -> None:
-        listing = await self._store.list_items(PREFIX)
-        found = {}
-        for item in listing.items:
-            listed = _member(item)
+        Args:
+            changes: The changes; those of other keys are passed over.
+        """
+        is_changed = False
+        for change in changes:
+            name = change.key.removeprefix(PREFIX)
+            if name == change.key:
+                continue
+            listed = _member(name, change.value) if change.value is not None else None
             if listed is not None:
-                found[listed.name] = listed
-        # Instances with a link stay wanted even if their key is gone.
-        kept = {name: known for name, known in self._members.items() if name in self._links.up}
-        self._members = {**kept, **found}
-        self._links.set_wanted(self._members)
+                self._members[name] = listed
+                is_changed = True
+            elif name not in self._links.up:
+                # An instance with a link stays wanted even if its key is gone.
+                is_changed |= self._members.pop(name, None) is not None
+        if is_changed:
+            self._links.set_wanted(self._members)
 
     async def _keep(self) -> None:
         while True:
@@ -120,12 +127,11 @@
             await self._store.renew_lease(self._lease)
 
 
-def _member(item: store.Item) -> member.Member | None:
-    name = item.key.removeprefix(PREFIX)
+def _member(name: str, value: bytes) -> member.Member | None:
     try:
-        found = json.loads(item.value)
+        found = json.loads(value)
         host, port, hall = str(found["host"]), int(found["port"]), str(found["hall"])
     except (ValueError, KeyError, TypeError) as error:
-        _log.warning("node_key_refused", key=item.key, error=repr(error))
+        _log.warning("node_key_refused", name=name, error=repr(error))
         return None
     return member.Member(name, hall, host, port, "", False)
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -32,7 +32,7 @@
 RETRY_PAUSE = 0.025
 """Seconds before a shard is tried again when all its targets were tried: a slot gets free."""
 
-MOST_TRIES = 4
+MOST_TRIES = 5
 """Attempts at one shard in all."""
 
 HEDGE_RECHECK = 0.02
@@ -41,6 +41,9 @@
 MOST_RECHECKS = 4
 """Looks at late shards after the first."""
 
+TIMER_SLACK = 0.001
+"""Seconds that a timer may fire early by the rounding of clocks."""
+
 FLUSH_LEAD = 0.004
 """Seconds that a gatherer's first parts should be here before the hedges are decided."""
 
@@ -69,6 +72,7 @@
     running: list[_Try] = dataclasses.field(default_factory=list)
     tried: set[str] = dataclasses.field(default_factory=set)
     tries: int = 0
+    sent: int = 0
     is_hedged: bool = False
     is_waiting: bool = False
     is_given_up: bool = False
@@ -109,6 +113,8 @@
         self._rechecks = 0
         self._certainties: list[verdict.Verdict] = []
         self._hedge_at = 0.0
+        self._local_delay = 0.0
+        self._remote_delay = 0.0
 
     def start(self) -> None:
         """Send the first attempts."""
@@ -121,13 +127,16 @@
             detail = f"{reachable} of {len(self._shards)} shards have a target"
             self._finish_without(verdict.not_run(verdict.Reason.NO_REPLICA, detail))
             return
-        delay = shared.hedges.delay(self._route.name, self._route.aim)
-        self._hedge_at = now + delay
+        name, aim = self._route.name, self._route.aim
+        self._local_delay = shared.hedges.delay(name, False, aim)
+        self._remote_delay = shared.hedges.delay(name, True, aim)
+        self._hedge_at = now + self._remote_delay
         self._set_timer(self._aim_at() - now, self._on_aim)
         self._set_timer(self._call.deadline - now, self._on_deadline)
-        self._dispatch(range(len(self._shards)), is_hedge=False, is_extra=False)
+        self._dispatch(range(len(self._shards)), is_hedge=False)
         if self._on_end is not None:
-            self._set_timer(delay, self._on_hedge)
+            self._set_timer(self._local_delay, self._on_hedge)
+            self._set_timer(self._remote_delay, self._on_hedge)
             self._check()
 
     def cancel(self) -> None:
@@ -142,8 +151,11 @@
     def _set_timer(self, delay: float, call: Callable[[], None]) -> None:
         self._timers.append(self._shared.reactor.callLater(max(0.0, delay), call))
 
-    def _dispatch(self, wanted: Iterable[int], is_hedge: bool, is_extra: bool) -> None:
-        """Send attempts at shards, those for one other hall together."""
+    def _dispatch(self, wanted: Iterable[int], is_hedge: bool) -> None:
+        """Send attempts at shards, those for one other hall together.
+
+        Hedges have been paid for; any other attempt after one that was sent is paid for here.
+        """
         now = self._shared.reactor.seconds()
         remote: list[int] = []
         for index in wanted:
@@ -151,7 +163,7 @@
             state = self._choose(shard, now)
             if state is None:
                 self._on_unreachable(index)
-            elif is_extra and not self._may_spend(shard, now):
+            elif shard.sent and not is_hedge and not self._may_spend(shard, now):
                 self._on_no_budget(index)
             elif state.hall == self._shared.hall:
                 self._call_target(index, state, now, is_hedge)
@@ -171,17 +183,15 @@
 
     def _dispatch_remote(self, wanted: list[int], now: float, is_hedge: bool) -> None:
         """Send attempts to as few other halls as will do, the best covered first."""
-        left = dict.fromkeys(wanted)
+        left: dict[int, list[target_book.TargetState]] = {}
+        for index in wanted:
+            shard = self._shards[index]
+            left[index] = self._shared.book.good(shard.service, now, shard.tried)
         while left:
             by_hall: dict[str, list[tuple[int, target_book.TargetState]]] = {}
-            for index in left:
-                shard = self._shards[index]
-                for state in self._shared.book.usable(shard.service, now, shard.tried):
+            for index, states in left.items():
+                for state in states:
                     by_hall.setdefault(state.hall, []).append((index, state))
-            if not by_hall:
-                for index in left:
-                    self._on_unreachable(index)
-                return
             hall = max(by_hall, key=lambda name: self._hall_value(by_hall[name], now))
             chosen = dict(by_hall[hall])
             self._send_to_hall(hall, chosen, now, is_hedge)
@@ -259,6 +269,7 @@
         shard.running.append(attempt)
         shard.tried.add(state.id)
         shard.tries += 1
+        shard.sent += 1
         self._attempts += 1
         return attempt
 
@@ -267,6 +278,8 @@
         shard = self._shards[attempt.shard]
         shard.running.remove(attempt)
         if not end.verdict.is_ok or end.response is None:
+            if not target_calls.was_sent(end.verdict):
+                shard.sent -= 1
             self._on_failure(attempt.shard, end.verdict)
             return
         self._record(attempt)
@@ -313,7 +326,10 @@
             return
         shard.running.remove(attempt)
         self._close_query_if_over(attempt.query)
-        self._shared.book.note_failure(attempt.state, now)
+        if failure is messages.Failure.NOT_SENT:
+            shard.sent -= 1
+        else:
+            self._shared.book.note_failure(attempt.state, now)
         self._on_failure(attempt.shard, _remote_verdict(failure))
 
     def _on_gatherer_lost(self, number: int) -> None:
@@ -330,7 +346,8 @@
         if attempt.is_hedge:
             self._shared.counters.hedges_won += 1
         else:
-            self._shared.hedges.record(self._route.name, now - attempt.started)
+            is_remote = attempt.state.hall != self._shared.hall
+            self._shared.hedges.record(self._route.name, is_remote, now - attempt.started)
 
     def _take(self, part: parts.Part, done: Iterable[_Try]) -> None:
         """Use a part, and stop the other attempts at its shards."""
@@ -357,7 +374,7 @@
             shard.is_given_up = True
         else:
             self._shared.counters.retries += 1
-            self._dispatch((index,), is_hedge=False, is_extra=True)
+            self._dispatch((index,), is_hedge=False)
         self._check()
 
     def _on_unreachable(self, index: int) -> None:
@@ -379,9 +396,8 @@
         shard.is_waiting = False
         if self._on_end is None or index in self._parts.covered or shard.running:
             return
-        is_extra = shard.tries > 0
         shard.tries += 1
-        self._dispatch((index,), is_hedge=False, is_extra=is_extra)
+        self._dispatch((index,), is_hedge=False)
         self._check()
 
     def _on_no_budget(self, index: int) -> None:
@@ -393,34 +409,41 @@
         """Ask once more for the shards that are late."""
         if self._on_end is None:
             return
+        now = self._shared.reactor.seconds()
         late = [
             index
             for index, shard in enumerate(self._shards)
-            if index not in self._parts.covered and self._may_hedge(shard)
+            if index not in self._parts.covered and self._may_hedge(shard, now)
         ]
-        if late:
-            for index in late:
-                self._hedge(index)
+        for index in late:
+            self._hedge(index, now)
         hedged = [index for index in late if self._shards[index].is_hedged]
         if hedged:
             self._shared.counters.hedges += len(hedged)
-            self._dispatch(hedged, is_hedge=True, is_extra=False)
-        if self._rechecks < MOST_RECHECKS:
+            self._dispatch(hedged, is_hedge=True)
+        if self._rechecks < MOST_RECHECKS and now >= self._hedge_at:
             self._rechecks += 1
             self._set_timer(HEDGE_RECHECK, self._on_hedge)
         self._check()
 
-    def _may_hedge(self, shard: _Shard) -> bool:
-        if shard.is_hedged or len(shard.running) != 1:
+    def _may_hedge(self, shard: _Shard, now: float) -> bool:
+        if shard.is_hedged or len(shard.running) != 1 or self._route.max_attempts < 2:
             return False
-        return len(shard.running) < self._route.max_attempts
+        attempt = shard.running[0]
+        is_remote = attempt.state.hall != self._shared.hall
+        delay = self._remote_delay if is_remote else self._local_delay
+        return now >= attempt.started + delay - TIMER_SLACK
 
-    def _hedge(self, index: int) -> None:
-        """Mark a shard for a hedge if another target may be asked and an attempt is left."""
+    def _hedge(self, index: int, now: float) -> None:
+        """Mark a shard for a hedge if another target could still be in time for the answer."""
         shard = self._shards[index]
-        now = self._shared.reactor.seconds()
-        if self._choose(shard, now) is not None:
-            shard.is_hedged = self._may_spend(shard, now)
+        state = self._choose(shard, now)
+        if state is None:
+            return
+        is_enough = len(self._parts.covered) >= self._needed
+        if is_enough and now + self._shared.book.least(state) > self._aim_at():
+            return
+        shard.is_hedged = self._may_spend(shard, now)
 
     def _on_aim(self) -> None:
         self._is_late = True
@@ -537,6 +560,8 @@
 
 
 def _remote_verdict(failure: messages.Failure) -> verdict.Verdict:
+    if failure is messages.Failure.NOT_SENT:
+        return verdict.not_run(verdict.Reason.UNREACHABLE, "no target of the hall has room")
     if failure is messages.Failure.NOT_RUN:
         return verdict.not_run(verdict.Reason.OVERLOADED, "no target of the hall ran it")
     if failure is messages.Failure.RAN:
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import verdict
-from lineworks.forwarding import outcome
+from lineworks.forwarding import outcome, target_calls
 from lineworks.http1 import fields as http_fields
 from lineworks.http1 import server_connection
 from lineworks.platform import headers
@@ -20,7 +20,7 @@
     from collections.abc import Callable
 
     from lineworks.decisions import routes
-    from lineworks.forwarding import target_book, target_calls, tools
+    from lineworks.forwarding import target_book, tools
     from lineworks.http1 import client_connection
 
 ROOM_PAUSE = 0.02
@@ -86,7 +86,7 @@
         self._set_timer(self._call.deadline - now, self._on_deadline)
         self._place()
         if self._route.is_repeatable and self._route.max_attempts > 1:
-            delay = shared.hedges.delay(self._route.name, self._route.aim)
+            delay = shared.hedges.delay(self._route.name, False, self._route.aim)
             self._set_timer(delay, self._on_hedge)
 
     def cancel(self) -> None:
@@ -151,7 +151,8 @@
         if attempt.is_hedge:
             self._shared.counters.hedges_won += 1
         else:
-            self._shared.hedges.record(self._route.name, now - attempt.started)
+            is_remote = attempt.state.hall != self._shared.hall
+            self._shared.hedges.record(self._route.name, is_remote, now - attempt.started)
 
     def _go_on(self, last: verdict.Verdict) -> None:
         """After the last attempt failed: try once more, or tell the caller."""
@@ -172,6 +173,8 @@
             return False
         if not shared.book.has_any(self._service):
             return False
+        if not target_calls.was_sent(last):
+            return True
         if shared.extra.spend(self._service, now):
             return True
         shared.counters.budget_spent += 1
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -31,6 +31,9 @@
 """Seconds that a target in another hall must be faster by before it is preferred: its answer
 costs bytes between halls."""
 
+GOOD_SECONDS = 0.015
+"""Seconds that a target may be slower than the best when that saves asking another hall."""
+
 LATENCY_WEIGHT = 0.25
 """Weight of one sample in a target's average."""
 
@@ -196,6 +199,25 @@
             return able[0]
         return min(able, key=lambda state: (self.expected(state, now), self._rng.random()))
 
+    def good(self, service: str, now: float, excluded: Collection[str]) -> list[TargetState]:
+        """List the targets of a service that should answer about as fast as the best.
+
+        Args:
+            service: The service.
+            now: The present, in seconds.
+            excluded: Identities of targets that were tried.
+
+        Returns:
+            Targets within `GOOD_SECONDS` of the best one.
+        """
+        able = [(self.expected(state, now), state) for state in self.usable(service, now, excluded)]
+        best = min((seconds for seconds, _ in able), default=0.0)
+        return [state for seconds, state in able if seconds <= best + GOOD_SECONDS]
+
+    def least(self, state: TargetState) -> float:
+        """Tell how long a target takes at least, with the way there and back, in seconds."""
+        return self.service_time(state.replica.target.service) / 2 + self.round_trip(state.hall)
+
     def expected(self, state: TargetState, now: float) -> float:
         """Estimate how long a target takes to answer, with the way there and back.
 
--- a/src/lineworks/forwarding/target_calls.py
+++ b/src/lineworks/forwarding/target_calls.py
@@ -374,6 +374,18 @@
         self._pool.open -= 1
 
 
+def was_sent(found: verdict.Verdict) -> bool:
+    """Say whether a call reached its target, and so counts as an attempt there.
+
+    Args:
+        found: Verdict of the call.
+
+    Returns:
+        False when no connection could be had.
+    """
+    return found.reason not in (verdict.Reason.UNREACHABLE, verdict.Reason.CAPPED)
+
+
 def judge(response: client_connection.Response) -> verdict.Verdict:
     """Decide what an answer says of its request.
 
--- a/src/lineworks/forwarding/tools.py
+++ b/src/lineworks/forwarding/tools.py
@@ -25,34 +25,36 @@
 
 
 class HedgeTimes:
-    """Learns, for each route, when a sub-query counts as late."""
+    """Learns, for each route and way, when a sub-query counts as late."""
 
     def __init__(self) -> None:
-        self._latencies: dict[str, estimators.Quantiles] = {}
+        self._latencies: dict[tuple[str, bool], estimators.Quantiles] = {}
 
-    def record(self, route: str, seconds: float) -> None:
+    def record(self, route: str, is_remote: bool, seconds: float) -> None:
         """Add the time of a sub-query that was answered.
 
         Args:
             route: Name of the route.
+            is_remote: Whether its target stands in another data hall.
             seconds: How long it took.
         """
-        found = self._latencies.get(route)
+        found = self._latencies.get((route, is_remote))
         if found is None:
-            found = self._latencies[route] = estimators.Quantiles()
+            found = self._latencies[(route, is_remote)] = estimators.Quantiles()
         found.record(seconds)
 
-    def delay(self, route: str, aim: float) -> float:
+    def delay(self, route: str, is_remote: bool, aim: float) -> float:
         """Tell after how long a sub-query is hedged.
 
         Args:
             route: Name of the route.
+            is_remote: Whether its target stands in another data hall.
             aim: Time within which its answer is worth most, in seconds.
 
         Returns:
             Seconds.
         """
-        found = self._latencies.get(route)
+        found = self._latencies.get((route, is_remote))
         most = MOST_HEDGE_SHARE * aim
         if found is None or not found.has_samples:
             return most
--- a/src/lineworks/programs/_node_logs.py
+++ b/src/lineworks/programs/_node_logs.py
@@ -117,12 +117,12 @@
     os.set_blocking(STDOUT, False)
     writer = LineWriter(reactor)
 
-    def add_time(logger: Any, method: str, event: dict[str, Any]) -> dict[str, Any]:
+    def add_time(logger: Any, method: str, event: Any) -> Any:
         event["t"] = round(reactor.seconds(), 4)
         event["level"] = method
         return event
 
-    def render(logger: Any, method: str, event: dict[str, Any]) -> str:
+    def render(logger: Any, method: str, event: Any) -> str:
         return json.dumps(event, default=str)
 
     structlog.configure(
