--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -42,8 +42,9 @@
 MOST_RETRY_SECONDS = 1.0
 """Seconds between calls while the store fails at most: its return must be noticed soon."""
 
-PULL_SECONDS = 0.5
-"""Seconds between requests to peers for a newer configuration."""
+BEHIND_SECONDS = 1.5
+"""Seconds that a peer may be known to have a newer configuration before it is asked for it: the
+store or the hall's reader usually bring it by then, without bytes between regions."""
 
 FIRST_WAIT_SECONDS = 0.3
 """Seconds that the first look waits for this instance's own key to be written, so that of two
@@ -91,7 +92,8 @@
         self._failures = 0
         self._outage_since: float | None = None
         self._hold_until = 0.0
-        self._pulled_at = float("-inf")
+        self._ahead: str | None = None
+        self._ahead_since = 0.0
         self._spread = rng.random() * FALLBACK_SPREAD
         self._task = task.Task("directory", self._run)
         self.on_table: Callable[[routes.RouteTable], None] = lambda table: None
@@ -137,21 +139,30 @@
         self._first_look = 0.0
 
     def on_peer_version(self, peer: str, version: int) -> None:
-        """Ask a peer for its configuration if that is newer.
+        """Note the version in force at a peer; if this instance stays behind, it asks for it.
 
         Args:
             peer: The peer.
             version: Version in force there.
         """
+        if version <= self.version:
+            return
+        if self._ahead is None:
+            self._ahead_since = self._reactor.seconds()
+        self._ahead = peer
+
+    def _pull_if_behind(self) -> None:
+        """Ask a peer for what it has, when the store and the own hall did not bring it in time."""
         now = self._reactor.seconds()
-        if version > self.version and now - self._pulled_at >= PULL_SECONDS:
-            self._pulled_at = now
-            self._links.send(peer, messages.TablePull(self.version))
+        if self._ahead is not None and now - self._ahead_since >= BEHIND_SECONDS:
+            self._links.send(self._ahead, messages.TablePull(self.version))
+            self._ahead = None
 
     async def _run(self) -> None:
         while True:
             if self._is_due():
                 await self._ask()
+            self._pull_if_behind()
             if self._view.expire(self._reactor.seconds()):
                 self.on_targets()
             await task.sleep(self._reactor, TICK)
@@ -254,6 +265,7 @@
             return
         _log.info("configuration", version=table.version, before=self.version)
         self._table = table
+        self._ahead = None
         self._document = document
         self.on_table(table)
         update = messages.TableUpdate(table.version, document)
@@ -307,10 +319,14 @@
             link.send(messages.TargetUpdate(0, self._view.revision, max(0.0, self.age), document))
 
     def _on_up(self, hello: frames.Hello) -> None:
-        """Ask the first peer for everything while nothing is known."""
-        if not self.is_complete:
+        """Ask a peer for everything while nothing is known and the store does not answer."""
+        if not self.is_complete and self._failures:
             self._links.send(hello.name, messages.TablePull(0))
 
+    def _ask_peers(self) -> None:
+        for name in list(self._links.up)[:1]:
+            self._links.send(name, messages.TablePull(0))
+
     def _hold(self) -> float:
         """Tell until when missing entries prove nothing; 0 outside an outage."""
         now = self._reactor.seconds()
@@ -320,6 +336,8 @@
 
     def _on_failure(self, error: str) -> None:
         now = self._reactor.seconds()
+        if not self.is_complete:
+            self._ask_peers()
         if self._outage_since is None:
             self._outage_since = now
             _log.warning("store_lost", error=error, age=round(self.age, 3))
--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -43,6 +43,7 @@
     flush: Any = None
     timeout: Any = None
     is_flushed: bool = False
+    sent: tuple[bytes, ...] = ()
 
 
 class Gatherer:
@@ -148,9 +149,7 @@
         if job is None or job.running.pop(shard, None) is None:
             return
         if end.verdict.is_ok and end.response is not None:
-            records = parts.split_records(end.response.body)
-            kept = [record for record in records if record >= job.query.floor]
-            top = parts.greatest(kept, job.query.top)
+            top = parts.greatest(parts.split_records(end.response.body), job.query.top)
             stamp = headers.read_stamp(end.response.headers)
             job.ready.append(parts.Part(frozenset((shard,)), (stamp,), top))
         else:
@@ -183,16 +182,19 @@
             return
         shards = tuple(shard for part in ready for shard in part.shards)
         merged = parts.merge(ready, job.query.top)
+        floor = _floor(job)
+        records = [record for record in merged.records if record >= floor]
         failed = job.failed
         if is_due:
             job.ready = []
+            job.sent = parts.greatest((*job.sent, *records), job.query.top)
         job.failed = {}
         job.reply(
             messages.GatherParts(
                 job.query.number,
                 shards,
                 merged.stamps,
-                b"".join(merged.records),
+                b"".join(records),
                 tuple(failed),
                 tuple(failed.values()),
             )
@@ -212,3 +214,9 @@
         for timer in (job.flush, job.timeout):
             if timer is not None and timer.active():
                 timer.cancel()
+
+
+def _floor(job: _Job) -> bytes:
+    """Tell the least record that can still be in the answer, by what the front has already."""
+    is_full = len(job.sent) == job.query.top
+    return max(job.query.floor, job.sent[-1]) if is_full else job.query.floor
--- a/src/lineworks/forwarding/messages.py
+++ b/src/lineworks/forwarding/messages.py
@@ -68,7 +68,9 @@
     """The targets' signatures, one for each of these shards."""
 
     records: bytes
-    """The greatest records of these shards, falling, one after the other."""
+    """The greatest records of these shards, falling, one after the other. Those that can't be in
+    the answer beside the floor, or beside earlier parts of the same query, are left out; so a front
+    that can't use one part of a query can't use the later ones either."""
 
     failed: tuple[int, ...]
     """Positions of the shards that nothing is to be expected for."""
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -41,6 +41,15 @@
 MOST_RECHECKS = 4
 """Looks at late shards after the first."""
 
+HEDGE_WORK = 1.5
+"""Usual service times that a hedge is expected to take at its target."""
+
+HEDGES_IN_TIME = 2.0
+"""Hedges, one after the other, that should still be in time for the answer."""
+
+MOST_HEDGE_SHARE = 0.5
+"""Share of the aim after which a hedge is sent in any case."""
+
 TIMER_SLACK = 0.001
 """Seconds that a timer may fire early by the rounding of clocks."""
 
@@ -127,9 +136,8 @@
             detail = f"{reachable} of {len(self._shards)} shards have a target"
             self._finish_without(verdict.not_run(verdict.Reason.NO_REPLICA, detail))
             return
-        name, aim = self._route.name, self._route.aim
-        self._local_delay = shared.hedges.delay(name, False, aim)
-        self._remote_delay = shared.hedges.delay(name, True, aim)
+        self._local_delay = self._hedge_delay(False, now)
+        self._remote_delay = self._hedge_delay(True, now)
         self._hedge_at = now + self._remote_delay
         self._set_timer(self._aim_at() - now, self._on_aim)
         self._set_timer(self._call.deadline - now, self._on_deadline)
@@ -148,6 +156,21 @@
         aim = self._route.aim
         return self._arrived + aim - AIM_MARGIN - AIM_SHARE * aim
 
+    def _hedge_delay(self, is_remote: bool, now: float) -> float:
+        """Tell after how long an attempt is hedged: late, but with time for two more.
+
+        Waiting longer than a usual answer takes costs nothing while a hedge, and another try after
+        it, still come before the answer is due; and most slow attempts end by themselves.
+        """
+        shared = self._shared
+        usual = shared.hedges.delay(self._route.name, is_remote, self._route.aim)
+        work = max(shared.book.service_time(shard.service) for shard in self._shards)
+        one_hedge = shared.book.farthest + HEDGE_WORK * work
+        left = self._aim_at() - now
+        return max(
+            usual, min(MOST_HEDGE_SHARE * self._route.aim, left - HEDGES_IN_TIME * one_hedge)
+        )
+
     def _set_timer(self, delay: float, call: Callable[[], None]) -> None:
         self._timers.append(self._shared.reactor.callLater(max(0.0, delay), call))
 
@@ -355,6 +378,7 @@
             return
         if not self._parts.add(part):
             self._shared.counters.parts_dropped += 1
+            self._drop_queries_of(done)
         for attempt in done:
             if attempt.shard in self._parts.covered:
                 self._stop_tries(self._shards[attempt.shard])
@@ -362,6 +386,13 @@
                 self._on_failure(attempt.shard, _OVERLAP)
         self._check()
 
+    def _drop_queries_of(self, done: Iterable[_Try]) -> None:
+        """Give up the rest of a query whose part can't be used: later parts build on it."""
+        for number in {attempt.query for attempt in done if attempt.query}:
+            if number in self._queries:
+                self._shared.gatherers.close(number, (0,))
+                self._on_gatherer_lost(number)
+
     def _on_failure(self, index: int, found: verdict.Verdict) -> None:
         """Deal with an attempt that failed: try elsewhere, or wait for another one."""
         if self._on_end is None:
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -104,6 +104,11 @@
         self._by_service: dict[str, list[TargetState]] = {}
         self._service_times: dict[str, estimators.Average] = {}
 
+    @property
+    def farthest(self) -> float:
+        """Way to the farthest data hall and back, in seconds."""
+        return max((self.round_trip(hall) for hall in self._regions), default=SAME_HALL_SECONDS)
+
     @property
     def states(self) -> Mapping[str, TargetState]:
         """All targets by identity."""
