Take no answer that does not name its request

Cause: a surplus answer of a faulty target carries no attempt id and comes in the place of the next one due; an answer without id counted as ours. Ruled out: numbers of gatherer queries, two parts of one shard.

--- a/src/lineworks/http1/client_connection.py
+++ b/src/lineworks/http1/client_connection.py
@@ -231,10 +231,19 @@
         self._ends_with_connection = False
 
     def _is_foreign(self) -> bool:
+        """Say whether the answer belongs to another request.
+
+        An answer must carry what is expected: surplus answers of faulty servers do not, or carry
+        another value. Only a refusal of the request itself (4xx) may leave it out, since a server
+        may not have read that far.
+        """
         if self._expect is None:
             return False
         name, value = self._expect
-        return any(found == name and text != value for found, text in self._fields)
+        found = [text for field, text in self._fields if field == name]
+        if not found:
+            return not 400 <= self._parser.get_status_code() < 500
+        return any(text != value for text in found)
 
     def _note_reuse(self, status: int) -> None:
         is_early = self._has_body and status >= 300
