Prove configuration, drains, outages, stops and budgets on whole deployments

20 scenarios on a virtual clock. One failed first: an entry that came back while its removal was held up after an outage was no news to the hall's reader, so its peers still dropped the target. Links: the lower name dials first, so two instances do not drop each other's links at start.

--- a/src/lineworks/decisions/target_view.py
+++ b/src/lineworks/decisions/target_view.py
@@ -78,6 +78,14 @@
         """The entries by identity."""
         return self._entries
 
+    def certain(self) -> dict[str, TargetEntry]:
+        """List the entries that no removal is pending for.
+
+        Returns:
+            Entries by identity.
+        """
+        return {name: e for name, e in self._entries.items() if name not in self._removals}
+
     def apply(self, changes: Iterable[TargetChange], hold_until: float) -> bool:
         """Take in changes.
 
--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -220,7 +220,8 @@
             _log.info("history_gone", revision=before)
             await self._read_all(asked_at)
             return
-        known = dict(self._view.entries)
+        # An entry that came back while its removal was held up is news to the peers as well.
+        known = self._view.certain()
         entries = self._decode(found.changes)
         is_changed = self._view.apply(entries, self._hold())
         self._view.revision = max(self._view.revision, found.revision)
--- a/src/lineworks/services/peer_links.py
+++ b/src/lineworks/services/peer_links.py
@@ -39,6 +39,9 @@
 REDIAL_CAP = 2.0
 """Seconds between dials at most."""
 
+SECOND_DIAL_SECONDS = 0.2
+"""Seconds that the higher of two names leaves the dialling to the lower one: many round trips."""
+
 _NONCE_BYTES = 16
 _log = structlog.get_logger(component="peer_links")
 
@@ -250,7 +253,11 @@
         """
         self._wanted = {name: member for name, member in members.items() if name != self._name}
         for name in self._wanted:
-            self._dial_if_needed(name)
+            # Of two that learn of each other at once the lower name dials; the other one waits.
+            if self._name < name:
+                self._dial_if_needed(name)
+            else:
+                self._reactor.callLater(SECOND_DIAL_SECONDS, self._dial_if_needed, name)
 
     def send(self, name: str, frame: frames.Frame) -> bool:
         """Send a frame to a peer.
--- a/src/lineworks/standins/http_target.py
+++ b/src/lineworks/standins/http_target.py
@@ -83,6 +83,8 @@
         self.port = 8000
         self.slots = 2
         self.faults = TargetFaults()
+        self.on_arrival: Callable[[float], None] = lambda at: None
+        """Called with the time of each request that arrives, refused or not."""
         self.cancelled = 0
         """Requests whose connection was closed while they ran."""
 
@@ -159,6 +161,7 @@
         method = self._parser.get_method().decode()
         self._headers, self._url, self._body = {}, b"", b""
         attempt = headers.get("x-attempt-id", "")
+        target.on_arrival(target.host.seconds())
         if headers.get("x-expect-instance", target.name) != target.name:
             self._answer(421, attempt, b"", "X-Not-Executed: 1\r\n")
             return
--- /dev/null
+++ b/tests/test_forwarding_changes.py
@@ -0,0 +1,288 @@
+"""Configuration, targets and instances that change, under the platform's faults."""
+
+from __future__ import annotations
+
+from lineworks.standins import deployment
+from tests import test_forwarding
+
+NEW = {**test_forwarding.READ, "Name": "new", "PathPrefix": "/new/"}
+ROUTES = [test_forwarding.SEARCH, test_forwarding.READ, test_forwarding.BILL]
+IN_FORCE = 3.0
+
+
+def statuses(world, path, budget=0.5):
+    replies = {name: world.ask(name, path, budget=budget) for name in world.nodes}
+    world.run(budget)
+    return {name: reply.status for name, reply in replies.items()}
+
+
+def shelf(world, hall):
+    found = test_forwarding.targets_of(world, "shelf")
+    return next(target for target in found if target.hall == hall)
+
+
+def arrivals(world, target, since):
+    return [run for run in world.runs if run.target == target.name and run.at >= since]
+
+
+def keep_asking(world, seconds, path="/read/x"):
+    end = world.clock.seconds() + seconds
+    while world.clock.seconds() < end:
+        for name in world.nodes:
+            world.ask(name, path, budget=0.5)
+        world.run(0.05)
+
+
+def test_a_configuration_is_in_force_everywhere_in_time():
+    world = test_forwarding.build()
+    world.configure([*ROUTES, NEW])
+    world.run(IN_FORCE - 0.5)
+    assert set(statuses(world, "/new/x").values()) == {200}
+
+
+def test_a_configuration_comes_in_time_though_the_halls_readers_die():
+    world = test_forwarding.build()
+    readers = [name for name, node in world.nodes.items() if node._directory._is_reader()]
+    assert len(readers) == len(deployment.HALLS)
+    for name in readers:
+        world.host_of(name).power_off()
+    world.configure([*ROUTES, NEW])
+    world.run(IN_FORCE - 0.3)
+    alive = {name for name in world.nodes if name not in readers}
+    replies = {name: world.ask(name, "/new/x") for name in alive}
+    world.run(0.3)
+    assert {reply.status for reply in replies.values()} == {200}
+
+
+def test_an_instance_cut_from_the_store_learns_from_its_hall():
+    world = test_forwarding.build()
+    address = world.address_of("akl-1")
+    world.network.cut(address, deployment.STORE_ADDRESS)
+    world.network.cut(deployment.STORE_ADDRESS, address)
+    world.configure([*ROUTES, NEW])
+    world.run(IN_FORCE)
+    assert statuses(world, "/new/x")["akl-1"] == 200
+
+
+def test_a_hall_cut_from_the_store_learns_from_other_halls():
+    world = test_forwarding.build()
+    for name in ("akl-1", "akl-2"):
+        world.network.cut(world.address_of(name), deployment.STORE_ADDRESS)
+    world.configure([*ROUTES, NEW])
+    world.run(6.0)
+    assert set(statuses(world, "/new/x").values()) == {200}
+
+
+def test_a_version_never_steps_back():
+    world = test_forwarding.build()
+    world.configure([*ROUTES, NEW], version=9)
+    world.run(IN_FORCE)
+    world.configure(ROUTES, version=5)
+    world.run(IN_FORCE)
+    assert set(statuses(world, "/new/x").values()) == {200}
+
+
+def test_a_bad_configuration_keeps_the_last_good_one_in_force():
+    world = test_forwarding.build()
+    world.store.write("op/config", "e30=")
+    world.run(IN_FORCE)
+    assert set(statuses(world, "/read/x").values()) == {200}
+
+
+def test_calls_to_the_store_grow_with_halls():
+    world = test_forwarding.build()
+    before = sum(world.server.calls.values())
+    world.run(12.0)
+    few = sum(world.server.calls.values()) - before
+    for hall in deployment.HALLS:
+        for number in range(3, 7):
+            world.add_node(f"{hall}-{number}", hall)
+    world.run(5.0)
+    before = sum(world.server.calls.values())
+    world.run(12.0)
+    many = sum(world.server.calls.values()) - before
+    assert few <= 3 * 11
+    assert many <= few + 3
+
+
+def test_a_leaving_target_gets_nothing_new_after_the_bound():
+    world = test_forwarding.build()
+    target = shelf(world, "akl")
+    world.announce(target, "draining")
+    since = world.clock.seconds() + 3.0
+    keep_asking(world, 5.0)
+    assert arrivals(world, target, since) == []
+
+
+def test_a_target_that_leaves_while_the_history_is_lost_gets_nothing_new():
+    world = test_forwarding.build()
+    target = shelf(world, "akl")
+    world.withdraw(target)
+    world.store.forget_history()
+    since = world.clock.seconds() + 3.0
+    keep_asking(world, 5.0)
+    assert arrivals(world, target, since) == []
+
+
+def test_entries_that_lapse_in_an_outage_are_kept_until_their_targets_had_time_to_return():
+    world = test_forwarding.build()
+    world.server.faults.is_down = True
+    for target in test_forwarding.targets_of(world, "shelf"):
+        world.withdraw(target)
+    world.run(4.0)
+    world.server.faults.is_down = False
+    world.run(1.5)
+    assert set(statuses(world, "/read/x", 0.2).values()) == {200}
+    for target in test_forwarding.targets_of(world, "shelf"):
+        world.announce(target)
+    keep_asking(world, 4.0)
+    assert set(statuses(world, "/read/x").values()) == {200}
+
+
+def test_an_entry_still_missing_after_the_grace_is_gone():
+    world = test_forwarding.build()
+    world.server.faults.is_down = True
+    target = shelf(world, "akl")
+    world.withdraw(target)
+    world.run(4.0)
+    world.server.faults.is_down = False
+    since = world.clock.seconds() + 4.0
+    keep_asking(world, 6.0)
+    assert arrivals(world, target, since) == []
+
+
+def test_the_last_view_serves_through_an_outage():
+    world = test_forwarding.build()
+    world.server.faults.is_silent = True
+    world.run(20.0)
+    assert set(statuses(world, "/read/x").values()) == {200}
+    assert world.is_ready("akl-1")
+
+
+def test_an_instance_restarted_in_an_outage_gets_everything_from_a_peer():
+    world = test_forwarding.build()
+    world.host_of("akl-1").kill()
+    world.server.faults.is_down = True
+    world.run(0.5)
+    world.add_node("akl-1", "akl")
+    for peer in ("akl-2", "wlg-1"):
+        world.nodes[peer]._links.set_wanted(world.nodes[peer]._registration._members)
+    world.run(6.0)
+    assert world.is_ready("akl-1")
+    assert statuses(world, "/read/x")["akl-1"] == 200
+
+
+def test_a_new_set_of_shards_never_mixes_with_the_old_one():
+    world = test_forwarding.build()
+    fresh = [f"n{number:02d}" for number in range(8)]
+    for number, shard in enumerate(fresh):
+        for hall in [h for place, h in enumerate(deployment.HALLS) if place != number % 3]:
+            world.add_target(shard, hall)
+    replies = []
+    world.configure([{**test_forwarding.SEARCH, "Fanout": fresh}, *ROUTES[1:]])
+    for _ in range(80):
+        replies += [world.ask(name, "/search/q") for name in world.nodes]
+        world.run(0.05)
+    world.run(2.0)
+    seen = set()
+    for reply in replies:
+        assert reply.status == 200
+        stamps = reply.headers["x-part-stamps"].split(", ")
+        services = {stamp.split(".")[0] for stamp in stamps}
+        missing = int(reply.headers["x-parts-missing"])
+        assert services <= set(fresh) or services <= set(test_forwarding.SHARDS)
+        total = len(fresh) if services <= set(fresh) else len(test_forwarding.SHARDS)
+        assert len(services) + missing == total
+        seen.add(total)
+    assert seen == {8, 12}
+
+
+def test_a_planned_stop_cuts_no_request_and_ends_in_time():
+    world = test_forwarding.build(work=lambda: 0.25)
+    node = world.nodes["akl-1"]
+    replies = [world.ask("akl-1", "/read/x") for _ in range(4)]
+    world.run(0.1)
+    node.stop()
+    assert not world.is_ready("akl-1")
+    for _ in range(20):
+        replies.append(world.ask("akl-1", "/read/x"))
+        world.run(0.1)
+    world.run(2.0)
+    assert {reply.status for reply in replies} == {200}
+    assert all(reply.headers.get("connection") == "close" for reply in replies)
+    assert world.host_of("akl-1").is_stopped
+
+
+def test_a_stop_waits_for_requests_of_other_fronts():
+    world = test_forwarding.build(work=lambda: 0.15)
+    replies = []
+    for name in ("wlg-1", "wlg-2"):
+        world.nodes[name].stop()
+    for _ in range(20):
+        replies += [world.ask("akl-1", "/search/q", attempt=f"s{len(replies)}")]
+        world.run(0.1)
+    world.run(5.0)
+    for number, reply in enumerate(replies):
+        test_forwarding.check_search(world, reply, f"s{number}")
+
+
+def test_a_caller_that_leaves_is_cancelled_at_the_targets():
+    world = test_forwarding.build(work=lambda: 1.5)
+    world.ask("akl-1", "/read/x", attempt="r1")
+    world.ask("akl-1", "/search/q", attempt="q1")
+    world.run(0.1)
+    begun = {run.target for run in world.runs_of("r1") + world.runs_of("q1")}
+    world.network.host("10.250.0.1").kill()
+    world.run(0.4)
+    cancelled = {name for name, target in world.targets.items() if target.cancelled}
+    assert cancelled == begun
+
+
+def test_an_unrepeatable_run_is_not_broken_off_when_its_caller_leaves():
+    world = test_forwarding.build(work=lambda: 1.0)
+    world.ask("akl-1", "/bill/x", "POST", b"note", attempt="b1")
+    world.run(0.1)
+    world.network.host("10.250.0.1").kill()
+    world.run(2.0)
+    assert len(world.runs_of("b1")) == 1
+    assert sum(target.cancelled for target in world.targets.values()) == 0
+
+
+def test_extra_attempts_stay_within_the_budget_of_all_instances():
+    world = test_forwarding.build()
+    for target in test_forwarding.targets_of(world, "shelf"):
+        target.faults.sheds = target.hall != "chc"
+    asked = 0
+    arrived = []
+    original = {t.name: t for t in test_forwarding.targets_of(world, "shelf")}
+    for target in original.values():
+        target.on_arrival = arrived.append
+    for _ in range(300):
+        for name in world.nodes:
+            world.ask(name, "/read/x", budget=0.5)
+            asked += 1
+        world.run(0.05)
+    world.run(1.0)
+    window = 10.0
+    times = sorted(arrived)
+    for start in times[:: max(1, len(times) // 50)]:
+        inside = sum(1 for at in times if start <= at < start + window)
+        requests = asked * window / 15.0
+        assert inside <= requests * 1.2 + 54
+
+
+def test_a_frozen_instance_is_passed_over_and_comes_back():
+    world = test_forwarding.build()
+    frozen = [world.host_of(name) for name in ("wlg-1", "wlg-2")]
+    for host in frozen:
+        host.freeze()
+    replies = {}
+    for number in range(40):
+        replies[f"q{number}"] = world.ask("akl-1", "/search/q", attempt=f"q{number}")
+        world.run(0.1)
+    for host in frozen:
+        host.wake()
+    world.run(3.0)
+    for attempt, reply in replies.items():
+        test_forwarding.check_search(world, reply, attempt)
+    assert set(statuses(world, "/search/q").values()) == {200}
