Frames of a link share a compression history; searches wait for room; starts hold requests

Bytes between regions were the largest price. A search that can't reach enough shards waits up to a fifth of its aim for room and is then refused as not run, loading no target. A start reads the store at once and holds requests for up to 80 ms until the configuration is there. Hedges leave a quarter of the extra attempts to retries.

--- a/src/lineworks/decisions/extra_attempts.py
+++ b/src/lineworks/decisions/extra_attempts.py
@@ -12,15 +12,20 @@
 BUCKETS = 20
 """Pieces that the window is counted in."""
 
-SLACK_IN_USE = 0.4
+SLACK_IN_USE = 0.45
 """Part of the fixed number that is used. The rest is left for instances that restarted within the
 window and forgot what they had spent, and for instances that are not known yet."""
 
-SHARE_IN_USE = 0.9
+SHARE_IN_USE = 0.95
 """Part of the allowed share that is used, because requests and attempts near the edge of a window
 may be counted on different sides of it."""
 
 
+KEPT_FROM_HEDGES = 0.25
+"""Part of the allowance that hedges leave for retries: an attempt after a failed one is worth more
+than a second one beside a slow one."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Allowance:
     """What all instances together may spend on one service."""
@@ -79,18 +84,19 @@
         counts = self._counts(service, now)
         counts.requests[counts.epoch % (BUCKETS + 1)] += 1
 
-    def spend(self, service: str, now: float) -> bool:
+    def spend(self, service: str, now: float, kept: float = 0.0) -> bool:
         """Take one extra attempt, if one is left.
 
         Args:
             service: The service.
             now: The present, in seconds.
+            kept: Part of the allowance (0 to 1) that is left for others.
 
         Returns:
             Whether it may be sent.
         """
         counts = self._counts(service, now)
-        if sum(counts.extras) + 1 > self._limit(counts):
+        if sum(counts.extras) + 1 > self._limit(counts) * (1.0 - kept):
             return False
         counts.extras[counts.epoch % (BUCKETS + 1)] += 1
         return True
--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -46,10 +46,6 @@
 """Seconds that a peer may be known to have a newer configuration before it is asked for it: the
 store or the hall's reader usually bring it by then, without bytes between regions."""
 
-FIRST_WAIT_SECONDS = 0.3
-"""Seconds that the first look waits for this instance's own key to be written, so that of two
-instances which start together one finds the other."""
-
 _ANY = ""
 _log = structlog.get_logger(component="directory")
 
@@ -88,7 +84,6 @@
         self._has_targets = False
         self._fresh_at = float("-inf")
         self._next_call = 0.0
-        self._first_look = 0.0
         self._failures = 0
         self._outage_since: float | None = None
         self._hold_until = 0.0
@@ -127,17 +122,12 @@
 
     def start(self) -> None:
         """Begin to ask the store."""
-        self._first_look = self._reactor.seconds() + FIRST_WAIT_SECONDS
         self._task.start()
 
     def stop(self) -> None:
         """Stop asking."""
         self._task.stop()
 
-    def on_registered(self) -> None:
-        """Note that this instance's key is written, so that the first look need not wait."""
-        self._first_look = 0.0
-
     def on_peer_version(self, peer: str, version: int) -> None:
         """Note the version in force at a peer; if this instance stays behind, it asks for it.
 
@@ -168,7 +158,7 @@
             await task.sleep(self._reactor, TICK)
 
     def _is_due(self) -> bool:
-        if self._reactor.seconds() < max(self._next_call, self._first_look):
+        if self._reactor.seconds() < self._next_call:
             return False
         if not self.is_complete:
             return True
--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -5,7 +5,7 @@
 import functools
 from typing import TYPE_CHECKING
 
-from lineworks.decisions import deadlines, routes, verdict
+from lineworks.decisions import deadlines, estimators, routes, verdict
 from lineworks.forwarding import outcome, search, single, target_calls
 from lineworks.http1 import fields as http_fields
 from lineworks.http1 import server_connection
@@ -16,6 +16,16 @@
 
     from lineworks.forwarding import request_log, tools
 
+TABLE_WAIT_SECONDS = 0.08
+"""Seconds that a request is held while no configuration is known: after a start it usually comes
+within that time, and a refusal after it is still early."""
+
+REFUSAL_WEIGHT = 0.1
+"""Weight of one request in the share of those that found no target."""
+
+MOSTLY = 0.5
+"""Share of requests without a target above which most are."""
+
 _BODY_METHODS = frozenset((b"POST", b"PUT", b"PATCH"))
 _DROPPED = frozenset((headers.BUDGET, headers.EXPECT))
 
@@ -35,12 +45,19 @@
         self._table: routes.RouteTable | None = None
         self._turns = routes.WeightedTurns()
         self._open = 0
+        self._waiting: list[Callable[[], None]] = []
+        self._refused = estimators.Average(REFUSAL_WEIGHT)
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is under way."""
         return self._open == 0
 
+    @property
+    def is_mostly_refusing(self) -> bool:
+        """Whether most requests lately found no target."""
+        return self._refused.value > MOSTLY
+
     @property
     def table(self) -> routes.RouteTable | None:
         """The configuration in force."""
@@ -54,6 +71,9 @@
         """
         self._table = table
         self._turns.forget_absent(table.routes)
+        waiting, self._waiting = self._waiting, []
+        for go_on in waiting:
+            go_on()
 
     def limits(self) -> server_connection.Limits:
         """Tell what callers may send."""
@@ -81,9 +101,7 @@
         """
         table = self._table
         if table is None:
-            found = verdict.not_run(verdict.Reason.NOT_READY, "no configuration yet")
-            self._answer_at_once(request, answer, outcome.refuse(found))
-            return None
+            return self._wait_for_table(request, answer)
         host = request.header(b"host")
         attempt = request.header(headers.ATTEMPT)
         if host is None or attempt is None or not request.target.startswith(b"/"):
@@ -96,6 +114,42 @@
             return None
         return self._forward(request, answer, table, route, attempt)
 
+    def _wait_for_table(
+        self,
+        request: server_connection.Request,
+        answer: Callable[[server_connection.Answer], None],
+    ) -> Callable[[], None]:
+        """Hold a request for a moment while the configuration is on its way after a start."""
+        cancel: Callable[[], None] | None = None
+        is_over = False
+
+        def go_on() -> None:
+            nonlocal cancel, is_over
+            if not is_over:
+                is_over = True
+                timer.cancel()
+                cancel = self.on_request(request, answer)
+
+        def give_up() -> None:
+            nonlocal is_over
+            is_over = True
+            self._waiting.remove(go_on)
+            found = verdict.not_run(verdict.Reason.NOT_READY, "no configuration yet")
+            self._answer_at_once(request, answer, outcome.refuse(found))
+
+        def stop() -> None:
+            nonlocal is_over
+            if cancel is not None:
+                cancel()
+            elif not is_over:
+                is_over = True
+                timer.cancel()
+                self._waiting.remove(go_on)
+
+        timer = self._shared.reactor.callLater(TABLE_WAIT_SECONDS, give_up)
+        self._waiting.append(go_on)
+        return stop
+
     def _forward(
         self,
         request: server_connection.Request,
@@ -117,6 +171,8 @@
 
         def on_end(found: outcome.Outcome) -> None:
             self._open -= 1
+            is_refused = found.verdict.reason is verdict.Reason.NO_REPLICA
+            self._refused.record(1.0 if is_refused else 0.0)
             self._log.on_end(request, attempt, route, table.version, found)
             answer(found.answer)
 
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -44,6 +44,10 @@
 STOP_MARGIN = 0.4
 """Seconds before the platform kills the process at which it ends in any case."""
 
+BLIND_SECONDS = 3.0
+"""Age of the targets' view after which an instance that refuses most requests for lack of targets
+counts as not ready: it is cut off, and others may know better."""
+
 STOP_CHECK = 0.05
 """Seconds between looks for requests under way while the process stops."""
 
@@ -103,7 +107,7 @@
         )
         self._front = front.Front(shared, request_log.RequestLog(reactor, self._metrics))
         self._callers = server_connection.Server(
-            reactor, self._front.limits, self._front.on_request, lambda: self._is_stopping
+            reactor, self._front.limits, self._front.on_request, self._is_closing
         )
         self._kernel = registry.Kernel()
         self._connect()
@@ -111,7 +115,14 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send new connections."""
-        return self._directory.is_complete and not self._is_stopping
+        if self._is_stopping or not self._directory.is_complete:
+            return False
+        is_blind = self._directory.age > BLIND_SECONDS
+        return not (is_blind and self._front.is_mostly_refusing)
+
+    def _is_closing(self) -> bool:
+        """Say whether callers should open their next connection elsewhere."""
+        return self._is_stopping or (self._directory.is_complete and not self.is_ready)
 
     async def start(self) -> None:
         """Open the sockets and start all services.
@@ -144,7 +155,6 @@
         self._directory.on_table = self._on_table
         self._directory.on_targets = self._on_targets
         self._directory.on_instances = self._registration.on_changes
-        self._registration.on_registered = self._directory.on_registered
         links = self._links
         links.handle(messages.GatherQuery, self._on_query)
         links.handle(messages.GatherCancel, self._on_cancel)
--- a/src/lineworks/forwarding/registration.py
+++ b/src/lineworks/forwarding/registration.py
@@ -1,8 +1,8 @@
 """Tells the other instances where this one is, through the platform's store.
 
-Every instance keeps one key under a lease and dials all that are listed. The list comes with what
-the directory reads from the store anyway; an instance registers before it reads for the first
-time, so of two that start together at least one finds the other.
+Every instance keeps one key under a lease and dials all that are listed. The first list comes with
+what the directory reads from the store anyway; one more is read after the own key is written, so
+that of two instances which start together at least one finds the other.
 The key only helps to find each other: whether an instance is alive is shown by its links, so a key
 that is late, gone or wrong decides nothing.
 """
@@ -36,6 +36,10 @@
 RETRY_SECONDS = 1.0
 """Seconds between tries while the store fails."""
 
+SECOND_LOOK_SECONDS = 0.8
+"""Seconds after the registration at which the list is read: instances that start together have
+registered by then."""
+
 _log = structlog.get_logger(component="registration")
 
 
@@ -66,7 +70,6 @@
         self._jitter = jitter
         self._lease = 0
         self._members: dict[str, member.Member] = {}
-        self.on_registered: Callable[[], None] = lambda: None
         self._task = task.Task("registration", self._run)
 
     @property
@@ -86,6 +89,11 @@
         while True:
             try:
                 await self._register()
+                await task.sleep(self._reactor, SECOND_LOOK_SECONDS)
+                listing = await self._store.list_items(PREFIX)
+                self.on_changes(
+                    [store.Change(item.key, item.revision, item.value) for item in listing.items]
+                )
                 await self._keep()
             except store.StoreError as error:
                 _log.warning("registration_failed", error=str(error))
@@ -98,7 +106,6 @@
         self._lease = await self._store.grant_lease(LEASE_SECONDS)
         value = json.dumps(document).encode()
         await self._store.transact([store.Write(PREFIX + mine.name, value, self._lease)])
-        self.on_registered()
 
     def on_changes(self, changes: Iterable[store.Change]) -> None:
         """Take in keys of instances that were written or removed.
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -12,7 +12,7 @@
 import functools
 from typing import TYPE_CHECKING, Any
 
-from lineworks.decisions import parts, verdict
+from lineworks.decisions import extra_attempts, parts, verdict
 from lineworks.forwarding import messages, outcome, target_calls
 from lineworks.http1 import server_connection
 from lineworks.platform import headers
@@ -29,6 +29,13 @@
 AIM_MARGIN = 0.008
 """Seconds that are kept besides, for a caller's new connection."""
 
+WAIT_SHARE = 0.2
+"""Share of the aim that a search waits for targets with room before it is refused: a refusal within
+a quarter of the aim leaves time for another try."""
+
+ROOM_PAUSE = 0.01
+"""Seconds between looks for targets with room."""
+
 RETRY_PAUSE = 0.025
 """Seconds before a shard is tried again when all its targets were tried: a slot gets free."""
 
@@ -131,22 +138,39 @@
         now = shared.reactor.seconds()
         for shard in self._shards:
             shared.extra.note_request(shard.service, now)
-        reachable = sum(1 for shard in self._shards if shared.book.has_any(shard.service))
-        if reachable < self._needed:
-            detail = f"{reachable} of {len(self._shards)} shards have a target"
-            self._finish_without(verdict.not_run(verdict.Reason.NO_REPLICA, detail))
+        self._set_timer(self._call.deadline - now, self._on_deadline)
+        self._begin()
+
+    def _begin(self) -> None:
+        """Send the first attempts once enough shards have a target with room, or refuse."""
+        if self._on_end is None:
+            return
+        shared = self._shared
+        now = shared.reactor.seconds()
+        open_shards = sum(1 for shard in self._shards if self._choose(shard, now) is not None)
+        if open_shards < self._needed:
+            self._wait_or_refuse(open_shards, now)
             return
         self._local_delay = self._hedge_delay(False, now)
         self._remote_delay = self._hedge_delay(True, now)
         self._hedge_at = now + self._remote_delay
         self._set_timer(self._aim_at() - now, self._on_aim)
-        self._set_timer(self._call.deadline - now, self._on_deadline)
         self._dispatch(range(len(self._shards)), is_hedge=False)
         if self._on_end is not None:
             self._set_timer(self._local_delay, self._on_hedge)
             self._set_timer(self._remote_delay, self._on_hedge)
             self._check()
 
+    def _wait_or_refuse(self, open_shards: int, now: float) -> None:
+        """Wait a little for targets with room; a search that can't succeed loads no target."""
+        reachable = sum(1 for shard in self._shards if self._shared.book.has_any(shard.service))
+        last = self._arrived + WAIT_SHARE * self._route.aim - ROOM_PAUSE
+        if reachable >= self._needed and now < min(last, self._call.deadline):
+            self._set_timer(ROOM_PAUSE, self._begin)
+            return
+        detail = f"{open_shards} of {len(self._shards)} shards have a target with room"
+        self._finish_without(verdict.not_run(verdict.Reason.NO_REPLICA, detail))
+
     def cancel(self) -> None:
         """Give the search up, because its caller has gone."""
         self._on_end = None
@@ -198,8 +222,8 @@
     def _choose(self, shard: _Shard, now: float) -> target_book.TargetState | None:
         return self._shared.book.choose(shard.service, now, shard.tried)
 
-    def _may_spend(self, shard: _Shard, now: float) -> bool:
-        if self._shared.extra.spend(shard.service, now):
+    def _may_spend(self, shard: _Shard, now: float, kept: float = 0.0) -> bool:
+        if self._shared.extra.spend(shard.service, now, kept):
             return True
         self._shared.counters.budget_spent += 1
         return False
@@ -474,7 +498,7 @@
         is_enough = len(self._parts.covered) >= self._needed
         if is_enough and now + self._shared.book.least(state) > self._aim_at():
             return
-        shard.is_hedged = self._may_spend(shard, now)
+        shard.is_hedged = self._may_spend(shard, now, extra_attempts.KEPT_FROM_HEDGES)
 
     def _on_aim(self) -> None:
         self._is_late = True
--- a/src/lineworks/services/peer_links.py
+++ b/src/lineworks/services/peer_links.py
@@ -17,7 +17,7 @@
 from twisted.internet import protocol
 from twisted.protocols import basic
 
-from lineworks.wire import codec, frames
+from lineworks.wire import codec, deflate, frames
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -79,6 +79,8 @@
         self._links = links
         self.is_dialler = is_dialler
         self._nonce = os.urandom(_NONCE_BYTES)
+        self._deflater = deflate.Deflater()
+        self._inflater = deflate.Inflater(codec.MAX_FRAME)
         self._is_dead = False
         self.hello: frames.Hello | None = None
         self.heard_at = 0.0
@@ -95,7 +97,7 @@
         Args:
             frame: The frame.
         """
-        self.sendString(codec.encode(frame, self._links.now))
+        self.sendString(self._deflater.deflate(codec.encode(frame, self._links.now)))
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Take in one frame.
@@ -107,7 +109,7 @@
             return
         self.heard_at = self._links.now
         try:
-            frame = codec.decode(string, self.heard_at)
+            frame = codec.decode(self._inflater.inflate(string), self.heard_at)
         except codec.MalformedFrameError as error:
             self.close(f"malformed frame: {error}")
             return
