--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,71 @@
+"""Parts of a search: the greatest records, and no shard twice."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lineworks.decisions import parts
+
+RECORDS = st.lists(st.binary(min_size=16, max_size=16), max_size=12)
+
+
+def part(shards, records, top=5):
+    return parts.Part(
+        frozenset(shards), tuple(f"s{n}" for n in shards), parts.greatest(records, top)
+    )
+
+
+@given(st.lists(RECORDS, min_size=1, max_size=6), st.integers(1, 9), st.randoms())
+def test_merging_in_any_grouping_keeps_the_greatest(bodies, top, rng):
+    singles = [part([number], body, top) for number, body in enumerate(bodies)]
+    cut = rng.randint(0, len(singles))
+    found = parts.PartSet(len(singles), top)
+    for group in (singles[:cut], singles[cut:]):
+        if group:
+            assert found.add(parts.merge(group, top))
+    everything = sorted((record for body in bodies for record in body), reverse=True)
+    assert list(found.merged().records) == everything[:top]
+    assert found.missing == 0
+
+
+def test_equal_records_all_count():
+    same = b"x" * 16
+    assert parts.greatest([same, same, same], 2) == (same, same)
+
+
+def test_a_remainder_is_no_record():
+    assert parts.split_records(b"a" * 16 + b"b" * 15) == [b"a" * 16]
+
+
+def test_a_shard_never_enters_twice():
+    found = parts.PartSet(4, 5)
+    assert found.add(part([0], [b"a" * 16]))
+    assert found.add(part([1, 2], [b"b" * 16]))
+    assert not found.add(part([2, 3], [b"c" * 16]))
+    assert found.covered == {0, 1, 2}
+    assert found.merged().stamps == ("s0", "s1", "s2")
+
+
+def test_a_merged_result_takes_the_place_of_the_hedges_made_for_it():
+    found = parts.PartSet(4, 5)
+    found.add(part([1], [b"a" * 16]))
+    found.add(part([3], [b"d" * 16]))
+    assert found.add(part([1, 2], [b"b" * 16]))
+    assert sorted(found.merged().stamps) == ["s1", "s2", "s3"]
+    assert b"a" * 16 not in found.merged().records
+
+
+def test_the_floor_is_the_last_record_of_a_full_answer():
+    found = parts.PartSet(3, 2)
+    found.add(part([0], [b"c" * 16], 2))
+    assert found.floor() == b""
+    found.add(part([1], [b"a" * 16, b"b" * 16], 2))
+    assert found.floor() == b"b" * 16
+
+
+def test_the_least_share_is_rounded_up():
+    assert parts.needed(20, 0.89) == 18
+    assert parts.needed(20, 0.75) == 15
+    assert parts.needed(30, 0.89) == 27
+    assert parts.needed(3, 0.0) == 1
--- /dev/null
+++ b/tests/test_steady_reactor.py
@@ -0,0 +1,35 @@
+"""Timers follow the steady clock, whatever the time of day does."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+from twisted.internet import epollreactor
+
+from lineworks.kernel import steady_reactor
+
+
+def test_the_default_reactor_counts_by_the_time_of_day():
+    # This is why the product has a reactor of its own.
+    reactor = epollreactor.EPollReactor()
+    assert reactor.seconds() == pytest.approx(time.time(), abs=5)
+    assert time.time() - time.monotonic() > 1000
+
+
+@pytest.mark.parametrize("jump", [-30.0, 30.0])
+def test_a_jump_of_the_time_of_day_moves_no_timer(jump, monkeypatch):
+    steady, of_day = [5000.0], [1_000_000.0]
+    monkeypatch.setattr(time, "monotonic", lambda: steady[0])
+    monkeypatch.setattr(time, "time", lambda: of_day[0])
+    reactor = steady_reactor.SteadyReactor()
+    called = []
+    reactor.callLater(1.0, called.append, "due")
+    of_day[0] += jump
+    steady[0] += 0.75
+    assert reactor.timeout() == pytest.approx(0.25)
+    reactor.runUntilCurrent()
+    assert called == []
+    steady[0] += 0.25
+    reactor.runUntilCurrent()
+    assert called == ["due"]
