--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -46,6 +46,8 @@
         self._turns = routes.WeightedTurns()
         self._open = 0
         self._waiting: list[Callable[[], None]] = []
+        self.view_age: Callable[[], float] = lambda: 0.0
+        """Tells the age of what is known of the targets, in seconds."""
         self._refused = estimators.Average(REFUSAL_WEIGHT)
 
     @property
@@ -173,7 +175,7 @@
             self._open -= 1
             is_refused = found.verdict.reason is verdict.Reason.NO_REPLICA
             self._refused.record(1.0 if is_refused else 0.0)
-            self._log.on_end(request, attempt, route, table.version, found)
+            self._log.on_end(request, attempt, route, table.version, found, self.view_age())
             answer(found.answer)
 
         work: search.Search | single.SingleRequest
@@ -203,7 +205,7 @@
         found: outcome.Outcome,
     ) -> None:
         attempt = request.header(headers.ATTEMPT) or b""
-        self._log.on_end(request, attempt, None, 0, found)
+        self._log.on_end(request, attempt, None, 0, found, self.view_age())
         answer(found.answer)
 
 
--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -13,6 +13,7 @@
 
 from lineworks.decisions import parts, verdict
 from lineworks.forwarding import messages, target_calls
+from lineworks.kernel import bounded_log
 from lineworks.platform import headers
 
 if TYPE_CHECKING:
@@ -23,6 +24,9 @@
 COALESCE_SECONDS = 0.003
 """Seconds that a late part waits for others before it travels."""
 
+FAILURES_PER_SECOND = 10.0
+"""Log lines a second for attempts that failed."""
+
 _FAILURES = {
     verdict.Certainty.NOT_RUN: messages.Failure.NOT_RUN,
     verdict.Certainty.MAY_HAVE_RUN: messages.Failure.MAY_HAVE_RUN,
@@ -69,6 +73,7 @@
         self._book = book
         self._calls = calls
         self._jobs: dict[tuple[str, int], _Job] = {}
+        self._log = bounded_log.BoundedLog(reactor, "gatherer", FAILURES_PER_SECOND)
 
     @property
     def is_idle(self) -> bool:
@@ -156,6 +161,14 @@
             is_sent = target_calls.was_sent(end.verdict)
             failure = _FAILURES[end.verdict.certainty] if is_sent else messages.Failure.NOT_SENT
             job.failed[shard] = failure
+            self._log.info(
+                "gather_failed",
+                id=job.query.attempt.decode("latin-1"),
+                service=job.query.services[shard],
+                certainty=end.verdict.certainty.value,
+                reason=end.verdict.reason.value,
+                detail=end.verdict.detail,
+            )
         if not job.running:
             self._finish(key)
         elif job.failed:
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -48,6 +48,12 @@
 """Age of the targets' view after which an instance that refuses most requests for lack of targets
 counts as not ready: it is cut off, and others may know better."""
 
+MOST_NAMED = 8
+"""Targets that a log line names at most."""
+
+NEVER_AGE = 1e9
+"""Age, in seconds, that stands for never, since JSON has no infinity."""
+
 STOP_CHECK = 0.05
 """Seconds between looks for requests under way while the process stops."""
 
@@ -152,6 +158,7 @@
 
     def _connect(self) -> None:
         """Tie the services together."""
+        self._front.view_age = lambda: min(NEVER_AGE, self._directory.age)
         self._directory.on_table = self._on_table
         self._directory.on_targets = self._on_targets
         self._directory.on_instances = self._registration.on_changes
@@ -197,8 +204,18 @@
     def _on_targets(self) -> None:
         table = self._front.table
         services = table.services if table is not None else {}
-        for state in self._book.update(self._directory.entries, services):
+        change = self._book.update(self._directory.entries, services)
+        for state in change.gone:
             self._calls.forget(state.id)
+        age = round(min(NEVER_AGE, self._directory.age), 3)
+        for kind, states in (
+            ("target_added", change.added),
+            ("target_leaving", change.leaving),
+            ("target_gone", change.gone),
+        ):
+            if states:
+                named = [f"{state.replica.target.service}/{state.id}" for state in states]
+                _log.info(kind, count=len(named), targets=named[:MOST_NAMED], view_age=age)
 
     def _on_query(self, link: Any, query: messages.GatherQuery) -> None:
         self._gatherer.on_query(link.hello.incarnation, query, link.send)
@@ -238,7 +255,7 @@
             "lineworks_store_calls": dict(self._store.calls),
             "lineworks_configuration": {
                 "version": float(self._directory.version),
-                "age_seconds": min(1e9, self._directory.age),
+                "age_seconds": min(NEVER_AGE, self._directory.age),
             },
             "lineworks_connections": {
                 "callers": float(len(self._callers.connections)),
--- a/src/lineworks/forwarding/outcome.py
+++ b/src/lineworks/forwarding/outcome.py
@@ -30,6 +30,15 @@
     total: int = 0
     """Shards of a search."""
 
+    hedges: int = 0
+    """Attempts among them that were made beside slow ones."""
+
+    missing: tuple[str, ...] = ()
+    """For each shard that is not in, its service and what it waited for."""
+
+    failures: tuple[str, ...] = ()
+    """Attempts that failed, each with its target or service and why."""
+
     target: str = ""
     """The target that answered, or the last one tried."""
 
--- a/src/lineworks/forwarding/request_log.py
+++ b/src/lineworks/forwarding/request_log.py
@@ -7,9 +7,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-import structlog
-
-from lineworks.decisions import estimators
+from lineworks.kernel import bounded_log
 
 if TYPE_CHECKING:
     from lineworks.decisions import routes
@@ -19,11 +17,12 @@
 BAD_PER_SECOND = 40.0
 """Lines a second for requests that failed, were refused, late or answered in part."""
 
+MOST_NAMED = 6
+"""Missing shards, and failed attempts, that a line names at most."""
+
 GOOD_PER_SECOND = 0.5
 """Lines a second for all others: enough to compare with."""
 
-_log = structlog.get_logger(component="front")
-
 
 class RequestLog:
     """Logs and counts the requests of one front."""
@@ -37,13 +36,8 @@
         """
         self._reactor = reactor
         self._counts = counts
-        self._buckets = {
-            "bad": estimators.Budget(2 * BAD_PER_SECOND),
-            "good": estimators.Budget(2.0),
-        }
-        self._rates = {"bad": BAD_PER_SECOND, "good": GOOD_PER_SECOND}
-        self._left_out = {"bad": 0, "good": 0}
-        self._refilled_at = reactor.seconds()
+        self._bad = bounded_log.BoundedLog(reactor, "front", BAD_PER_SECOND)
+        self._good = bounded_log.BoundedLog(reactor, "front", GOOD_PER_SECOND)
 
     def on_end(
         self,
@@ -52,6 +46,7 @@
         route: routes.Route | None,
         version: int,
         found: outcome.Outcome,
+        view_age: float,
     ) -> None:
         """Note the end of a request.
 
@@ -61,15 +56,15 @@
             route: The route, if one was found.
             version: Version of the configuration that it ran under; 0 for none.
             found: How it ended.
+            view_age: Age of what is known of the targets, in seconds.
         """
         seconds = self._reactor.seconds() - request.arrived
         is_late = route is not None and seconds > route.aim
         is_partial = found.covered < found.total
         self._counts.on_end(route, found, seconds)
         is_good = found.answer.status == 200 and not is_late and not is_partial
-        if not self._may_write("good" if is_good else "bad"):
-            return
-        _log.info(
+        log = self._good if is_good else self._bad
+        log.info(
             "request",
             id=attempt.decode("latin-1"),
             route=route.name if route is not None else None,
@@ -83,7 +78,11 @@
             attempts=found.attempts,
             covered=found.covered,
             total=found.total,
+            hedges=found.hedges,
+            missing=found.missing[:MOST_NAMED],
+            failures=found.failures[:MOST_NAMED],
             target=found.target,
+            view_age=round(view_age, 3),
         )
 
     def on_caller_gone(
@@ -97,26 +96,10 @@
             route: The route.
         """
         self._counts.on_caller_gone(route)
-        if self._may_write("bad"):
-            seconds = self._reactor.seconds() - request.arrived
-            _log.info(
-                "caller_gone",
-                id=attempt.decode("latin-1"),
-                route=route.name,
-                ms=round(seconds * 1000, 1),
-            )
-
-    def _may_write(self, kind: str) -> bool:
-        now = self._reactor.seconds()
-        elapsed = now - self._refilled_at
-        if elapsed >= 1.0:
-            self._refilled_at = now
-            for name, bucket in self._buckets.items():
-                bucket.earn(elapsed * self._rates[name])
-            if self._left_out["bad"]:
-                _log.warning("lines_left_out", count=self._left_out["bad"])
-                self._left_out["bad"] = 0
-        if self._buckets[kind].spend():
-            return True
-        self._left_out[kind] += 1
-        return False
+        seconds = self._reactor.seconds() - request.arrived
+        self._bad.info(
+            "caller_gone",
+            id=attempt.decode("latin-1"),
+            route=route.name,
+            ms=round(seconds * 1000, 1),
+        )
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -18,7 +18,7 @@
 from lineworks.platform import headers
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Sequence
+    from collections.abc import Callable, Iterable, Mapping, Sequence
 
     from lineworks.decisions import routes
     from lineworks.forwarding import target_book, tools
@@ -126,8 +126,10 @@
         self._timers: list[Any] = []
         self._is_late = False
         self._attempts = 0
+        self._hedges = 0
         self._rechecks = 0
         self._certainties: list[verdict.Verdict] = []
+        self._failures: list[str] = []
         self._hedge_at = 0.0
         self._local_delay = 0.0
         self._remote_delay = 0.0
@@ -147,7 +149,8 @@
             return
         shared = self._shared
         now = shared.reactor.seconds()
-        open_shards = sum(1 for shard in self._shards if self._choose(shard, now) is not None)
+        chosen = {index: self._choose(shard, now) for index, shard in enumerate(self._shards)}
+        open_shards = sum(1 for state in chosen.values() if state is not None)
         if open_shards < self._needed:
             self._wait_or_refuse(open_shards, now)
             return
@@ -155,7 +158,7 @@
         self._remote_delay = self._hedge_delay(True, now)
         self._hedge_at = now + self._remote_delay
         self._set_timer(self._aim_at() - now, self._on_aim)
-        self._dispatch(range(len(self._shards)), is_hedge=False)
+        self._dispatch(chosen, is_hedge=False)
         if self._on_end is not None:
             self._set_timer(self._local_delay, self._on_hedge)
             self._set_timer(self._remote_delay, self._on_hedge)
@@ -198,16 +201,21 @@
     def _set_timer(self, delay: float, call: Callable[[], None]) -> None:
         self._timers.append(self._shared.reactor.callLater(max(0.0, delay), call))
 
-    def _dispatch(self, wanted: Iterable[int], is_hedge: bool) -> None:
+    def _dispatch(
+        self, chosen: Mapping[int, target_book.TargetState | None], is_hedge: bool
+    ) -> None:
         """Send attempts at shards, those for one other hall together.
 
         Hedges have been paid for; any other attempt after one that was sent is paid for here.
+
+        Args:
+            chosen: Positions of the shards, each with the target that should answer first.
+            is_hedge: Whether they are second attempts beside slow ones.
         """
         now = self._shared.reactor.seconds()
         remote: list[int] = []
-        for index in wanted:
+        for index, state in chosen.items():
             shard = self._shards[index]
-            state = self._choose(shard, now)
             if state is None:
                 self._on_unreachable(index)
             elif shard.sent and not is_hedge and not self._may_spend(shard, now):
@@ -222,6 +230,9 @@
     def _choose(self, shard: _Shard, now: float) -> target_book.TargetState | None:
         return self._shared.book.choose(shard.service, now, shard.tried)
 
+    def _choose_now(self, shard: _Shard) -> target_book.TargetState | None:
+        return self._choose(shard, self._shared.reactor.seconds())
+
     def _may_spend(self, shard: _Shard, now: float, kept: float = 0.0) -> bool:
         if self._shared.extra.spend(shard.service, now, kept):
             return True
@@ -423,13 +434,14 @@
             return
         self._certainties.append(found)
         shard = self._shards[index]
+        self._failures.append(f"{shard.service} {found.reason.value}: {found.detail}")
         if index in self._parts.covered or shard.running or shard.is_waiting:
             return
         if shard.tries >= MOST_TRIES:
             shard.is_given_up = True
         else:
             self._shared.counters.retries += 1
-            self._dispatch((index,), is_hedge=False)
+            self._dispatch({index: self._choose_now(shard)}, is_hedge=False)
         self._check()
 
     def _on_unreachable(self, index: int) -> None:
@@ -452,7 +464,7 @@
         if self._on_end is None or index in self._parts.covered or shard.running:
             return
         shard.tries += 1
-        self._dispatch((index,), is_hedge=False)
+        self._dispatch({index: self._choose_now(shard)}, is_hedge=False)
         self._check()
 
     def _on_no_budget(self, index: int) -> None:
@@ -465,16 +477,15 @@
         if self._on_end is None:
             return
         now = self._shared.reactor.seconds()
-        late = [
-            index
-            for index, shard in enumerate(self._shards)
-            if index not in self._parts.covered and self._may_hedge(shard, now)
-        ]
-        for index in late:
-            self._hedge(index, now)
-        hedged = [index for index in late if self._shards[index].is_hedged]
+        hedged: dict[int, target_book.TargetState | None] = {}
+        for index, shard in enumerate(self._shards):
+            if index not in self._parts.covered and self._may_hedge(shard, now):
+                state = self._hedge(shard, now)
+                if state is not None:
+                    hedged[index] = state
         if hedged:
             self._shared.counters.hedges += len(hedged)
+            self._hedges += len(hedged)
             self._dispatch(hedged, is_hedge=True)
         if self._rechecks < MOST_RECHECKS and now >= self._hedge_at:
             self._rechecks += 1
@@ -489,16 +500,16 @@
         delay = self._remote_delay if is_remote else self._local_delay
         return now >= attempt.started + delay - TIMER_SLACK
 
-    def _hedge(self, index: int, now: float) -> None:
-        """Mark a shard for a hedge if another target could still be in time for the answer."""
-        shard = self._shards[index]
+    def _hedge(self, shard: _Shard, now: float) -> target_book.TargetState | None:
+        """Choose the target of a hedge, if it could be in time and an attempt is left for it."""
         state = self._choose(shard, now)
         if state is None:
-            return
+            return None
         is_enough = len(self._parts.covered) >= self._needed
         if is_enough and now + self._shared.book.least(state) > self._aim_at():
-            return
+            return None
         shard.is_hedged = self._may_spend(shard, now, extra_attempts.KEPT_FROM_HEDGES)
+        return state if shard.is_hedged else None
 
     def _on_aim(self) -> None:
         self._is_late = True
@@ -547,16 +558,37 @@
         self._end(outcome.Outcome(answer, verdict.OK, self._attempts, covered, len(self._shards)))
 
     def _finish_without(self, found: verdict.Verdict) -> None:
-        refused = outcome.refuse(found, self._attempts)
-        covered = len(self._parts.covered)
-        self._end(dataclasses.replace(refused, covered=covered, total=len(self._shards)))
+        self._end(outcome.refuse(found, self._attempts))
 
     def _end(self, found: outcome.Outcome) -> None:
         on_end = self._on_end
         self._on_end = None
+        described = dataclasses.replace(
+            found,
+            covered=len(self._parts.covered),
+            total=len(self._shards),
+            hedges=self._hedges,
+            missing=tuple(self._why_missing()),
+            failures=tuple(self._failures),
+        )
         self._stop()
         if on_end is not None:
-            on_end(found)
+            on_end(described)
+
+    def _why_missing(self) -> Iterable[str]:
+        """Tell for each shard that is not in what it waited for."""
+        for index, shard in enumerate(self._shards):
+            if index in self._parts.covered:
+                continue
+            if shard.running:
+                state = "waiting for " + "+".join(run.state.id for run in shard.running)
+            elif shard.is_given_up:
+                state = "given up"
+            elif shard.is_waiting:
+                state = "no target with room"
+            else:
+                state = "not asked"
+            yield f"{shard.service}: {state} after {shard.sent} sent"
 
     def _stop(self) -> None:
         """Cancel all timers and attempts."""
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -75,6 +75,7 @@
         self._attempts = 0
         self._timers: list[Any] = []
         self._known: list[verdict.Verdict] = []
+        self._failures: list[str] = []
         self._failure: client_connection.Response | None = None
         self._target = ""
 
@@ -141,6 +142,9 @@
             self._pass_back(end.response, end.verdict)
             return
         self._known.append(end.verdict)
+        self._failures.append(
+            f"{attempt.state.id} {end.verdict.reason.value}: {end.verdict.detail}"
+        )
         if end.response is not None and not end.verdict.is_not_run:
             self._failure = end.response
         if not self._running:
@@ -227,7 +231,8 @@
         self._on_end = None
         self._stop(cancels_attempts=True)
         if on_end is not None:
-            on_end(dataclasses.replace(found, target=self._target))
+            failures = tuple(self._failures)
+            on_end(dataclasses.replace(found, target=self._target, failures=failures))
 
     def _stop(self, cancels_attempts: bool) -> None:
         for timer in self._timers:
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -86,6 +86,20 @@
         return self.replica.target.hall
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BookChange:
+    """What an update changed."""
+
+    added: list[TargetState]
+    """Targets that came."""
+
+    leaving: list[TargetState]
+    """Targets that take no new work since now."""
+
+    gone: list[TargetState]
+    """Targets that are gone."""
+
+
 class TargetBook:
     """All targets by service."""
 
@@ -118,7 +132,7 @@
         self,
         entries: Iterable[target_view.TargetEntry],
         services: Mapping[str, routes.ServiceSpec],
-    ) -> list[TargetState]:
+    ) -> BookChange:
         """Replace the set of targets; what is known of those that stay is kept.
 
         Args:
@@ -126,8 +140,10 @@
             services: The configured services.
 
         Returns:
-            Targets that are gone.
+            Targets that came, that are leaving since now, and that are gone.
         """
+        added: list[TargetState] = []
+        leaving: list[TargetState] = []
         present: dict[str, TargetState] = {}
         by_service: dict[str, list[TargetState]] = {}
         for entry in entries:
@@ -139,8 +155,11 @@
                 replica = replicas.make_replica(target)
                 average = estimators.Average(LATENCY_WEIGHT)
                 state = TargetState(replica, average, estimators.Average(ERROR_WEIGHT))
+                added.append(state)
             state.replica.target = target
-            state.replica.is_leaving = state.replica.is_leaving or entry.is_leaving
+            if entry.is_leaving and not state.replica.is_leaving:
+                state.replica.is_leaving = True
+                leaving.append(state)
             state.is_cold = entry.is_cold
             present[entry.id] = state
             by_service.setdefault(entry.service, []).append(state)
@@ -149,7 +168,7 @@
             state.replica.is_leaving = True
         self._states = present
         self._by_service = by_service
-        return gone
+        return BookChange(added, leaving, gone)
 
     def usable(self, service: str, now: float, excluded: Collection[str]) -> list[TargetState]:
         """List the targets of a service that may be asked now.
--- /dev/null
+++ b/src/lineworks/programs/_timeline.py
@@ -0,0 +1,82 @@
+"""Finds one request in the logs of several processes and puts its lines in order."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator, Sequence
+
+_LEADING = ("t", "level", "component", "event", "id")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """A log line that belongs to a request."""
+
+    source: str
+    """Name of the file that it stands in."""
+
+    number: int
+    """Number of the line in that file."""
+
+    fields: dict[str, Any]
+    """Its fields."""
+
+    @property
+    def time(self) -> float:
+        """Seconds on the clock of the process that wrote it."""
+        found = self.fields.get("t", 0.0)
+        return float(found) if isinstance(found, int | float) else 0.0
+
+
+def find(identity: str, name: str, lines: Iterable[str]) -> Iterator[Line]:
+    """Find the lines of a request in one log.
+
+    Args:
+        identity: The caller's identity of the try.
+        name: Name of the log.
+        lines: Its lines; what is no JSON object is passed over.
+
+    Yields:
+        The lines in order.
+    """
+    for number, text in enumerate(lines, 1):
+        start = text.find("{")
+        if start < 0 or identity not in text:
+            continue
+        try:
+            fields = json.loads(text[start:])
+        except ValueError:
+            continue
+        if isinstance(fields, dict) and fields.get("id") == identity:
+            yield Line(name, number, fields)
+
+
+def write(identity: str, found: Sequence[Line]) -> list[str]:
+    """Write a request's timeline.
+
+    The clocks of processes are not comparable, so the lines are grouped by log.
+
+    Args:
+        identity: The caller's identity of the try.
+        found: The lines of all logs.
+
+    Returns:
+        Lines for a person.
+    """
+    if not found:
+        return [f"{identity}: no line in these logs; good requests are logged by sample only"]
+    written = [f"{identity}: {len(found)} lines"]
+    for line in sorted(found, key=lambda item: (item.source, item.time, item.number)):
+        fields = line.fields
+        written.append(
+            f"{line.source}:{line.number} t={line.time:.4f} "
+            f"{fields.get('component', '?')} {fields.get('event', '?')}"
+        )
+        for name, value in fields.items():
+            if name not in _LEADING and value not in ("", [], None):
+                written.append(f"    {name}: {value}")
+    return written
--- a/src/lineworks/programs/ctl.py
+++ b/src/lineworks/programs/ctl.py
@@ -18,6 +18,9 @@
     explain QUERY  print which selector serves a search, and which group, shards and replicas
     status         print an instance's versions, members, links and targets
     trace ID       print a query's timeline
+    timeline ID FILE...
+                   find a forwarded request in the logs of several processes, for example
+                   lineworks-ctl timeline 9c41d07be2a35f68 akl-1.log wlg-1.log
     drain          let an instance finish its requests and stop
 
 Exit codes: 0 done; 1 failed; 2 the arguments or a file cannot be used; 3 refused, and so not
@@ -42,7 +45,7 @@
 from twisted.web import http_headers
 
 from lineworks.models import configuration
-from lineworks.programs import _common
+from lineworks.programs import _common, _timeline
 from lineworks.services import auth
 
 if TYPE_CHECKING:
@@ -257,6 +260,23 @@
 }
 
 
+_TIMELINE = "timeline"
+
+
+def _show_timeline(identity: str, paths: list[str]) -> int:
+    """Print a request's lines from logs; nothing is sent anywhere."""
+    found: list[_timeline.Line] = []
+    for path in paths:
+        try:
+            with open(path, encoding="utf-8", errors="replace") as lines:
+                found += _timeline.find(identity, pathlib.Path(path).name, lines)
+        except OSError as error:
+            return _common.fail(f"{path}: {error.strerror}")
+    for line in _timeline.write(identity, found):
+        print(line)
+    return _common.EXIT_OK if found else _common.EXIT_FAILED
+
+
 async def _execute(reactor: Any, arguments: list[str], secret: bytes) -> int:
     client = Client(reactor, _ENTRY.value, secret)
     command = arguments[0]
@@ -272,9 +292,11 @@
 
 def _check_arguments(arguments: list[str]) -> str | None:
     """Say what is wrong with the arguments, or None."""
-    known = sorted((*_PLAIN, *_WITH_ARGUMENT))
+    known = sorted((*_PLAIN, *_WITH_ARGUMENT, _TIMELINE))
     if not arguments or arguments[0] not in known:
         return f"give a command: {', '.join(known)} (see --help)"
+    if arguments[0] == _TIMELINE:
+        return None if len(arguments) > 2 else "timeline takes an identity and at least one file"
     wanted = 1 if arguments[0] in _PLAIN else 2
     if len(arguments) != wanted:
         return f"{arguments[0]} takes {wanted - 1} argument{'' if wanted == 2 else 's'}"
@@ -293,6 +315,8 @@
     problem = _check_arguments(argv[1:])
     if problem is not None:
         return _common.fail(problem)
+    if argv[1] == _TIMELINE:
+        return _show_timeline(argv[2], argv[3:])
     secret = b""
     if argv[1] != "validate":
         if _SECRET_FILE.value is None:
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,153 @@
+"""Logs: bounded, never blocking, and enough to find a request's cause."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+
+from structlog.testing import capture_logs
+from twisted.internet import task
+
+from lineworks.kernel import bounded_log
+from lineworks.programs import _node_logs, _timeline, ctl
+from tests import test_forwarding
+
+
+def test_a_kind_of_line_is_bounded_and_what_is_left_out_is_told():
+    clock = task.Clock()
+    with capture_logs() as lines:
+        log = bounded_log.BoundedLog(clock, "x", 5.0)
+        for _ in range(100):
+            log.info("e")
+        clock.advance(1.0)
+        log.info("e")
+    written = [line for line in lines if line["event"] == "e"]
+    assert 10 <= len(written) <= 12
+    told = next(line for line in lines if line["event"] == "lines_left_out")
+    assert told["count"] + len(written) == 101
+
+
+def test_a_reader_that_stopped_holds_nothing_up():
+    clock = task.Clock()
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    lines = _node_logs.LineWriter(clock, writer)
+    for number in range(40_000):
+        lines.write(f"line {number} " + "x" * 60)
+    assert lines.dropped > 0
+    seen = b""
+    os.set_blocking(reader, False)
+    for _ in range(200):
+        with contextlib.suppress(BlockingIOError):
+            seen += os.read(reader, 1 << 20)
+        clock.advance(_node_logs.RETRY_SECONDS)
+    os.close(reader)
+    os.close(writer)
+    whole = seen.decode().splitlines()
+    assert whole[0].startswith("line 0 ")
+    dropped = json.loads(whole[-1])
+    assert dropped == {"event": "lines_dropped", "count": lines.dropped}
+
+
+def test_a_closed_pipe_drops_lines_and_raises_nothing():
+    reader, writer = os.pipe()
+    os.close(reader)
+    lines = _node_logs.LineWriter(task.Clock(), writer)
+    lines.write("nobody reads this")
+    os.close(writer)
+    assert lines.dropped == 1
+
+
+def test_a_callers_words_never_break_a_line():
+    reader, writer = os.pipe()
+    lines = _node_logs.LineWriter(task.Clock(), writer)
+    lines.write(json.dumps({"id": 'x"\n{"event": "forged"}', "event": "request"}))
+    os.close(writer)
+    with os.fdopen(reader) as found:
+        assert len(found.read().splitlines()) == 1
+
+
+def lines_of(world_logs, event, identity):
+    return [line for line in world_logs if line["event"] == event and line.get("id") == identity]
+
+
+def test_an_answer_in_part_names_the_shard_and_what_it_waited_for():
+    with capture_logs() as logs:
+        world = test_forwarding.build()
+        targets = test_forwarding.targets_of(world, "s03")
+        for target in targets:
+            target.work = lambda: 5.0
+        world.ask("akl-1", "/search/q", attempt="q1")
+        world.run(1.0)
+    line = lines_of(logs, "request", "q1")[0]
+    assert (line["status"], line["covered"], line["total"]) == (200, 11, 12)
+    assert line["missing"][0].startswith("s03: waiting for ")
+    assert any(target.name in line["missing"][0] for target in targets)
+    assert line["version"] == 1
+    assert line["view_age"] < 3
+
+
+def test_a_request_that_may_have_run_names_its_target_and_why():
+    with capture_logs() as logs:
+        world = test_forwarding.build()
+        for target in test_forwarding.targets_of(world, "shelf"):
+            target.faults.loses_answers = True
+        world.ask("akl-1", "/bill/x", "POST", b"n", attempt="b1")
+        world.run(1.0)
+    line = lines_of(logs, "request", "b1")[0]
+    assert (line["status"], line["certainty"]) == (502, "MAY_HAVE_RUN")
+    assert line["target"] in line["failures"][0]
+    assert "connection lost" in line["failures"][0]
+
+
+def test_a_refused_request_says_that_it_did_not_run():
+    with capture_logs() as logs:
+        world = test_forwarding.build()
+        for target in test_forwarding.targets_of(world, "shelf"):
+            world.withdraw(target)
+        world.run(3.0)
+        world.ask("akl-1", "/read/x", attempt="r1")
+        world.run(1.0)
+    line = lines_of(logs, "request", "r1")[0]
+    assert (line["status"], line["certainty"]) == (503, "NOT_RUN")
+    assert any(line["event"] == "target_gone" for line in logs)
+
+
+def test_the_timeline_of_a_request_over_several_logs(tmp_path, capsys):
+    a, b = tmp_path / "a.log", tmp_path / "b.log"
+    mine = {"component": "front", "event": "request", "id": "q1", "t": 5.0, "status": 502}
+    a.write_text("noise\n" + json.dumps(mine) + "\n" + json.dumps({**mine, "id": "q2"}) + "\n")
+    gathered = {"component": "gatherer", "event": "gather_failed", "id": "q1", "t": 9.0}
+    b.write_text("  12.5 b " + json.dumps(gathered) + "\n{broken\n")
+    assert ctl.main(["ctl", "timeline", "q1", str(a), str(b)]) == 0
+    shown = capsys.readouterr().out
+    assert "q1: 2 lines" in shown
+    assert "a.log:2 t=5.0000 front request" in shown
+    assert "b.log:1 t=9.0000 gatherer gather_failed" in shown
+    assert "q2" not in shown
+    assert ctl.main(["ctl", "timeline", "q9", str(a)]) == 1
+    assert "no line" in capsys.readouterr().out
+
+
+def test_timelines_need_files(capsys):
+    assert ctl.main(["ctl", "timeline", "q1"]) == 2
+    assert ctl.main(["ctl", "timeline", "q1", "nowhere.log"]) == 2
+    assert "nowhere.log" in capsys.readouterr().err
+
+
+def test_lines_that_are_no_objects_are_passed_over():
+    assert list(_timeline.find("q1", "x", ['["q1"]', "q1 {", '{"id": 7}'])) == []
+
+
+def test_metrics_are_served_and_their_labels_are_bounded():
+    world = test_forwarding.build()
+    world.ask("akl-1", "/search/q")
+    world.run(0.5)
+    data = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+    reply = world.send("akl-1", data, 7381)
+    world.run(0.2)
+    text = reply.body.decode()
+    assert 'lineworks_requests_total{reason="ok",route="search",status="200"} 1.0' in text
+    assert 'lineworks_configuration{kind="version"} 1.0' in text
+    assert "lineworks_store_calls" in text
