One client for the platform's store: the invented protocol goes

The product's configuration, claims and membership run over the store's real calls; the stand-in and the bench's fake share one model of it (items, history, transactions, leases). 15 tests of the client over a network in memory; the tests of configuration, claims and runs pass unchanged but for the name of one counted call. A call that is cancelled while it waits no longer leaves its timer.

--- a/bench/platform.py
+++ b/bench/platform.py
@@ -1,4 +1,4 @@
-"""A fake of the platform client: compare-and-swap, watches, outages and lost replies, in memory.
+"""A fake of the store's client over the store's model: outages and lost answers, in memory.
 
 Each instance gets a `PlatformPort`, so that one instance can be cut off while others are not.
 """
@@ -12,12 +12,13 @@
 from twisted.internet import defer
 
 from lineworks.kernel import task
-from lineworks.models import member
+from lineworks.platform import store
 from lineworks.services import platform_client
+from lineworks.standins import store_model
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Iterable, Sequence
 
     from bench import fakes
 
@@ -38,15 +39,12 @@
     delay: float = 0.002
     """Seconds that a call takes, there and back."""
 
-    members_lag: float = 0.0
-    """Seconds by which the membership list lags."""
-
     stale_reads: int = 0
     """How many of the next reads return the value before the last."""
 
 
 class Platform:
-    """The values, shared by all ports."""
+    """The store, shared by all ports."""
 
     def __init__(self, clock: fakes.VirtualClock, rng: random.Random) -> None:
         """Start empty.
@@ -58,14 +56,17 @@
         self.clock = clock
         self.rng = rng
         self.faults = Faults()
-        self.values: dict[str, tuple[str, int]] = {}
+        self.model = store_model.StoreModel(clock)
         self.previous: dict[str, tuple[str, int]] = {}
-        self.revision = 0
         self.calls: collections.Counter[str] = collections.Counter()
         self.bytes = 0
-        self._watchers: dict[str, list[defer.Deferred[None]]] = {}
-        self._members: dict[str, tuple[member.Member, float]] = {}
-        self._published: list[tuple[float, list[member.Member]]] = []
+        self._watches: list[defer.Deferred[None]] = []
+
+    @property
+    def values(self) -> dict[str, tuple[str, int]]:
+        """All values with their revisions, by key."""
+        items, _ = self.model.page("", "")
+        return {item.key: (item.value, item.revision) for item in items}
 
     def write(self, key: str, data: str) -> None:
         """Set a value and wake its watchers.
@@ -74,136 +75,150 @@
             key: The key.
             data: The value.
         """
-        if key in self.values:
-            self.previous[key] = self.values[key]
-        self.revision += 1
-        self.values[key] = (data, self.revision)
-        for waiting in self._watchers.pop(key, []):
-            if not waiting.called:
-                waiting.callback(None)
+        self.remember(key)
+        self.model.write(key, data)
 
-    def read(self, key: str) -> platform_client.Value:
-        """Read a value, perhaps a stale one.
+    def remember(self, key: str) -> None:
+        """Keep a value that is about to be written over, for stale reads.
 
         Args:
             key: The key.
-
-        Returns:
-            The value.
         """
-        source = self.values
-        if self.faults.stale_reads > 0 and key in self.previous:
-            self.faults.stale_reads -= 1
-            source = self.previous
-        data, revision = source.get(key, (None, 0))
-        self.bytes += len(data or "")
-        return platform_client.Value(data, revision)
+        old = self.model.get(key)
+        if old is not None:
+            self.previous[key] = (old.value, old.revision)
 
-    def wait(self, key: str, seconds: float) -> defer.Deferred[None]:
-        """Wait for a change of a key.
+    def wait(self, prefix: str, seconds: float) -> defer.Deferred[None]:
+        """Wait for a change below a prefix.
 
         Args:
-            key: The key.
+            prefix: The prefix.
             seconds: How long to wait at most.
 
         Returns:
             A deferred that fires at the change or after the time.
         """
         waiting: defer.Deferred[None] = defer.Deferred()
-        self._watchers.setdefault(key, []).append(waiting)
+        self._watches.append(waiting)
 
-        def give_up() -> None:
+        def finish() -> None:
+            stop()
+            if waiting in self._watches:
+                self._watches.remove(waiting)
             if not waiting.called:
                 waiting.callback(None)
 
-        self.clock.callLater(seconds, give_up)
+        stop = self.model.wait(prefix, finish)
+        self.clock.callLater(seconds, finish)
         return waiting
 
     def drop_watches(self) -> None:
         """Lose every watch, as in an outage."""
-        watchers, self._watchers = self._watchers, {}
-        for waiting in (item for items in watchers.values() for item in items):
+        watches, self._watches = self._watches, []
+        for waiting in watches:
             if not waiting.called:
-                waiting.errback(platform_client.PlatformError("watch lost"))
-
-    def announce(self, member: member.Member, lease: float) -> None:
-        """List a member for a while.
+                waiting.errback(store.StoreError("watch: lost"))
 
-        Args:
-            member: The member.
-            lease: Seconds.
-        """
-        self._members[member.name] = (member, self.clock.seconds() + lease)
 
-    def list_members(self) -> list[member.Member]:
-        """List the members, perhaps as they were some time ago.
-
-        Returns:
-            The members.
-        """
-        now = self.clock.seconds()
-        current = [member for member, until in self._members.values() if until > now]
-        self._published.append((now, current))
-        seen = [listed for at, listed in self._published if at <= now - self.faults.members_lag]
-        return seen[-1] if seen else []
-
-
-class PlatformPort:
-    """What one instance sees of the platform; it stands in for `PlatformClient`."""
+class FakeStore:
+    """What one instance sees of the store; it stands in for `lineworks.platform.store.Store`."""
 
     def __init__(self, platform: Platform) -> None:
         """Connect.
 
         Args:
-            platform: The platform.
+            platform: The store's contents and faults.
         """
         self._platform = platform
         self.is_cut = False
         self.calls: collections.Counter[str] = collections.Counter()
 
-    async def get(self, key: str) -> platform_client.Value:
-        """Read a key; see `PlatformClient.get`."""
-        await self._travel("get")
-        return self._platform.read(key)
+    def stop(self) -> None:
+        """Do nothing."""
 
-    async def watch(self, key: str, after: int) -> platform_client.Value:
-        """Watch a key; see `PlatformClient.watch`."""
+    async def get(self, key: str) -> store.Item | None:
+        """Read a key; see `Store.get`."""
+        await self._travel("get")
+        platform = self._platform
+        if platform.faults.stale_reads > 0 and key in platform.previous:
+            platform.faults.stale_reads -= 1
+            value, revision = platform.previous[key]
+            return store.Item(key, value.encode(), revision)
+        item = platform.model.get(key)
+        if item is None:
+            return None
+        platform.bytes += len(item.value)
+        return _item(item)
+
+    async def list_items(self, prefix: str) -> store.Listing:
+        """List items; see `Store.list_items`."""
+        await self._travel("list")
+        found, _ = self._platform.model.page(prefix, "")
+        return store.Listing([_item(item) for item in found], self._platform.model.revision)
+
+    async def watch(self, prefix: str, after: int, wait: float) -> store.Changes:
+        """Read changes; see `Store.watch`."""
         await self._travel("watch")
         platform = self._platform
-        if platform.values.get(key, ("", 0))[1] <= after:
-            await platform.wait(key, platform_client.WATCH_SECONDS)
+        if not self._changes(prefix, after):
+            await platform.wait(prefix, wait)
         if self._is_out:
-            raise platform_client.PlatformError("watch: lost")
-        return platform.read(key)
-
-    async def compare_and_swap(self, key: str, data: str, expect: int) -> bool:
-        """Write a key conditionally; see `PlatformClient.compare_and_swap`."""
-        await self._travel("cas")
+            raise store.StoreError("watch: lost")
+        changes = self._changes(prefix, after)
+        platform.bytes += sum(len(change.value or b"") for change in changes)
+        return store.Changes(changes, platform.model.revision)
+
+    async def transact(
+        self,
+        writes: Iterable[store.Write],
+        expected: Sequence[tuple[str, int]] = (),
+        removed: Sequence[str] = (),
+    ) -> int:
+        """Write keys; see `Store.transact`."""
+        await self._travel("write")
         platform = self._platform
-
-        def act() -> bool:
-            if platform.values.get(key, ("", 0))[1] != expect:
-                return False
-            platform.write(key, data)
-            return True
-
-        return self._maybe_lose(act)
-
-    async def put(self, key: str, data: str) -> None:
-        """Write a key; see `PlatformClient.put`."""
-        await self._travel("put")
-        self._platform.bytes += len(data)
-        self._maybe_lose(lambda: self._platform.write(key, data))
-
-    async def members(self) -> list[member.Member]:
-        """List the members; see `PlatformClient.members`."""
-        await self._travel("members")
-        return self._platform.list_members()
-
-    async def announce(self, member: member.Member, lease_seconds: float) -> None:
-        """Announce a member; see `PlatformClient.announce`."""
-        await self._travel("announce")
-        self._platform.announce(member, lease_seconds)
+        faults = platform.faults
+        rows = [(write.key, write.value.decode(), write.lease) for write in writes]
+        platform.bytes += sum(len(row[1]) for row in rows)
+        drawn = platform.rng.random()
+        if drawn < faults.lost_request_share:
+            raise store.StoreUnsureError("the request was lost")
+        for key, _, _ in rows:
+            platform.remember(key)
+        try:
+            revision = platform.model.transact(expected, rows, removed)
+        except store_model.MismatchError:
+            revision = None
+        except store_model.NoLeaseError as error:
+            raise store.LeaseGoneError("no such lease") from error
+        if drawn < faults.lost_request_share + faults.lost_reply_share:
+            raise store.StoreUnsureError("the reply was lost")
+        if revision is None:
+            raise store.ConflictError("another revision")
+        return revision
+
+    async def grant_lease(self, seconds: float) -> int:
+        """Open a lease; see `Store.grant_lease`."""
+        await self._travel("lease")
+        return self._platform.model.grant(seconds)
+
+    async def renew_lease(self, lease: int) -> None:
+        """Renew a lease; see `Store.renew_lease`."""
+        await self._travel("renew")
+        try:
+            self._platform.model.renew(lease)
+        except store_model.NoLeaseError as error:
+            raise store.LeaseGoneError("no such lease") from error
+
+    def _changes(self, prefix: str, after: int) -> list[store.Change]:
+        try:
+            found = self._platform.model.changes(prefix, after)
+        except store_model.CompactedError as error:
+            raise store.HistoryGoneError("the history is gone") from error
+        return [
+            store.Change(c.key, c.revision, None if c.item is None else c.item.value.encode())
+            for c in found
+        ]
 
     @property
     def _is_out(self) -> bool:
@@ -214,15 +229,31 @@
         self._platform.calls[label] += 1
         await task.sleep(self._platform.clock, self._platform.faults.delay)
         if self._is_out:
-            raise platform_client.PlatformError(f"{label}: no connection")
+            raise store.StoreError(f"{label}: no connection")
 
-    def _maybe_lose(self, act: Callable[[], Any]) -> Any:
-        """Carry out a write, and perhaps lose the request or the reply."""
-        faults = self._platform.faults
-        drawn = self._platform.rng.random()
-        if drawn < faults.lost_request_share:
-            raise platform_client.PlatformUnsureError("the request was lost")
-        result = act()
-        if drawn < faults.lost_request_share + faults.lost_reply_share:
-            raise platform_client.PlatformUnsureError("the reply was lost")
-        return result
+
+class PlatformPort(platform_client.PlatformClient):
+    """The product's client over the fake store."""
+
+    def __init__(self, platform: Platform) -> None:
+        """Connect.
+
+        Args:
+            platform: The store's contents and faults.
+        """
+        self.fake = FakeStore(platform)
+        client: Any = self.fake
+        super().__init__(client)
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether this instance is cut off from the store."""
+        return self.fake.is_cut
+
+    @is_cut.setter
+    def is_cut(self, is_cut: bool) -> None:
+        self.fake.is_cut = is_cut
+
+
+def _item(item: store_model.StoredItem) -> store.Item:
+    return store.Item(item.key, item.value.encode(), item.revision, item.lease)
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import extra_attempts, parts, verdict
-from lineworks.forwarding import messages, outcome, target_calls
+from lineworks.forwarding import messages, outcome, search_state, target_calls
 from lineworks.http1 import server_connection
 from lineworks.platform import headers
 
@@ -67,33 +67,6 @@
 _OVERLAP = verdict.ran(verdict.Reason.FAILED, "merged with a shard that was in already")
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Try:
-    """One attempt at one shard."""
-
-    shard: int
-    state: target_book.TargetState
-    started: float
-    is_hedge: bool = False
-    cancel: Callable[[], None] | None = None
-    query: int = 0
-    position: int = 0
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class _Shard:
-    """One shard."""
-
-    service: str
-    running: list[_Try] = dataclasses.field(default_factory=list)
-    tried: set[str] = dataclasses.field(default_factory=set)
-    tries: int = 0
-    sent: int = 0
-    is_hedged: bool = False
-    is_waiting: bool = False
-    is_given_up: bool = False
-
-
 class Search:
     """One search under way."""
 
@@ -119,10 +92,10 @@
         self._call = call
         self._arrived = arrived
         self._on_end: Callable[[outcome.Outcome], None] | None = on_end
-        self._shards = [_Shard(service) for service in route.shards]
+        self._shards = [search_state.Shard(service) for service in route.shards]
         self._parts = parts.PartSet(len(self._shards), route.top)
         self._needed = parts.needed(len(self._shards), route.least_share)
-        self._queries: dict[int, list[_Try]] = {}
+        self._queries: dict[int, list[search_state.Try]] = {}
         self._based: set[int] = set()
         self._timers: list[Any] = []
         self._is_late = False
@@ -228,13 +201,13 @@
         if remote:
             self._dispatch_remote(remote, now, is_hedge)
 
-    def _choose(self, shard: _Shard, now: float) -> target_book.TargetState | None:
+    def _choose(self, shard: search_state.Shard, now: float) -> target_book.TargetState | None:
         return self._shared.book.choose(shard.service, now, shard.tried)
 
-    def _choose_now(self, shard: _Shard) -> target_book.TargetState | None:
+    def _choose_now(self, shard: search_state.Shard) -> target_book.TargetState | None:
         return self._choose(shard, self._shared.reactor.seconds())
 
-    def _may_spend(self, shard: _Shard, now: float, kept: float = 0.0) -> bool:
+    def _may_spend(self, shard: search_state.Shard, now: float, kept: float = 0.0) -> bool:
         if self._shared.extra.spend(shard.service, now, kept):
             return True
         self._shared.counters.budget_spent += 1
@@ -322,9 +295,9 @@
 
     def _note_try(
         self, index: int, state: target_book.TargetState, now: float, is_hedge: bool
-    ) -> _Try:
+    ) -> search_state.Try:
         shard = self._shards[index]
-        attempt = _Try(index, state, now, is_hedge)
+        attempt = search_state.Try(index, state, now, is_hedge)
         shard.running.append(attempt)
         shard.tried.add(state.id)
         shard.tries += 1
@@ -332,7 +305,7 @@
         self._attempts += 1
         return attempt
 
-    def _on_call_end(self, attempt: _Try, end: target_calls.CallEnd) -> None:
+    def _on_call_end(self, attempt: search_state.Try, end: target_calls.CallEnd) -> None:
         """Take in the answer of a target that was asked directly."""
         shard = self._shards[attempt.shard]
         shard.running.remove(attempt)
@@ -361,7 +334,7 @@
         failures = list(zip(frame.failed, frame.failures, strict=True))
         self._close_query_if_over(number)
         if frame.shards:
-            is_used = bool(done) and self._take(_read_part(arrived, frame), done)
+            is_used = bool(done) and self._take(search_state.read_part(arrived, frame), done)
             if not is_used and number not in self._based:
                 self._drop_query(number)
             self._based.add(number)
@@ -371,7 +344,7 @@
             if position < len(tries):
                 self._on_remote_failure(tries[position], failure, now)
 
-    def _note_remote(self, attempt: _Try, now: float) -> None:
+    def _note_remote(self, attempt: search_state.Try, now: float) -> None:
         """Learn how long a target took that a gatherer asked."""
         book = self._shared.book
         seconds = now - attempt.started - book.round_trip(attempt.state.hall)
@@ -382,7 +355,9 @@
         book.note_answer(attempt.state, now, min(seconds, usual) if is_first and usual else seconds)
         self._record(attempt)
 
-    def _on_remote_failure(self, attempt: _Try, failure: messages.Failure, now: float) -> None:
+    def _on_remote_failure(
+        self, attempt: search_state.Try, failure: messages.Failure, now: float
+    ) -> None:
         shard = self._shards[attempt.shard]
         if attempt not in shard.running:
             return
@@ -392,7 +367,7 @@
             shard.sent -= 1
         else:
             self._shared.book.note_failure(attempt.state, now)
-        self._on_failure(attempt.shard, _remote_verdict(failure))
+        self._on_failure(attempt.shard, search_state.remote_verdict(failure))
 
     def _on_gatherer_lost(self, number: int) -> None:
         tries = self._queries.pop(number, [])
@@ -403,7 +378,7 @@
         for attempt in lost:
             self._on_failure(attempt.shard, found)
 
-    def _record(self, attempt: _Try) -> None:
+    def _record(self, attempt: search_state.Try) -> None:
         now = self._shared.reactor.seconds()
         if attempt.is_hedge:
             self._shared.counters.hedges_won += 1
@@ -411,7 +386,7 @@
             is_remote = attempt.state.hall != self._shared.hall
             self._shared.hedges.record(self._route.name, is_remote, now - attempt.started)
 
-    def _take(self, part: parts.Part, done: Iterable[_Try]) -> bool:
+    def _take(self, part: parts.Part, done: Iterable[search_state.Try]) -> bool:
         """Use a part, and stop the other attempts at its shards.
 
         Args:
@@ -504,7 +479,7 @@
             self._set_timer(HEDGE_RECHECK, self._on_hedge)
         self._check()
 
-    def _may_hedge(self, shard: _Shard, now: float) -> bool:
+    def _may_hedge(self, shard: search_state.Shard, now: float) -> bool:
         if shard.is_hedged or len(shard.running) != 1 or self._route.max_attempts < 2:
             return False
         attempt = shard.running[0]
@@ -512,7 +487,7 @@
         delay = self._remote_delay if is_remote else self._local_delay
         return now >= attempt.started + delay - TIMER_SLACK
 
-    def _hedge(self, shard: _Shard, now: float) -> target_book.TargetState | None:
+    def _hedge(self, shard: search_state.Shard, now: float) -> target_book.TargetState | None:
         """Choose the target of a hedge, if it could be in time and an attempt is left for it."""
         state = self._choose(shard, now)
         if state is None:
@@ -580,28 +555,17 @@
             covered=len(self._parts.covered),
             total=len(self._shards),
             hedges=self._hedges,
-            missing=tuple(self._why_missing()),
+            missing=tuple(
+                search_state.why_missing(shard)
+                for index, shard in enumerate(self._shards)
+                if index not in self._parts.covered
+            ),
             failures=tuple(self._failures),
         )
         self._stop()
         if on_end is not None:
             on_end(described)
 
-    def _why_missing(self) -> Iterable[str]:
-        """Tell for each shard that is not in what it waited for."""
-        for index, shard in enumerate(self._shards):
-            if index in self._parts.covered:
-                continue
-            if shard.running:
-                state = "waiting for " + "+".join(run.state.id for run in shard.running)
-            elif shard.is_given_up:
-                state = "given up"
-            elif shard.is_waiting:
-                state = "no target with room"
-            else:
-                state = "not asked"
-            yield f"{shard.service}: {state} after {shard.sent} sent"
-
     def _stop(self) -> None:
         """Cancel all timers and attempts."""
         for timer in self._timers:
@@ -622,13 +586,13 @@
             self._shared.gatherers.close(number, open_positions)
         self._queries.clear()
 
-    def _note_given_up(self, tries: Iterable[_Try]) -> None:
+    def _note_given_up(self, tries: Iterable[search_state.Try]) -> None:
         now = self._shared.reactor.seconds()
         for attempt in tries:
             if attempt in self._shards[attempt.shard].running:
                 self._shared.book.note_given_up(attempt.state, now, now - attempt.started)
 
-    def _stop_tries(self, shard: _Shard) -> None:
+    def _stop_tries(self, shard: search_state.Shard) -> None:
         """Cancel the attempts at a shard that is in."""
         running = list(shard.running)
         shard.running.clear()
@@ -649,20 +613,3 @@
             return
         del self._queries[number]
         self._shared.gatherers.close(number, None)
-
-
-def _read_part(arrived: Sequence[_Try], frame: messages.GatherParts) -> parts.Part:
-    size = parts.RECORD_BYTES
-    data = frame.records
-    records = tuple(data[at : at + size] for at in range(0, len(data), size))
-    return parts.Part(frozenset(attempt.shard for attempt in arrived), frame.stamps, records)
-
-
-def _remote_verdict(failure: messages.Failure) -> verdict.Verdict:
-    if failure is messages.Failure.NOT_SENT:
-        return verdict.not_run(verdict.Reason.UNREACHABLE, "no target of the hall has room")
-    if failure is messages.Failure.NOT_RUN:
-        return verdict.not_run(verdict.Reason.OVERLOADED, "no target of the hall ran it")
-    if failure is messages.Failure.RAN:
-        return verdict.ran(verdict.Reason.FAILED, "a target of the hall failed")
-    return verdict.may_have_run(verdict.Reason.LINK_LOST, "a target of the hall broke off")
--- a/src/lineworks/models/settings.py
+++ b/src/lineworks/models/settings.py
@@ -8,7 +8,7 @@
 
 import pydantic
 
-from lineworks.models import _base
+from lineworks.models import _base, node_settings
 
 
 class SettingsError(Exception):
@@ -44,12 +44,18 @@
 class Platform(_base.Model):
     """How to reach the platform."""
 
-    url: str = pydantic.Field(pattern=r"^http://[\w.\-:]+$")
-    """Base URL of the key-value service and membership list."""
+    url: str = pydantic.Field(pattern=r"^http://[\w.\-]+(:\d{1,5})?$")
+    """Base URL of the store."""
 
     timeout_ms: int = pydantic.Field(default=2000, ge=10, le=60000)
     """Milliseconds to wait for a reply."""
 
+    @property
+    def address(self) -> node_settings.Address:
+        """Host and port of the URL; port 80 where it names none."""
+        host, _, port = self.url.removeprefix("http://").partition(":")
+        return node_settings.Address(host, int(port or "80"))
+
 
 class Settings(_base.Model):
     """Everything that an instance learns before it starts."""
--- a/src/lineworks/platform/store.py
+++ b/src/lineworks/platform/store.py
@@ -124,13 +124,17 @@
 class Store:
     """Talks to the store over HTTP."""
 
-    def __init__(self, reactor: Any, address: node_settings.Address) -> None:
+    def __init__(
+        self, reactor: Any, address: node_settings.Address, timeout: float = CALL_SECONDS
+    ) -> None:
         """Make a client; nothing is sent yet.
 
         Args:
             reactor: Twisted's reactor.
             address: Where the store listens.
+            timeout: Seconds to wait for an answer.
         """
+        self._timeout = timeout
         self._reactor = reactor
         self._address = address
         self._idle: list[_StoreConnection] = []
@@ -210,7 +214,7 @@
         """
         wanted = {"PathPrefix": prefix, "after": after, "WaitMs": int(wait * 1000)}
         path = f"/lineworks/kv-watch?{_query(wanted)}"
-        status, found = await self._call("watch", "GET", path, timeout=CALL_SECONDS + wait)
+        status, found = await self._call("watch", "GET", path, more=wait)
         if status == 410:
             raise HistoryGoneError("watch: the history is gone")
         _expect_ok("watch", status)
@@ -307,12 +311,12 @@
         method: str,
         path: str,
         document: Any = None,
-        timeout: float = CALL_SECONDS,
+        more: float = 0.0,
     ) -> tuple[int, Any]:
         self.calls[kind] += 1
         connection = await self._connect(kind)
         data = _request(method, path, self._address, document)
-        end = await self._exchange(connection, data, timeout)
+        end = await self._exchange(connection, data, self._timeout + more)
         if isinstance(end, client_connection.Broken):
             raise StoreUnsureError(f"{kind}: {end.detail}")
         if end.status in (429, 503):
@@ -328,9 +332,14 @@
         ended: defer.Deferred[Any] = defer.Deferred()
         timer = self._reactor.callLater(timeout, _give_up, connection, ended)
         connection.send(data, False, lambda end: None if ended.called else ended.callback(end))
-        end = await ended
-        if timer.active():
-            timer.cancel()
+        try:
+            end: client_connection.Response | client_connection.Broken = await ended
+        except defer.CancelledError:
+            connection.abort()
+            raise
+        finally:
+            if timer.active():
+                timer.cancel()
         if not connection.is_closed:
             self._idle.append(connection)
         return end
--- a/src/lineworks/services/instance.py
+++ b/src/lineworks/services/instance.py
@@ -13,6 +13,7 @@
 from lineworks.kernel import registry
 from lineworks.models import member
 from lineworks.models import settings as settings_models
+from lineworks.platform import store as store_client
 from lineworks.services import (
     caller_api,
     claim_writer,
@@ -103,7 +104,9 @@
         reactor = self._reactor
         kernel = self.kernel
         platform = platform_client.PlatformClient(
-            reactor, options.platform.url, options.platform.timeout_ms / 1000
+            store_client.Store(
+                reactor, options.platform.address, options.platform.timeout_ms / 1000
+            )
         )
         me = member.Member(
             options.name, options.hall, options.peer.host, peer_port, self._incarnation, False
--- a/src/lineworks/services/platform_client.py
+++ b/src/lineworks/services/platform_client.py
@@ -1,31 +1,30 @@
-"""Client of the platform's key-value service and membership list.
+"""What the product's own configuration, claims and membership keep in the platform's store.
 
-The protocol is described in docs/reference/platform.md. Every call is counted. A write whose
-reply is lost is reported as unsure, never as failed.
+A value is text under a key. A write whose answer is lost is reported as unsure, never as failed.
+The calls themselves are those of `lineworks.platform.store`.
 """
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import json
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-import treq
-from twisted.internet import defer
-from twisted.internet import error as net_error
-from twisted.web import client as web_client
+import structlog
 
 from lineworks.models import member
+from lineworks.platform import store
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    import collections
 
 WATCH_SECONDS = 20.0
 """Seconds that one watch waits at the platform at most."""
 
-_ABSENT = 0
-_REVISION = "Revision"
+MEMBERS = "members/"
+"""Prefix of the keys of instances; what follows is the instance's name."""
+
+_log = structlog.get_logger(component="platform_client")
 
 
 class PlatformError(Exception):
@@ -47,32 +46,33 @@
     """Revision of the key; 0 where it is absent."""
 
 
+_ABSENT = Value(None, 0)
+
+
 class PlatformClient:
-    """Talks to the platform over HTTP."""
+    """Values and the list of members, kept in the store."""
 
-    def __init__(self, reactor: Any, url: str, timeout: float) -> None:
+    def __init__(self, client: store.Store) -> None:
         """Make a client; nothing is sent yet.
 
         Args:
-            reactor: Twisted's reactor.
-            url: Base URL of the platform.
-            timeout: Seconds to wait for a reply.
+            client: The store.
         """
-        self._reactor = reactor
-        self._url = url
-        self._timeout = timeout
-        self._pool = web_client.HTTPConnectionPool(reactor, persistent=True)
-        self._pool.retryAutomatically = False
-        agent: Any = web_client.Agent(reactor, pool=self._pool)
-        self._http = treq.client.HTTPClient(agent)
-        self.calls: collections.Counter[str] = collections.Counter()
+        self._store = client
+        self._lease = 0
+        self._announced: member.Member | None = None
+
+    @property
+    def calls(self) -> collections.Counter[str]:
+        """Calls to the store so far, by kind."""
+        return self._store.calls
 
     def start(self) -> None:
         """Do nothing; the first call connects."""
 
-    def stop(self) -> defer.Deferred[Any]:
+    def stop(self) -> None:
         """Close the idle connections."""
-        return self._pool.closeCachedConnections()
+        self._store.stop()
 
     async def get(self, key: str) -> Value:
         """Read a key.
@@ -86,7 +86,11 @@
         Raises:
             PlatformError: The platform cannot be reached or failed.
         """
-        return await self._read(f"/v1/kv/{key}", "get", self._timeout)
+        try:
+            item = await self._store.get(key)
+        except store.StoreError as error:
+            raise PlatformError(str(error)) from error
+        return _ABSENT if item is None else Value(item.value.decode(), item.revision)
 
     async def watch(self, key: str, after: int) -> Value:
         """Wait until a key has a revision above a given one, or for `WATCH_SECONDS`.
@@ -101,8 +105,17 @@
         Raises:
             PlatformError: The platform cannot be reached or failed.
         """
-        path = f"/v1/kv/{key}?after={after}&wait={WATCH_SECONDS}"
-        return await self._read(path, "watch", self._timeout + WATCH_SECONDS)
+        try:
+            found = await self._store.watch(key, after, WATCH_SECONDS)
+        except store.HistoryGoneError:
+            return await self.get(key)
+        except store.StoreError as error:
+            raise PlatformError(str(error)) from error
+        own = [change for change in found.changes if change.key == key]
+        if not own:
+            return await self.get(key)
+        last = own[-1]
+        return _ABSENT if last.value is None else Value(last.value.decode(), last.revision)
 
     async def compare_and_swap(self, key: str, data: str, expect: int) -> bool:
         """Write a key if its revision is still the one expected.
@@ -119,9 +132,11 @@
             PlatformError: Nothing was written.
             PlatformUnsureError: It is not known whether it was written.
         """
-        path = f"/v1/kv/{key}?expect={expect}"
-        status, _, _ = await self._write("PUT", path, data.encode(), "cas")
-        return status == 200
+        try:
+            await self._write(store.Write(key, data.encode()), [(key, expect)])
+        except store.ConflictError:
+            return False
+        return True
 
     async def put(self, key: str, data: str) -> None:
         """Write a key whatever it holds.
@@ -134,72 +149,67 @@
             PlatformError: Nothing was written.
             PlatformUnsureError: It is not known whether it was written.
         """
-        await self._write("PUT", f"/v1/kv/{key}", data.encode(), "put")
+        await self._write(store.Write(key, data.encode()), [])
 
     async def members(self) -> list[member.Member]:
         """Read the membership list.
 
         Returns:
-            All entries.
+            All entries that can be read.
 
         Raises:
             PlatformError: The platform cannot be reached or failed.
         """
-        status, body, _ = await self._call("GET", "/v1/members", b"", "members", self._timeout)
-        if status != 200:
-            raise PlatformError(f"members: status {status}")
-        return [member.Member(**entry) for entry in json.loads(body)["members"]]
+        try:
+            listing = await self._store.list_items(MEMBERS)
+        except store.StoreError as error:
+            raise PlatformError(str(error)) from error
+        found = []
+        for item in listing.items:
+            try:
+                found.append(member.Member(**json.loads(item.value)))
+            except (ValueError, TypeError) as error:
+                _log.warning("member_refused", key=item.key, error=str(error))
+        return found
 
-    async def announce(self, member: member.Member, lease_seconds: float) -> None:
+    async def announce(self, entry: member.Member, lease_seconds: float) -> None:
         """Put this instance on the membership list for a while.
 
         Args:
-            member: The entry.
+            entry: The entry.
             lease_seconds: Seconds after which the entry goes unless announced again.
 
         Raises:
             PlatformError: It was not announced.
             PlatformUnsureError: It is not known whether it was.
         """
-        document = {**dataclasses.asdict(member), "lease_seconds": lease_seconds}
-        data = json.dumps(document).encode()
-        await self._write("PUT", f"/v1/members/{member.name}", data, "announce")
-
-    async def _read(self, path: str, label: str, timeout: float) -> Value:
-        status, body, headers = await self._call("GET", path, b"", label, timeout)
-        if status == 404:
-            return Value(None, int(headers.get(_REVISION, _ABSENT)))
-        if status != 200:
-            raise PlatformError(f"{label}: status {status}")
-        return Value(body.decode(), int(headers[_REVISION]))
-
-    async def _write(
-        self, method: str, path: str, data: bytes, label: str
-    ) -> tuple[int, bytes, Mapping[str, str]]:
-        found = await self._call(method, path, data, label, self._timeout)
-        if found[0] not in (200, 409):
-            raise PlatformError(f"{label}: status {found[0]}")
-        return found
+        if self._lease and self._announced == entry:
+            try:
+                await self._store.renew_lease(self._lease)
+                return
+            except store.LeaseGoneError:
+                self._lease = 0
+            except store.StoreError as error:
+                raise PlatformUnsureError(str(error)) from error
+        if not self._lease:
+            try:
+                self._lease = await self._store.grant_lease(lease_seconds)
+            except store.StoreError as error:
+                raise PlatformError(str(error)) from error
+        data = json.dumps(dataclasses.asdict(entry)).encode()
+        try:
+            await self._write(store.Write(MEMBERS + entry.name, data, self._lease), [])
+        except store.LeaseGoneError as error:
+            self._lease = 0
+            raise PlatformError(str(error)) from error
+        self._announced = entry
 
-    async def _call(
-        self, method: str, path: str, data: bytes, label: str, timeout: float
-    ) -> tuple[int, bytes, Mapping[str, str]]:
-        self.calls[label] += 1
-        is_write = method != "GET"
+    async def _write(self, write: store.Write, expected: list[tuple[str, int]]) -> None:
         try:
-            response = await self._http.request(
-                method, self._url + path, data=data or None, timeout=timeout
-            )
-            body = await response.content()
-        except (net_error.ConnectError, net_error.ConnectingCancelledError) as error:
-            raise PlatformError(f"{label}: {error}") from error
-        except Exception as error:
-            kind = type(error).__name__
-            if is_write:
-                raise PlatformUnsureError(f"{label}: {kind}") from error
-            raise PlatformError(f"{label}: {kind}") from error
-        headers = {
-            name.decode().title(): values[-1].decode()
-            for name, values in response.headers.getAllRawHeaders()
-        }
-        return response.code, body, headers
+            await self._store.transact([write], expected)
+        except (store.ConflictError, store.LeaseGoneError):
+            raise
+        except store.StoreUnsureError as error:
+            raise PlatformUnsureError(str(error)) from error
+        except store.StoreError as error:
+            raise PlatformError(str(error)) from error
--- a/src/lineworks/standins/site.py
+++ b/src/lineworks/standins/site.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import catalog
-from lineworks.standins import platform_server, shapes, target_model, target_server
+from lineworks.standins import shapes, store_model, store_server, target_model, target_server
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -35,7 +35,7 @@
         """
         self._reactor = reactor
         self._shapes = planned
-        self.platform = platform_server.PlatformServer(reactor)
+        self.platform = store_server.StoreServer(reactor, store_model.StoreModel(reactor))
         self.targets: dict[str, target_server.TargetServer] = {}
         for shape in planned:
             for target in shapes.plan_targets(shape):
@@ -60,7 +60,7 @@
             first_target_port: TCP port of the first target, the others following; 0 lets the
                 system choose all.
         """
-        self.platform.listen(host, platform_port)
+        self.platform.listen(self._reactor, host, platform_port)
         for number, target in enumerate(self.targets.values()):
             target.listen(host, first_target_port + number if first_target_port else 0)
 
--- a/src/lineworks/standins/store_server.py
+++ b/src/lineworks/standins/store_server.py
@@ -52,6 +52,7 @@
         """
         self._clock = clock
         self._model = model
+        self._port: Any = None
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
         """Calls taken so far, by path."""
@@ -61,6 +62,26 @@
             self._on_request,
         )
 
+    @property
+    def url(self) -> str:
+        """Base URL, once it listens."""
+        host = self._port.getHost()
+        return f"http://{host.host}:{host.port}"
+
+    def listen(self, reactor: Any, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Serve on a real socket.
+
+        Args:
+            reactor: Twisted's reactor.
+            host: IP address.
+            port: TCP port; 0 lets the system choose.
+        """
+        self._port = reactor.listenTCP(port, self.factory, interface=host, backlog=512)
+
+    def close(self) -> Any:
+        """Stop serving."""
+        return self._port.stopListening()
+
     def _on_request(self, request: server_connection.Request, answer: Answer) -> None:
         path, _, query = request.target.decode().partition("?")
         name = path.removeprefix("/lineworks/").split("/")[0]
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -66,7 +66,7 @@
     found = [world.ask(0, claim(key=f"{key}{n:024d}", nonce=str(n))) for n in range(50)]
     world.clock.run_until(1.0)
     assert [item[0].nonce for item in found] == [str(n) for n in range(50)]
-    assert world.platform.calls["cas"] == 1
+    assert world.platform.calls["write"] == 1
 
 
 def test_the_platform_is_down():
@@ -97,7 +97,7 @@
     world.clock.run_until(2.0)
     assert lost == [True]
     assert found[0].nonce == "n"
-    assert world.platform.calls["cas"] == 1
+    assert world.platform.calls["write"] == 1
 
 
 @hypothesis.given(
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,196 @@
+"""The store's client against the stand-in store, over a network in memory."""
+
+from __future__ import annotations
+
+import pytest
+from twisted.internet import defer
+
+from bench import fakes
+from lineworks.models import member, node_settings
+from lineworks.platform import store
+from lineworks.services import platform_client
+from lineworks.standins import memory_network, store_model, store_server
+
+
+class World:
+    def __init__(self):
+        self.clock = fakes.VirtualClock()
+        network = memory_network.MemoryNetwork(self.clock, lambda a, b: 0.002)
+        self.model = store_model.StoreModel(self.clock)
+        self.server = store_server.StoreServer(self.clock, self.model)
+        network.host("10.0.0.1").listenTCP(80, self.server.factory)
+        self.network = network
+        self.client = store.Store(network.host("10.0.0.2"), node_settings.Address("10.0.0.1", 80))
+
+    def start(self, call):
+        found = []
+        defer.ensureDeferred(call).addBoth(found.append)
+        return found
+
+    def do(self, call, seconds=3.0):
+        found = self.start(call)
+        self.clock.run_until(self.clock.seconds() + seconds)
+        assert found, "the call did not end"
+        if hasattr(found[0], "raiseException"):
+            found[0].raiseException()
+        return found[0]
+
+    def write(self, key, value=b"v", **more):
+        return self.do(self.client.transact([store.Write(key, value)], **more))
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+def test_what_is_written_is_read_with_its_revision(world):
+    revision = world.write("a/1", b"\x00\xff")
+    assert world.do(world.client.get("a/1")) == store.Item("a/1", b"\x00\xff", revision)
+    assert world.do(world.client.get("a/2")) is None
+
+
+def test_listings_come_page_by_page(world):
+    for number in range(store_model.PAGE_ITEMS + 7):
+        world.model.write(f"a/{number:04d}", "dg==")
+    world.model.write("b/1", "dg==")
+    listing = world.do(world.client.list_items("a/"))
+    assert len(listing.items) == store_model.PAGE_ITEMS + 7
+    assert world.server.calls["kv-range"] == 2
+
+
+def test_a_watch_waits_for_a_change_and_tells_removals(world):
+    first = world.write("a/1")
+    waiting = world.start(world.client.watch("a/", first, 10.0))
+    world.clock.run_until(world.clock.seconds() + 2.0)
+    assert waiting == []
+    world.model.remove("a/1")
+    world.clock.run_until(world.clock.seconds() + 1.0)
+    assert waiting[0].changes == [store.Change("a/1", first + 1, None)]
+
+
+def test_a_watch_without_change_ends_empty(world):
+    first = world.write("a/1")
+    world.write("b/1")
+    found = world.do(world.client.watch("a/", first, 0.5))
+    assert found.changes == []
+    assert found.revision == first + 1
+
+
+def test_lost_history_is_told(world):
+    first = world.write("a/1")
+    world.write("a/1")
+    world.model.forget_history()
+    with pytest.raises(store.HistoryGoneError):
+        world.do(world.client.watch("a/", first, 0.0))
+
+
+def test_a_condition_that_does_not_hold_writes_nothing(world):
+    revision = world.write("a/1", b"1")
+    with pytest.raises(store.ConflictError):
+        world.write("a/1", b"2", expected=[("a/1", revision + 1)])
+    with pytest.raises(store.ConflictError):
+        world.write("a/1", b"2", expected=[("a/1", 0)])
+    assert world.do(world.client.get("a/1")).value == b"1"
+    world.write("a/1", b"3", expected=[("a/1", revision)], removed=["a/2"])
+
+
+def test_keys_go_with_their_lease(world):
+    lease = world.do(world.client.grant_lease(20.0))
+    world.do(world.client.transact([store.Write("a/1", b"v", lease)]))
+    for _ in range(3):
+        world.clock.run_until(world.clock.seconds() + 10)
+        world.do(world.client.renew_lease(lease))
+    assert world.do(world.client.get("a/1")) is not None
+    world.clock.run_until(world.clock.seconds() + 21)
+    assert world.do(world.client.get("a/1")) is None
+    with pytest.raises(store.LeaseGoneError):
+        world.do(world.client.renew_lease(lease))
+    with pytest.raises(store.LeaseGoneError):
+        world.do(world.client.transact([store.Write("a/1", b"v", lease)]))
+
+
+def test_a_refusal_is_certain_and_a_lost_answer_is_not(world):
+    world.server.faults.is_down = True
+    with pytest.raises(store.StoreError) as refused:
+        world.write("a/1")
+    assert not isinstance(refused.value, store.StoreUnsureError)
+    world.server.faults.is_down = False
+    world.server.faults.lose_answers = 1
+    with pytest.raises(store.StoreUnsureError):
+        world.write("a/1")
+    assert world.do(world.client.get("a/1")) is not None
+
+
+def test_a_dead_store_is_told_from_a_silent_one(world):
+    world.network.host("10.0.0.1").kill()
+    with pytest.raises(store.StoreError, match="ConnectionRefused"):
+        world.do(world.client.get("a/1"))
+
+
+def test_a_connection_whose_answer_was_lost_is_not_used_again(world):
+    world.write("a/1")
+    world.server.faults.is_silent = True
+    with pytest.raises(store.StoreUnsureError):
+        world.do(world.client.get("a/1"))
+    world.server.faults.is_silent = False
+    assert world.do(world.client.get("a/1")).value == b"v"
+
+
+def test_a_call_can_be_cancelled_while_it_waits(world):
+    first = world.write("a/1")
+    ended = []
+    waiting = defer.ensureDeferred(world.client.watch("a/", first, 20.0))
+    waiting.addErrback(lambda failure: ended.append(failure.type))
+    world.clock.run_until(world.clock.seconds() + 1)
+    waiting.cancel()
+    world.model.write("a/1", "dg==")
+    world.clock.run_until(world.clock.seconds() + 30)
+    assert ended == [defer.CancelledError]
+    assert world.do(world.client.get("a/1")).value == b"v"
+
+
+def test_an_answer_that_is_none_of_the_stores_is_an_error(world):
+    with pytest.raises(store.StoreError):
+        world.do(world.client.watch("a/", "x", 0.0))
+
+
+def test_the_products_client_keeps_values_and_members(world):
+    client = platform_client.PlatformClient(world.client)
+    assert world.do(client.get("k")) == platform_client.Value(None, 0)
+    assert world.do(client.compare_and_swap("k", "one", 0))
+    assert not world.do(client.compare_and_swap("k", "two", 0))
+    value = world.do(client.get("k"))
+    assert value.data == "one"
+    waiting = world.start(client.watch("k", value.revision))
+    world.do(client.put("k", "two"))
+    assert waiting[0].data == "two"
+    me = member.Member("a", "h", "10.0.0.2", 1, "inc", False)
+    world.do(client.announce(me, 50.0))
+    world.do(client.announce(me, 50.0))
+    assert world.server.calls["kv-txn"] == 4
+    assert world.server.calls["kv-keep"] == 1
+    world.model.write("members/bad", "e30=")
+    assert world.do(client.members()) == [me]
+
+
+def test_an_announcement_whose_lease_is_over_is_made_again(world):
+    client = platform_client.PlatformClient(world.client)
+    me = member.Member("a", "h", "10.0.0.2", 1, "inc", False)
+    world.do(client.announce(me, 5.0))
+    world.clock.run_until(world.clock.seconds() + 10)
+    assert world.do(client.members()) == []
+    world.do(client.announce(me, 5.0))
+    assert world.do(client.members()) == [me]
+
+
+def test_the_products_client_tells_unsure_from_failed(world):
+    client = platform_client.PlatformClient(world.client)
+    world.server.faults.lose_answers = 1
+    with pytest.raises(platform_client.PlatformUnsureError):
+        world.do(client.put("k", "one"))
+    world.server.faults.is_down = True
+    with pytest.raises(platform_client.PlatformError):
+        world.do(client.put("k", "two"))
+    with pytest.raises(platform_client.PlatformError):
+        world.do(client.get("k"))
