--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -13,15 +13,15 @@
 from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import extra_attempts, parts, verdict
-from lineworks.forwarding import messages, outcome, search_state, target_calls
+from lineworks.forwarding import outcome, search_attempts, search_state
 from lineworks.http1 import server_connection
 from lineworks.platform import headers
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping, Sequence
+    from collections.abc import Callable, Iterable, Mapping
 
     from lineworks.decisions import routes
-    from lineworks.forwarding import target_book, tools
+    from lineworks.forwarding import target_book, target_calls, tools
 
 AIM_SHARE = 0.05
 """Share of the aim that is kept for the way to the caller and back."""
@@ -60,10 +60,6 @@
 TIMER_SLACK = 0.001
 """Seconds that a timer may fire early by the rounding of clocks."""
 
-FLUSH_LEAD = 0.004
-"""Seconds that a gatherer's first parts should be here before the hedges are decided."""
-
-
 _OVERLAP = verdict.ran(verdict.Reason.FAILED, "merged with a shard that was in already")
 
 
@@ -95,16 +91,21 @@
         self._shards = [search_state.Shard(service) for service in route.shards]
         self._parts = parts.PartSet(len(self._shards), route.top)
         self._needed = parts.needed(len(self._shards), route.least_share)
-        self._queries: dict[int, list[search_state.Try]] = {}
-        self._based: set[int] = set()
+        self._sent = search_attempts.SearchAttempts(
+            shared,
+            route,
+            call,
+            self._shards,
+            self._parts.floor,
+            self._take,
+            self._on_failure,
+        )
         self._timers: list[Any] = []
         self._is_late = False
-        self._attempts = 0
         self._hedges = 0
         self._rechecks = 0
         self._certainties: list[verdict.Verdict] = []
         self._failures: list[str] = []
-        self._hedge_at = 0.0
         self._local_delay = 0.0
         self._remote_delay = 0.0
 
@@ -130,7 +131,7 @@
             return
         self._local_delay = self._hedge_delay(False, now)
         self._remote_delay = self._hedge_delay(True, now)
-        self._hedge_at = now + self._remote_delay
+        self._sent.hedge_at = now + self._remote_delay
         self._set_timer(self._aim_at() - now, self._on_aim)
         self._dispatch(chosen, is_hedge=False)
         if self._on_end is not None:
@@ -195,11 +196,11 @@
             elif shard.sent and not is_hedge and not self._may_spend(shard, now):
                 self._on_no_budget(index)
             elif state.hall == self._shared.hall:
-                self._call_target(index, state, now, is_hedge)
+                self._sent.ask_target(index, state, now, is_hedge)
             else:
                 remote.append(index)
         if remote:
-            self._dispatch_remote(remote, now, is_hedge)
+            self._sent.ask_halls(remote, now, is_hedge)
 
     def _choose(self, shard: search_state.Shard, now: float) -> target_book.TargetState | None:
         return self._shared.book.choose(shard.service, now, shard.tried)
@@ -213,179 +214,6 @@
         self._shared.counters.budget_spent += 1
         return False
 
-    def _dispatch_remote(self, wanted: list[int], now: float, is_hedge: bool) -> None:
-        """Send attempts to as few other halls as will do, the best covered first."""
-        left: dict[int, list[target_book.TargetState]] = {}
-        for index in wanted:
-            shard = self._shards[index]
-            left[index] = self._shared.book.good(shard.service, now, shard.tried)
-        while left:
-            by_hall: dict[str, list[tuple[int, target_book.TargetState]]] = {}
-            for index, states in left.items():
-                for state in states:
-                    by_hall.setdefault(state.hall, []).append((index, state))
-            hall = max(by_hall, key=lambda name: self._hall_value(by_hall[name], now))
-            chosen = dict(by_hall[hall])
-            self._send_to_hall(hall, chosen, now, is_hedge)
-            for index in chosen:
-                del left[index]
-
-    def _hall_value(
-        self, found: Sequence[tuple[int, target_book.TargetState]], now: float
-    ) -> tuple[int, float]:
-        """Value a hall by the shards that it covers, then by the slowest of their targets."""
-        slowest = max(self._shared.book.expected(state, now) for _, state in found)
-        return len({index for index, _ in found}), -slowest
-
-    def _send_to_hall(
-        self,
-        hall: str,
-        chosen: dict[int, target_book.TargetState],
-        now: float,
-        is_hedge: bool,
-    ) -> None:
-        shared = self._shared
-        peer = shared.gatherers.choose(hall) if hall != shared.hall else None
-        if peer is None or not self._ask_gatherer(peer, hall, chosen, now, is_hedge):
-            for index, state in chosen.items():
-                self._call_target(index, state, now, is_hedge)
-
-    def _ask_gatherer(
-        self,
-        peer: str,
-        hall: str,
-        chosen: dict[int, target_book.TargetState],
-        now: float,
-        is_hedge: bool,
-    ) -> bool:
-        shared = self._shared
-        way = shared.book.round_trip(hall)
-        number = shared.gatherers.next_number()
-        query = messages.GatherQuery(
-            number=number,
-            services=tuple(self._shards[index].service for index in chosen),
-            head=self._call.head,
-            body=self._call.body,
-            attempt=self._call.attempt,
-            top=self._route.top,
-            floor=self._parts.floor(),
-            deadline=self._call.deadline - way / 2,
-            flush_at=now if is_hedge else self._hedge_at - way - FLUSH_LEAD,
-        )
-        on_parts = functools.partial(self._on_parts, number)
-        on_lost = functools.partial(self._on_gatherer_lost, number)
-        if not shared.gatherers.send(peer, query, on_parts, on_lost):
-            return False
-        shared.counters.gather_queries += 1
-        tries = []
-        for position, (index, state) in enumerate(chosen.items()):
-            attempt = self._note_try(index, state, now, is_hedge)
-            attempt.query = number
-            attempt.position = position
-            tries.append(attempt)
-        self._queries[number] = tries
-        return True
-
-    def _call_target(
-        self, index: int, state: target_book.TargetState, now: float, is_hedge: bool
-    ) -> None:
-        attempt = self._note_try(index, state, now, is_hedge)
-        on_end = functools.partial(self._on_call_end, attempt)
-        attempt.cancel = self._shared.calls.send(state, self._call, on_end)
-
-    def _note_try(
-        self, index: int, state: target_book.TargetState, now: float, is_hedge: bool
-    ) -> search_state.Try:
-        shard = self._shards[index]
-        attempt = search_state.Try(index, state, now, is_hedge)
-        shard.running.append(attempt)
-        shard.tried.add(state.id)
-        shard.tries += 1
-        shard.sent += 1
-        self._attempts += 1
-        return attempt
-
-    def _on_call_end(self, attempt: search_state.Try, end: target_calls.CallEnd) -> None:
-        """Take in the answer of a target that was asked directly."""
-        shard = self._shards[attempt.shard]
-        shard.running.remove(attempt)
-        if not end.verdict.is_ok or end.response is None:
-            if not target_calls.was_sent(end.verdict):
-                shard.sent -= 1
-            self._on_failure(attempt.shard, end.verdict)
-            return
-        self._record(attempt)
-        records = parts.split_records(end.response.body)
-        top = parts.greatest(records, self._route.top)
-        stamp = headers.read_stamp(end.response.headers)
-        self._take(parts.Part(frozenset((attempt.shard,)), (stamp,), top), (attempt,))
-
-    def _on_parts(self, number: int, frame: messages.GatherParts) -> None:
-        """Take in what a gatherer sent."""
-        tries = self._queries.get(number)
-        if tries is None or self._on_end is None:
-            return
-        now = self._shared.reactor.seconds()
-        arrived = [tries[position] for position in frame.shards if position < len(tries)]
-        done = [attempt for attempt in arrived if attempt in self._shards[attempt.shard].running]
-        for attempt in done:
-            self._shards[attempt.shard].running.remove(attempt)
-            self._note_remote(attempt, now)
-        failures = list(zip(frame.failed, frame.failures, strict=True))
-        self._close_query_if_over(number)
-        if frame.shards:
-            is_used = bool(done) and self._take(search_state.read_part(arrived, frame), done)
-            if not is_used and number not in self._based:
-                self._drop_query(number)
-            self._based.add(number)
-        for position, failure in failures:
-            if self._on_end is None:
-                return
-            if position < len(tries):
-                self._on_remote_failure(tries[position], failure, now)
-
-    def _note_remote(self, attempt: search_state.Try, now: float) -> None:
-        """Learn how long a target took that a gatherer asked."""
-        book = self._shared.book
-        seconds = now - attempt.started - book.round_trip(attempt.state.hall)
-        # Parts wait at the gatherer for the slowest of their query, so only a target that is
-        # later than the first parts is known to be slow.
-        usual = book.service_time(attempt.state.replica.target.service)
-        is_first = now <= self._hedge_at + FLUSH_LEAD
-        book.note_answer(attempt.state, now, min(seconds, usual) if is_first and usual else seconds)
-        self._record(attempt)
-
-    def _on_remote_failure(
-        self, attempt: search_state.Try, failure: messages.Failure, now: float
-    ) -> None:
-        shard = self._shards[attempt.shard]
-        if attempt not in shard.running:
-            return
-        shard.running.remove(attempt)
-        self._close_query_if_over(attempt.query)
-        if failure is messages.Failure.NOT_SENT:
-            shard.sent -= 1
-        else:
-            self._shared.book.note_failure(attempt.state, now)
-        self._on_failure(attempt.shard, search_state.remote_verdict(failure))
-
-    def _on_gatherer_lost(self, number: int) -> None:
-        tries = self._queries.pop(number, [])
-        found = verdict.may_have_run(verdict.Reason.LINK_LOST, "the gatherer is gone")
-        lost = [attempt for attempt in tries if attempt in self._shards[attempt.shard].running]
-        for attempt in lost:
-            self._shards[attempt.shard].running.remove(attempt)
-        for attempt in lost:
-            self._on_failure(attempt.shard, found)
-
-    def _record(self, attempt: search_state.Try) -> None:
-        now = self._shared.reactor.seconds()
-        if attempt.is_hedge:
-            self._shared.counters.hedges_won += 1
-        else:
-            is_remote = attempt.state.hall != self._shared.hall
-            self._shared.hedges.record(self._route.name, is_remote, now - attempt.started)
-
     def _take(self, part: parts.Part, done: Iterable[search_state.Try]) -> bool:
         """Use a part, and stop the other attempts at its shards.
 
@@ -403,18 +231,12 @@
             self._shared.counters.parts_dropped += 1
         for attempt in done:
             if attempt.shard in self._parts.covered:
-                self._stop_tries(self._shards[attempt.shard])
+                self._sent.stop_shard(self._shards[attempt.shard])
             else:
                 self._on_failure(attempt.shard, _OVERLAP)
         self._check()
         return is_used
 
-    def _drop_query(self, number: int) -> None:
-        """Give up the rest of a query whose first part can't be used: later ones build on it."""
-        if number in self._queries:
-            self._shared.gatherers.close(number, (0,))
-            self._on_gatherer_lost(number)
-
     def _on_failure(self, index: int, found: verdict.Verdict) -> None:
         """Deal with an attempt that failed: try elsewhere, or wait for another one."""
         if self._on_end is None:
@@ -474,7 +296,7 @@
             self._shared.counters.hedges += len(hedged)
             self._hedges += len(hedged)
             self._dispatch(hedged, is_hedge=True)
-        if self._rechecks < MOST_RECHECKS and now >= self._hedge_at:
+        if self._rechecks < MOST_RECHECKS and now >= self._sent.hedge_at:
             self._rechecks += 1
             self._set_timer(HEDGE_RECHECK, self._on_hedge)
         self._check()
@@ -541,11 +363,10 @@
         answer = server_connection.Answer(200, fields, b"".join(merged.records))
         if self._parts.missing:
             self._shared.counters.partial += 1
-        covered = len(self._parts.covered)
-        self._end(outcome.Outcome(answer, verdict.OK, self._attempts, covered, len(self._shards)))
+        self._end(outcome.Outcome(answer, verdict.OK, self._sent.count))
 
     def _finish_without(self, found: verdict.Verdict) -> None:
-        self._end(outcome.refuse(found, self._attempts))
+        self._end(outcome.refuse(found, self._sent.count))
 
     def _end(self, found: outcome.Outcome) -> None:
         on_end = self._on_end
@@ -572,44 +393,4 @@
             if timer.active():
                 timer.cancel()
         self._timers.clear()
-        for shard in self._shards:
-            for attempt in shard.running:
-                if attempt.cancel is not None:
-                    attempt.cancel()
-        for number, tries in self._queries.items():
-            open_positions = tuple(
-                attempt.position
-                for attempt in tries
-                if attempt in self._shards[attempt.shard].running
-            )
-            self._note_given_up(tries)
-            self._shared.gatherers.close(number, open_positions)
-        self._queries.clear()
-
-    def _note_given_up(self, tries: Iterable[search_state.Try]) -> None:
-        now = self._shared.reactor.seconds()
-        for attempt in tries:
-            if attempt in self._shards[attempt.shard].running:
-                self._shared.book.note_given_up(attempt.state, now, now - attempt.started)
-
-    def _stop_tries(self, shard: search_state.Shard) -> None:
-        """Cancel the attempts at a shard that is in."""
-        running = list(shard.running)
-        shard.running.clear()
-        now = self._shared.reactor.seconds()
-        for attempt in running:
-            if attempt.cancel is not None:
-                attempt.cancel()
-            elif attempt.query:
-                self._shared.book.note_given_up(attempt.state, now, now - attempt.started)
-                self._shared.gatherers.cancel(attempt.query, (attempt.position,))
-                self._close_query_if_over(attempt.query)
-
-    def _close_query_if_over(self, number: int) -> None:
-        tries = self._queries.get(number)
-        if tries is None:
-            return
-        if any(attempt in self._shards[attempt.shard].running for attempt in tries):
-            return
-        del self._queries[number]
-        self._shared.gatherers.close(number, None)
+        self._sent.stop()
--- /dev/null
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -0,0 +1,304 @@
+"""The attempts of one search: sends them, and takes in what comes back.
+
+What to send, and what a failure means, is decided by `lineworks.forwarding.search`.
+"""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING
+
+from lineworks.decisions import parts, verdict
+from lineworks.forwarding import messages, search_state, target_calls
+from lineworks.platform import headers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Sequence
+
+    from lineworks.decisions import routes
+    from lineworks.forwarding import target_book, tools
+
+FLUSH_LEAD = 0.004
+"""Seconds that a gatherer's first parts should be here before the hedges are decided."""
+
+
+class SearchAttempts:
+    """Attempts under way, at targets and through gatherers."""
+
+    def __init__(
+        self,
+        shared: tools.Tools,
+        route: routes.Route,
+        call: target_calls.TargetCall,
+        shards: Sequence[search_state.Shard],
+        floor: Callable[[], bytes],
+        take: Callable[[parts.Part, Iterable[search_state.Try]], bool],
+        on_failure: Callable[[int, verdict.Verdict], None],
+    ) -> None:
+        """Start with nothing sent.
+
+        Args:
+            shared: What the front's requests share.
+            route: The route.
+            call: The request as every target gets it.
+            shards: The search's shards.
+            floor: Tells the least record that can still change the answer.
+            take: Takes a part with the attempts that brought it, and says whether it is in.
+            on_failure: Takes the position of a shard whose attempt failed, and why.
+        """
+        self._shared = shared
+        self._route = route
+        self._call = call
+        self._shards = shards
+        self._floor = floor
+        self._take = take
+        self._on_failure = on_failure
+        self._queries: dict[int, list[search_state.Try]] = {}
+        self._based: set[int] = set()
+        self._is_over = False
+        self.count = 0
+        """Attempts made so far."""
+        self.hedge_at = 0.0
+        """When attempts through gatherers are looked at, in seconds."""
+
+    def ask_halls(self, wanted: list[int], now: float, is_hedge: bool) -> None:
+        """Send attempts to as few other halls as will do, the best covered first.
+
+        Args:
+            wanted: Positions of shards that have a target to ask.
+            now: The present, in seconds.
+            is_hedge: Whether they are second attempts beside slow ones.
+        """
+        left: dict[int, list[target_book.TargetState]] = {}
+        for index in wanted:
+            shard = self._shards[index]
+            left[index] = self._shared.book.good(shard.service, now, shard.tried)
+        while left:
+            by_hall: dict[str, list[tuple[int, target_book.TargetState]]] = {}
+            for index, states in left.items():
+                for state in states:
+                    by_hall.setdefault(state.hall, []).append((index, state))
+            hall = max(by_hall, key=lambda name: self._hall_value(by_hall[name], now))
+            chosen = dict(by_hall[hall])
+            self._send_to_hall(hall, chosen, now, is_hedge)
+            for index in chosen:
+                del left[index]
+
+    def _hall_value(
+        self, found: Sequence[tuple[int, target_book.TargetState]], now: float
+    ) -> tuple[int, float]:
+        """Value a hall by the shards that it covers, then by the slowest of their targets."""
+        slowest = max(self._shared.book.expected(state, now) for _, state in found)
+        return len({index for index, _ in found}), -slowest
+
+    def _send_to_hall(
+        self,
+        hall: str,
+        chosen: dict[int, target_book.TargetState],
+        now: float,
+        is_hedge: bool,
+    ) -> None:
+        shared = self._shared
+        peer = shared.gatherers.choose(hall) if hall != shared.hall else None
+        if peer is None or not self._ask_gatherer(peer, hall, chosen, now, is_hedge):
+            for index, state in chosen.items():
+                self.ask_target(index, state, now, is_hedge)
+
+    def _ask_gatherer(
+        self,
+        peer: str,
+        hall: str,
+        chosen: dict[int, target_book.TargetState],
+        now: float,
+        is_hedge: bool,
+    ) -> bool:
+        shared = self._shared
+        way = shared.book.round_trip(hall)
+        number = shared.gatherers.next_number()
+        query = messages.GatherQuery(
+            number=number,
+            services=tuple(self._shards[index].service for index in chosen),
+            head=self._call.head,
+            body=self._call.body,
+            attempt=self._call.attempt,
+            top=self._route.top,
+            floor=self._floor(),
+            deadline=self._call.deadline - way / 2,
+            flush_at=now if is_hedge else self.hedge_at - way - FLUSH_LEAD,
+        )
+        on_parts = functools.partial(self._on_parts, number)
+        on_lost = functools.partial(self._on_gatherer_lost, number)
+        if not shared.gatherers.send(peer, query, on_parts, on_lost):
+            return False
+        shared.counters.gather_queries += 1
+        tries = []
+        for position, (index, state) in enumerate(chosen.items()):
+            attempt = self._note_try(index, state, now, is_hedge)
+            attempt.query = number
+            attempt.position = position
+            tries.append(attempt)
+        self._queries[number] = tries
+        return True
+
+    def ask_target(
+        self, index: int, state: target_book.TargetState, now: float, is_hedge: bool
+    ) -> None:
+        """Send an attempt straight to a target.
+
+        Args:
+            index: Position of the shard.
+            state: The target.
+            now: The present, in seconds.
+            is_hedge: Whether it is a second attempt beside a slow one.
+        """
+        attempt = self._note_try(index, state, now, is_hedge)
+        on_end = functools.partial(self._on_call_end, attempt)
+        attempt.cancel = self._shared.calls.send(state, self._call, on_end)
+
+    def _note_try(
+        self, index: int, state: target_book.TargetState, now: float, is_hedge: bool
+    ) -> search_state.Try:
+        shard = self._shards[index]
+        attempt = search_state.Try(index, state, now, is_hedge)
+        shard.running.append(attempt)
+        shard.tried.add(state.id)
+        shard.tries += 1
+        shard.sent += 1
+        self.count += 1
+        return attempt
+
+    def _on_call_end(self, attempt: search_state.Try, end: target_calls.CallEnd) -> None:
+        """Take in the answer of a target that was asked directly."""
+        shard = self._shards[attempt.shard]
+        shard.running.remove(attempt)
+        if not end.verdict.is_ok or end.response is None:
+            if not target_calls.was_sent(end.verdict):
+                shard.sent -= 1
+            self._on_failure(attempt.shard, end.verdict)
+            return
+        self._record(attempt)
+        records = parts.split_records(end.response.body)
+        top = parts.greatest(records, self._route.top)
+        stamp = headers.read_stamp(end.response.headers)
+        self._take(parts.Part(frozenset((attempt.shard,)), (stamp,), top), (attempt,))
+
+    def _on_parts(self, number: int, frame: messages.GatherParts) -> None:
+        """Take in what a gatherer sent."""
+        tries = self._queries.get(number)
+        if tries is None or self._is_over:
+            return
+        now = self._shared.reactor.seconds()
+        arrived = [tries[position] for position in frame.shards if position < len(tries)]
+        done = [attempt for attempt in arrived if attempt in self._shards[attempt.shard].running]
+        for attempt in done:
+            self._shards[attempt.shard].running.remove(attempt)
+            self._note_remote(attempt, now)
+        failures = list(zip(frame.failed, frame.failures, strict=True))
+        self._close_query_if_over(number)
+        if frame.shards:
+            is_used = bool(done) and self._take(search_state.read_part(arrived, frame), done)
+            if not is_used and number not in self._based:
+                self._drop_query(number)
+            self._based.add(number)
+        for position, failure in failures:
+            if self._is_over:
+                return
+            if position < len(tries):
+                self._on_remote_failure(tries[position], failure, now)
+
+    def _note_remote(self, attempt: search_state.Try, now: float) -> None:
+        """Learn how long a target took that a gatherer asked."""
+        book = self._shared.book
+        seconds = now - attempt.started - book.round_trip(attempt.state.hall)
+        # Parts wait at the gatherer for the slowest of their query, so only a target that is
+        # later than the first parts is known to be slow.
+        usual = book.service_time(attempt.state.replica.target.service)
+        is_first = now <= self.hedge_at + FLUSH_LEAD
+        book.note_answer(attempt.state, now, min(seconds, usual) if is_first and usual else seconds)
+        self._record(attempt)
+
+    def _on_remote_failure(
+        self, attempt: search_state.Try, failure: messages.Failure, now: float
+    ) -> None:
+        shard = self._shards[attempt.shard]
+        if attempt not in shard.running:
+            return
+        shard.running.remove(attempt)
+        self._close_query_if_over(attempt.query)
+        if failure is messages.Failure.NOT_SENT:
+            shard.sent -= 1
+        else:
+            self._shared.book.note_failure(attempt.state, now)
+        self._on_failure(attempt.shard, search_state.remote_verdict(failure))
+
+    def _on_gatherer_lost(self, number: int) -> None:
+        tries = self._queries.pop(number, [])
+        found = verdict.may_have_run(verdict.Reason.LINK_LOST, "the gatherer is gone")
+        lost = [attempt for attempt in tries if attempt in self._shards[attempt.shard].running]
+        for attempt in lost:
+            self._shards[attempt.shard].running.remove(attempt)
+        for attempt in lost:
+            self._on_failure(attempt.shard, found)
+
+    def _record(self, attempt: search_state.Try) -> None:
+        now = self._shared.reactor.seconds()
+        if attempt.is_hedge:
+            self._shared.counters.hedges_won += 1
+        else:
+            is_remote = attempt.state.hall != self._shared.hall
+            self._shared.hedges.record(self._route.name, is_remote, now - attempt.started)
+
+    def _drop_query(self, number: int) -> None:
+        """Give up the rest of a query whose first part can't be used: later ones build on it."""
+        if number in self._queries:
+            self._shared.gatherers.close(number, (0,))
+            self._on_gatherer_lost(number)
+
+    def _note_given_up(self, tries: Iterable[search_state.Try]) -> None:
+        now = self._shared.reactor.seconds()
+        for attempt in tries:
+            if attempt in self._shards[attempt.shard].running:
+                self._shared.book.note_given_up(attempt.state, now, now - attempt.started)
+
+    def stop_shard(self, shard: search_state.Shard) -> None:
+        """Cancel the attempts at a shard that is in.
+
+        Args:
+            shard: The shard.
+        """
+        running = list(shard.running)
+        shard.running.clear()
+        now = self._shared.reactor.seconds()
+        for attempt in running:
+            if attempt.cancel is not None:
+                attempt.cancel()
+            elif attempt.query:
+                self._shared.book.note_given_up(attempt.state, now, now - attempt.started)
+                self._shared.gatherers.cancel(attempt.query, (attempt.position,))
+                self._close_query_if_over(attempt.query)
+
+    def _close_query_if_over(self, number: int) -> None:
+        tries = self._queries.get(number)
+        if tries is None:
+            return
+        if any(attempt in self._shards[attempt.shard].running for attempt in tries):
+            return
+        del self._queries[number]
+        self._shared.gatherers.close(number, None)
+
+    def stop(self) -> None:
+        """Cancel all attempts; nothing is reported any more."""
+        self._is_over = True
+        for shard in self._shards:
+            for attempt in shard.running:
+                if attempt.cancel is not None:
+                    attempt.cancel()
+        for number, tries in self._queries.items():
+            open_positions = tuple(
+                attempt.position
+                for attempt in tries
+                if attempt in self._shards[attempt.shard].running
+            )
+            self._note_given_up(tries)
+            self._shared.gatherers.close(number, open_positions)
+        self._queries.clear()
--- a/src/lineworks/forwarding/search_state.py
+++ b/src/lineworks/forwarding/search_state.py
@@ -19,12 +19,25 @@
     """One attempt at one shard."""
 
     shard: int
+    """Position of the shard in the search."""
+
     state: target_book.TargetState
+    """The target; of an attempt through a gatherer, the one that it should choose."""
+
     started: float
+    """When it was sent, in seconds."""
+
     is_hedge: bool = False
+    """Whether it was made beside a slow one."""
+
     cancel: Callable[[], None] | None = None
+    """Cancels an attempt that went straight to its target."""
+
     query: int = 0
+    """Number of the gatherer's query; 0 for none."""
+
     position: int = 0
+    """Position of the shard in that query."""
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -32,13 +45,28 @@
     """One shard."""
 
     service: str
+    """The service that it is."""
+
     running: list[Try] = dataclasses.field(default_factory=list)
+    """Attempts under way."""
+
     tried: set[str] = dataclasses.field(default_factory=set)
+    """Identities of targets asked since all of them were last allowed again."""
+
     tries: int = 0
+    """Attempts made, and pauses taken."""
+
     sent: int = 0
+    """Attempts that reached a target, as far as is known."""
+
     is_hedged: bool = False
+    """Whether a hedge was sent."""
+
     is_waiting: bool = False
+    """Whether it waits to be tried again."""
+
     is_given_up: bool = False
+    """Whether nothing more is tried."""
 
 
 def why_missing(shard: Shard) -> str:
@@ -62,6 +90,15 @@
 
 
 def read_part(arrived: Sequence[Try], frame: messages.GatherParts) -> parts.Part:
+    """Read a merged part.
+
+    Args:
+        arrived: The attempts whose shards are in it.
+        frame: What the gatherer sent.
+
+    Returns:
+        The part.
+    """
     size = parts.RECORD_BYTES
     data = frame.records
     records = tuple(data[at : at + size] for at in range(0, len(data), size))
@@ -69,6 +106,14 @@
 
 
 def remote_verdict(failure: messages.Failure) -> verdict.Verdict:
+    """Say what a gatherer's failure means for the shard.
+
+    Args:
+        failure: Why the gatherer has no part of it.
+
+    Returns:
+        The verdict of the attempt.
+    """
     if failure is messages.Failure.NOT_SENT:
         return verdict.not_run(verdict.Reason.UNREACHABLE, "no target of the hall has room")
     if failure is messages.Failure.NOT_RUN:
