--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -186,6 +186,11 @@
         except store.StoreError as error:
             self._on_failure(str(error))
             return
+        except Exception as error:
+            # A fault in one answer must not end the task that all knowledge comes through.
+            _log.error("ask_failed", error=repr(error))
+            self._on_failure(repr(error))
+            return
         self._on_success()
 
     async def _read_all(self, asked_at: float) -> None:
--- a/tests/test_forwarding_changes.py
+++ b/tests/test_forwarding_changes.py
@@ -286,3 +286,26 @@
     for attempt, reply in replies.items():
         test_forwarding.check_search(world, reply, attempt)
     assert set(statuses(world, "/search/q").values()) == {200}
+
+
+def test_a_fault_while_taking_an_answer_in_does_not_end_the_updates():
+    world = test_forwarding.build()
+    directory = world.nodes["akl-1"]._directory
+    failing = [True]
+    apply = directory.on_targets
+
+    def on_targets():
+        if failing.pop() if failing else False:
+            raise RuntimeError("fault")
+        apply()
+
+    directory.on_targets = on_targets
+    for target in test_forwarding.targets_of(world, "shelf"):
+        world.announce(target, "draining")
+    world.run(4.0)
+    assert failing == []
+    world.configure([*ROUTES, NEW])
+    for hall in deployment.HALLS:
+        world.add_target("shelf", hall)
+    world.run(4.0)
+    assert set(statuses(world, "/new/x").values()) == {200}
