--- a/tests/test_forwarding_changes.py
+++ b/tests/test_forwarding_changes.py
@@ -289,24 +289,25 @@
 
 
 def test_a_fault_while_taking_an_answer_in_does_not_end_the_updates():
+    # Alone, so that no peer brings what the instance fails to read itself.
     world = test_forwarding.build()
-    readers = [node._directory for node in world.nodes.values() if node._directory._is_reader()]
-    directory = readers[0]
+    for name in list(world.nodes)[1:]:
+        world.host_of(name).power_off()
+        del world.nodes[name]
+    directory = world.nodes["akl-1"]._directory
     failing = [True]
     apply = directory.on_targets
 
     def on_targets():
-        if failing.pop() if failing else False:
+        if failing:
+            failing.pop()
             raise RuntimeError("fault")
         apply()
 
     directory.on_targets = on_targets
-    for target in test_forwarding.targets_of(world, "shelf"):
-        world.announce(target, "draining")
+    world.announce(shelf(world, "akl"), "draining")
     world.run(4.0)
     assert failing == []
     world.configure([*ROUTES, NEW])
-    for hall in deployment.HALLS:
-        world.add_target("shelf", hall)
     world.run(4.0)
-    assert set(statuses(world, "/new/x").values()) == {200}
+    assert statuses(world, "/new/x") == {"akl-1": 200}
