--- a/src/lineworks/standins/deployment.py
+++ b/src/lineworks/platform/standins/deployment.py
@@ -18,7 +18,8 @@
 from lineworks.forwarding import node
 from lineworks.http1 import client_connection
 from lineworks.models import node_settings
-from lineworks.standins import http_target, memory_network, store_model, store_server
+from lineworks.platform.standins import http_target, store_server
+from lineworks.standins import memory_network, store_model
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
