Let held requests go only when targets are known too

Cause: requests held for the configuration went on before the targets were taken in. A test of requests during a start failed first.

--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -16,9 +16,9 @@
 
     from lineworks.forwarding import request_log, tools
 
-TABLE_WAIT_SECONDS = 0.08
-"""Seconds that a request is held while no configuration is known: after a start it usually comes
-within that time, and a refusal after it is still early."""
+START_WAIT_SECONDS = 0.08
+"""Seconds that a request is held while configuration or targets are not known: after a start they
+usually come within that time, and a refusal after it is still early."""
 
 REFUSAL_WEIGHT = 0.1
 """Weight of one request in the share of those that found no target."""
@@ -46,6 +46,8 @@
         self._turns = routes.WeightedTurns()
         self._open = 0
         self._waiting: list[Callable[[], None]] = []
+        self.is_complete: Callable[[], bool] = lambda: True
+        """Says whether configuration and targets are known."""
         self.view_age: Callable[[], float] = lambda: 0.0
         """Tells the age of what is known of the targets, in seconds."""
         self._refused = estimators.Average(REFUSAL_WEIGHT)
@@ -73,6 +75,9 @@
         """
         self._table = table
         self._turns.forget_absent(table.routes)
+
+    def go_on(self) -> None:
+        """Start the requests that were held, because configuration and targets are known now."""
         waiting, self._waiting = self._waiting, []
         for go_on in waiting:
             go_on()
@@ -102,8 +107,8 @@
             answered at once.
         """
         table = self._table
-        if table is None:
-            return self._wait_for_table(request, answer)
+        if table is None or not self.is_complete():
+            return self._wait_for_start(request, answer)
         host = request.header(b"host")
         attempt = request.header(headers.ATTEMPT)
         if host is None or attempt is None or not request.target.startswith(b"/"):
@@ -116,12 +121,12 @@
             return None
         return self._forward(request, answer, table, route, attempt)
 
-    def _wait_for_table(
+    def _wait_for_start(
         self,
         request: server_connection.Request,
         answer: Callable[[server_connection.Answer], None],
     ) -> Callable[[], None]:
-        """Hold a request for a moment while the configuration is on its way after a start."""
+        """Hold a request for a moment while configuration and targets are on their way."""
         cancel: Callable[[], None] | None = None
         is_over = False
 
@@ -136,7 +141,7 @@
             nonlocal is_over
             is_over = True
             self._waiting.remove(go_on)
-            found = verdict.not_run(verdict.Reason.NOT_READY, "no configuration yet")
+            found = verdict.not_run(verdict.Reason.NOT_READY, "no configuration or targets yet")
             self._answer_at_once(request, answer, outcome.refuse(found))
 
         def stop() -> None:
@@ -148,7 +153,7 @@
                 timer.cancel()
                 self._waiting.remove(go_on)
 
-        timer = self._shared.reactor.callLater(TABLE_WAIT_SECONDS, give_up)
+        timer = self._shared.reactor.callLater(START_WAIT_SECONDS, give_up)
         self._waiting.append(go_on)
         return stop
 
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -158,6 +158,7 @@
 
     def _connect(self) -> None:
         """Tie the services together."""
+        self._front.is_complete = lambda: self._directory.is_complete
         self._front.view_age = lambda: min(NEVER_AGE, self._directory.age)
         self._directory.on_table = self._on_table
         self._directory.on_targets = self._on_targets
@@ -201,6 +202,10 @@
         self._on_targets()
         self._links.broadcast(self._heartbeat())
 
+    def _go_on_if_complete(self) -> None:
+        if self._directory.is_complete:
+            self._front.go_on()
+
     def _on_targets(self) -> None:
         table = self._front.table
         services = table.services if table is not None else {}
@@ -216,6 +221,7 @@
             if states:
                 named = [f"{state.replica.target.service}/{state.id}" for state in states]
                 _log.info(kind, count=len(named), targets=named[:MOST_NAMED], view_age=age)
+        self._go_on_if_complete()
 
     def _on_query(self, link: Any, query: messages.GatherQuery) -> None:
         self._gatherer.on_query(link.hello.incarnation, query, link.send)
--- a/tests/test_forwarding_changes.py
+++ b/tests/test_forwarding_changes.py
@@ -311,3 +311,15 @@
     world.configure([*ROUTES, NEW])
     world.run(4.0)
     assert statuses(world, "/new/x") == {"akl-1": 200}
+
+
+def test_requests_that_come_while_an_instance_starts_are_served():
+    # Found in the log of a played day: requests held for the configuration were let go before the
+    # targets were known, and so refused.
+    world = test_forwarding.build()
+    world.host_of("akl-1").kill()
+    world.run(1.0)
+    world.add_node("akl-1", "akl")
+    replies = [world.ask("akl-1", path) for path in ("/read/x", "/search/q") * 2]
+    world.run(1.0)
+    assert {reply.status for reply in replies} == {200}
