Take signals from the very start; tests of the node as a process, and of not being ready when blind

A SIGHUP or SIGTERM between the first listening port and the handlers ended the process on the spot; the test of a planned stop failed first. A port in use is told as such.

--- a/src/lineworks/programs/node.py
+++ b/src/lineworks/programs/node.py
@@ -18,6 +18,9 @@
 EXIT_PORT = 3
 """A port is in use."""
 
+EXIT_START = 4
+"""The process could not start for another reason."""
+
 
 def main() -> int:
     """Run until SIGTERM.
@@ -28,7 +31,6 @@
     reactor = steady_reactor.install()
     # The reactor must be installed before anything imports the default one.
     from twisted.internet import defer
-    from twisted.internet import error as net_error
 
     from lineworks.forwarding import node
     from lineworks.programs import _node_logs
@@ -40,20 +42,21 @@
         logs.fail("settings_refused", str(error))
         return EXIT_SETTINGS
     process = node.Node(reactor, settings)
-    try:
-        started = defer.ensureDeferred(process.start())
-    except net_error.CannotListenError as error:
-        logs.fail("port_in_use", str(error))
-        return EXIT_PORT
-    started.addErrback(_on_start_failed, reactor, logs)
+    # Before anything else, or an early signal would end the process on the spot.
     _handle_signals(reactor, process, logs)
+    defer.ensureDeferred(process.start()).addErrback(_on_start_failed, reactor, logs)
     reactor.run(installSignalHandlers=False)
     logs.flush()
     return logs.exit_code
 
 
 def _on_start_failed(failure: Any, reactor: Any, logs: Any) -> None:
-    logs.fail("start_failed", failure.getTraceback(), EXIT_PORT)
+    from twisted.internet import error as net_error
+
+    if failure.check(net_error.CannotListenError):
+        logs.fail("port_in_use", failure.getErrorMessage(), EXIT_PORT)
+    else:
+        logs.fail("start_failed", failure.getTraceback(), EXIT_START)
     reactor.callWhenRunning(reactor.stop)
 
 
--- a/tests/test_forwarding_changes.py
+++ b/tests/test_forwarding_changes.py
@@ -323,3 +323,32 @@
     replies = [world.ask("akl-1", path) for path in ("/read/x", "/search/q") * 2]
     world.run(1.0)
     assert {reply.status for reply in replies} == {200}
+
+
+def test_an_instance_that_is_cut_off_and_refuses_most_requests_is_not_ready():
+    world = test_forwarding.build()
+    name = "akl-1"
+    address = world.address_of(name)
+    others = [world.address_of(other) for other in world.nodes if other != name]
+    for other in (*others, deployment.STORE_ADDRESS):
+        world.network.cut(address, other)
+        world.network.cut(other, address)
+    old = test_forwarding.targets_of(world, "shelf")
+    for target in old:
+        # The addresses belong to other processes by now, which the instance can't know.
+        target.name = f"{target.name}-new"
+    world.run(3.5)
+    assert world.is_ready(name), "the last view serves"
+    replies = [world.ask(name, "/read/x") for _ in range(20)]
+    world.run(1.0)
+    assert {reply.status for reply in replies} == {503}
+    assert not world.is_ready(name)
+    late = world.ask(name, "/read/x")
+    world.run(0.5)
+    assert late.headers["connection"] == "close"
+    world.network.heal()
+    for target in old:
+        world.announce(target)
+    world.run(6.0)
+    assert world.is_ready(name)
+    assert statuses(world, "/read/x")[name] == 200
--- /dev/null
+++ b/tests/test_node_program.py
@@ -0,0 +1,99 @@
+"""The node's program as a process: bad settings, ports in use, a planned stop."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+
+PROGRAM = pathlib.Path(__file__).parent.parent / "src" / "lineworks_node.py"
+LIMIT = 60
+"""Seconds after which a process that hangs is ended."""
+
+
+def free_ports(count):
+    """Find ports that nobody listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+def write_settings(path, front, ready, inner):
+    path.write_text(
+        f"""
+NodeName: "n1"
+Ip: "127.0.0.1"
+Zone: "h"
+Region: "r"
+Zones: {{h: "r"}}
+ListenAddrs: {{Front: "127.0.0.1:{front}", Ready: "127.0.0.1:{ready}"}}
+PortRange: [{inner}, {inner + 1}]
+TimingBounds: {{RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 54, GraceS: 1}}
+platform: {{Address: "127.0.0.1:9"}}
+"""
+    )
+    return str(path)
+
+
+def start(settings):
+    environment = {**os.environ, "LINEWORKS_SETTINGS": settings}
+    return subprocess.Popen(
+        [sys.executable, str(PROGRAM)], env=environment, stdout=subprocess.PIPE, text=True
+    )
+
+
+def lines(output):
+    return [json.loads(line) for line in output.splitlines() if line.startswith("{")]
+
+
+@pytest.mark.parametrize(("settings", "named"), [("", "LINEWORKS_SETTINGS"), ("/", "directory")])
+def test_settings_that_cannot_be_read_end_the_process_with_one_line(settings, named):
+    process = start(settings)
+    output, _ = process.communicate(timeout=LIMIT)
+    assert process.returncode == 2
+    assert [line["event"] for line in lines(output)] == ["settings_refused"]
+    assert named in lines(output)[0]["error"]
+
+
+def test_a_port_in_use_ends_the_process(tmp_path):
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        ready, inner = free_ports(2)
+        path = write_settings(tmp_path / "s.yaml", taken.getsockname()[1], ready, inner)
+        process = start(path)
+        output, _ = process.communicate(timeout=LIMIT)
+    assert process.returncode == 3
+    assert lines(output)[-1]["event"] == "port_in_use"
+
+
+def test_a_planned_stop_ends_with_success(tmp_path):
+    front, ready, inner = free_ports(3)
+    process = start(write_settings(tmp_path / "s.yaml", front, ready, inner))
+    assert process.stdout is not None
+    seen = ""
+    while '"started"' not in seen:
+        line = process.stdout.readline()
+        assert line, seen
+        seen += line
+    process.send_signal(signal.SIGHUP)
+    while '"settings_read"' not in seen:
+        line = process.stdout.readline()
+        assert line, seen
+        seen += line
+    process.send_signal(signal.SIGTERM)
+    rest, _ = process.communicate(timeout=LIMIT)
+    assert process.returncode == 0
+    events = [line["event"] for line in lines(rest)]
+    assert "stopping" in events
+    assert events[-1] == "stopped"
