Read the change again: one place learns from answers, no state that nobody reads

Single requests and searches learned from an answer by the same six lines; the hall's peers were listed twice; a use count, a property, a wrapper and a list of ports were read by nobody.

--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -168,12 +168,8 @@
 
     def _is_reader(self) -> bool:
         """Say whether this instance reads the store for its hall."""
-        peers = [
-            name
-            for name, link in self._links.up.items()
-            if link.hello is not None and link.hello.hall == self._hall
-        ]
-        return ownership.owners("reader", [*peers, self._name], 1)[0] == self._name
+        candidates = [*self._hall_peers(), self._name]
+        return ownership.owners("reader", candidates, 1)[0] == self._name
 
     async def _ask(self) -> None:
         """Ask the store what is new, or for everything at first."""
@@ -204,7 +200,7 @@
         self._take_others(rows)
         if is_changed:
             self.on_targets()
-        self._tell_peers(0, self._all_entries())
+        self._tell_peers(0, self._view.all_changes())
 
     async def _read_changes(self, asked_at: float) -> None:
         """Read what changed since the last time."""
@@ -248,9 +244,6 @@
                 self._take_table(row.value)
         self.on_instances(rows)
 
-    def _all_entries(self) -> list[target_view.TargetChange]:
-        return self._view.all_changes()
-
     def _take_table(self, document: bytes) -> None:
         try:
             table = configuration.decode(document)
@@ -311,7 +304,7 @@
         if self._table is not None and self.version > frame.version:
             link.send(messages.TableUpdate(self.version, self._document))
         if frame.version == 0 and self._has_targets:
-            document = target_documents.encode(self._all_entries())
+            document = target_documents.encode(self._view.all_changes())
             link.send(messages.TargetUpdate(0, self._view.revision, max(0.0, self.age), document))
 
     def _on_up(self, hello: frames.Hello) -> None:
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -76,7 +76,6 @@
         self._is_stopping = False
         self._stop_by = 0.0
         self._hand_over_until = 0.0
-        self._ports: list[Any] = []
         self._counters = tools.Counters()
         self._metrics = metrics.RequestMetrics()
         self._extra = extra_attempts.ExtraAttempts(settings.allowance)
@@ -183,10 +182,7 @@
         return server_connection.Server(self._reactor, server_connection.Limits, on_request)
 
     def _listen(self, address: node_settings.Address, factory: Any) -> None:
-        port = self._reactor.listenTCP(
-            address.port, factory, interface=address.host, backlog=BACKLOG
-        )
-        self._ports.append(port)
+        self._reactor.listenTCP(address.port, factory, interface=address.host, backlog=BACKLOG)
 
     def _on_readiness(self, request: server_connection.Request) -> server_connection.Answer:
         if request.target.partition(b"?")[0] != headers.READINESS_PATH:
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -241,12 +241,8 @@
             self._on_failure(attempt.shard, found)
 
     def _record(self, attempt: search_state.Try) -> None:
-        now = self._shared.reactor.seconds()
-        if attempt.is_hedge:
-            self._shared.counters.hedges_won += 1
-        else:
-            is_remote = attempt.state.hall != self._shared.hall
-            self._shared.hedges.record(self._route.name, is_remote, now - attempt.started)
+        hall = attempt.state.hall
+        self._shared.record_answer(self._route.name, hall, attempt.started, attempt.is_hedge)
 
     def _drop_query(self, number: int) -> None:
         """Give up the rest of a query whose first part can't be used: later ones build on it."""
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -151,12 +151,8 @@
             self._go_on(end.verdict)
 
     def _record(self, attempt: _Attempt) -> None:
-        now = self._shared.reactor.seconds()
-        if attempt.is_hedge:
-            self._shared.counters.hedges_won += 1
-        else:
-            is_remote = attempt.state.hall != self._shared.hall
-            self._shared.hedges.record(self._route.name, is_remote, now - attempt.started)
+        hall = attempt.state.hall
+        self._shared.record_answer(self._route.name, hall, attempt.started, attempt.is_hedge)
 
     def _go_on(self, last: verdict.Verdict) -> None:
         """After the last attempt failed: try once more, or tell the caller."""
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -123,11 +123,6 @@
         """Way to the farthest data hall and back, in seconds."""
         return max((self.round_trip(hall) for hall in self._regions), default=SAME_HALL_SECONDS)
 
-    @property
-    def states(self) -> Mapping[str, TargetState]:
-        """All targets by identity."""
-        return self._states
-
     def update(
         self,
         entries: Iterable[target_view.TargetEntry],
--- a/src/lineworks/forwarding/tools.py
+++ b/src/lineworks/forwarding/tools.py
@@ -115,3 +115,18 @@
 
     counters: Counters
     """Counts for metrics."""
+
+    def record_answer(self, route: str, hall: str, started: float, is_hedge: bool) -> None:
+        """Learn from an attempt that brought what was wanted.
+
+        Args:
+            route: Name of the route.
+            hall: Data hall of its target.
+            started: When it was sent, in seconds.
+            is_hedge: Whether it was made beside a slow one.
+        """
+        if is_hedge:
+            self.counters.hedges_won += 1
+        else:
+            seconds = self.reactor.seconds() - started
+            self.hedges.record(route, hall != self.hall, seconds)
--- a/src/lineworks/http1/client_connection.py
+++ b/src/lineworks/http1/client_connection.py
@@ -85,15 +85,9 @@
         self._whole: Response | None = None
         self._idle_limit = DEFAULT_IDLE
         self._idle_since = 0.0
-        self._uses = 0
         self.is_closed = False
         """Whether no request may be sent any more."""
 
-    @property
-    def uses(self) -> int:
-        """Requests sent so far."""
-        return self._uses
-
     def is_reusable(self, now: float, share: float = 1.0) -> bool:
         """Say whether the server certainly still waits for a request.
 
@@ -129,7 +123,6 @@
             on_end: Called once, unless the connection is aborted first.
             expect: A header with its value that the answer must carry if it has that header.
         """
-        self._uses += 1
         self._on_end = on_end
         self._expect = expect
         self._has_body = has_body
