Open the callers' port before the imports; import less at the start

A process needs 0.3 to 0.5 s of processor time for its imports, and until then the port refuses connections, which uses up the callers' one retry.

Change: the port is bound before Twisted is imported, and the reactor adopts it; connections wait in the meantime. http.cookiejar, which Twisted imports only to offer it again, and with it urllib, http.client, email and ssl, stay out; prometheus_client is imported when metrics are first asked for, and requests are counted in plain numbers until then. No garbage collection while importing.

Ruled out: a stand-in for asyncio (pycapnp needs the real one).

--- a/src/lineworks/forwarding/metrics.py
+++ b/src/lineworks/forwarding/metrics.py
@@ -1,12 +1,16 @@
-"""Metrics of one instance, with labels of bounded number."""
+"""Metrics of one instance, with labels of bounded number.
+
+Requests are counted in plain numbers here. The Prometheus library writes them out; it is imported
+when the metrics are first asked for, because it takes a tenth of the time that a process needs to
+start, and some instances are never asked.
+"""
 
 from __future__ import annotations
 
+import bisect
+import collections
 from typing import TYPE_CHECKING, Any
 
-import prometheus_client
-from prometheus_client import core
-
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
@@ -16,34 +20,45 @@
 MAX_ROUTES = 50
 """Routes that get a label of their own; later ones are counted as `other`."""
 
-_BUCKETS = (0.01, 0.025, 0.05, 0.084, 0.111, 0.132, 0.2, 0.233, 0.4, 0.7, 1, 2, 6)
+BUCKETS = (0.01, 0.025, 0.05, 0.084, 0.111, 0.132, 0.2, 0.233, 0.4, 0.7, 1.0, 2.0, 6.0)
+"""Upper bounds of the histogram's buckets in seconds: the aims and deadlines of the users' sheets,
+and round figures between them."""
+
+
+class _Times:
+    """How long the requests of one route took."""
+
+    __slots__ = ("buckets", "total")
+
+    def __init__(self) -> None:
+        self.buckets = [0] * (len(BUCKETS) + 1)
+        self.total = 0.0
+
+    def record(self, seconds: float) -> None:
+        """Count one request."""
+        self.buckets[bisect.bisect_left(BUCKETS, seconds)] += 1
+        self.total += seconds
+
+    def cumulative(self) -> list[tuple[str, float]]:
+        """Tell, for each upper bound, how many requests took no longer."""
+        bounds = [*(str(bound) for bound in BUCKETS), "+Inf"]
+        rows = []
+        count = 0
+        for bound, found in zip(bounds, self.buckets, strict=True):
+            count += found
+            rows.append((bound, float(count)))
+        return rows
 
 
 class RequestMetrics:
     """Counts and times of requests by route."""
 
     def __init__(self) -> None:
-        self.registry = prometheus_client.CollectorRegistry()
         self._routes: set[str] = set()
-        self._seconds = prometheus_client.Histogram(
-            "lineworks_request_seconds",
-            "Time from a request's first byte to its answer.",
-            ("route",),
-            buckets=_BUCKETS,
-            registry=self.registry,
-        )
-        self._ends = prometheus_client.Counter(
-            "lineworks_requests",
-            "Requests by how they ended.",
-            ("route", "status", "reason"),
-            registry=self.registry,
-        )
-        self._missing = prometheus_client.Counter(
-            "lineworks_missing_shards",
-            "Shards that answers left out.",
-            ("route",),
-            registry=self.registry,
-        )
+        self._times: dict[str, _Times] = {}
+        self._ends: collections.Counter[tuple[str, str, str]] = collections.Counter()
+        self._missing: collections.Counter[str] = collections.Counter()
+        self._reads: list[Callable[[], Mapping[str, Mapping[str, float]]]] = []
 
     def on_end(self, route: routes.Route | None, found: outcome.Outcome, seconds: float) -> None:
         """Count a request.
@@ -54,10 +69,13 @@
             seconds: How long it took.
         """
         label = self._label(route)
-        self._seconds.labels(label).observe(seconds)
-        self._ends.labels(label, str(found.answer.status), found.verdict.reason.value).inc()
+        times = self._times.get(label)
+        if times is None:
+            times = self._times[label] = _Times()
+        times.record(seconds)
+        self._ends[(label, str(found.answer.status), found.verdict.reason.value)] += 1
         if found.covered < found.total:
-            self._missing.labels(label).inc(found.total - found.covered)
+            self._missing[label] += found.total - found.covered
 
     def on_caller_gone(self, route: routes.Route) -> None:
         """Count a request whose caller left.
@@ -65,7 +83,7 @@
         Args:
             route: Its route.
         """
-        self._ends.labels(self._label(route), "0", "cancelled").inc()
+        self._ends[(self._label(route), "0", "cancelled")] += 1
 
     def collect_from(self, read: Callable[[], Mapping[str, Mapping[str, float]]]) -> None:
         """Export counts that others keep.
@@ -73,13 +91,50 @@
         Args:
             read: Tells, for each metric, values by kind.
         """
-        self.registry.register(_Collector(read))
+        self._reads.append(read)
 
     def export(self) -> bytes:
         """Write all metrics in Prometheus's text form."""
-        text: bytes = prometheus_client.generate_latest(self.registry)
+        import prometheus_client
+
+        registry = prometheus_client.CollectorRegistry()
+        registry.register(self)  # type: ignore[arg-type]
+        text: bytes = prometheus_client.generate_latest(registry)
         return text
 
+    def collect(self) -> Iterable[Any]:
+        """Tell all metrics to the Prometheus library."""
+        from prometheus_client import core
+
+        seconds = core.HistogramMetricFamily(
+            "lineworks_request_seconds",
+            "Time from a request's first byte to its answer.",
+            labels=("route",),
+        )
+        for route, times in self._times.items():
+            seconds.add_metric((route,), times.cumulative(), times.total)
+        yield seconds
+        ends = core.CounterMetricFamily(
+            "lineworks_requests",
+            "Requests by how they ended.",
+            labels=("route", "status", "reason"),
+        )
+        for labels, count in self._ends.items():
+            ends.add_metric(labels, float(count))
+        yield ends
+        missing = core.CounterMetricFamily(
+            "lineworks_missing_shards", "Shards that answers left out.", labels=("route",)
+        )
+        for route, count in self._missing.items():
+            missing.add_metric((route,), float(count))
+        yield missing
+        for read in self._reads:
+            yield from _gauges(read())
+
+    def describe(self) -> Iterable[Any]:
+        """Tell the Prometheus library nothing beforehand, so that it asks only on export."""
+        return ()
+
     def _label(self, route: routes.Route | None) -> str:
         if route is None:
             return "none"
@@ -90,16 +145,11 @@
         return route.name
 
 
-class _Collector:
-    def __init__(self, read: Callable[[], Mapping[str, Mapping[str, float]]]) -> None:
-        self._read = read
+def _gauges(found: Mapping[str, Mapping[str, float]]) -> Iterable[Any]:
+    from prometheus_client import core
 
-    def collect(self) -> Iterable[Any]:
-        for name, values in self._read().items():
-            family = core.GaugeMetricFamily(name, "See docs/OPERATIONS.md.", labels=("kind",))
-            for kind, value in sorted(values.items()):
-                family.add_metric((kind,), float(value))
-            yield family
-
-    def describe(self) -> Iterable[Any]:
-        return ()
+    for name, values in found.items():
+        family = core.GaugeMetricFamily(name, "See docs/OPERATIONS.md.", labels=("kind",))
+        for kind, value in sorted(values.items()):
+            family.add_metric((kind,), float(value))
+        yield family
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -6,7 +6,7 @@
 import hashlib
 import random
 import secrets
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
@@ -25,18 +25,18 @@
     tools,
 )
 from lineworks.http1 import server_connection
-from lineworks.kernel import registry
+from lineworks.kernel import listening, registry
 from lineworks.models import node_settings
 from lineworks.platform import headers, store
 from lineworks.services import peer_links
 from lineworks.wire import frames
 
+if TYPE_CHECKING:
+    import socket
+
 HEARTBEAT_SECONDS = 2.0
 """Seconds between heartbeats on a link: a silent link counts as lost after twice that."""
 
-BACKLOG = 512
-"""Connections that may wait to be accepted."""
-
 HAND_OVER_SECONDS = 3.2
 """Seconds after SIGTERM in which new connections may still come: the balancer asks once a second
 and lets go after two misses."""
@@ -63,15 +63,22 @@
 class Node:
     """One process: front and gatherer."""
 
-    def __init__(self, reactor: Any, settings: node_settings.NodeSettings) -> None:
-        """Make the process's services; nothing listens yet.
+    def __init__(
+        self,
+        reactor: Any,
+        settings: node_settings.NodeSettings,
+        callers_port: socket.socket | None = None,
+    ) -> None:
+        """Make the process's services.
 
         Args:
             reactor: Twisted's reactor, on the steady clock.
             settings: Settings of the process.
+            callers_port: Socket that listens for callers already; opened at the start if not given.
         """
         self._reactor = reactor
         self._settings = settings
+        self._callers_port = callers_port
         self._rng = random.Random(secrets.randbits(64))
         self._is_stopping = False
         self._stop_by = 0.0
@@ -136,7 +143,10 @@
             twisted.internet.error.CannotListenError: A port is in use.
         """
         settings = self._settings
-        self._listen(settings.callers, self._callers)
+        if self._callers_port is None:
+            self._listen(settings.callers, self._callers)
+        else:
+            listening.adopt(self._reactor, self._callers_port, self._callers)
         self._listen(settings.readiness, self._server(self._on_readiness))
         self._listen(settings.metrics, self._server(self._on_metrics))
         self._links.listen(settings.peers.host, settings.peers.port)
@@ -182,7 +192,7 @@
         return server_connection.Server(self._reactor, server_connection.Limits, on_request)
 
     def _listen(self, address: node_settings.Address, factory: Any) -> None:
-        self._reactor.listenTCP(address.port, factory, interface=address.host, backlog=BACKLOG)
+        self._reactor.listenTCP(address.port, factory, interface=address.host, backlog=listening.BACKLOG)
 
     def _on_readiness(self, request: server_connection.Request) -> server_connection.Answer:
         if request.target.partition(b"?")[0] != headers.READINESS_PATH:
--- /dev/null
+++ b/src/lineworks/kernel/listening.py
@@ -0,0 +1,55 @@
+"""Opens a listening port before anything slow is imported.
+
+A process that starts imports for some tenths of a second. Callers who connect in that time would be
+refused by the operating system and use up their retries; on an open port they wait until the
+reactor takes the port over. The module imports nothing of Twisted for that reason.
+"""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+BACKLOG = 512
+"""Connections that may wait to be accepted."""
+
+
+def open_port(host: str, port: int) -> socket.socket:
+    """Listen on a TCP port.
+
+    Args:
+        host: IPv4 address.
+        port: Port; 0 for any.
+
+    Returns:
+        The listening socket, which does not block.
+
+    Raises:
+        OSError: The port is in use, or the address is not this machine's.
+    """
+    opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        opened.setblocking(False)
+        opened.bind((host, port))
+        opened.listen(BACKLOG)
+    except OSError:
+        opened.close()
+        raise
+    return opened
+
+
+def adopt(reactor: Any, opened: socket.socket, factory: Any) -> Any:
+    """Hand a listening socket to a reactor; connections that wait on it are accepted.
+
+    Args:
+        reactor: Twisted's reactor.
+        opened: What `open_port` returned; it is closed, the reactor keeps a copy.
+        factory: Makes the protocol of each connection.
+
+    Returns:
+        Twisted's port.
+    """
+    port = reactor.adoptStreamPort(opened.fileno(), socket.AF_INET, factory)
+    opened.close()
+    return port
--- a/src/lineworks/programs/node.py
+++ b/src/lineworks/programs/node.py
@@ -5,13 +5,18 @@
 
 from __future__ import annotations
 
+import gc
 import signal
+import socket
 import sys
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from lineworks.kernel import steady_reactor
+from lineworks.kernel import lean_imports, listening
 from lineworks.platform import settings as platform_settings
 
+if TYPE_CHECKING:
+    from lineworks.models import node_settings
+
 EXIT_SETTINGS = 2
 """The settings can't be used."""
 
@@ -22,29 +27,70 @@
 """The process could not start for another reason."""
 
 
+GC_THRESHOLD = 10_000
+"""New objects after which the youngest generation is collected: a request makes some hundred that
+are freed by reference counts, and cycles are rare."""
+
+
 def main() -> int:
     """Run until SIGTERM.
 
     Returns:
         The exit code: 0 after a planned stop.
     """
-    reactor = steady_reactor.install()
-    # The reactor must be installed before anything imports the default one.
+    # What is imported stays, so looking for garbage among it is lost time.
+    gc.disable()
+    try:
+        settings = platform_settings.load()
+        callers = _open_callers(settings)
+    except (platform_settings.SettingsError, OSError) as error:
+        return _fail_early(error)
+    return _run(settings, callers)
+
+
+def _open_callers(settings: node_settings.NodeSettings) -> socket.socket:
+    """Let callers connect while the rest is imported."""
+    return listening.open_port(settings.callers.host, settings.callers.port)
+
+
+def _install_reactor() -> Any:
+    """Import Twisted, with its reactor on the steady clock."""
+    with lean_imports.without_unused():
+        from lineworks.kernel import steady_reactor
+
+        # It must be installed before anything imports the default one.
+        return steady_reactor.install()
+
+
+def _fail_early(error: Exception) -> int:
+    """Say why the process can't run, before anything was started."""
+    reactor = _install_reactor()
+    from lineworks.programs import _node_logs
+
+    logs = _node_logs.set_up(reactor)
+    if isinstance(error, OSError):
+        logs.fail("port_in_use", str(error), EXIT_PORT)
+    else:
+        logs.fail("settings_refused", str(error), EXIT_SETTINGS)
+    return logs.exit_code
+
+
+def _run(settings: node_settings.NodeSettings, callers: socket.socket) -> int:
+    """Start the services and run until they stop."""
+    reactor = _install_reactor()
     from twisted.internet import defer
 
     from lineworks.forwarding import node
     from lineworks.programs import _node_logs
 
     logs = _node_logs.set_up(reactor)
-    try:
-        settings = platform_settings.load()
-    except platform_settings.SettingsError as error:
-        logs.fail("settings_refused", str(error))
-        return EXIT_SETTINGS
-    process = node.Node(reactor, settings)
+    process = node.Node(reactor, settings, callers)
     # Before anything else, or an early signal would end the process on the spot.
     _handle_signals(reactor, process, logs)
     defer.ensureDeferred(process.start()).addErrback(_on_start_failed, reactor, logs)
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
+    gc.enable()
     reactor.run(installSignalHandlers=False)
     logs.flush()
     return logs.exit_code
