Try shards again that could not be reached; say why a late shard got no hedge

Shards were also given up after five such attempts, a tenth of a second after the start, and a front learned nothing when a gatherer could not reach a target, so each search went that way again.

Change: a hedge may go to a target that failed before if no other is left; what reached no target does not count as an attempt, and pauses between looks grow to 0.1 s; a front leaves a target alone for 50 ms, and notes the failure, when a gatherer could not reach it; an attempt after a failed one is hedged after the usual delay, not after the one that counts on the whole time.

--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -37,10 +37,15 @@
 """Seconds between looks for targets with room."""
 
 RETRY_PAUSE = 0.025
-"""Seconds before a shard is tried again when all its targets were tried: a slot gets free."""
+"""Seconds before a shard is tried again when all its targets were tried: a slot gets free. Doubled
+with each further pause."""
 
-MOST_TRIES = 5
-"""Attempts at one shard in all."""
+MOST_RETRY_PAUSE = 0.1
+"""Seconds of such a pause at most: a target that comes back must still be of use."""
+
+MOST_SENT = 5
+"""Attempts at one shard that reach a target. Those that reach none cost it nothing, and pauses keep
+them rare."""
 
 HEDGE_RECHECK = 0.02
 """Seconds after which shards that could not be hedged are looked at again."""
@@ -106,6 +111,7 @@
         self._rechecks = 0
         self._certainties: list[verdict.Verdict] = []
         self._failures: list[str] = []
+        self._began = 0.0
         self._local_delay = 0.0
         self._remote_delay = 0.0
 
@@ -129,6 +135,7 @@
         if open_shards < self._needed:
             self._wait_or_refuse(open_shards, now)
             return
+        self._began = now
         self._local_delay = self._hedge_delay(False, now)
         self._remote_delay = self._hedge_delay(True, now)
         self._sent.hedge_at = now + self._remote_delay
@@ -165,7 +172,7 @@
         it, still come before the answer is due; and most slow attempts end by themselves.
         """
         shared = self._shared
-        usual = shared.hedges.delay(self._route.name, is_remote, self._route.aim)
+        usual = self._usual_delay(is_remote)
         work = max(shared.book.service_time(shard.service) for shard in self._shards)
         one_hedge = shared.book.farthest + HEDGE_WORK * work
         left = self._aim_at() - now
@@ -173,6 +180,10 @@
             usual, min(MOST_HEDGE_SHARE * self._route.aim, left - HEDGES_IN_TIME * one_hedge)
         )
 
+    def _usual_delay(self, is_remote: bool) -> float:
+        """Tell after how long an attempt counts as late, whatever time is left."""
+        return self._shared.hedges.delay(self._route.name, is_remote, self._route.aim)
+
     def _set_timer(self, delay: float, call: Callable[[], None]) -> None:
         self._timers.append(self._shared.reactor.callLater(max(0.0, delay), call))
 
@@ -246,7 +257,7 @@
         self._failures.append(f"{shard.service} {found.reason.value}: {found.detail}")
         if index in self._parts.covered or shard.running or shard.is_waiting:
             return
-        if shard.tries >= MOST_TRIES:
+        if shard.sent >= MOST_SENT:
             shard.is_given_up = True
         else:
             self._shared.counters.retries += 1
@@ -259,11 +270,12 @@
         if shard.running or shard.is_waiting:
             return
         now = self._shared.reactor.seconds()
-        is_in_time = now + RETRY_PAUSE < self._call.deadline
-        if shard.tries < MOST_TRIES and is_in_time and self._shared.book.has_any(shard.service):
+        pause = min(MOST_RETRY_PAUSE, RETRY_PAUSE * 2**shard.pauses)
+        if now + pause < self._call.deadline and self._shared.book.has_any(shard.service):
             shard.is_waiting = True
+            shard.pauses += 1
             shard.tried.clear()
-            self._set_timer(RETRY_PAUSE, functools.partial(self._on_retry, index))
+            self._set_timer(pause, functools.partial(self._on_retry, index))
         else:
             shard.is_given_up = True
 
@@ -272,7 +284,6 @@
         shard.is_waiting = False
         if self._on_end is None or index in self._parts.covered or shard.running:
             return
-        shard.tries += 1
         self._dispatch({index: self._choose_now(shard)}, is_hedge=False)
         self._check()
 
@@ -302,23 +313,35 @@
         self._check()
 
     def _may_hedge(self, shard: search_state.Shard, now: float) -> bool:
-        if shard.is_hedged or len(shard.running) != 1 or self._route.max_attempts < 2:
+        if len(shard.running) != 1 or self._route.max_attempts < 2 or shard.sent >= MOST_SENT:
             return False
         attempt = shard.running[0]
         is_remote = attempt.state.hall != self._shared.hall
         delay = self._remote_delay if is_remote else self._local_delay
+        if attempt.started > self._began:
+            # An earlier attempt failed, so less time is left than the delay counts on.
+            delay = min(delay, self._usual_delay(is_remote))
         return now >= attempt.started + delay - TIMER_SLACK
 
     def _hedge(self, shard: search_state.Shard, now: float) -> target_book.TargetState | None:
         """Choose the target of a hedge, if it could be in time and an attempt is left for it."""
         state = self._choose(shard, now)
         if state is None:
+            # A target that failed, or had no room, may do by now.
+            shard.tried = {attempt.state.id for attempt in shard.running}
+            state = self._choose(shard, now)
+        if state is None:
+            shard.not_hedged = search_state.NotHedged.NO_TARGET
             return None
         is_enough = len(self._parts.covered) >= self._needed
         if is_enough and now + self._shared.book.least(state) > self._aim_at():
+            shard.not_hedged = search_state.NotHedged.TOO_LATE
+            return None
+        if not self._may_spend(shard, now, extra_attempts.KEPT_FROM_HEDGES):
+            shard.not_hedged = search_state.NotHedged.NO_BUDGET
             return None
-        shard.is_hedged = self._may_spend(shard, now, extra_attempts.KEPT_FROM_HEDGES)
-        return state if shard.is_hedged else None
+        shard.is_hedged = True
+        return state
 
     def _on_aim(self) -> None:
         self._is_late = True
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -21,6 +21,10 @@
 FLUSH_LEAD = 0.004
 """Seconds that a gatherer's first parts should be here before the hedges are decided."""
 
+NO_ROOM_REST = 0.05
+"""Seconds for which a target is left alone that a gatherer could not reach or had no room for: some
+round trips between halls, after which either may have changed."""
+
 
 class SearchAttempts:
     """Attempts under way, at targets and through gatherers."""
@@ -162,7 +166,6 @@
         attempt = search_state.Try(index, state, now, is_hedge)
         shard.running.append(attempt)
         shard.tried.add(state.id)
-        shard.tries += 1
         shard.sent += 1
         self.count += 1
         return attempt
@@ -227,8 +230,10 @@
         self._close_query_if_over(attempt.query)
         if failure is messages.Failure.NOT_SENT:
             shard.sent -= 1
-        else:
-            self._shared.book.note_failure(attempt.state, now)
+            attempt.state.replica.rest_until = max(
+                attempt.state.replica.rest_until, now + NO_ROOM_REST
+            )
+        self._shared.book.note_failure(attempt.state, now)
         self._on_failure(attempt.shard, search_state.remote_verdict(failure))
 
     def _on_gatherer_lost(self, number: int) -> None:
--- a/src/lineworks/forwarding/search_state.py
+++ b/src/lineworks/forwarding/search_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 from typing import TYPE_CHECKING
 
 from lineworks.decisions import parts, verdict
@@ -40,6 +41,22 @@
     """Position of the shard in that query."""
 
 
+class NotHedged(enum.Enum):
+    """Why a shard that is late was not asked a second time."""
+
+    NOT_DUE = "not due"
+    """Its attempt was not late yet when the search ended, or had failed."""
+
+    NO_TARGET = "no other target with room"
+    """Its other targets are unknown, leaving, resting or full."""
+
+    TOO_LATE = "too late to help"
+    """The answer was due before another target could have answered."""
+
+    NO_BUDGET = "no extra attempt left"
+    """The service's extra attempts were used up."""
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Shard:
     """One shard."""
@@ -53,8 +70,8 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     """Identities of targets asked since all of them were last allowed again."""
 
-    tries: int = 0
-    """Attempts made, and pauses taken."""
+    pauses: int = 0
+    """Pauses taken, because no target was left to ask."""
 
     sent: int = 0
     """Attempts that reached a target, as far as is known."""
@@ -62,6 +79,9 @@
     is_hedged: bool = False
     """Whether a hedge was sent."""
 
+    not_hedged: NotHedged = NotHedged.NOT_DUE
+    """Why no hedge was sent at the last look."""
+
     is_waiting: bool = False
     """Whether it waits to be tried again."""
 
@@ -80,6 +100,8 @@
     """
     if shard.running:
         state = "waiting for " + "+".join(attempt.state.id for attempt in shard.running)
+        if not shard.is_hedged:
+            state += f" (no hedge: {shard.not_hedged.value})"
     elif shard.is_given_up:
         state = "given up"
     elif shard.is_waiting:
