No third target beside an attempt that may still run; late parts are not merged

A query's rest is given up when its first part can't be used; its target was still at work 3 ms later, when the next hedge left.

Change: such attempts count against the route's attempts.

Tests: the new one of test_search_retries.py and two of test_gathering.py failed first.

--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -1,8 +1,9 @@
 """The gatherer's side: asks the targets of its own data hall for several shards of one search.
 
-What comes in is merged before it travels. Parts travel when all are in, when the front wants to
-know what is late, and soon after each later one; failures travel at once, since only the front
-decides about further attempts.
+What comes in is merged before it travels, when all is in or when the front wants to know what is
+late. Each later part travels at once and by itself: the front may have asked for that shard elsewhere
+in the meantime, and could use nothing of a merged part that holds a shard which it has already.
+Failures travel at once, since only the front decides about further attempts.
 """
 
 from __future__ import annotations
@@ -21,9 +22,6 @@
 
     from lineworks.forwarding import target_book
 
-COALESCE_SECONDS = 0.003
-"""Seconds that a late part waits for others before it travels."""
-
 FAILURES_PER_SECOND = 10.0
 """Log lines a second for attempts that failed."""
 
@@ -171,10 +169,8 @@
             )
         if not job.running:
             self._finish(key)
-        elif job.failed:
+        elif job.failed or job.is_flushed:
             self._send(job)
-        elif job.is_flushed and job.flush is None:
-            job.flush = self._reactor.callLater(COALESCE_SECONDS, self._on_flush, key)
 
     def _on_flush(self, key: tuple[str, int]) -> None:
         job = self._jobs[key]
@@ -190,24 +186,37 @@
     def _send(self, job: _Job) -> None:
         """Send what has not travelled yet; before the flush only failures."""
         is_due = job.is_flushed or not job.running
-        ready = job.ready if is_due else []
-        if not ready and not job.failed:
+        if not is_due and not job.failed:
+            return
+        failed, job.failed = job.failed, {}
+        if not is_due or not job.ready:
+            if failed:
+                self._reply(job, parts.Part(frozenset(), (), ()), (), failed)
             return
-        shards = tuple(shard for part in ready for shard in part.shards)
-        merged = parts.merge(ready, job.query.top)
+        ready, job.ready = job.ready, []
+        groups = [ready] if job.first is None else [[part] for part in ready]
+        for group in groups:
+            shards = tuple(shard for part in group for shard in part.shards)
+            self._reply(job, parts.merge(group, job.query.top), shards, failed)
+            failed = {}
+
+    def _reply(
+        self,
+        job: _Job,
+        part: parts.Part,
+        shards: tuple[int, ...],
+        failed: dict[int, messages.Failure],
+    ) -> None:
+        """Send one part, with the shards in the order of its stamps, and what failed."""
         floor = _floor(job)
-        records = [record for record in merged.records if record >= floor]
-        failed = job.failed
-        if is_due:
-            job.ready = []
-            if job.first is None and shards:
-                job.first = tuple(records)
-        job.failed = {}
+        records = tuple(record for record in part.records if record >= floor)
+        if job.first is None and shards:
+            job.first = records
         job.reply(
             messages.GatherParts(
                 job.query.number,
                 shards,
-                merged.stamps,
+                part.stamps,
                 b"".join(records),
                 tuple(failed),
                 tuple(failed.values()),
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -219,6 +219,10 @@
     def _choose_now(self, shard: search_state.Shard) -> target_book.TargetState | None:
         return self._choose(shard, self._shared.reactor.seconds())
 
+    def _has_attempt_left(self, shard: search_state.Shard) -> bool:
+        """Say whether one more target may work on a shard at the same time."""
+        return len(shard.running) + shard.unsettled < self._route.max_attempts
+
     def _may_spend(self, shard: search_state.Shard, now: float, kept: float = 0.0) -> bool:
         if self._shared.extra.spend(shard.service, now, kept):
             return True
@@ -257,7 +261,7 @@
         self._failures.append(f"{shard.service} {found.reason.value}: {found.detail}")
         if index in self._parts.covered or shard.running or shard.is_waiting:
             return
-        if shard.sent >= MOST_SENT:
+        if shard.sent >= MOST_SENT or not self._has_attempt_left(shard):
             shard.is_given_up = True
         else:
             self._shared.counters.retries += 1
@@ -313,7 +317,7 @@
         self._check()
 
     def _may_hedge(self, shard: search_state.Shard, now: float) -> bool:
-        if len(shard.running) != 1 or self._route.max_attempts < 2 or shard.sent >= MOST_SENT:
+        if len(shard.running) != 1 or shard.sent >= MOST_SENT or not self._has_attempt_left(shard):
             return False
         attempt = shard.running[0]
         is_remote = attempt.state.hall != self._shared.hall
--- a/src/lineworks/forwarding/search_state.py
+++ b/src/lineworks/forwarding/search_state.py
@@ -76,6 +76,10 @@
     sent: int = 0
     """Attempts that reached a target, as far as is known."""
 
+    unsettled: int = 0
+    """Attempts no longer waited for that a target may still work on: their gatherer is gone, or was
+    just told to give them up."""
+
     is_hedged: bool = False
     """Whether a hedge was sent."""
 
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -70,24 +70,34 @@
     assert case.gatherer.is_idle
 
 
-def test_the_flush_sends_what_is_in_and_later_parts_follow_soon():
+def test_the_flush_sends_what_is_in_and_later_parts_follow_at_once():
     case = Case()
     case.calls.answer("s0", "ab")
     case.clock.advance(0.05)
     assert [frame.shards for frame in case.sent] == [(0,)]
     case.calls.answer("s1", "c")
-    assert len(case.sent) == 1
-    case.clock.advance(gathering.COALESCE_SECONDS)
     assert [frame.shards for frame in case.sent] == [(0,), (1,)]
 
 
+def test_late_parts_are_not_merged_so_that_each_is_of_use_without_the_others():
+    # Found on quiet-1 of convivio-sul: a merged late part was dropped whole, and all its shards were
+    # asked again, because a hedge had brought one of them.
+    case = Case(shards=4)
+    case.calls.answer("s0", "ab")
+    case.clock.advance(0.05)
+    case.calls.answer("s1", "c")
+    case.calls.answer("s2", "d")
+    case.calls.answer("s3", "e")
+    assert [frame.shards for frame in case.sent] == [(0,), (1,), (2,), (3,)]
+    assert [rows(frame) for frame in case.sent] == ["ba", "c", "d", "e"]
+
+
 def test_only_the_first_part_sets_the_floor_of_later_ones():
     # A front may have no use for a later part, so what it holds must not cut the next one.
     case = Case(top=2)
     case.calls.answer("s0", "ab")
     case.clock.advance(0.05)
     case.calls.answer("s1", "yz")
-    case.clock.advance(gathering.COALESCE_SECONDS)
     case.calls.answer("s2", "ac")
     assert [rows(frame) for frame in case.sent] == ["ba", "zy", "ca"]
 
--- a/tests/test_search_retries.py
+++ b/tests/test_search_retries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lineworks.platform.standins import deployment
 from tests import test_forwarding
 
 
@@ -77,3 +78,31 @@
     world.run(1.0)
     assert test_forwarding.check_search(world, reply, "q1") == 0
     assert reply.seconds < 0.2
+
+
+def test_no_third_target_works_on_a_shard_after_a_gatherer_was_lost():
+    # Found on trouble-1 of convivio-sul: a hedge's gatherer was given up, its target was still at
+    # work, and another hedge ran on a third target where the route allows two.
+    world = test_forwarding.build()
+    for shard in test_forwarding.SHARDS:
+        for hall in deployment.HALLS:
+            if all(target.hall != hall for target in test_forwarding.targets_of(world, shard)):
+                world.add_target(shard, hall)
+    world.run(3.0)
+    for _ in range(50):
+        world.ask("akl-1", "/search/q")
+        world.run(0.1)
+    for target in test_forwarding.targets_of(world, "s00"):
+        target.work = lambda: 5.0
+    world.ask("akl-1", "/search/q", attempt="q1")
+    for _ in range(200):
+        world.run(0.001)
+        runs = [run for run in world.runs_of("q1") if world.targets[run.target].service == "s00"]
+        if len(runs) == 2:
+            break
+    hall = world.targets[runs[1].target].hall
+    for number in (1, 2):
+        world.host_of(f"{hall}-{number}").kill()
+    world.run(1.0)
+    runs = [run for run in world.runs_of("q1") if world.targets[run.target].service == "s00"]
+    assert len(runs) == 2
