Late parts travel side by side in one frame

A frame carries several late parts with the number of records of each, so that they wait for each other as before but can be used one by one.

--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -1,8 +1,8 @@
 """The gatherer's side: asks the targets of its own data hall for several shards of one search.
 
 What comes in is merged before it travels, when all is in or when the front wants to know what is
-late. Each later part travels at once and by itself: the front may have asked for that shard elsewhere
-in the meantime, and could use nothing of a merged part that holds a shard which it has already.
+late. Later parts travel soon after and are not merged: the front may have asked for their shards
+elsewhere in the meantime, and could use nothing of a merged part that holds a shard which it has.
 Failures travel at once, since only the front decides about further attempts.
 """
 
@@ -22,6 +22,9 @@
 
     from lineworks.forwarding import target_book
 
+COALESCE_SECONDS = 0.003
+"""Seconds that a late part waits for others before it travels."""
+
 FAILURES_PER_SECOND = 10.0
 """Log lines a second for attempts that failed."""
 
@@ -169,8 +172,10 @@
             )
         if not job.running:
             self._finish(key)
-        elif job.failed or job.is_flushed:
+        elif job.failed:
             self._send(job)
+        elif job.is_flushed and job.flush is None:
+            job.flush = self._reactor.callLater(COALESCE_SECONDS, self._on_flush, key)
 
     def _on_flush(self, key: tuple[str, int]) -> None:
         job = self._jobs[key]
@@ -186,40 +191,27 @@
     def _send(self, job: _Job) -> None:
         """Send what has not travelled yet; before the flush only failures."""
         is_due = job.is_flushed or not job.running
-        if not is_due and not job.failed:
-            return
-        failed, job.failed = job.failed, {}
-        if not is_due or not job.ready:
-            if failed:
-                self._reply(job, parts.Part(frozenset(), (), ()), (), failed)
+        ready = job.ready if is_due else []
+        if not ready and not job.failed:
             return
-        ready, job.ready = job.ready, []
-        groups = [ready] if job.first is None else [[part] for part in ready]
-        for group in groups:
-            shards = tuple(shard for part in group for shard in part.shards)
-            self._reply(job, parts.merge(group, job.query.top), shards, failed)
-            failed = {}
-
-    def _reply(
-        self,
-        job: _Job,
-        part: parts.Part,
-        shards: tuple[int, ...],
-        failed: dict[int, messages.Failure],
-    ) -> None:
-        """Send one part, with the shards in the order of its stamps, and what failed."""
         floor = _floor(job)
-        records = tuple(record for record in part.records if record >= floor)
-        if job.first is None and shards:
-            job.first = records
+        is_first = job.first is None
+        groups = [parts.merge(ready, job.query.top)] if is_first else ready
+        found = [[record for record in part.records if record >= floor] for part in groups]
+        if ready:
+            job.ready = []
+            if is_first:
+                job.first = tuple(found[0])
+        failed, job.failed = job.failed, {}
         job.reply(
             messages.GatherParts(
                 job.query.number,
-                shards,
-                part.stamps,
-                b"".join(records),
+                tuple(shard for part in ready for shard in part.shards),
+                tuple(stamp for part in ready for stamp in part.stamps),
+                b"".join(record for records in found for record in records),
                 tuple(failed),
                 tuple(failed.values()),
+                () if is_first else tuple(len(records) for records in found),
             )
         )
 
--- a/src/lineworks/forwarding/messages.py
+++ b/src/lineworks/forwarding/messages.py
@@ -56,7 +56,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatherParts:
-    """Some of the shards that a `GatherQuery` asked for, merged."""
+    """Some of the shards that a `GatherQuery` asked for, merged or side by side."""
 
     number: int
     """Number of the query."""
@@ -78,6 +78,10 @@
     failures: tuple[Failure, ...]
     """For each of those, why."""
 
+    counts: tuple[int, ...] = ()
+    """Records of each shard, in the order of `shards`, where the shards are not merged: `records`
+    then holds theirs one shard after the other. Empty when they are merged."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatherCancel:
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -191,24 +191,31 @@
         if tries is None or self._is_over:
             return
         now = self._shared.reactor.seconds()
-        arrived = [tries[position] for position in frame.shards if position < len(tries)]
-        done = [attempt for attempt in arrived if attempt in self._shards[attempt.shard].running]
-        for attempt in done:
-            self._shards[attempt.shard].running.remove(attempt)
-            self._note_remote(attempt, now)
-        failures = list(zip(frame.failed, frame.failures, strict=True))
+        found = []
+        for part, arrived in search_state.read_parts(tries, frame):
+            done = [one for one in arrived if one in self._shards[one.shard].running]
+            for attempt in done:
+                self._shards[attempt.shard].running.remove(attempt)
+                self._note_remote(attempt, now)
+            found.append((part, done))
         self._close_query_if_over(number)
-        if frame.shards:
-            is_used = bool(done) and self._take(search_state.read_part(arrived, frame), done)
-            if not is_used and number not in self._based:
-                self._drop_query(number)
-            self._based.add(number)
-        for position, failure in failures:
+        for part, done in found:
+            self._use(number, part, done)
+        for position, failure in zip(frame.failed, frame.failures, strict=True):
             if self._is_over:
                 return
             if position < len(tries):
                 self._on_remote_failure(tries[position], failure, now)
 
+    def _use(self, number: int, part: parts.Part, done: Sequence[search_state.Try]) -> None:
+        """Use a part; the rest of a query is of no use without its first one."""
+        if self._is_over:
+            return
+        is_used = bool(done) and self._take(part, done)
+        if not is_used and number not in self._based:
+            self._drop_query(number)
+        self._based.add(number)
+
     def _note_remote(self, attempt: search_state.Try, now: float) -> None:
         """Learn how long a target took that a gatherer asked."""
         book = self._shared.book
--- a/src/lineworks/forwarding/search_state.py
+++ b/src/lineworks/forwarding/search_state.py
@@ -115,20 +115,33 @@
     return f"{shard.service}: {state} after {shard.sent} sent"
 
 
-def read_part(arrived: Sequence[Try], frame: messages.GatherParts) -> parts.Part:
-    """Read a merged part.
+def read_parts(
+    tries: Sequence[Try], frame: messages.GatherParts
+) -> list[tuple[parts.Part, list[Try]]]:
+    """Read what a gatherer has of the shards of a query.
 
     Args:
-        arrived: The attempts whose shards are in it.
-        frame: What the gatherer sent.
+        tries: The query's attempts, by position.
+        frame: What the gatherer sent; positions that the query does not have are passed over.
 
     Returns:
-        The part.
+        Each part with the attempts that brought it: one part if the shards are merged.
     """
-    size = parts.RECORD_BYTES
-    data = frame.records
-    records = tuple(data[at : at + size] for at in range(0, len(data), size))
-    return parts.Part(frozenset(attempt.shard for attempt in arrived), frame.stamps, records)
+    records = parts.split_records(frame.records)
+    rows = list(zip(frame.shards, frame.stamps, strict=True))
+    if not frame.counts:
+        arrived = [tries[position] for position, _ in rows if position < len(tries)]
+        shards = frozenset(attempt.shard for attempt in arrived)
+        return [(parts.Part(shards, frame.stamps, tuple(records)), arrived)] if arrived else []
+    found = []
+    begin = 0
+    for (position, stamp), count in zip(rows, frame.counts, strict=True):
+        own = tuple(records[begin : begin + count])
+        begin += count
+        if position < len(tries):
+            attempt = tries[position]
+            found.append((parts.Part(frozenset((attempt.shard,)), (stamp,), own), [attempt]))
+    return found
 
 
 def remote_verdict(failure: messages.Failure) -> verdict.Verdict:
--- a/src/lineworks/wire/_gather_codec.py
+++ b/src/lineworks/wire/_gather_codec.py
@@ -51,13 +51,17 @@
     body.records = frame.records
     body.failed = list(frame.failed)
     body.failures = [int(failure) for failure in frame.failures]
+    body.counts = list(frame.counts)
 
 
 def _read_parts(body: Any, now: float) -> messages.GatherParts:
     shards, stamps = tuple(body.shards), tuple(body.stamps)
     failed, failures = tuple(body.failed), tuple(body.failures)
+    counts = tuple(body.counts)
     if len(shards) != len(stamps) or len(failed) != len(failures):
         raise _base.MalformedFrameError("columns of different lengths")
+    if counts and len(counts) != len(shards):
+        raise _base.MalformedFrameError("columns of different lengths")
     return messages.GatherParts(
         body.number,
         shards,
@@ -65,6 +69,7 @@
         bytes(body.records),
         failed,
         tuple(_FAILURES[number] for number in failures),
+        counts,
     )
 
 
--- a/src/lineworks/wire/peer.capnp
+++ b/src/lineworks/wire/peer.capnp
@@ -105,6 +105,7 @@
   records @3 :Data;
   failed @4 :List(UInt16);
   failures @5 :List(UInt8);
+  counts @6 :List(UInt16);
 }
 
 struct GatherCancel { number @0 :UInt64; shards @1 :List(UInt16); }
