Parts of hedges are never merged; an unused part counts as an attempt

Targets that finished count against the route's attempts.

Change: a query that wants what there is from the start, as hedges do, gets its parts side by side. A part that can't be used counts as an attempt of its shard.

--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -1,8 +1,9 @@
 """The gatherer's side: asks the targets of its own data hall for several shards of one search.
 
 What comes in is merged before it travels, when all is in or when the front wants to know what is
-late. Later parts travel soon after and are not merged: the front may have asked for their shards
-elsewhere in the meantime, and could use nothing of a merged part that holds a shard which it has.
+late. Later parts travel soon after and are not merged, nor are any parts of a query that wants what
+there is from the start, as hedges do: the front has asked for these shards elsewhere, and could use
+nothing of a merged part that holds a shard which it has by now.
 Failures travel at once, since only the front decides about further attempts.
 """
 
@@ -45,6 +46,7 @@
     running: dict[int, Callable[[], None]] = dataclasses.field(default_factory=dict)
     ready: list[parts.Part] = dataclasses.field(default_factory=list)
     failed: dict[int, messages.Failure] = dataclasses.field(default_factory=dict)
+    is_merging: bool = True
     flush: Any = None
     timeout: Any = None
     is_flushed: bool = False
@@ -95,7 +97,7 @@
             reply: Takes parts, each shard at most once.
         """
         now = self._reactor.seconds()
-        job = _Job(origin, query, reply)
+        job = _Job(origin, query, reply, is_merging=query.flush_at > now)
         key = (origin, query.number)
         self._jobs[key] = job
         call = target_calls.TargetCall(
@@ -195,12 +197,12 @@
         if not ready and not job.failed:
             return
         floor = _floor(job)
-        is_first = job.first is None
-        groups = [parts.merge(ready, job.query.top)] if is_first else ready
+        is_merged = job.is_merging and job.first is None
+        groups = [parts.merge(ready, job.query.top)] if is_merged else ready
         found = [[record for record in part.records if record >= floor] for part in groups]
         if ready:
             job.ready = []
-            if is_first:
+            if is_merged:
                 job.first = tuple(found[0])
         failed, job.failed = job.failed, {}
         job.reply(
@@ -211,7 +213,7 @@
                 b"".join(record for records in found for record in records),
                 tuple(failed),
                 tuple(failed.values()),
-                () if is_first else tuple(len(records) for records in found),
+                () if is_merged else tuple(len(records) for records in found),
             )
         )
 
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -192,7 +192,9 @@
         return server_connection.Server(self._reactor, server_connection.Limits, on_request)
 
     def _listen(self, address: node_settings.Address, factory: Any) -> None:
-        self._reactor.listenTCP(address.port, factory, interface=address.host, backlog=listening.BACKLOG)
+        self._reactor.listenTCP(
+            address.port, factory, interface=address.host, backlog=listening.BACKLOG
+        )
 
     def _on_readiness(self, request: server_connection.Request) -> server_connection.Answer:
         if request.target.partition(b"?")[0] != headers.READINESS_PATH:
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -248,6 +248,7 @@
             if attempt.shard in self._parts.covered:
                 self._sent.stop_shard(self._shards[attempt.shard])
             else:
+                self._shards[attempt.shard].unsettled += 1
                 self._on_failure(attempt.shard, _OVERLAP)
         self._check()
         return is_used
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -58,7 +58,6 @@
         self._take = take
         self._on_failure = on_failure
         self._queries: dict[int, list[search_state.Try]] = {}
-        self._based: set[int] = set()
         self._is_over = False
         self.count = 0
         """Attempts made so far."""
@@ -200,21 +199,22 @@
             found.append((part, done))
         self._close_query_if_over(number)
         for part, done in found:
-            self._use(number, part, done)
+            self._use(number, part, done, is_merged=not frame.counts)
         for position, failure in zip(frame.failed, frame.failures, strict=True):
             if self._is_over:
                 return
             if position < len(tries):
                 self._on_remote_failure(tries[position], failure, now)
 
-    def _use(self, number: int, part: parts.Part, done: Sequence[search_state.Try]) -> None:
-        """Use a part; the rest of a query is of no use without its first one."""
+    def _use(
+        self, number: int, part: parts.Part, done: Sequence[search_state.Try], is_merged: bool
+    ) -> None:
+        """Use a part; a query's later parts are of no use without the merged one before them."""
         if self._is_over:
             return
         is_used = bool(done) and self._take(part, done)
-        if not is_used and number not in self._based:
+        if is_merged and not is_used:
             self._drop_query(number)
-        self._based.add(number)
 
     def _note_remote(self, attempt: search_state.Try, now: float) -> None:
         """Learn how long a target took that a gatherer asked."""
--- a/src/lineworks/forwarding/search_state.py
+++ b/src/lineworks/forwarding/search_state.py
@@ -77,8 +77,8 @@
     """Attempts that reached a target, as far as is known."""
 
     unsettled: int = 0
-    """Attempts no longer waited for that a target may still work on: their gatherer is gone, or was
-    just told to give them up."""
+    """Attempts without a result here that a target has worked on or may still work on: their part
+    could not be used, their gatherer is gone, or it was just told to give them up."""
 
     is_hedged: bool = False
     """Whether a hedge was sent."""
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -35,7 +35,7 @@
 
 
 class Case:
-    def __init__(self, shards=3, top=2, floor=b"", missing=()):
+    def __init__(self, shards=3, top=2, floor=b"", missing=(), flush_at=0.05):
         self.clock = task.Clock()
         self.calls = Calls()
         self.sent = []
@@ -49,7 +49,7 @@
         book.update(entries, {name: routes.ServiceSpec(name, 25) for name in services})
         self.gatherer = gathering.Gatherer(self.clock, "akl", book, self.calls)
         query = messages.GatherQuery(
-            7, tuple(services), b"", b"", b"a1", top, floor, deadline=2.0, flush_at=0.05
+            7, tuple(services), b"", b"", b"a1", top, floor, deadline=2.0, flush_at=flush_at
         )
         self.gatherer.on_query("front-1", query, self.sent.append)
 
@@ -82,7 +82,7 @@
 
 
 def test_late_parts_are_not_merged_so_that_each_is_of_use_without_the_others():
-    # Found on quiet-1 of convivio-sul: a merged late part was dropped whole, and all its shards were
+    # Found on quiet-1 of convivio-sul: a merged late part was dropped whole and all its shards were
     # asked again, because a hedge had brought one of them.
     case = Case(shards=4)
     case.calls.answer("s0", "ab")
@@ -96,6 +96,20 @@
     assert [rows(frame) for frame in case.sent] == ["ba", "ced", "f"]
 
 
+def test_parts_of_hedges_are_never_merged():
+    # Found on trouble-1 of convivio-sul: a hedge's target had answered, its part was merged with
+    # that of a shard that had come in meanwhile, and a third target was asked.
+    case = Case(shards=3, flush_at=0.0)
+    case.clock.advance(0.0)
+    case.calls.answer("s0", "ab")
+    case.calls.answer("s1", "c")
+    case.clock.advance(gathering.COALESCE_SECONDS)
+    case.calls.answer("s2", "a")
+    assert [frame.shards for frame in case.sent] == [(0, 1), (2,)]
+    assert [frame.counts for frame in case.sent] == [(2, 1), (1,)]
+    assert [rows(frame) for frame in case.sent] == ["bac", "a"]
+
+
 def test_parts_side_by_side_are_read_apart():
     tries = [search_state.Try(shard, None, 0.0) for shard in (4, 5, 6)]
     records = b"".join(letter.encode() * 16 for letter in "ced")
