Lines for targets that are passed over; split calls, connections and what is learned

An on-call engineer could not see from the logs why a target got no more requests. Each time a target is passed over for failures or slowness there is now a `target_avoided` line with reason, time, failures in a row and lost races, and `target_returned` when it answers again, five a second at most.

target_calls.py (406 lines) did three jobs: calls, the connection pool, and what a call teaches. They are three modules now, and what an answer says of its request is a fourth (`answers.py`).

--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import parts, verdict
-from lineworks.forwarding import messages, target_calls
+from lineworks.forwarding import answers, messages, target_calls
 from lineworks.kernel import bounded_log
 from lineworks.platform import headers
 
@@ -161,7 +161,7 @@
             stamp = headers.read_stamp(end.response.headers)
             job.ready.append(parts.Part(frozenset((shard,)), (stamp,), top))
         else:
-            is_sent = target_calls.was_sent(end.verdict)
+            is_sent = answers.was_sent(end.verdict)
             failure = _FAILURES[end.verdict.certainty] if is_sent else messages.Failure.NOT_SENT
             job.failed[shard] = failure
             self._log.info(
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -22,6 +22,7 @@
     request_log,
     target_book,
     target_calls,
+    target_learning,
     tools,
 )
 from lineworks.http1 import server_connection
@@ -98,7 +99,8 @@
         self._links.handle(frames.Heartbeat, self._on_heartbeat)
         self._store = store.Store(reactor, settings.store)
         self._book = target_book.TargetBook(settings.hall, settings.regions, self._rng)
-        self._calls = target_calls.TargetCalls(reactor, self._book, self._rng)
+        self._learning = target_learning.TargetLearning(reactor, self._book, self._rng)
+        self._calls = target_calls.TargetCalls(reactor, self._learning)
         self._gatherers = gatherers.Gatherers(reactor, self._links, self._rng)
         self._gatherer = gathering.Gatherer(reactor, settings.hall, self._book, self._calls)
         self._directory = directory.Directory(
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from lineworks.decisions import parts, verdict
-from lineworks.forwarding import messages, search_state, target_calls
+from lineworks.forwarding import answers, messages, search_state, target_calls
 from lineworks.platform import headers
 
 if TYPE_CHECKING:
@@ -174,7 +174,7 @@
         shard = self._shards[attempt.shard]
         shard.running.remove(attempt)
         if not end.verdict.is_ok or end.response is None:
-            if not target_calls.was_sent(end.verdict):
+            if not answers.was_sent(end.verdict):
                 shard.sent -= 1
             self._on_failure(attempt.shard, end.verdict)
             return
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import verdict
-from lineworks.forwarding import outcome, target_calls
+from lineworks.forwarding import answers, outcome, target_calls
 from lineworks.http1 import fields as http_fields
 from lineworks.http1 import server_connection
 from lineworks.platform import headers
@@ -173,7 +173,7 @@
             return False
         if not shared.book.has_any(self._service):
             return False
-        if not target_calls.was_sent(last):
+        if not answers.was_sent(last):
             return True
         if shared.extra.spend(self._service, now):
             return True
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -75,6 +75,9 @@
     is_cold: bool = False
     """Whether it has just started."""
 
+    is_avoided: bool = False
+    """Whether it was passed over for failures or slowness since it last answered."""
+
     @property
     def id(self) -> str:
         """Identity of the target's process."""
--- a/src/lineworks/forwarding/target_calls.py
+++ b/src/lineworks/forwarding/target_calls.py
@@ -12,12 +12,12 @@
 
 from twisted.internet import protocol
 
-from lineworks.decisions import ownership, replicas, verdict
+from lineworks.decisions import ownership, verdict
+from lineworks.forwarding import _connection_pool, answers, target_learning
 from lineworks.http1 import client_connection
 from lineworks.platform import headers
 
 if TYPE_CHECKING:
-    import random
     from collections.abc import Callable
 
     from lineworks.forwarding import target_book
@@ -28,15 +28,9 @@
 UNREPEATABLE_IDLE_SHARE = 0.5
 """Part of a target's idle time after which its connection gets no unrepeatable request."""
 
-SHED_REST = 0.02
-"""Seconds that a target is left alone after it refused a request for lack of room."""
-
 SWEEP_SECONDS = 1.0
 """Seconds between looks for connections that were idle too long."""
 
-SLOW_FACTOR = 2.0
-"""A call given up after this many usual service times counts against its target."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetCall:
@@ -84,18 +78,16 @@
 class TargetCalls:
     """Calls and connections of one instance."""
 
-    def __init__(self, reactor: Any, book: target_book.TargetBook, rng: random.Random) -> None:
+    def __init__(self, reactor: Any, learning: target_learning.TargetLearning) -> None:
         """Start without connections.
 
         Args:
             reactor: Twisted's reactor.
-            book: Takes note of how targets do.
-            rng: Jitter of back-offs.
+            learning: Takes note of how targets do.
         """
         self._reactor = reactor
-        self._book = book
-        self._rng = rng
-        self._pools: dict[str, _Pool] = {}
+        self._learning = learning
+        self._pools: dict[str, _connection_pool.ConnectionPool] = {}
         self._timer: Any = None
         self.opened = 0
         """Connections opened so far."""
@@ -151,14 +143,14 @@
             self._reactor.callLater(0, self._on_capped, exchange)
         return lambda: self._cancel(exchange)
 
-    def _pool(self, state: target_book.TargetState) -> _Pool:
+    def _pool(self, state: target_book.TargetState) -> _connection_pool.ConnectionPool:
         pool = self._pools.get(state.id)
         if pool is None:
             share = ownership.connection_share(state.replica.target.connections)
-            pool = self._pools[state.id] = _Pool(share)
+            pool = self._pools[state.id] = _connection_pool.ConnectionPool(share)
         return pool
 
-    def _connect(self, pool: _Pool, exchange: _Exchange) -> None:
+    def _connect(self, pool: _connection_pool.ConnectionPool, exchange: _Exchange) -> None:
         self.opened += 1
         pool.open += 1
         target = exchange.state.replica.target
@@ -177,7 +169,9 @@
             return
         self._send_on(exchange, connection)
 
-    def on_connect_failed(self, pool: _Pool, exchange: _Exchange, detail: str) -> None:
+    def on_connect_failed(
+        self, pool: _connection_pool.ConnectionPool, exchange: _Exchange, detail: str
+    ) -> None:
         """End a call whose connection could not be opened; nothing was sent."""
         pool.open -= 1
         exchange.connector = None
@@ -224,7 +218,7 @@
             return
         if connection is not None:
             self._keep(exchange, connection)
-        found = judge(end)
+        found = answers.judge(end)
         self._end(exchange, CallEnd(found, end), is_progress=True)
 
     def _keep(self, exchange: _Exchange, connection: client_connection.ClientConnection) -> None:
@@ -242,46 +236,18 @@
             return
         now = self._reactor.seconds()
         exchange.state.replica.on_ended(now, is_progress)
-        self._learn(exchange, end, now)
+        seconds = now - exchange.started
+        self._learning.on_end(exchange.state, end.verdict, end.response, now, seconds)
         on_end(end)
 
-    def _learn(self, exchange: _Exchange, end: CallEnd, now: float) -> None:
-        state = exchange.state
-        replica = state.replica
-        reason = end.verdict.reason
-        if end.verdict.is_ok:
-            replica.limit.on_success()
-            self._book.note_answer(state, now, now - exchange.started)
-        elif reason is verdict.Reason.CAPPED:
-            replica.limit.on_refused()
-        else:
-            self._book.note_failure(state, now)
-        if reason is verdict.Reason.OVERLOADED:
-            replica.limit.on_refused()
-            replica.rest_until = now + SHED_REST
-        elif reason in (verdict.Reason.UNREACHABLE, verdict.Reason.LINK_LOST):
-            replica.on_unreachable(now, self._rng)
-        elif reason is verdict.Reason.LEAVING:
-            # Another process has the address, so this one is gone for good.
-            replica.is_leaving = True
-        load = headers.read_load(end.response.headers) if end.response is not None else None
-        if load is not None:
-            report = replicas.Report(state.id, frozenset(), load.running, load.waiting)
-            replica.on_report(now, report)
-
     def _cancel(self, exchange: _Exchange) -> None:
         """Give a call up; closing its connection makes the target drop the request."""
         if exchange.on_end is None:
             return
         exchange.on_end = None
         now = self._reactor.seconds()
-        state = exchange.state
-        seconds = now - exchange.started
-        state.replica.on_ended(now, is_progress=False)
-        usual = self._book.service_time(state.replica.target.service)
-        if usual and seconds > SLOW_FACTOR * usual:
-            state.replica.on_lost_race(now)
-        self._book.note_given_up(state, now, seconds)
+        exchange.state.replica.on_ended(now, is_progress=False)
+        self._learning.on_given_up(exchange.state, now, now - exchange.started)
         if exchange.connection is not None:
             exchange.connection.abort()
             exchange.connection = None
@@ -293,52 +259,14 @@
             pool.drop_old(now)
 
 
-class _Pool:
-    """The connections to one target."""
-
-    def __init__(self, share: int) -> None:
-        """Start without connections.
-
-        Args:
-            share: Connections that this instance may hold.
-        """
-        self._share = share
-        self.idle: list[client_connection.ClientConnection] = []
-        self.open = 0
-
-    @property
-    def has_room(self) -> bool:
-        """Whether another connection may be opened."""
-        return self.open < self._share
-
-    def take(self, now: float, share: float) -> client_connection.ClientConnection | None:
-        """Take the connection that was used last, if the target still waits on it."""
-        kept = [connection for connection in self.idle if not connection.is_closed]
-        self.idle = kept
-        if kept and kept[-1].is_reusable(now, share):
-            return kept.pop()
-        return None
-
-    def drop_old(self, now: float) -> None:
-        """Close connections that were idle too long."""
-        for connection in self.idle:
-            if not connection.is_reusable(now):
-                connection.abort()
-        self.idle = [connection for connection in self.idle if not connection.is_closed]
-
-    def close_idle(self) -> None:
-        """Close all idle connections."""
-        for connection in self.idle:
-            connection.abort()
-        self.idle = []
-
-
 class _Factory(protocol.ClientFactory):
     """Opens one connection for one call."""
 
     noisy = False
 
-    def __init__(self, calls: TargetCalls, pool: _Pool, exchange: _Exchange) -> None:
+    def __init__(
+        self, calls: TargetCalls, pool: _connection_pool.ConnectionPool, exchange: _Exchange
+    ) -> None:
         self._calls = calls
         self._pool = pool
         self._exchange = exchange
@@ -356,7 +284,9 @@
 class _TargetConnection(client_connection.ClientConnection):
     """A connection that reports when it is open, and is counted until it is closed."""
 
-    def __init__(self, calls: TargetCalls, pool: _Pool, exchange: _Exchange) -> None:
+    def __init__(
+        self, calls: TargetCalls, pool: _connection_pool.ConnectionPool, exchange: _Exchange
+    ) -> None:
         super().__init__(calls._reactor.seconds, self._on_gone)
         self._calls = calls
         self._pool = pool
@@ -372,35 +302,3 @@
 
     def _on_gone(self, connection: client_connection.ClientConnection) -> None:
         self._pool.open -= 1
-
-
-def was_sent(found: verdict.Verdict) -> bool:
-    """Say whether a call reached its target, and so counts as an attempt there.
-
-    Args:
-        found: Verdict of the call.
-
-    Returns:
-        False when no connection could be had.
-    """
-    return found.reason not in (verdict.Reason.UNREACHABLE, verdict.Reason.CAPPED)
-
-
-def judge(response: client_connection.Response) -> verdict.Verdict:
-    """Decide what an answer says of its request.
-
-    Args:
-        response: A target's whole answer.
-
-    Returns:
-        OK only for a success with the target's signature and an unchanged body.
-    """
-    found = response.headers
-    status = response.status
-    if headers.is_wrong_instance(status):
-        return verdict.not_run(verdict.Reason.LEAVING, "another process has the address")
-    if headers.is_not_run(status, found):
-        return verdict.not_run(verdict.Reason.OVERLOADED, f"refused with {status}")
-    if 200 <= status < 300 and headers.read_stamp(found) and b"content-encoding" not in found:
-        return verdict.OK
-    return verdict.ran(verdict.Reason.FAILED, f"answered {status}")
