--- a/src/lineworks/decisions/extra_attempts.py
+++ b/src/lineworks/decisions/extra_attempts.py
@@ -73,6 +73,8 @@
         self._services: dict[str, _Counts] = {}
         self.instances = 1
         """Instances believed alive, this one included."""
+        self.spent = 0
+        """Extra attempts sent since the start."""
 
     def note_request(self, service: str, now: float) -> None:
         """Count a caller's request to a service.
@@ -99,6 +101,7 @@
         if sum(counts.extras) + 1 > self._limit(counts) * (1.0 - kept):
             return False
         counts.extras[counts.epoch % (BUCKETS + 1)] += 1
+        self.spent += 1
         return True
 
     def left(self, service: str, now: float) -> float:
@@ -114,6 +117,17 @@
         counts = self._counts(service, now)
         return self._limit(counts) - sum(counts.extras)
 
+    def least_left(self, now: float) -> float:
+        """Tell what is left to the service that has the fewest extra attempts left.
+
+        Args:
+            now: The present, in seconds.
+
+        Returns:
+            A number of attempts; 0 while no service was asked for.
+        """
+        return min((self.left(service, now) for service in self._services), default=0.0)
+
     def _limit(self, counts: _Counts) -> float:
         # The oldest bucket is partly outside the window, so its requests do not count.
         oldest = (counts.epoch + 1) % (BUCKETS + 1)
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -26,7 +26,7 @@
     tools,
 )
 from lineworks.http1 import server_connection
-from lineworks.kernel import listening, registry
+from lineworks.kernel import listening, loop_delay, registry
 from lineworks.models import node_settings
 from lineworks.platform import headers, store
 from lineworks.services import peer_links
@@ -34,6 +34,7 @@
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Callable
 
 HEARTBEAT_SECONDS = 2.0
 """Seconds between heartbeats on a link: a silent link counts as lost after twice that."""
@@ -119,7 +120,12 @@
             tools.HedgeTimes(),
             self._counters,
         )
-        self._front = front.Front(shared, request_log.RequestLog(reactor, self._metrics))
+        self._request_log = request_log.RequestLog(reactor, self._metrics)
+        self._front = front.Front(shared, self._request_log)
+        self._loop_delay = loop_delay.LoopDelay(reactor)
+        self._started_at = reactor.seconds()
+        self.lines_dropped: Callable[[], int] = lambda: 0
+        """Tells how many log lines a slow reader made the process drop."""
         self._callers = server_connection.Server(
             reactor, self._front.limits, self._front.on_request, self._is_closing
         )
@@ -181,6 +187,7 @@
         links.on_down.append(lambda name: self._count_instances())
         links.on_closed_by.append(self._gatherer.on_origin_lost)
         self._metrics.collect_from(self._counts)
+        self._kernel.register("loop_delay", self._loop_delay)
         self._kernel.register("store", self._store)
         self._kernel.register("target_calls", self._calls)
         self._kernel.register("peer_links", self._links)
@@ -265,6 +272,7 @@
         self._reactor.callLater(STOP_CHECK, self._check_stopped)
 
     def _counts(self) -> dict[str, dict[str, float]]:
+        now = self._reactor.seconds()
         counters = dataclasses.asdict(self._counters)
         return {
             "lineworks_front_events": {name: float(value) for name, value in counters.items()},
@@ -273,6 +281,20 @@
                 "version": float(self._directory.version),
                 "age_seconds": min(NEVER_AGE, self._directory.age),
             },
+            "lineworks_extra_attempts": {
+                "spent": float(self._extra.spent),
+                "least_left": self._extra.least_left(now),
+                "instances": float(self._extra.instances),
+            },
+            "lineworks_event_loop_delay_seconds": {
+                "last": self._loop_delay.last,
+                "greatest": self._loop_delay.greatest,
+            },
+            "lineworks_log_lines": {
+                "left_out": float(self._request_log.left_out + self._learning.lines_left_out),
+                "dropped": float(self.lines_dropped()),
+            },
+            "lineworks_uptime_seconds": {"process": now - self._started_at},
             "lineworks_connections": {
                 "callers": float(len(self._callers.connections)),
                 "opened_to_targets": float(self._calls.opened),
--- a/src/lineworks/forwarding/request_log.py
+++ b/src/lineworks/forwarding/request_log.py
@@ -39,6 +39,11 @@
         self._bad = bounded_log.BoundedLog(reactor, "front", BAD_PER_SECOND)
         self._good = bounded_log.BoundedLog(reactor, "front", GOOD_PER_SECOND)
 
+    @property
+    def left_out(self) -> int:
+        """Lines left out since the start."""
+        return self._bad.left_out_in_all + self._good.left_out_in_all
+
     def on_end(
         self,
         request: server_connection.Request,
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -12,8 +12,8 @@
 import functools
 from typing import TYPE_CHECKING, Any
 
-from lineworks.decisions import extra_attempts, parts, verdict
-from lineworks.forwarding import outcome, search_attempts, search_state
+from lineworks.decisions import parts, verdict
+from lineworks.forwarding import outcome, search_attempts, search_hedges, search_state
 from lineworks.http1 import server_connection
 from lineworks.platform import headers
 
@@ -43,28 +43,6 @@
 MOST_RETRY_PAUSE = 0.1
 """Seconds of such a pause at most: a target that comes back must still be of use."""
 
-MOST_SENT = 5
-"""Attempts at one shard that reach a target. Those that reach none cost it nothing, and pauses keep
-them rare."""
-
-HEDGE_RECHECK = 0.02
-"""Seconds after which shards that could not be hedged are looked at again."""
-
-MOST_RECHECKS = 4
-"""Looks at late shards after the first."""
-
-HEDGE_WORK = 1.5
-"""Usual service times that a hedge is expected to take at its target."""
-
-HEDGES_IN_TIME = 2.0
-"""Hedges, one after the other, that should still be in time for the answer."""
-
-MOST_HEDGE_SHARE = 0.5
-"""Share of the aim after which a hedge is sent in any case."""
-
-TIMER_SLACK = 0.001
-"""Seconds that a timer may fire early by the rounding of clocks."""
-
 _OVERLAP = verdict.ran(verdict.Reason.FAILED, "merged with a shard that was in already")
 
 
@@ -107,13 +85,9 @@
         )
         self._timers: list[Any] = []
         self._is_late = False
-        self._hedges = 0
-        self._rechecks = 0
+        self._hedges = search_hedges.SearchHedges(shared, route, self._shards, self._parts)
         self._certainties: list[verdict.Verdict] = []
         self._failures: list[str] = []
-        self._began = 0.0
-        self._local_delay = 0.0
-        self._remote_delay = 0.0
 
     def start(self) -> None:
         """Send the first attempts."""
@@ -135,15 +109,13 @@
         if open_shards < self._needed:
             self._wait_or_refuse(open_shards, now)
             return
-        self._began = now
-        self._local_delay = self._hedge_delay(False, now)
-        self._remote_delay = self._hedge_delay(True, now)
-        self._sent.hedge_at = now + self._remote_delay
+        self._hedges.begin(now, self._aim_at())
+        self._sent.hedge_at = now + self._hedges.remote_delay
         self._set_timer(self._aim_at() - now, self._on_aim)
         self._dispatch(chosen, is_hedge=False)
         if self._on_end is not None:
-            self._set_timer(self._local_delay, self._on_hedge)
-            self._set_timer(self._remote_delay, self._on_hedge)
+            self._set_timer(self._hedges.local_delay, self._on_hedge)
+            self._set_timer(self._hedges.remote_delay, self._on_hedge)
             self._check()
 
     def _wait_or_refuse(self, open_shards: int, now: float) -> None:
@@ -165,25 +137,6 @@
         aim = self._route.aim
         return self._arrived + aim - AIM_MARGIN - AIM_SHARE * aim
 
-    def _hedge_delay(self, is_remote: bool, now: float) -> float:
-        """Tell after how long an attempt is hedged: late, but with time for two more.
-
-        Waiting longer than a usual answer takes costs nothing while a hedge, and another try after
-        it, still come before the answer is due; and most slow attempts end by themselves.
-        """
-        shared = self._shared
-        usual = self._usual_delay(is_remote)
-        work = max(shared.book.service_time(shard.service) for shard in self._shards)
-        one_hedge = shared.book.farthest + HEDGE_WORK * work
-        left = self._aim_at() - now
-        return max(
-            usual, min(MOST_HEDGE_SHARE * self._route.aim, left - HEDGES_IN_TIME * one_hedge)
-        )
-
-    def _usual_delay(self, is_remote: bool) -> float:
-        """Tell after how long an attempt counts as late, whatever time is left."""
-        return self._shared.hedges.delay(self._route.name, is_remote, self._route.aim)
-
     def _set_timer(self, delay: float, call: Callable[[], None]) -> None:
         self._timers.append(self._shared.reactor.callLater(max(0.0, delay), call))
 
@@ -204,7 +157,7 @@
             shard = self._shards[index]
             if state is None:
                 self._on_unreachable(index)
-            elif shard.sent and not is_hedge and not self._may_spend(shard, now):
+            elif shard.sent and not is_hedge and not self._shared.may_spend(shard.service, now):
                 self._on_no_budget(index)
             elif state.hall == self._shared.hall:
                 self._sent.ask_target(index, state, now, is_hedge)
@@ -219,16 +172,6 @@
     def _choose_now(self, shard: search_state.Shard) -> target_book.TargetState | None:
         return self._choose(shard, self._shared.reactor.seconds())
 
-    def _has_attempt_left(self, shard: search_state.Shard) -> bool:
-        """Say whether one more target may work on a shard at the same time."""
-        return len(shard.running) + shard.unsettled < self._route.max_attempts
-
-    def _may_spend(self, shard: search_state.Shard, now: float, kept: float = 0.0) -> bool:
-        if self._shared.extra.spend(shard.service, now, kept):
-            return True
-        self._shared.counters.budget_spent += 1
-        return False
-
     def _take(self, part: parts.Part, done: Iterable[search_state.Try]) -> bool:
         """Use a part, and stop the other attempts at its shards.
 
@@ -262,7 +205,8 @@
         self._failures.append(f"{shard.service} {found.reason.value}: {found.detail}")
         if index in self._parts.covered or shard.running or shard.is_waiting:
             return
-        if shard.sent >= MOST_SENT or not self._has_attempt_left(shard):
+        is_left = shard.has_attempt_left(self._route.max_attempts)
+        if shard.sent >= search_hedges.MOST_SENT or not is_left:
             shard.is_given_up = True
         else:
             self._shared.counters.retries += 1
@@ -302,52 +246,14 @@
         if self._on_end is None:
             return
         now = self._shared.reactor.seconds()
-        hedged: dict[int, target_book.TargetState | None] = {}
-        for index, shard in enumerate(self._shards):
-            if index not in self._parts.covered and self._may_hedge(shard, now):
-                state = self._hedge(shard, now)
-                if state is not None:
-                    hedged[index] = state
+        hedged = self._hedges.choose(now)
         if hedged:
-            self._shared.counters.hedges += len(hedged)
-            self._hedges += len(hedged)
             self._dispatch(hedged, is_hedge=True)
-        if self._rechecks < MOST_RECHECKS and now >= self._sent.hedge_at:
-            self._rechecks += 1
-            self._set_timer(HEDGE_RECHECK, self._on_hedge)
+        pause = self._hedges.next_look(now)
+        if pause is not None:
+            self._set_timer(pause, self._on_hedge)
         self._check()
 
-    def _may_hedge(self, shard: search_state.Shard, now: float) -> bool:
-        if len(shard.running) != 1 or shard.sent >= MOST_SENT or not self._has_attempt_left(shard):
-            return False
-        attempt = shard.running[0]
-        is_remote = attempt.state.hall != self._shared.hall
-        delay = self._remote_delay if is_remote else self._local_delay
-        if attempt.started > self._began:
-            # An earlier attempt failed, so less time is left than the delay counts on.
-            delay = min(delay, self._usual_delay(is_remote))
-        return now >= attempt.started + delay - TIMER_SLACK
-
-    def _hedge(self, shard: search_state.Shard, now: float) -> target_book.TargetState | None:
-        """Choose the target of a hedge, if it could be in time and an attempt is left for it."""
-        state = self._choose(shard, now)
-        if state is None:
-            # A target that failed, or had no room, may do by now.
-            shard.tried = {attempt.state.id for attempt in shard.running}
-            state = self._choose(shard, now)
-        if state is None:
-            shard.not_hedged = search_state.NotHedged.NO_TARGET
-            return None
-        is_enough = len(self._parts.covered) >= self._needed
-        if is_enough and now + self._shared.book.least(state) > self._aim_at():
-            shard.not_hedged = search_state.NotHedged.TOO_LATE
-            return None
-        if not self._may_spend(shard, now, extra_attempts.KEPT_FROM_HEDGES):
-            shard.not_hedged = search_state.NotHedged.NO_BUDGET
-            return None
-        shard.is_hedged = True
-        return state
-
     def _on_aim(self) -> None:
         self._is_late = True
         self._check()
@@ -403,7 +309,7 @@
             found,
             covered=len(self._parts.covered),
             total=len(self._shards),
-            hedges=self._hedges,
+            hedges=self._hedges.count,
             missing=tuple(
                 search_state.why_missing(shard)
                 for index, shard in enumerate(self._shards)
--- /dev/null
+++ b/src/lineworks/forwarding/search_hedges.py
@@ -0,0 +1,166 @@
+"""Second attempts at the late shards of one search: when, where, and whether they are worth it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lineworks.decisions import extra_attempts, parts
+from lineworks.forwarding import search_state
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from lineworks.decisions import routes
+    from lineworks.forwarding import target_book, tools
+
+MOST_SENT = 5
+"""Attempts at one shard that reach a target. Those that reach none cost it nothing, and pauses keep
+them rare."""
+
+RECHECK_SECONDS = 0.02
+"""Seconds after which shards that could not be hedged are looked at again."""
+
+MOST_RECHECKS = 4
+"""Looks at late shards after the first."""
+
+HEDGE_WORK = 1.5
+"""Usual service times that a hedge is expected to take at its target."""
+
+HEDGES_IN_TIME = 2.0
+"""Hedges, one after the other, that should still be in time for the answer."""
+
+MOST_HEDGE_SHARE = 0.5
+"""Share of the aim after which a hedge is sent in any case."""
+
+TIMER_SLACK = 0.001
+"""Seconds that a timer may fire early by the rounding of clocks."""
+
+
+class SearchHedges:
+    """The hedges of one search."""
+
+    def __init__(
+        self,
+        shared: tools.Tools,
+        route: routes.Route,
+        shards: Sequence[search_state.Shard],
+        found: parts.PartSet,
+    ) -> None:
+        """Start with nothing due.
+
+        Args:
+            shared: What the front's requests share.
+            route: The route.
+            shards: The search's shards.
+            found: The parts that are in.
+        """
+        self._shared = shared
+        self._route = route
+        self._shards = shards
+        self._found = found
+        self._needed = parts.needed(len(shards), route.least_share)
+        self._began = 0.0
+        self._aim_at = 0.0
+        self._rechecks = 0
+        self.local_delay = 0.0
+        """Seconds after which an attempt in the own hall is late."""
+        self.remote_delay = 0.0
+        """Seconds after which an attempt in another hall is late."""
+        self.count = 0
+        """Hedges chosen so far."""
+
+    def begin(self, now: float, aim_at: float) -> None:
+        """Decide when attempts that are sent now are late.
+
+        Args:
+            now: The present, in seconds.
+            aim_at: When the answer is due.
+        """
+        self._began = now
+        self._aim_at = aim_at
+        self.local_delay = self._delay(False)
+        self.remote_delay = self._delay(True)
+
+    def choose(self, now: float) -> dict[int, target_book.TargetState]:
+        """Choose hedges for the shards that are late, and pay for them.
+
+        Args:
+            now: The present, in seconds.
+
+        Returns:
+            Positions of shards, each with the target to ask.
+        """
+        chosen: dict[int, target_book.TargetState] = {}
+        for index, shard in enumerate(self._shards):
+            if index not in self._found.covered and self._is_due(shard, now):
+                state = self._hedge(shard, now)
+                if state is not None:
+                    chosen[index] = state
+        self.count += len(chosen)
+        self._shared.counters.hedges += len(chosen)
+        return chosen
+
+    def next_look(self, now: float) -> float | None:
+        """Tell when to look again.
+
+        Args:
+            now: The present, in seconds.
+
+        Returns:
+            Seconds from now, or None when another look is planned already or there were enough.
+        """
+        if self._rechecks >= MOST_RECHECKS or now < self._began + self.remote_delay - TIMER_SLACK:
+            return None
+        self._rechecks += 1
+        return RECHECK_SECONDS
+
+    def _delay(self, is_remote: bool) -> float:
+        """Tell after how long an attempt is hedged: late, but with time for two more.
+
+        Waiting longer than a usual answer takes costs nothing while a hedge, and another try after
+        it, still come before the answer is due; and most slow attempts end by themselves.
+        """
+        book = self._shared.book
+        work = max(book.service_time(shard.service) for shard in self._shards)
+        one_hedge = book.farthest + HEDGE_WORK * work
+        left = self._aim_at - self._began
+        latest = min(MOST_HEDGE_SHARE * self._route.aim, left - HEDGES_IN_TIME * one_hedge)
+        return max(self._usual_delay(is_remote), latest)
+
+    def _usual_delay(self, is_remote: bool) -> float:
+        """Tell after how long an attempt counts as late, whatever time is left."""
+        return self._shared.hedges.delay(self._route.name, is_remote, self._route.aim)
+
+    def _is_due(self, shard: search_state.Shard, now: float) -> bool:
+        if len(shard.running) != 1 or shard.sent >= MOST_SENT:
+            return False
+        if not shard.has_attempt_left(self._route.max_attempts):
+            return False
+        attempt = shard.running[0]
+        is_remote = attempt.state.hall != self._shared.hall
+        delay = self.remote_delay if is_remote else self.local_delay
+        if attempt.started > self._began:
+            # An earlier attempt failed, so less time is left than the delay counts on.
+            delay = min(delay, self._usual_delay(is_remote))
+        return now >= attempt.started + delay - TIMER_SLACK
+
+    def _hedge(self, shard: search_state.Shard, now: float) -> target_book.TargetState | None:
+        """Choose the target of a hedge, if it could be in time and an attempt is left for it."""
+        book = self._shared.book
+        state = book.choose(shard.service, now, shard.tried)
+        if state is None:
+            # A target that failed, or had no room, may do by now.
+            shard.tried = {attempt.state.id for attempt in shard.running}
+            state = book.choose(shard.service, now, shard.tried)
+        if state is None:
+            shard.not_hedged = search_state.NotHedged.NO_TARGET
+            return None
+        is_enough = len(self._found.covered) >= self._needed
+        if is_enough and now + book.least(state) > self._aim_at:
+            shard.not_hedged = search_state.NotHedged.TOO_LATE
+            return None
+        if not self._shared.may_spend(shard.service, now, extra_attempts.KEPT_FROM_HEDGES):
+            shard.not_hedged = search_state.NotHedged.NO_BUDGET
+            return None
+        shard.is_hedged = True
+        return state
--- a/src/lineworks/forwarding/search_state.py
+++ b/src/lineworks/forwarding/search_state.py
@@ -92,6 +92,17 @@
     is_given_up: bool = False
     """Whether nothing more is tried."""
 
+    def has_attempt_left(self, most: int) -> bool:
+        """Say whether one more target may work on the shard beside those that do or may.
+
+        Args:
+            most: Targets that the route allows.
+
+        Returns:
+            Whether there are fewer.
+        """
+        return len(self.running) + self.unsettled < most
+
 
 def why_missing(shard: Shard) -> str:
     """Tell what a shard that is not in waited for.
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -175,10 +175,7 @@
             return False
         if not answers.was_sent(last):
             return True
-        if shared.extra.spend(self._service, now):
-            return True
-        shared.counters.budget_spent += 1
-        return False
+        return shared.may_spend(self._service, now)
 
     def _on_hedge(self) -> None:
         """Ask a second target while the first is slow."""
@@ -189,8 +186,7 @@
         state = shared.book.choose(self._service, now, self._tried)
         if state is None:
             return
-        if not shared.extra.spend(self._service, now):
-            shared.counters.budget_spent += 1
+        if not shared.may_spend(self._service, now):
             return
         shared.counters.hedges += 1
         self._send(state, now, is_hedge=True)
--- a/src/lineworks/forwarding/target_learning.py
+++ b/src/lineworks/forwarding/target_learning.py
@@ -43,9 +43,9 @@
         self._log = bounded_log.BoundedLog(clock, "targets", LINES_PER_SECOND)
 
     @property
-    def log(self) -> bounded_log.BoundedLog:
-        """Where it writes."""
-        return self._log
+    def lines_left_out(self) -> int:
+        """Log lines left out since the start."""
+        return self._log.left_out_in_all
 
     def on_end(
         self,
--- a/src/lineworks/forwarding/tools.py
+++ b/src/lineworks/forwarding/tools.py
@@ -116,6 +116,22 @@
     counters: Counters
     """Counts for metrics."""
 
+    def may_spend(self, service: str, now: float, kept: float = 0.0) -> bool:
+        """Take one extra attempt at a service, or count that none was left.
+
+        Args:
+            service: The service.
+            now: The present, in seconds.
+            kept: Part of the allowance (0 to 1) that is left for others.
+
+        Returns:
+            Whether it may be sent.
+        """
+        if self.extra.spend(service, now, kept):
+            return True
+        self.counters.budget_spent += 1
+        return False
+
     def record_answer(self, route: str, hall: str, started: float, is_hedge: bool) -> None:
         """Learn from an attempt that brought what was wanted.
 
--- a/src/lineworks/kernel/bounded_log.py
+++ b/src/lineworks/kernel/bounded_log.py
@@ -34,6 +34,8 @@
         self._reported_at = clock.seconds()
         self.left_out = 0
         """Lines left out and not told of yet."""
+        self.left_out_in_all = 0
+        """Lines left out since the start."""
 
     def info(self, event: str, **fields: Any) -> None:
         """Write a line, or count it as left out.
@@ -53,3 +55,4 @@
             self._log.info(event, **fields)
         else:
             self.left_out += 1
+            self.left_out_in_all += 1
--- a/src/lineworks/programs/_node_logs.py
+++ b/src/lineworks/programs/_node_logs.py
@@ -90,6 +90,11 @@
         self.exit_code = 0
         """Code that the process ends with."""
 
+    @property
+    def lines_dropped(self) -> int:
+        """Lines dropped so far, because nobody read them."""
+        return self._writer.dropped
+
     def fail(self, event: str, error: str, code: int = 1) -> None:
         """Write why the process ends."""
         self.exit_code = code
--- a/src/lineworks/programs/node.py
+++ b/src/lineworks/programs/node.py
@@ -85,6 +85,7 @@
 
     logs = _node_logs.set_up(reactor)
     process = node.Node(reactor, settings, callers)
+    process.lines_dropped = lambda: logs.lines_dropped
     # Before anything else, or an early signal would end the process on the spot.
     _handle_signals(reactor, process, logs)
     defer.ensureDeferred(process.start()).addErrback(_on_start_failed, reactor, logs)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -151,3 +151,39 @@
     assert 'lineworks_requests_total{reason="ok",route="search",status="200"} 1.0' in text
     assert 'lineworks_configuration{kind="version"} 1.0' in text
     assert "lineworks_store_calls" in text
+
+
+def test_metrics_tell_the_load_of_the_process_and_what_is_left_of_the_extra_attempts():
+    world = test_forwarding.build()
+    world.ask("akl-1", "/search/q")
+    world.nodes["akl-1"].lines_dropped = lambda: 3
+    world.run(2.5)
+    data = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+    reply = world.send("akl-1", data, 7381)
+    world.run(0.2)
+    text = reply.body.decode()
+    assert 'lineworks_event_loop_delay_seconds{kind="greatest"}' in text
+    assert 'lineworks_log_lines{kind="dropped"} 3.0' in text
+    assert 'lineworks_extra_attempts{kind="instances"} 6.0' in text
+    assert 'lineworks_extra_attempts{kind="least_left"}' in text
+    assert 'lineworks_uptime_seconds{kind="process"} 5.' in text
+
+
+def test_a_target_that_is_passed_over_and_its_return_have_lines():
+    world = test_forwarding.build()
+    target = test_forwarding.targets_of(world, "s01")[0]
+    front = next(name for name in world.nodes if name.startswith(target.hall))
+    target.host.kill()
+    with capture_logs() as lines:
+        world.ask(front, "/search/q")
+        world.run(0.5)
+        target.host.is_stopped = False
+        target.listen()
+        for _ in range(60):
+            world.ask(front, "/search/q")
+            world.run(0.2)
+    avoided = [line for line in lines if line["event"] == "target_avoided"]
+    returned = [line for line in lines if line["event"] == "target_returned"]
+    assert avoided[0]["target"] == target.name
+    assert avoided[0]["reason"] == "unreachable"
+    assert returned[0]["target"] == target.name
