--- a/src/lineworks/decisions/claims.py
+++ b/src/lineworks/decisions/claims.py
@@ -31,7 +31,7 @@
     """One idempotency key, taken."""
 
     key: str
-    """Digest of tenant and key."""
+    """Digest of workspace and key."""
 
     nonce: str
     """Chosen by the claimant for this one claim."""
@@ -50,17 +50,17 @@
     """A bucket has no room for another claim."""
 
 
-def digest(tenant: str, key: str) -> str:
+def digest(workspace: str, key: str) -> str:
     """Digest a caller's idempotency key.
 
     Args:
-        tenant: The tenant, whose keys are apart from other tenants' keys.
+        workspace: The workspace, whose keys are apart from those of others.
         key: The key.
 
     Returns:
         32 hexadecimal digits.
     """
-    found: str = xxhash.xxh3_128_hexdigest(f"{tenant}\0{key}".encode())
+    found: str = xxhash.xxh3_128_hexdigest(f"{workspace}\0{key}".encode())
     return found
 
 
--- a/src/lineworks/decisions/selectors.py
+++ b/src/lineworks/decisions/selectors.py
@@ -32,7 +32,7 @@
 
     Args:
         selectors: All selectors in force.
-        fields: The query's fields, caller class and tenant among them.
+        fields: The query's fields, caller class and workspace among them.
 
     Returns:
         The match; its selector is None when no selector applies.
--- a/src/lineworks/engine/requests.py
+++ b/src/lineworks/engine/requests.py
@@ -16,7 +16,7 @@
     """A caller's search, checked."""
 
     fields: Mapping[str, str]
-    """Query fields, caller class and tenant among them."""
+    """Query fields, caller class and workspace among them."""
 
     body: bytes
     """The body that every shard gets."""
--- a/src/lineworks/models/caller_http.py
+++ b/src/lineworks/models/caller_http.py
@@ -31,9 +31,16 @@
 CLASS_FIELD = "class"
 """Name under which selectors see the caller class."""
 
-TENANT_FIELD = "tenant"
-"""Name under which selectors see the tenant."""
+WORKSPACE_FIELD = "workspace"
+"""Name under which selectors see the workspace."""
 
+OLD_WORKSPACE_FIELD = "tenant"
+"""Name of the same before: callers may still send it, and selectors may still match it."""
+
+_Workspace = pydantic.Field(
+    default="none",
+    validation_alias=pydantic.AliasChoices(WORKSPACE_FIELD, OLD_WORKSPACE_FIELD),
+)
 _DeadlineMs = pydantic.Field(
     default=DEFAULT_DEADLINE_MS, ge=1, le=int(deadlines.MAX_DEADLINE * 1000)
 )
@@ -57,7 +64,7 @@
     """A search."""
 
     fields: dict[_base.Name, str] = pydantic.Field(default={}, max_length=MAX_FIELDS)
-    """What selectors match, besides class and tenant."""
+    """What selectors match, besides class and workspace."""
 
     body: str = ""
     """Handed to every shard as it is."""
@@ -65,7 +72,7 @@
     caller_class: _base.Name = pydantic.Field(default="default", alias="class")
     """Caller class."""
 
-    tenant: _base.Name = "none"
+    workspace: _base.Name = _Workspace
     """Customer on whose behalf the caller asks."""
 
     deadline_ms: int = _DeadlineMs
@@ -78,9 +85,14 @@
         """List the fields that selectors match.
 
         Returns:
-            The search's own fields with class and tenant.
+            The search's own fields with class and workspace.
         """
-        return {**self.fields, CLASS_FIELD: self.caller_class, TENANT_FIELD: self.tenant}
+        return {
+            **self.fields,
+            CLASS_FIELD: self.caller_class,
+            WORKSPACE_FIELD: self.workspace,
+            OLD_WORKSPACE_FIELD: self.workspace,
+        }
 
 
 class RunBody(_base.Model):
@@ -98,7 +110,7 @@
     caller_class: _base.Name = pydantic.Field(default="default", alias="class")
     """Caller class."""
 
-    tenant: _base.Name = "none"
+    workspace: _base.Name = _Workspace
     """Customer on whose behalf the caller asks."""
 
     deadline_ms: int = _DeadlineMs
@@ -116,7 +128,7 @@
         Returns:
             Hexadecimal digits, equal for requests that ask for the same thing.
         """
-        parts = [self.service, self.shard, self.body, self.tenant]
+        parts = [self.service, self.shard, self.body, self.workspace]
         return request_digest(parts)
 
 
--- a/src/lineworks/models/configuration.py
+++ b/src/lineworks/models/configuration.py
@@ -96,7 +96,7 @@
     """Which queries a group serves, and how."""
 
     match: Labels = {}
-    """Query fields with the values that they must have; `class` and `tenant` among them."""
+    """Query fields with the values that they must have; `class` and `workspace` among them."""
 
     group: Labels = pydantic.Field(min_length=1)
     """Labels that the group's services carry."""
--- a/src/lineworks/platform/store.py
+++ b/src/lineworks/platform/store.py
@@ -13,10 +13,8 @@
 import urllib.parse
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet import defer, protocol
-
 from lineworks.http1 import client_connection
-from lineworks.platform import _fields
+from lineworks.platform import _fields, _store_connections
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -26,9 +24,6 @@
 CALL_SECONDS = 1.5
 """Seconds to wait for an answer; the store usually takes 4 ms, and 0.4 s when it is slow."""
 
-CONNECT_SECONDS = 1.0
-"""Seconds to wait for a connection."""
-
 _KEY = "PrivateKey"  # Any key of the store; nothing about it is private.
 _JSON = b"Content-Type: application/json\r\n"
 _MAX_PAGES = 100
@@ -135,9 +130,8 @@
             timeout: Seconds to wait for an answer.
         """
         self._timeout = timeout
-        self._reactor = reactor
         self._address = address
-        self._idle: list[_StoreConnection] = []
+        self._connections = _store_connections.StoreConnections(reactor, address)
         self.calls: collections.Counter[str] = collections.Counter()
         """Calls made so far, by kind."""
 
@@ -146,9 +140,7 @@
 
     def stop(self) -> None:
         """Close the idle connections."""
-        for connection in self._idle:
-            connection.abort()
-        self._idle.clear()
+        self._connections.close()
 
     async def get(self, key: str) -> Item | None:
         """Read a key.
@@ -314,9 +306,11 @@
         more: float = 0.0,
     ) -> tuple[int, Any]:
         self.calls[kind] += 1
-        connection = await self._connect(kind)
         data = _request(method, path, self._address, document)
-        end = await self._exchange(connection, data, self._timeout + more)
+        try:
+            end = await self._connections.exchange(data, self._timeout + more)
+        except _store_connections.ConnectError as error:
+            raise StoreError(f"{kind}: {error}") from error
         if isinstance(end, client_connection.Broken):
             raise StoreUnsureError(f"{kind}: {end.detail}")
         if end.status in (429, 503):
@@ -326,74 +320,6 @@
         except ValueError as error:
             raise StoreUnsureError(f"{kind}: the answer is no JSON") from error
 
-    async def _exchange(
-        self, connection: _StoreConnection, data: bytes, timeout: float
-    ) -> client_connection.Response | client_connection.Broken:
-        ended: defer.Deferred[Any] = defer.Deferred()
-        timer = self._reactor.callLater(timeout, _give_up, connection, ended)
-        connection.send(data, False, lambda end: None if ended.called else ended.callback(end))
-        try:
-            end: client_connection.Response | client_connection.Broken = await ended
-        except defer.CancelledError:
-            connection.abort()
-            raise
-        finally:
-            if timer.active():
-                timer.cancel()
-        if not connection.is_closed:
-            self._idle.append(connection)
-        return end
-
-    async def _connect(self, kind: str) -> _StoreConnection:
-        now = self._reactor.seconds()
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_reusable(now):
-                return connection
-            connection.abort()
-        opened: defer.Deferred[Any] = defer.Deferred()
-        factory = _StoreFactory(self._reactor, opened)
-        address = self._address
-        self._reactor.connectTCP(address.host, address.port, factory, timeout=CONNECT_SECONDS)
-        connected = await opened
-        if not isinstance(connected, _StoreConnection):
-            raise StoreError(f"{kind}: {connected}")
-        return connected
-
-
-class _StoreConnection(client_connection.ClientConnection):
-    """A connection to the store that reports when it is open."""
-
-    def __init__(self, reactor: Any, opened: defer.Deferred[Any]) -> None:
-        super().__init__(reactor.seconds, lambda connection: None)
-        self._opened = opened
-
-    def connectionMade(self) -> None:  # noqa: N802
-        """Report that it is open."""
-        super().connectionMade()
-        self._opened.callback(self)
-
-
-class _StoreFactory(protocol.ClientFactory):
-    noisy = False
-
-    def __init__(self, reactor: Any, opened: defer.Deferred[Any]) -> None:
-        self._reactor = reactor
-        self._opened = opened
-
-    def buildProtocol(self, addr: Any) -> _StoreConnection:  # noqa: N802
-        """Make the connection's end."""
-        return _StoreConnection(self._reactor, self._opened)
-
-    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
-        """Report that it could not be opened."""
-        self._opened.callback(type(reason.value).__name__)
-
-
-def _give_up(connection: _StoreConnection, ended: defer.Deferred[Any]) -> None:
-    connection.abort()
-    ended.callback(client_connection.Broken("no answer in time", False))
-
 
 def _request(method: str, path: str, address: node_settings.Address, document: Any) -> bytes:
     body = b"" if document is None else json.dumps(document).encode()
--- a/src/lineworks/programs/demo.py
+++ b/src/lineworks/programs/demo.py
@@ -234,7 +234,7 @@
         body = {
             "fields": {"kind": "repertoire"},
             "class": "librarian",
-            "tenant": "choir",
+            "workspace": "choir",
             "deadline_ms": DEADLINE_MS,
             "body": f"{cause}|anthem",
         }
@@ -246,7 +246,7 @@
         body = {
             "service": "part-shelf-000",
             "class": "librarian",
-            "tenant": "choir",
+            "workspace": "choir",
             "deadline_ms": DEADLINE_MS,
             "unrepeatable": True,
             "body": f"{cause}|part",
--- a/src/lineworks/services/caller_api.py
+++ b/src/lineworks/services/caller_api.py
@@ -149,7 +149,7 @@
         _cancel_on_disconnect(request, self._core.front.search(search, done.callback), done)
         answer = await done
         self._counts.observe(
-            body.tenant, body.caller_class, answer, self._reactor.seconds() - started
+            body.workspace, body.caller_class, answer, self._reactor.seconds() - started
         )
         reply = caller_http.answer_reply(answer, self._keeper.age)
         if _wants_timeline(request):
--- a/src/lineworks/services/cluster.py
+++ b/src/lineworks/services/cluster.py
@@ -17,6 +17,7 @@
     from lineworks.services import (
         config_keeper,
         membership,
+        peer_link,
         peer_links,
         target_pool,
         traces,
@@ -140,7 +141,7 @@
     def _make_heartbeat(self) -> frames.Heartbeat:
         return frames.Heartbeat(self._members.is_leaving, self._keeper.version, self._keeper.digest)
 
-    def _on_heartbeat(self, link: peer_links.PeerLink, frame: frames.Heartbeat) -> None:
+    def _on_heartbeat(self, link: peer_link.PeerLink, frame: frames.Heartbeat) -> None:
         assert link.hello is not None
         name = link.hello.name
         self._members.on_heartbeat(name, frame.is_leaving)
@@ -158,23 +159,23 @@
         if incarnation is not None:
             self.gatherer.on_origin_lost(incarnation)
 
-    def _on_replies(self, link: peer_links.PeerLink, frame: frames.Replies) -> None:
+    def _on_replies(self, link: peer_link.PeerLink, frame: frames.Replies) -> None:
         assert link.hello is not None
         for reply in frame.replies:
             self.front.on_reply(link.hello.name, reply)
 
-    def _on_holdings(self, link: peer_links.PeerLink, frame: frames.Holdings) -> None:
+    def _on_holdings(self, link: peer_link.PeerLink, frame: frames.Holdings) -> None:
         assert link.hello is not None
         self.view.set_holdings(link.hello.name, frame.held)
 
-    def _on_sub_queries(self, link: peer_links.PeerLink, frame: messages.SubQueries) -> None:
+    def _on_sub_queries(self, link: peer_link.PeerLink, frame: messages.SubQueries) -> None:
         assert link.hello is not None
         name = link.hello.name
         self.gatherer.on_sub_queries(
             link.hello.incarnation, frame, lambda reply: self._reply_to_peer(name, reply)
         )
 
-    def _on_cancel(self, link: peer_links.PeerLink, frame: messages.Cancel) -> None:
+    def _on_cancel(self, link: peer_link.PeerLink, frame: messages.Cancel) -> None:
         assert link.hello is not None
         self.gatherer.on_cancel(link.hello.incarnation, frame)
 
--- a/src/lineworks/services/config_keeper.py
+++ b/src/lineworks/services/config_keeper.py
@@ -22,7 +22,7 @@
     import random
     from collections.abc import Callable
 
-    from lineworks.services import peer_links
+    from lineworks.services import peer_link, peer_links
 
 WATCHERS = 2
 """Instances of a hall that watch the head."""
@@ -171,7 +171,7 @@
             self._put_in_force(head, _apply(self._items, fetched, deleted))
         self._confirmed_at = self._reactor.seconds()
 
-    def _on_pull(self, link: peer_links.PeerLink, frame: frames.ConfigPull) -> None:
+    def _on_pull(self, link: peer_link.PeerLink, frame: frames.ConfigPull) -> None:
         if frame.version >= self.version:
             return
         link.send(frames.ConfigChanges(self._transfer(frame.version, frame.digest)))
@@ -191,7 +191,7 @@
         }
         return json.dumps(document).encode()
 
-    def _on_changes(self, link: peer_links.PeerLink, frame: frames.ConfigChanges) -> None:
+    def _on_changes(self, link: peer_link.PeerLink, frame: frames.ConfigChanges) -> None:
         try:
             document = json.loads(frame.document)
             head = config_store.head_from_json(json.dumps(document["head"]))
--- a/src/lineworks/services/metrics.py
+++ b/src/lineworks/services/metrics.py
@@ -13,7 +13,7 @@
     from lineworks.engine import dispatcher, requests, sub_query
 
 MAX_LABELS = 50
-"""Tenants, and classes, that get a label of their own; later ones are counted as `other`."""
+"""Workspaces, and classes, that get a label of their own; later ones are counted as `other`."""
 
 _BUCKETS = (0.005, 0.01, 0.02, 0.035, 0.05, 0.078, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 5, 10)
 _COVERAGE_BUCKETS = (0.0, 0.5, 0.8, 0.9, 0.95, 0.99, 1.0)
@@ -39,12 +39,12 @@
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
-        self._tenant = _BoundedLabel()
+        self._workspace = _BoundedLabel()
         self._class = _BoundedLabel()
         self._seconds = prometheus_client.Histogram(
             "lineworks_query_seconds",
             "Time from admission to answer.",
-            ("tenant", "caller_class"),
+            ("workspace", "caller_class"),
             buckets=_BUCKETS,
             registry=self.registry,
         )
@@ -69,19 +69,19 @@
         """Do nothing."""
 
     def observe(
-        self, tenant: str, caller_class: str, answer: requests.Answer, seconds: float
+        self, workspace: str, caller_class: str, answer: requests.Answer, seconds: float
     ) -> None:
         """Count an answer.
 
         Args:
-            tenant: The customer.
+            workspace: The customer.
             caller_class: The caller class.
             answer: The answer.
             seconds: How long it took.
         """
         bounded = self._class(caller_class)
         found = answer.verdict
-        self._seconds.labels(self._tenant(tenant), bounded).observe(seconds)
+        self._seconds.labels(self._workspace(workspace), bounded).observe(seconds)
         self._verdicts.labels(bounded, found.certainty.value, found.reason.value).inc()
         if answer.snapshot is not None:
             self._coverage.labels(bounded).observe(answer.coverage.share)
--- /dev/null
+++ b/src/lineworks/services/peer_link.py
@@ -0,0 +1,135 @@
+"""One end of a link between two instances: framed, compressed, and proven by a shared secret."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import os
+from typing import TYPE_CHECKING, Any
+
+import structlog
+from twisted.protocols import basic
+
+from lineworks.wire import codec, deflate, frames
+
+if TYPE_CHECKING:
+    from lineworks.services import peer_links
+
+_NONCE_BYTES = 16
+_log = structlog.get_logger(component="peer_links")
+
+
+def sign(secret: bytes, nonce: bytes, name: str, hall: str, incarnation: str) -> bytes:
+    """Sign a `Hello`.
+
+    Args:
+        secret: The shared secret.
+        nonce: The other side's challenge.
+        name: Name of the signer.
+        hall: Its data hall.
+        incarnation: Identity of its process.
+
+    Returns:
+        HMAC-SHA256.
+    """
+    text = "\0".join((name, hall, incarnation)).encode()
+    return hmac.new(secret, nonce + text, hashlib.sha256).digest()
+
+
+class PeerLink(basic.Int32StringReceiver):
+    """One end of a link."""
+
+    MAX_LENGTH = codec.MAX_FRAME
+    transport: Any
+
+    def __init__(self, links: peer_links.PeerLinks, is_dialler: bool = False) -> None:
+        """Make an end that is not connected yet.
+
+        Args:
+            links: The links of this instance.
+            is_dialler: Whether this end opened the connection.
+        """
+        self._links = links
+        self.is_dialler = is_dialler
+        self._nonce = os.urandom(_NONCE_BYTES)
+        self._deflater = deflate.Deflater()
+        self._inflater = deflate.Inflater(codec.MAX_FRAME)
+        self._is_dead = False
+        self.hello: frames.Hello | None = None
+        self.heard_at = 0.0
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Challenge the other side."""
+        self.transport.setTcpNoDelay(True)
+        self.heard_at = self._links.now
+        self.send(frames.Challenge(self._nonce))
+
+    def send(self, frame: frames.Frame) -> None:
+        """Send a frame.
+
+        Args:
+            frame: The frame.
+        """
+        self.sendString(self._deflater.deflate(codec.encode(frame, self._links.now)))
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Take in one frame.
+
+        Args:
+            string: Its bytes.
+        """
+        if self._is_dead:
+            return
+        self.heard_at = self._links.now
+        try:
+            frame = codec.decode(self._inflater.inflate(string), self.heard_at)
+        except codec.MalformedFrameError as error:
+            self.close(f"malformed frame: {error}")
+            return
+        if self.hello is None:
+            self._on_handshake(frame)
+        else:
+            self._links.on_frame(self, frame)
+
+    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
+        """Close the link, because a frame is too long.
+
+        Args:
+            length: The length announced.
+        """
+        self.close(f"frame of {length} bytes")
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Tell the links that this one is gone.
+
+        Args:
+            reason: Why, by Twisted.
+        """
+        self._is_dead = True
+        self._links.on_closed(self)
+
+    def close(self, reason: str) -> None:
+        """Close the link.
+
+        Args:
+            reason: Why; it is logged.
+        """
+        if self._is_dead:
+            return
+        self._is_dead = True
+        name = self.hello.name if self.hello else None
+        _log.warning("link_closed", peer=name, reason=reason)
+        self._links.counts[f"closed:{reason.partition(':')[0]}"] += 1
+        self.transport.abortConnection()
+
+    def _on_handshake(self, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.Challenge):
+            self.send(self._links.make_hello(frame.nonce))
+        elif isinstance(frame, frames.Hello):
+            if not self._links.is_genuine(frame, self._nonce):
+                self.close("refused: the signature is wrong")
+                return
+            self.hello = frame
+            self._links.on_opened(self)
+        else:
+            self.close(f"refused: {type(frame).__name__} before hello")
--- a/src/lineworks/services/peer_links.py
+++ b/src/lineworks/services/peer_links.py
@@ -8,16 +8,14 @@
 from __future__ import annotations
 
 import collections
-import hashlib
 import hmac
-import os
 from typing import TYPE_CHECKING, Any
 
 import structlog
 from twisted.internet import protocol
-from twisted.protocols import basic
 
-from lineworks.wire import codec, deflate, frames
+from lineworks.services import peer_link
+from lineworks.wire import frames
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -42,126 +40,9 @@
 SECOND_DIAL_SECONDS = 0.2
 """Seconds that the higher of two names leaves the dialling to the lower one: many round trips."""
 
-_NONCE_BYTES = 16
 _log = structlog.get_logger(component="peer_links")
 
 
-def sign(secret: bytes, nonce: bytes, name: str, hall: str, incarnation: str) -> bytes:
-    """Sign a `Hello`.
-
-    Args:
-        secret: The shared secret.
-        nonce: The other side's challenge.
-        name: Name of the signer.
-        hall: Its data hall.
-        incarnation: Identity of its process.
-
-    Returns:
-        HMAC-SHA256.
-    """
-    text = "\0".join((name, hall, incarnation)).encode()
-    return hmac.new(secret, nonce + text, hashlib.sha256).digest()
-
-
-class PeerLink(basic.Int32StringReceiver):
-    """One end of a link."""
-
-    MAX_LENGTH = codec.MAX_FRAME
-    transport: Any
-
-    def __init__(self, links: PeerLinks, is_dialler: bool = False) -> None:
-        """Make an end that is not connected yet.
-
-        Args:
-            links: The links of this instance.
-            is_dialler: Whether this end opened the connection.
-        """
-        self._links = links
-        self.is_dialler = is_dialler
-        self._nonce = os.urandom(_NONCE_BYTES)
-        self._deflater = deflate.Deflater()
-        self._inflater = deflate.Inflater(codec.MAX_FRAME)
-        self._is_dead = False
-        self.hello: frames.Hello | None = None
-        self.heard_at = 0.0
-
-    def connectionMade(self) -> None:  # noqa: N802
-        """Challenge the other side."""
-        self.transport.setTcpNoDelay(True)
-        self.heard_at = self._links.now
-        self.send(frames.Challenge(self._nonce))
-
-    def send(self, frame: frames.Frame) -> None:
-        """Send a frame.
-
-        Args:
-            frame: The frame.
-        """
-        self.sendString(self._deflater.deflate(codec.encode(frame, self._links.now)))
-
-    def stringReceived(self, string: bytes) -> None:  # noqa: N802
-        """Take in one frame.
-
-        Args:
-            string: Its bytes.
-        """
-        if self._is_dead:
-            return
-        self.heard_at = self._links.now
-        try:
-            frame = codec.decode(self._inflater.inflate(string), self.heard_at)
-        except codec.MalformedFrameError as error:
-            self.close(f"malformed frame: {error}")
-            return
-        if self.hello is None:
-            self._on_handshake(frame)
-        else:
-            self._links.on_frame(self, frame)
-
-    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
-        """Close the link, because a frame is too long.
-
-        Args:
-            length: The length announced.
-        """
-        self.close(f"frame of {length} bytes")
-
-    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        """Tell the links that this one is gone.
-
-        Args:
-            reason: Why, by Twisted.
-        """
-        self._is_dead = True
-        self._links.on_closed(self)
-
-    def close(self, reason: str) -> None:
-        """Close the link.
-
-        Args:
-            reason: Why; it is logged.
-        """
-        if self._is_dead:
-            return
-        self._is_dead = True
-        name = self.hello.name if self.hello else None
-        _log.warning("link_closed", peer=name, reason=reason)
-        self._links.counts[f"closed:{reason.partition(':')[0]}"] += 1
-        self.transport.abortConnection()
-
-    def _on_handshake(self, frame: frames.Frame) -> None:
-        if isinstance(frame, frames.Challenge):
-            self.send(self._links.make_hello(frame.nonce))
-        elif isinstance(frame, frames.Hello):
-            if not self._links.is_genuine(frame, self._nonce):
-                self.close("refused: the signature is wrong")
-                return
-            self.hello = frame
-            self._links.on_opened(self)
-        else:
-            self.close(f"refused: {type(frame).__name__} before hello")
-
-
 class PeerLinks:
     """Keeps a link to every member and hands frames to the services that take them."""
 
@@ -180,12 +61,12 @@
         self._hall = hall
         self._incarnation = incarnation
         self._secret = secret
-        self._links: dict[str, PeerLink] = {}
-        self._unproven: set[PeerLink] = set()
+        self._links: dict[str, peer_link.PeerLink] = {}
+        self._unproven: set[peer_link.PeerLink] = set()
         self._wanted: dict[str, member.Member] = {}
         self._dialling: set[str] = set()
         self._delays: dict[str, float] = {}
-        self._handlers: dict[type, Callable[[PeerLink, Any], None]] = {}
+        self._handlers: dict[type, Callable[[peer_link.PeerLink, Any], None]] = {}
         self._port: Any = None
         self._timer: Any = None
         self._is_stopped = False
@@ -203,11 +84,11 @@
         return seconds
 
     @property
-    def up(self) -> Mapping[str, PeerLink]:
+    def up(self) -> Mapping[str, peer_link.PeerLink]:
         """Proven links by the name of the peer."""
         return self._links
 
-    def handle(self, kind: type, handler: Callable[[PeerLink, Any], None]) -> None:
+    def handle(self, kind: type, handler: Callable[[peer_link.PeerLink, Any], None]) -> None:
         """Say who takes a kind of frame.
 
         Args:
@@ -295,7 +176,7 @@
         Returns:
             The signed hello.
         """
-        mac = sign(self._secret, nonce, self._name, self._hall, self._incarnation)
+        mac = peer_link.sign(self._secret, nonce, self._name, self._hall, self._incarnation)
         return frames.Hello(self._name, self._hall, self._incarnation, mac)
 
     def is_genuine(self, hello: frames.Hello, nonce: bytes) -> bool:
@@ -308,10 +189,10 @@
         Returns:
             Whether the other side knows the secret and is not this instance.
         """
-        expected = sign(self._secret, nonce, hello.name, hello.hall, hello.incarnation)
+        expected = peer_link.sign(self._secret, nonce, hello.name, hello.hall, hello.incarnation)
         return hmac.compare_digest(expected, hello.mac) and hello.name != self._name
 
-    def on_opened(self, link: PeerLink) -> None:
+    def on_opened(self, link: peer_link.PeerLink) -> None:
         """Take a proven link into use, in place of an older one to the same peer.
 
         Where both sides dialled at once, both keep the connection that the lower name opened.
@@ -337,7 +218,7 @@
         for listener in self.on_up:
             listener(hello)
 
-    def _is_spare(self, link: PeerLink, older: PeerLink) -> bool:
+    def _is_spare(self, link: peer_link.PeerLink, older: peer_link.PeerLink) -> bool:
         """Say whether a second link to the same process is the one to drop."""
         assert link.hello is not None
         assert older.hello is not None
@@ -348,7 +229,7 @@
         is_mine_kept = self._name < link.hello.name
         return link.is_dialler != is_mine_kept
 
-    def on_frame(self, link: PeerLink, frame: frames.Frame) -> None:
+    def on_frame(self, link: peer_link.PeerLink, frame: frames.Frame) -> None:
         """Hand a frame to the service that takes its kind.
 
         Args:
@@ -361,7 +242,7 @@
             return
         handler(link, frame)
 
-    def on_closed(self, link: PeerLink) -> None:
+    def on_closed(self, link: peer_link.PeerLink) -> None:
         """Note that a link is gone.
 
         Args:
@@ -383,7 +264,7 @@
         for listener in self.on_down:
             listener(name)
 
-    def make_link(self, is_dialler: bool = False) -> PeerLink:
+    def make_link(self, is_dialler: bool = False) -> peer_link.PeerLink:
         """Make the end of a new connection; it is dropped unless it proves itself in time.
 
         Args:
@@ -392,12 +273,12 @@
         Returns:
             The end.
         """
-        link = PeerLink(self, is_dialler)
+        link = peer_link.PeerLink(self, is_dialler)
         self._unproven.add(link)
         self._reactor.callLater(HANDSHAKE_SECONDS, self._drop_unproven, link)
         return link
 
-    def _drop_unproven(self, link: PeerLink) -> None:
+    def _drop_unproven(self, link: peer_link.PeerLink) -> None:
         if link in self._unproven:
             self._unproven.discard(link)
             if link.transport is not None:
@@ -458,7 +339,7 @@
         self._links = links
         self._name = name
 
-    def buildProtocol(self, addr: Any) -> PeerLink:  # noqa: N802
+    def buildProtocol(self, addr: Any) -> peer_link.PeerLink:  # noqa: N802
         """Make the dialler's end."""
         self._links.on_dialled(self._name)
         return self._links.make_link(is_dialler=True)
--- a/src/lineworks/services/runs.py
+++ b/src/lineworks/services/runs.py
@@ -18,7 +18,7 @@
     import random
     from collections.abc import Callable
 
-    from lineworks.services import claim_writer, cluster, config_keeper, peer_links
+    from lineworks.services import claim_writer, cluster, config_keeper, peer_link, peer_links
 
 _KEY_PREFIX = "key:"
 
@@ -182,7 +182,7 @@
     async def _run_key(
         self, body: caller_http.RunBody, key: str, deadline: float
     ) -> caller_http.Reply:
-        name = claims.digest(body.tenant, key)
+        name = claims.digest(body.workspace, key)
         wall_now = time.time()
         claim = claims.Claim(
             name,
@@ -292,7 +292,7 @@
         if entry is not None:
             entry[1].callback(reply)
 
-    def _on_relay(self, link: peer_links.PeerLink, frame: frames.Relay) -> None:
+    def _on_relay(self, link: peer_link.PeerLink, frame: frames.Relay) -> None:
         assert link.hello is not None
         name = link.hello.name
         serving = defer.ensureDeferred(self._serve_relay(frame))
@@ -323,7 +323,7 @@
         document = json.dumps([reply.status, reply.document, reply.retry_after]).encode()
         self._links.send(name, frames.RelayReply(number, document))
 
-    def _on_relay_reply(self, link: peer_links.PeerLink, frame: frames.RelayReply) -> None:
+    def _on_relay_reply(self, link: peer_link.PeerLink, frame: frames.RelayReply) -> None:
         entry = self._relayed.get(frame.number)
         assert link.hello is not None
         if entry is None or entry[0] != link.hello.name:
--- a/tests/test_border.py
+++ b/tests/test_border.py
@@ -155,3 +155,18 @@
         auth.Checker(b"other").check(header, "POST", "/v1/x", b"body", 100.0)
     with pytest.raises(auth.RefusedError):
         auth.Checker(b"s").check(None, "POST", "/v1/x", b"body", 100.0)
+
+
+@pytest.mark.parametrize("name", ["workspace", "tenant"])
+def test_the_workspace_is_taken_under_its_name_and_the_one_before(name):
+    body = json.dumps({name: "choir"}).encode()
+    found = caller_http.parse(caller_http.SearchBody, body, 1000)
+    assert found.workspace == "choir"
+    assert found.selector_fields()["workspace"] == "choir"
+    assert found.selector_fields()["tenant"] == "choir"
+
+
+def test_a_workspace_under_both_names_is_refused():
+    body = json.dumps({"workspace": "choir", "tenant": "band"}).encode()
+    with pytest.raises(caller_http.RequestError):
+        caller_http.parse(caller_http.SearchBody, body, 1000)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -36,7 +36,7 @@
         claims.merge(None, many, 0.0)
 
 
-def test_tenants_have_keys_of_their_own():
+def test_workspaces_have_keys_of_their_own():
     assert claims.digest("a", "k") != claims.digest("b", "k")
 
 
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -8,7 +8,7 @@
 
 from lineworks.decisions import catalog
 from lineworks.engine import messages
-from lineworks.services import peer_links
+from lineworks.services import peer_link, peer_links
 from lineworks.wire import codec, deflate, frames
 
 
@@ -32,7 +32,7 @@
     def __init__(self, clock, secret=b"s", other_secret=b"s"):
         self.a = peer_links.PeerLinks(clock, "a", "h", "inc-a", secret)
         self.b = peer_links.PeerLinks(clock, "b", "h", "inc-b", other_secret)
-        self.ends = (peer_links.PeerLink(self.a), peer_links.PeerLink(self.b))
+        self.ends = (peer_link.PeerLink(self.a), peer_link.PeerLink(self.b))
         self.transports = (_Transport(), _Transport())
         for end, transport in zip(self.ends, self.transports, strict=True):
             end.makeConnection(transport)
@@ -76,9 +76,9 @@
 def test_a_replayed_hello_is_refused(clock):
     """A hello that was signed over another challenge proves nothing."""
     links = peer_links.PeerLinks(clock, "a", "h", "inc", b"s")
-    link = peer_links.PeerLink(links)
+    link = peer_link.PeerLink(links)
     link.makeConnection(_Transport())
-    mac = peer_links.sign(b"s", b"an older challenge", "b", "h", "inc-b")
+    mac = peer_link.sign(b"s", b"an older challenge", "b", "h", "inc-b")
     hello = frames.Hello("b", "h", "inc-b", mac)
     link.stringReceived(packed(hello))
     assert not links.up
@@ -89,7 +89,7 @@
     links = peer_links.PeerLinks(clock, "a", "h", "inc", b"s")
     taken = []
     links.handle(messages.Cancel, lambda link, frame: taken.append(frame))
-    link = peer_links.PeerLink(links)
+    link = peer_link.PeerLink(links)
     link.makeConnection(_Transport())
     link.stringReceived(packed(messages.Cancel(1)))
     assert taken == []
@@ -190,7 +190,7 @@
 
 def _connect(dialler, other):
     """Connect two instances by one connection and carry its bytes until nothing moves."""
-    ends = (peer_links.PeerLink(dialler, is_dialler=True), peer_links.PeerLink(other))
+    ends = (peer_link.PeerLink(dialler, is_dialler=True), peer_link.PeerLink(other))
     for end in ends:
         end.makeConnection(_Transport())
     moved = True
