--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -104,9 +104,13 @@
             query.head, query.body, query.attempt, query.deadline, is_repeatable=True
         )
         for shard, service in enumerate(query.services):
-            state = self._book.choose(service, now, (), self._is_here)
+            state = self._book.choose_in(self._hall, service, now, not job.is_merging)
             if state is None:
                 job.failed[shard] = messages.Failure.NOT_SENT
+                detail = self._book.describe(service, now)
+                self._note_failure(
+                    query, service, verdict.not_run(verdict.Reason.NO_REPLICA, detail)
+                )
                 continue
             on_end = functools.partial(self._on_end, key, shard)
             job.running[shard] = self._calls.send(state, call, on_end)
@@ -149,9 +153,6 @@
         for key in [key for key in self._jobs if key[0] == origin]:
             self._give_up(key)
 
-    def _is_here(self, state: target_book.TargetState) -> bool:
-        return state.hall == self._hall
-
     def _on_end(self, key: tuple[str, int], shard: int, end: target_calls.CallEnd) -> None:
         job = self._jobs.get(key)
         if job is None or job.running.pop(shard, None) is None:
@@ -164,14 +165,7 @@
             is_sent = answers.was_sent(end.verdict)
             failure = _FAILURES[end.verdict.certainty] if is_sent else messages.Failure.NOT_SENT
             job.failed[shard] = failure
-            self._log.info(
-                "gather_failed",
-                id=job.query.attempt.decode("latin-1"),
-                service=job.query.services[shard],
-                certainty=end.verdict.certainty.value,
-                reason=end.verdict.reason.value,
-                detail=end.verdict.detail,
-            )
+            self._note_failure(job.query, job.query.services[shard], end.verdict)
         if not job.running:
             self._finish(key)
         elif job.failed:
@@ -179,6 +173,18 @@
         elif job.is_flushed and job.flush is None:
             job.flush = self._reactor.callLater(COALESCE_SECONDS, self._on_flush, key)
 
+    def _note_failure(
+        self, query: messages.GatherQuery, service: str, found: verdict.Verdict
+    ) -> None:
+        self._log.info(
+            "gather_failed",
+            id=query.attempt.decode("latin-1"),
+            service=service,
+            certainty=found.certainty.value,
+            reason=found.reason.value,
+            detail=found.detail,
+        )
+
     def _on_flush(self, key: tuple[str, int]) -> None:
         job = self._jobs[key]
         job.flush = None
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -115,7 +115,8 @@
         elif self._may_wait(now):
             self._set_timer(ROOM_PAUSE, self._place)
         else:
-            self._finish_without(verdict.Reason.NO_REPLICA, "no target has room")
+            detail = f"no target has room: {self._shared.book.describe(self._service, now)}"
+            self._finish_without(verdict.Reason.NO_REPLICA, detail)
 
     def _may_wait(self, now: float) -> bool:
         if not self._shared.book.has_any(self._service):
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Collection, Iterable, Mapping
+    from collections.abc import Collection, Iterable, Mapping, Sequence
 
     from lineworks.decisions import routes, target_view
 
@@ -187,7 +187,14 @@
             Targets with room that are neither leaving nor resting; stalled ones only if there is
             no other.
         """
-        able = [
+        able = self._able(service, now, excluded)
+        patience = self.patience(service)
+        lively = [state for state in able if not state.replica.is_stalled(now, patience)]
+        return lively or able
+
+    def _able(self, service: str, now: float, excluded: Collection[str]) -> list[TargetState]:
+        """List the targets with room that are neither leaving nor resting, stalled or not."""
+        return [
             state
             for state in self._by_service.get(service, ())
             if state.id not in excluded
@@ -195,20 +202,31 @@
             and state.replica.rest_until <= now
             and state.replica.in_flight < state.replica.limit.value
         ]
-        patience = self.patience(service)
-        lively = [state for state in able if not state.replica.is_stalled(now, patience)]
-        return lively or able
 
     def has_any(self, service: str) -> bool:
         """Say whether a service has a target that is not leaving."""
         return any(not state.replica.is_leaving for state in self._by_service.get(service, ()))
 
+    def describe(self, service: str, now: float) -> str:
+        """Tell, for logs, what keeps the targets of a service from being asked.
+
+        Args:
+            service: The service.
+            now: The present, in seconds.
+
+        Returns:
+            One clause for each target, by name.
+        """
+        states = self._by_service.get(service, ())
+        if not states:
+            return "no target known"
+        return ", ".join(f"{state.id} {_condition(state, now)}" for state in states)
+
     def choose(
         self,
         service: str,
         now: float,
         excluded: Collection[str],
-        accept: Callable[[TargetState], bool] = lambda state: True,
     ) -> TargetState | None:
         """Choose the target of a service that should answer first.
 
@@ -216,12 +234,34 @@
             service: The service.
             now: The present, in seconds.
             excluded: Identities of targets that were tried.
-            accept: Says which targets come into question.
 
         Returns:
             The target, or None when none may be asked.
         """
-        able = [state for state in self.usable(service, now, excluded) if accept(state)]
+        return self._soonest(self.usable(service, now, excluded), now)
+
+    def choose_in(
+        self, hall: str, service: str, now: float, takes_stalled: bool
+    ) -> TargetState | None:
+        """Choose the target of a service in one hall that should answer first.
+
+        Args:
+            hall: The hall.
+            service: The service.
+            now: The present, in seconds.
+            takes_stalled: Whether a stalled target is asked though one in another hall is not
+                stalled: a hedge has its reason, while a first attempt had better go there.
+
+        Returns:
+            The target, or None when none of the hall may be asked.
+        """
+        found = self._able(service, now, ()) if takes_stalled else self.usable(service, now, ())
+        here = [state for state in found if state.hall == hall]
+        patience = self.patience(service)
+        lively = [state for state in here if not state.replica.is_stalled(now, patience)]
+        return self._soonest(lively or here, now)
+
+    def _soonest(self, able: Sequence[TargetState], now: float) -> TargetState | None:
         if not able:
             return None
         if len(able) == 1:
@@ -348,6 +388,18 @@
             state.noted_at = now
 
 
+def _condition(state: TargetState, now: float) -> str:
+    replica = state.replica
+    if replica.is_leaving:
+        return "leaving"
+    if replica.rest_until > now:
+        left = round((replica.rest_until - now) * 1000)
+        return f"left alone for {left} ms after {replica.failures} failures"
+    if replica.in_flight >= replica.limit.value:
+        return f"full with {replica.in_flight}"
+    return "not asked: stalled, in another hall, or asked already"
+
+
 def _target(entry: target_view.TargetEntry, connections: int) -> catalog.Target:
     return catalog.Target(
         name=entry.id,
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -35,7 +35,7 @@
 
 
 class Case:
-    def __init__(self, shards=3, top=2, floor=b"", missing=(), flush_at=0.05):
+    def __init__(self, shards=3, top=2, floor=b"", missing=(), flush_at=0.05, stalled_beside=""):
         self.clock = task.Clock()
         self.calls = Calls()
         self.sent = []
@@ -46,7 +46,17 @@
             for name in services
             if name not in missing
         ]
-        book.update(entries, {name: routes.ServiceSpec(name, 25) for name in services})
+        if stalled_beside:
+            entries.append(
+                target_view.TargetEntry(
+                    "i-far", "s0", stalled_beside, "10.0.0.2", 80, 2, False, False
+                )
+            )
+        states = book.update(
+            entries, {name: routes.ServiceSpec(name, 25) for name in services}
+        ).added
+        if stalled_beside:
+            states[0].replica.suspect_until = 1.0
         self.gatherer = gathering.Gatherer(self.clock, "akl", book, self.calls)
         query = messages.GatherQuery(
             7, tuple(services), b"", b"", b"a1", top, floor, deadline=2.0, flush_at=flush_at
@@ -174,3 +184,13 @@
     other.clock.advance(2.0)
     assert sorted(other.calls.cancelled) == ["s0", "s1", "s2"]
     assert other.gatherer.is_idle
+
+
+@pytest.mark.parametrize(("flush_at", "asked"), [(0.05, []), (0.0, ["s0"])])
+def test_a_stalled_target_is_asked_for_a_hedge_but_not_for_a_first_attempt(flush_at, asked):
+    # Found in the log of trouble-1 of convivio-sul: a hedge was told that the hall had no target
+    # with room, since the hall's target was stalled and the one that it stood beside was not.
+    case = Case(shards=1, flush_at=flush_at, stalled_beside="wlg")
+    assert list(case.calls.open) == asked
+    failed = [frame.failures for frame in case.sent]
+    assert failed == ([] if asked else [(messages.Failure.NOT_SENT,)])
--- a/tests/test_target_book.py
+++ b/tests/test_target_book.py
@@ -68,3 +68,17 @@
     world.run(1.0)
     assert test_forwarding.check_search(world, reply, "q1") == 0
     assert front._counters.gather_queries == before + 1
+
+
+def test_what_keeps_targets_from_being_asked_is_told_for_each():
+    book, (near, far) = build()
+    assert book.describe("other", 0.0) == "no target known"
+    near.replica.rest_until = 0.08
+    near.replica.failures = 2
+    far.replica.in_flight = 3
+    assert book.describe("s", 0.0) == "near left alone for 80 ms after 2 failures, far full with 3"
+    far.replica.is_leaving = True
+    assert (
+        book.describe("s", 1.0)
+        == "near not asked: stalled, in another hall, or asked already, far leaving"
+    )
