--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -7,7 +7,7 @@
 
 from bench import fakes
 from lineworks.decisions import catalog, replicas
-from lineworks.engine import dispatcher, front, gatherer, messages, sub_query, views
+from lineworks.engine import front, front_state, gatherer, messages, sub_query, views
 from lineworks.services import peer_links
 from lineworks.standins import shapes, target_model
 
@@ -34,7 +34,7 @@
         cluster: Cluster,
         name: str,
         hall: str,
-        front_tuning: dispatcher.Tuning | None,
+        front_tuning: front_state.Tuning | None,
         gatherer_tuning: sub_query.Tuning | None,
     ) -> None:
         """Make the instance.
@@ -139,7 +139,7 @@
         self,
         plan: scenario.Scenario,
         seed: int,
-        front_tuning: dispatcher.Tuning | None = None,
+        front_tuning: front_state.Tuning | None = None,
         gatherer_tuning: sub_query.Tuning | None = None,
         has_stragglers: bool = True,
         on_trace: Callable[[str, str, str, str], None] | None = None,
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -9,7 +9,7 @@
 from bench import cluster as clusters
 from bench import faults
 from lineworks.decisions import hedging, replicas
-from lineworks.engine import dispatcher, requests, sub_query
+from lineworks.engine import front_state, requests, sub_query
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,7 +25,7 @@
 class PolicyUnderTest:
     """A way to run the machinery."""
 
-    front: dispatcher.Tuning
+    front: front_state.Tuning
     """Choices of the fronts."""
 
     gatherer: sub_query.Tuning
@@ -41,11 +41,11 @@
 
 POLICIES: dict[str, Callable[[], PolicyUnderTest]] = {
     "baseline_random": lambda: PolicyUnderTest(
-        dispatcher.Tuning(hedge=hedging.never, is_admitting=False, is_routing_by_load=False),
+        front_state.Tuning(hedge=hedging.never, is_admitting=False, is_routing_by_load=False),
         _unbounded(replicas.choose_random, hedging.never),
     ),
     "baseline_p95_hedge": lambda: PolicyUnderTest(
-        dispatcher.Tuning(
+        front_state.Tuning(
             hedge=hedging.make_percentile_rule(0.95),
             is_admitting=False,
             is_routing_by_load=False,
@@ -53,9 +53,11 @@
         ),
         _unbounded(replicas.choose_own_in_flight, hedging.make_percentile_rule(0.95)),
     ),
-    "lineworks": lambda: PolicyUnderTest(dispatcher.Tuning(), sub_query.Tuning()),
+    "lineworks": lambda: PolicyUnderTest(front_state.Tuning(), sub_query.Tuning()),
     "oracle": lambda: PolicyUnderTest(
-        dispatcher.Tuning(hedge=hedging.never), sub_query.Tuning(hedge=hedging.never), is_ideal=True
+        front_state.Tuning(hedge=hedging.never),
+        sub_query.Tuning(hedge=hedging.never),
+        is_ideal=True,
     ),
 }
 """The policies that every scenario is run under, by name."""
--- a/src/lineworks/engine/dispatcher.py
+++ b/src/lineworks/engine/dispatcher.py
@@ -19,64 +19,12 @@
     import random
     from collections.abc import Callable, Sequence
 
-    from lineworks.engine import ports, views
+    from lineworks.engine import front_state, ports, views
 
 SILENCE = 0.25
 """Seconds with work in hand and no reply at all after which a gatherer counts as silent."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tuning:
-    """Choices of a front that the bench varies."""
-
-    hedge: hedging.Rule = dataclasses.field(default_factory=hedging.make_progress_rule)
-    """When sub-queries are hedged in another hall."""
-
-    is_admitting: bool = True
-    """Whether queries are limited and queued; otherwise all start at once."""
-
-    is_routing_by_load: bool = True
-    """Whether halls are chosen by expected time; otherwise by chance."""
-
-    hedge_budget: float | None = None
-    """Overrides the policies' hedge budgets."""
-
-    avoids_silent: bool = True
-    """Whether gatherers that have fallen silent are passed over."""
-
-
-@dataclasses.dataclass(slots=True)
-class Counters:
-    """Counts of what a front did, for metrics."""
-
-    queries: int = 0
-    """Queries received."""
-
-    refused: int = 0
-    """Queries refused as not run."""
-
-    sub_queries: int = 0
-    """Sub-queries planned."""
-
-    hedges: int = 0
-    """Hedges sent to another hall."""
-
-    retries: int = 0
-    """Sub-queries sent again to another owner."""
-
-    resent: int = 0
-    """Sub-queries sent elsewhere because their gatherer had fallen silent."""
-
-    restarts: int = 0
-    """Queries started again on another snapshot."""
-
-    late_replies: int = 0
-    """Replies dropped because their sub-query was over or unknown."""
-
-    wrong_snapshot: int = 0
-    """Replies dropped because they came from another snapshot."""
-
-
 @dataclasses.dataclass(slots=True)
 class _Peer:
     """What is known of one gatherer."""
@@ -96,8 +44,8 @@
         rng: random.Random,
         gatherers: ports.GathererPort,
         view: views.ClusterView,
-        tuning: Tuning,
-        counters: Counters,
+        tuning: front_state.Tuning,
+        counters: front_state.Counters,
         state_of: Callable[[queries.Query], queries.GroupState],
         on_outcome: Callable[[queries.Query, queries.Shard, messages.ShardReply], None],
         trace: Callable[[queries.Query, str, str, str], None],
--- a/src/lineworks/engine/front.py
+++ b/src/lineworks/engine/front.py
@@ -7,14 +7,14 @@
 from typing import TYPE_CHECKING
 
 from lineworks.decisions import catalog, coverage, deadlines, selectors, snapshots, verdict
-from lineworks.engine import dispatcher, requests
+from lineworks.engine import dispatcher, front_state, judgements
 from lineworks.engine import query as queries
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable, Mapping
 
-    from lineworks.engine import messages, ports, views
+    from lineworks.engine import messages, ports, requests, views
 
 TAKE_OVER = 1.0
 """Seconds after a change of members in which new owners may not have heard from targets yet."""
@@ -22,9 +22,6 @@
 TAKE_OVER_PAUSE = 0.05
 """Seconds after which a sub-query that no owner can take is tried again in that time."""
 
-LEAST_RETRY_AFTER = 0.05
-"""Seconds after which a refused caller may ask again at the earliest."""
-
 
 class Front:
     """Admits queries, plans them, and merges the replies."""
@@ -36,7 +33,7 @@
         rng: random.Random,
         gatherers: ports.GathererPort,
         view: views.ClusterView,
-        tuning: dispatcher.Tuning | None = None,
+        tuning: front_state.Tuning | None = None,
         on_trace: Callable[[str, str, str, str], None] | None = None,
     ) -> None:
         """Start without queries.
@@ -53,13 +50,13 @@
         self._name = name
         self._clock = clock
         self._view = view
-        self._tuning = tuning or dispatcher.Tuning()
+        self._tuning = tuning or front_state.Tuning()
         self._on_trace = on_trace
         self._numbers = itertools.count(1)
         self._groups: dict[str, queries.GroupState] = {}
         self._open: dict[str, queries.Query] = {}
         self._members_changed_at = float("-inf")
-        self.counters = dispatcher.Counters()
+        self.counters = front_state.Counters()
         self._dispatcher = dispatcher.Dispatcher(
             name,
             clock,
@@ -113,7 +110,7 @@
             wanted_shard=None,
             on_answer=on_answer,
         )
-        return self._submit(query, _search_problem(config, match, group))
+        return self._submit(query, judgements.search_problem(config, match, group))
 
     def run(
         self, request: requests.RunRequest, on_answer: Callable[[requests.Answer], None]
@@ -145,7 +142,7 @@
             wanted_shard=request.shard,
             on_answer=on_answer,
         )
-        return self._submit(query, _run_problem(config, is_known, request.service))
+        return self._submit(query, judgements.run_problem(config, is_known, request.service))
 
     def on_reply(self, instance: str, reply: messages.ShardReply) -> None:
         """Take in the outcome of a sub-query.
@@ -257,7 +254,7 @@
                 self._trace(query, shard.shard, "wait", "for a new owner")
                 self._set_timer(query, TAKE_OVER_PAUSE, functools.partial(self._resend, shard))
             else:
-                self._fail(query, shard, self._why_unreachable(query, shard))
+                self._fail(query, shard, judgements.why_unreachable(self._view, query, shard))
 
     def _may_wait_for_owner(self, query: queries.Query) -> bool:
         now = self._clock.seconds()
@@ -269,15 +266,6 @@
             return
         self._send(query, [query.shards.index(shard)])
 
-    def _why_unreachable(self, query: queries.Query, shard: queries.Shard) -> verdict.Verdict:
-        snapshot = query.snapshot
-        if shard.tried_owners and self._view.paths(shard.service, snapshot):
-            return verdict.not_run(verdict.Reason.UNREACHABLE, "no other owner is left to ask")
-        if query.needs_snapshot and self._view.paths(shard.service, None):
-            detail = f"no replica is known to hold {query.snapshot} any more"
-            return verdict.not_run(verdict.Reason.SNAPSHOT_GONE, detail)
-        return verdict.not_run(verdict.Reason.NO_REPLICA, "no data hall can serve it")
-
     def _take(self, query: queries.Query, shard: queries.Shard, reply: messages.ShardReply) -> None:
         """Use a reply that is still wanted: merge it, or send the sub-query elsewhere."""
         found = reply.verdict
@@ -290,7 +278,7 @@
             shard.body = reply.body
             self._conclude(query, shard, found)
             return
-        shard.verdict = _worse(shard.verdict, found)
+        shard.verdict = judgements.worse(shard.verdict, found)
         if shard.pending:
             return
         if self._may_retry(query, found):
@@ -312,7 +300,7 @@
         if is_gone and query.is_repeatable and self._has_other_snapshot(query):
             self._restart(query)
         else:
-            self._conclude(query, shard, _worse(shard.verdict, found))
+            self._conclude(query, shard, judgements.worse(shard.verdict, found))
 
     def _has_other_snapshot(self, query: queries.Query) -> bool:
         """Say whether a restart would find a whole snapshot; it may happen once."""
@@ -366,12 +354,12 @@
         late = verdict.may_have_run(verdict.Reason.DEADLINE, detail)
         for shard in query.shards:
             if not shard.is_done:
-                shard.verdict = _worse(shard.verdict, late)
+                shard.verdict = judgements.worse(shard.verdict, late)
 
     def _finish(self, query: queries.Query, problem: verdict.Verdict | None) -> None:
         """Answer the caller and release everything that the query holds."""
         query.is_over = True
-        reached = _coverage(query)
+        reached = judgements.reached(query)
         found = problem or coverage.judge(reached, query.policy, query.min_coverage)
         bodies = {
             shard.shard: shard.body
@@ -412,20 +400,7 @@
         bodies: Mapping[str, bytes],
     ) -> None:
         self._trace(query, "", "answer", f"{found.certainty.value} {found.reason.value}")
-        retry_after = None
-        if found.reason is verdict.Reason.OVERLOADED:
-            retry_after = max(LEAST_RETRY_AFTER, query.policy.target_latency)
-        query.on_answer(
-            requests.Answer(
-                query.id,
-                found,
-                query.snapshot,
-                query.config.version,
-                reached,
-                bodies,
-                retry_after,
-            )
-        )
+        query.on_answer(judgements.answer(query, found, reached, bodies))
 
     def _cancel(self, query: queries.Query) -> None:
         """Give a query up because its caller has gone."""
@@ -445,46 +420,6 @@
             self._on_trace(query.id, shard, event, detail)
 
 
-def _search_problem(
-    config: catalog.Catalog, match: selectors.Match, group: catalog.Group
-) -> verdict.Verdict | None:
-    if not config.version:
-        return verdict.not_run(verdict.Reason.NOT_READY, "no configuration yet")
-    if match.selector is None:
-        return verdict.not_run(verdict.Reason.NO_SELECTOR, "no selector matches the query")
-    if not group.services:
-        return verdict.not_run(verdict.Reason.NO_SERVICE, f"no service carries {group.name}")
-    return None
-
-
-def _run_problem(config: catalog.Catalog, is_known: bool, service: str) -> verdict.Verdict | None:
-    if not config.version:
-        return verdict.not_run(verdict.Reason.NOT_READY, "no configuration yet")
-    if not is_known:
-        return verdict.not_run(verdict.Reason.NO_SERVICE, f"there is no service {service}")
-    return None
-
-
-def _coverage(query: queries.Query) -> coverage.Coverage:
-    covered = []
-    lacking = {}
-    given_up = verdict.may_have_run(verdict.Reason.CANCELLED, "given up with the query")
-    for shard in query.shards:
-        found = shard.verdict
-        if found is not None and found.is_ok:
-            covered.append(shard.shard)
-        else:
-            lacking[shard.shard] = found or given_up
-    return coverage.Coverage(tuple(covered), lacking)
-
-
-def _worse(first: verdict.Verdict | None, second: verdict.Verdict) -> verdict.Verdict:
-    """Keep the verdict that says less surely that nothing ran; the later one of equals."""
-    if first is None or not second.is_not_run or first.is_not_run:
-        return second
-    return first
-
-
 def _nothing() -> None:
     """Cancel nothing, because the query is over."""
 
--- a/src/lineworks/services/metrics.py
+++ b/src/lineworks/services/metrics.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from lineworks.engine import dispatcher, requests, sub_query
+    from lineworks.engine import front_state, requests, sub_query
 
 MAX_LABELS = 50
 """Workspaces, and classes, that get a label of their own; later ones are counted as `other`."""
@@ -120,7 +120,7 @@
 
 
 def engine_counts(
-    front_counters: dispatcher.Counters, gatherer_counters: sub_query.Counters
+    front_counters: front_state.Counters, gatherer_counters: sub_query.Counters
 ) -> Iterable[tuple[str, str, dict[str, float]]]:
     """List the engine's counts.
 
