--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -26,7 +26,7 @@
     tools,
 )
 from lineworks.http1 import server_connection
-from lineworks.kernel import listening, loop_delay, registry
+from lineworks.kernel import bounded_log, listening, loop_delay, registry
 from lineworks.models import node_settings
 from lineworks.platform import headers, store
 from lineworks.services import peer_links
@@ -119,6 +119,7 @@
             self._extra,
             tools.HedgeTimes(),
             self._counters,
+            bounded_log.BoundedLog(reactor, "hedges", tools.HEDGE_LINES_PER_SECOND),
         )
         self._request_log = request_log.RequestLog(reactor, self._metrics)
         self._front = front.Front(shared, self._request_log)
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -248,6 +248,10 @@
         now = self._shared.reactor.seconds()
         hedged = self._hedges.choose(now)
         if hedged:
+            pairs = [
+                (self._shards[index].running[0].state, state) for index, state in hedged.items()
+            ]
+            self._shared.log_hedges(self._call, now - self._arrived, pairs)
             self._dispatch(hedged, is_hedge=True)
         pause = self._hedges.next_look(now)
         if pause is not None:
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -190,6 +190,7 @@
         if not shared.may_spend(self._service, now):
             return
         shared.counters.hedges += 1
+        shared.log_hedges(self._call, now - self._arrived, [(self._running[0].state, state)])
         self._send(state, now, is_hedge=True)
 
     def _on_deadline(self) -> None:
--- a/src/lineworks/forwarding/tools.py
+++ b/src/lineworks/forwarding/tools.py
@@ -8,8 +8,17 @@
 from lineworks.decisions import estimators
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from lineworks.decisions import extra_attempts
     from lineworks.forwarding import gatherers, target_book, target_calls
+    from lineworks.kernel import bounded_log
+
+HEDGE_LINES_PER_SECOND = 10.0
+"""Log lines a second for hedges."""
+
+MOST_NAMED = 6
+"""Hedges that a line names at most."""
 
 HEDGE_QUANTILE = 0.8
 """Share of a route's sub-queries that are faster than the time after which one is hedged."""
@@ -116,6 +125,9 @@
     counters: Counters
     """Counts for metrics."""
 
+    log: bounded_log.BoundedLog
+    """Takes a line for each hedge."""
+
     def may_spend(self, service: str, now: float, kept: float = 0.0) -> bool:
         """Take one extra attempt at a service, or count that none was left.
 
@@ -132,6 +144,31 @@
         self.counters.budget_spent += 1
         return False
 
+    def log_hedges(
+        self,
+        call: target_calls.TargetCall,
+        seconds: float,
+        pairs: Sequence[tuple[target_book.TargetState, target_book.TargetState]],
+    ) -> None:
+        """Write a line for hedges that are about to be sent.
+
+        Args:
+            call: The request.
+            seconds: Time since it came.
+            pairs: For each hedge the target that is waited for, and the one that is asked too.
+        """
+        named = [
+            f"{late.replica.target.service}: {late.id}, now {other.id}"
+            for late, other in pairs[:MOST_NAMED]
+        ]
+        self.log.info(
+            "hedge",
+            id=call.attempt.decode("latin-1"),
+            ms=round(seconds * 1000, 1),
+            count=len(pairs),
+            targets=named,
+        )
+
     def record_answer(self, route: str, hall: str, started: float, is_hedge: bool) -> None:
         """Learn from an attempt that brought what was wanted.
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -187,3 +187,16 @@
     assert avoided[0]["target"] == target.name
     assert avoided[0]["reason"] == "unreachable"
     assert returned[0]["target"] == target.name
+
+
+def test_a_hedge_has_a_line_with_both_targets():
+    world = test_forwarding.build()
+    slow, other = test_forwarding.targets_of(world, test_forwarding.SHARDS[0])
+    slow.work = lambda: 5.0
+    front = next(name for name in world.nodes if name.startswith(slow.hall))
+    with capture_logs() as lines:
+        world.ask(front, "/search/q", attempt="q1")
+        world.run(1.0)
+    found = [line for line in lines if line["event"] == "hedge"]
+    assert found[0]["id"] == "q1"
+    assert found[0]["targets"] == [f"s00: {slow.name}, now {other.name}"]
