--- a/src/lineworks/engine/gatherer.py
+++ b/src/lineworks/engine/gatherer.py
@@ -260,19 +260,7 @@
             self._pool(sub.service).waiting.append(sub)
             self._trace(sub, "wait", "no replica has room")
             return
-        self._finish(sub, sub.last or self._why_none(sub))
-
-    def _why_none(self, sub: state.SubQuery) -> verdict.Verdict:
-        pool = self._pool(sub.service)
-        present = [replica for replica in pool.replicas if not replica.is_leaving]
-        if not pool.replicas:
-            return verdict.not_run(verdict.Reason.NO_REPLICA, "no target is owned here")
-        if not present:
-            return verdict.not_run(verdict.Reason.LEAVING, "all replicas are leaving")
-        snapshot = sub.request.snapshot
-        if sub.request.needs_snapshot and not any(snapshot in r.holds for r in present):
-            return verdict.not_run(verdict.Reason.SNAPSHOT_GONE, f"no replica holds {snapshot}")
-        return verdict.not_run(verdict.Reason.UNREACHABLE, "all replicas are resting")
+        self._finish(sub, sub.last or state.why_none(sub, self._pool(sub.service)))
 
     def _start(self, sub: state.SubQuery, replica: replicas.Replica, event: str) -> None:
         now = self._clock.seconds()
@@ -327,23 +315,16 @@
             replica.rest_until = now + state.SHED_REST
         elif reason is verdict.Reason.LEAVING:
             self.on_leaving(replica.target.name)
-        if self._is_wrong_snapshot(sub, outcome):
+        if state.is_wrong_snapshot(sub, outcome):
             replica.on_snapshot_refused(now, sub.request.snapshot)
             self.on_holdings()
         if outcome.verdict.is_not_run:
             self.counters.refused += 1
 
-    def _is_wrong_snapshot(self, sub: state.SubQuery, outcome: ports.Outcome) -> bool:
-        if not sub.request.needs_snapshot:
-            return False
-        if outcome.verdict.reason is verdict.Reason.SNAPSHOT_GONE:
-            return True
-        return outcome.verdict.is_ok and outcome.snapshot != sub.request.snapshot
-
     def _judge(self, sub: state.SubQuery, outcome: ports.Outcome) -> None:
         """Answer, retry or wait for another attempt, by how this one ended."""
         found = outcome.verdict
-        if found.is_ok and self._is_wrong_snapshot(sub, outcome):
+        if found.is_ok and state.is_wrong_snapshot(sub, outcome):
             self.counters.wrong_snapshot += 1
             detail = f"the target answered from {outcome.snapshot}"
             found = verdict.ran(verdict.Reason.SNAPSHOT_GONE, detail)
@@ -385,7 +366,7 @@
             waiting.popleft()
             sub.is_waiting = False
             if replica is None:
-                self._finish(sub, sub.last or self._why_none(sub))
+                self._finish(sub, sub.last or state.why_none(sub, self._pool(sub.service)))
             else:
                 self._start(sub, replica, "retry" if sub.attempts else "attempt")
 
--- a/src/lineworks/engine/sub_query.py
+++ b/src/lineworks/engine/sub_query.py
@@ -6,12 +6,11 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from lineworks.decisions import estimators, hedging, replicas
+from lineworks.decisions import estimators, hedging, replicas, verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lineworks.decisions import verdict
     from lineworks.engine import messages, ports
 
 STALL_FACTOR = 6.0
@@ -184,3 +183,41 @@
         self.latencies = estimators.Quantiles()
         self.hedges = estimators.Budget(HEDGE_BURST, HEDGE_START)
         self.hedge_budget = 0.0
+
+
+def why_none(sub: SubQuery, pool: Pool) -> verdict.Verdict:
+    """Say why no replica is left for a sub-query.
+
+    Args:
+        sub: The sub-query.
+        pool: The replicas of its service.
+
+    Returns:
+        A verdict that it has not run.
+    """
+    present = [replica for replica in pool.replicas if not replica.is_leaving]
+    if not pool.replicas:
+        return verdict.not_run(verdict.Reason.NO_REPLICA, "no target is owned here")
+    if not present:
+        return verdict.not_run(verdict.Reason.LEAVING, "all replicas are leaving")
+    snapshot = sub.request.snapshot
+    if sub.request.needs_snapshot and not any(snapshot in r.holds for r in present):
+        return verdict.not_run(verdict.Reason.SNAPSHOT_GONE, f"no replica holds {snapshot}")
+    return verdict.not_run(verdict.Reason.UNREACHABLE, "all replicas are resting")
+
+
+def is_wrong_snapshot(sub: SubQuery, outcome: ports.Outcome) -> bool:
+    """Say whether an attempt brought another snapshot than its sub-query is pinned to.
+
+    Args:
+        sub: The sub-query.
+        outcome: How the attempt ended.
+
+    Returns:
+        False when any snapshot will do.
+    """
+    if not sub.request.needs_snapshot:
+        return False
+    if outcome.verdict.reason is verdict.Reason.SNAPSHOT_GONE:
+        return True
+    return outcome.verdict.is_ok and outcome.snapshot != sub.request.snapshot
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -21,7 +21,7 @@
     from collections.abc import Callable, Iterable, Mapping
 
     from lineworks.decisions import routes
-    from lineworks.forwarding import target_book, target_calls, tools
+    from lineworks.forwarding import target_calls, target_state, tools
 
 AIM_SHARE = 0.05
 """Share of the aim that is kept for the way to the caller and back."""
@@ -141,7 +141,7 @@
         self._timers.append(self._shared.reactor.callLater(max(0.0, delay), call))
 
     def _dispatch(
-        self, chosen: Mapping[int, target_book.TargetState | None], is_hedge: bool
+        self, chosen: Mapping[int, target_state.TargetState | None], is_hedge: bool
     ) -> None:
         """Send attempts at shards, those for one other hall together.
 
@@ -166,10 +166,10 @@
         if remote:
             self._sent.ask_halls(remote, now, is_hedge)
 
-    def _choose(self, shard: search_state.Shard, now: float) -> target_book.TargetState | None:
+    def _choose(self, shard: search_state.Shard, now: float) -> target_state.TargetState | None:
         return self._shared.book.choose(shard.service, now, shard.tried)
 
-    def _choose_now(self, shard: search_state.Shard) -> target_book.TargetState | None:
+    def _choose_now(self, shard: search_state.Shard) -> target_state.TargetState | None:
         return self._choose(shard, self._shared.reactor.seconds())
 
     def _take(self, part: parts.Part, done: Iterable[search_state.Try]) -> bool:
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -9,7 +9,14 @@
 from typing import TYPE_CHECKING
 
 from lineworks.decisions import parts, verdict
-from lineworks.forwarding import answers, messages, search_state, target_book, target_calls
+from lineworks.forwarding import (
+    answers,
+    messages,
+    search_state,
+    target_book,
+    target_calls,
+    target_state,
+)
 from lineworks.platform import headers
 
 if TYPE_CHECKING:
@@ -79,12 +86,12 @@
         slack = target_book.GOOD_SECONDS
         if not is_hedge:
             slack = max(slack, ONE_HALL_SHARE * self._route.aim)
-        left: dict[int, list[target_book.TargetState]] = {}
+        left: dict[int, list[target_state.TargetState]] = {}
         for index in wanted:
             shard = self._shards[index]
             left[index] = self._shared.book.good(shard.service, now, shard.tried, slack)
         while left:
-            by_hall: dict[str, list[tuple[int, target_book.TargetState]]] = {}
+            by_hall: dict[str, list[tuple[int, target_state.TargetState]]] = {}
             for index, states in left.items():
                 for state in states:
                     by_hall.setdefault(state.hall, []).append((index, state))
@@ -95,7 +102,7 @@
                 del left[index]
 
     def _hall_value(
-        self, found: Sequence[tuple[int, target_book.TargetState]], now: float
+        self, found: Sequence[tuple[int, target_state.TargetState]], now: float
     ) -> tuple[int, float]:
         """Value a hall by the shards that it covers, then by the slowest of their targets."""
         slowest = max(self._shared.book.expected(state, now) for _, state in found)
@@ -104,7 +111,7 @@
     def _send_to_hall(
         self,
         hall: str,
-        chosen: dict[int, target_book.TargetState],
+        chosen: dict[int, target_state.TargetState],
         now: float,
         is_hedge: bool,
     ) -> None:
@@ -118,7 +125,7 @@
         self,
         peer: str,
         hall: str,
-        chosen: dict[int, target_book.TargetState],
+        chosen: dict[int, target_state.TargetState],
         now: float,
         is_hedge: bool,
     ) -> bool:
@@ -151,7 +158,7 @@
         return True
 
     def ask_target(
-        self, index: int, state: target_book.TargetState, now: float, is_hedge: bool
+        self, index: int, state: target_state.TargetState, now: float, is_hedge: bool
     ) -> None:
         """Send an attempt straight to a target.
 
@@ -166,7 +173,7 @@
         attempt.cancel = self._shared.calls.send(state, self._call, on_end)
 
     def _note_try(
-        self, index: int, state: target_book.TargetState, now: float, is_hedge: bool
+        self, index: int, state: target_state.TargetState, now: float, is_hedge: bool
     ) -> search_state.Try:
         shard = self._shards[index]
         attempt = search_state.Try(index, state, now, is_hedge)
--- a/src/lineworks/forwarding/search_hedges.py
+++ b/src/lineworks/forwarding/search_hedges.py
@@ -11,7 +11,7 @@
     from collections.abc import Sequence
 
     from lineworks.decisions import routes
-    from lineworks.forwarding import target_book, tools
+    from lineworks.forwarding import target_state, tools
 
 MOST_SENT = 5
 """Attempts at one shard that reach a target. Those that reach none cost it nothing, and pauses keep
@@ -81,7 +81,7 @@
         self.local_delay = self._delay(False)
         self.remote_delay = self._delay(True)
 
-    def choose(self, now: float) -> dict[int, target_book.TargetState]:
+    def choose(self, now: float) -> dict[int, target_state.TargetState]:
         """Choose hedges for the shards that are late, and pay for them.
 
         Args:
@@ -90,7 +90,7 @@
         Returns:
             Positions of shards, each with the target to ask.
         """
-        chosen: dict[int, target_book.TargetState] = {}
+        chosen: dict[int, target_state.TargetState] = {}
         for index, shard in enumerate(self._shards):
             if index not in self._found.covered and self._is_due(shard, now):
                 state = self._hedge(shard, now)
@@ -144,7 +144,7 @@
             delay = min(delay, self._usual_delay(is_remote))
         return now >= attempt.started + delay - TIMER_SLACK
 
-    def _hedge(self, shard: search_state.Shard, now: float) -> target_book.TargetState | None:
+    def _hedge(self, shard: search_state.Shard, now: float) -> target_state.TargetState | None:
         """Choose the target of a hedge, if it could be in time and an attempt is left for it."""
         book = self._shared.book
         state = book.choose(shard.service, now, shard.tried)
--- a/src/lineworks/forwarding/search_state.py
+++ b/src/lineworks/forwarding/search_state.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from lineworks.forwarding import target_book
+    from lineworks.forwarding import target_state
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -22,7 +22,7 @@
     shard: int
     """Position of the shard in the search."""
 
-    state: target_book.TargetState
+    state: target_state.TargetState
     """The target; of an attempt through a gatherer, the one that it should choose."""
 
     started: float
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable
 
     from lineworks.decisions import routes
-    from lineworks.forwarding import target_book, tools
+    from lineworks.forwarding import target_state, tools
     from lineworks.http1 import client_connection
 
 ROOM_PAUSE = 0.02
@@ -36,7 +36,7 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Attempt:
-    state: target_book.TargetState
+    state: target_state.TargetState
     started: float
     is_hedge: bool
     cancel: Callable[[], None] | None = None
@@ -124,7 +124,7 @@
         last = self._arrived + WAIT_SHARE * self._route.aim - ROOM_PAUSE
         return now < min(last, self._call.deadline)
 
-    def _send(self, state: target_book.TargetState, now: float, is_hedge: bool) -> None:
+    def _send(self, state: target_state.TargetState, now: float, is_hedge: bool) -> None:
         attempt = _Attempt(state, now, is_hedge)
         self._running.append(attempt)
         self._tried.add(state.id)
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 from typing import TYPE_CHECKING
 
 from lineworks.decisions import catalog, estimators, replicas
+from lineworks.forwarding import target_state
 
 if TYPE_CHECKING:
     import random
@@ -63,50 +63,17 @@
 """Seconds that a target counts as slower while it has just started."""
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class TargetState:
-    """One target as this instance sees it."""
-
-    replica: replicas.Replica
-    """Load, limit, back-off and stalls."""
-
-    latency: estimators.Average
-    """Seconds that it took lately."""
-
-    errors: estimators.Average
-    """Share of its answers that were failures."""
-
-    noted_at: float = -math.inf
-    """When it last answered, failed or was given up, in seconds."""
-
-    is_cold: bool = False
-    """Whether it has just started."""
-
-    is_avoided: bool = False
-    """Whether it was passed over for failures or slowness since it last answered."""
-
-    @property
-    def id(self) -> str:
-        """Identity of the target's process."""
-        return self.replica.target.name
-
-    @property
-    def hall(self) -> str:
-        """Data hall that it stands in."""
-        return self.replica.target.hall
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class BookChange:
     """What an update changed."""
 
-    added: list[TargetState]
+    added: list[target_state.TargetState]
     """Targets that came."""
 
-    leaving: list[TargetState]
+    leaving: list[target_state.TargetState]
     """Targets that take no new work since now."""
 
-    gone: list[TargetState]
+    gone: list[target_state.TargetState]
     """Targets that are gone."""
 
 
@@ -124,8 +91,8 @@
         self._hall = hall
         self._regions = regions
         self._rng = rng
-        self._states: dict[str, TargetState] = {}
-        self._by_service: dict[str, list[TargetState]] = {}
+        self._states: dict[str, target_state.TargetState] = {}
+        self._by_service: dict[str, list[target_state.TargetState]] = {}
         self._service_times: dict[str, estimators.Average] = {}
 
     @property
@@ -147,10 +114,10 @@
         Returns:
             Targets that came, that are leaving since now, and that are gone.
         """
-        added: list[TargetState] = []
-        leaving: list[TargetState] = []
-        present: dict[str, TargetState] = {}
-        by_service: dict[str, list[TargetState]] = {}
+        added: list[target_state.TargetState] = []
+        leaving: list[target_state.TargetState] = []
+        present: dict[str, target_state.TargetState] = {}
+        by_service: dict[str, list[target_state.TargetState]] = {}
         for entry in entries:
             spec = services.get(entry.service)
             connections = spec.connections if spec is not None else 1
@@ -159,7 +126,7 @@
             if state is None:
                 replica = replicas.make_replica(target)
                 average = estimators.Average(LATENCY_WEIGHT)
-                state = TargetState(replica, average, estimators.Average(ERROR_WEIGHT))
+                state = target_state.TargetState(replica, average, estimators.Average(ERROR_WEIGHT))
                 added.append(state)
             state.replica.target = target
             if entry.is_leaving and not state.replica.is_leaving:
@@ -175,7 +142,9 @@
         self._by_service = by_service
         return BookChange(added, leaving, gone)
 
-    def usable(self, service: str, now: float, excluded: Collection[str]) -> list[TargetState]:
+    def usable(
+        self, service: str, now: float, excluded: Collection[str]
+    ) -> list[target_state.TargetState]:
         """List the targets of a service that may be asked now.
 
         Args:
@@ -192,7 +161,9 @@
         lively = [state for state in able if not state.replica.is_stalled(now, patience)]
         return lively or able
 
-    def _able(self, service: str, now: float, excluded: Collection[str]) -> list[TargetState]:
+    def _able(
+        self, service: str, now: float, excluded: Collection[str]
+    ) -> list[target_state.TargetState]:
         """List the targets with room that are neither leaving nor resting, stalled or not."""
         return [
             state
@@ -220,14 +191,14 @@
         states = self._by_service.get(service, ())
         if not states:
             return "no target known"
-        return ", ".join(f"{state.id} {_condition(state, now)}" for state in states)
+        return ", ".join(f"{state.id} {target_state.condition(state, now)}" for state in states)
 
     def choose(
         self,
         service: str,
         now: float,
         excluded: Collection[str],
-    ) -> TargetState | None:
+    ) -> target_state.TargetState | None:
         """Choose the target of a service that should answer first.
 
         Args:
@@ -242,7 +213,7 @@
 
     def choose_in(
         self, hall: str, service: str, now: float, takes_stalled: bool
-    ) -> TargetState | None:
+    ) -> target_state.TargetState | None:
         """Choose the target of a service in one hall that should answer first.
 
         Args:
@@ -261,7 +232,9 @@
         lively = [state for state in here if not state.replica.is_stalled(now, patience)]
         return self._soonest(lively or here, now)
 
-    def _soonest(self, able: Sequence[TargetState], now: float) -> TargetState | None:
+    def _soonest(
+        self, able: Sequence[target_state.TargetState], now: float
+    ) -> target_state.TargetState | None:
         if not able:
             return None
         if len(able) == 1:
@@ -270,7 +243,7 @@
 
     def good(
         self, service: str, now: float, excluded: Collection[str], slack: float = GOOD_SECONDS
-    ) -> list[TargetState]:
+    ) -> list[target_state.TargetState]:
         """List the targets of a service that should answer about as fast as the best.
 
         Args:
@@ -286,11 +259,11 @@
         best = min((seconds for seconds, _ in able), default=0.0)
         return [state for seconds, state in able if seconds <= best + slack]
 
-    def least(self, state: TargetState) -> float:
+    def least(self, state: target_state.TargetState) -> float:
         """Tell how long a target takes at least, with the way there and back, in seconds."""
         return self.service_time(state.replica.target.service) / 2 + self.round_trip(state.hall)
 
-    def expected(self, state: TargetState, now: float) -> float:
+    def expected(self, state: target_state.TargetState, now: float) -> float:
         """Estimate how long a target takes to answer, with the way there and back.
 
         Args:
@@ -346,7 +319,7 @@
         """Tell after how many seconds without progress a target of a service is stalled."""
         return max(STALL_FLOOR, STALL_FACTOR * self.service_time(service))
 
-    def note_answer(self, state: TargetState, now: float, seconds: float) -> None:
+    def note_answer(self, state: target_state.TargetState, now: float, seconds: float) -> None:
         """Note that a target answered with success.
 
         Args:
@@ -365,7 +338,7 @@
         state.errors.record(0.0)
         state.noted_at = now
 
-    def note_failure(self, state: TargetState, now: float) -> None:
+    def note_failure(self, state: target_state.TargetState, now: float) -> None:
         """Note that a target failed, refused or broke off.
 
         Args:
@@ -375,7 +348,7 @@
         state.errors.record(1.0)
         state.noted_at = now
 
-    def note_given_up(self, state: TargetState, now: float, seconds: float) -> None:
+    def note_given_up(self, state: target_state.TargetState, now: float, seconds: float) -> None:
         """Note that a target had not answered when it was no longer waited for.
 
         Args:
@@ -388,18 +361,6 @@
             state.noted_at = now
 
 
-def _condition(state: TargetState, now: float) -> str:
-    replica = state.replica
-    if replica.is_leaving:
-        return "leaving"
-    if replica.rest_until > now:
-        left = round((replica.rest_until - now) * 1000)
-        return f"left alone for {left} ms after {replica.failures} failures"
-    if replica.in_flight >= replica.limit.value:
-        return f"full with {replica.in_flight}"
-    return "not asked: stalled, in another hall, or asked already"
-
-
 def _target(entry: target_view.TargetEntry, connections: int) -> catalog.Target:
     return catalog.Target(
         name=entry.id,
--- a/src/lineworks/forwarding/target_calls.py
+++ b/src/lineworks/forwarding/target_calls.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lineworks.forwarding import target_book
+    from lineworks.forwarding import target_state
 
 CONNECT_SECONDS = 0.5
 """Seconds to wait for a connection: many times the longest way, and a fraction of any deadline."""
@@ -67,7 +67,7 @@
 class _Exchange:
     """A call under way."""
 
-    state: target_book.TargetState
+    state: target_state.TargetState
     call: TargetCall
     on_end: Callable[[CallEnd], None] | None
     started: float
@@ -115,7 +115,7 @@
 
     def send(
         self,
-        state: target_book.TargetState,
+        state: target_state.TargetState,
         call: TargetCall,
         on_end: Callable[[CallEnd], None],
     ) -> Callable[[], None]:
@@ -143,7 +143,7 @@
             self._reactor.callLater(0, self._on_capped, exchange)
         return lambda: self._cancel(exchange)
 
-    def _pool(self, state: target_book.TargetState) -> _connection_pool.ConnectionPool:
+    def _pool(self, state: target_state.TargetState) -> _connection_pool.ConnectionPool:
         pool = self._pools.get(state.id)
         if pool is None:
             share = ownership.connection_share(state.replica.target.connections)
--- a/src/lineworks/forwarding/target_learning.py
+++ b/src/lineworks/forwarding/target_learning.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     import random
 
-    from lineworks.forwarding import target_book
+    from lineworks.forwarding import target_book, target_state
     from lineworks.http1 import client_connection
 
 SHED_REST = 0.02
@@ -49,7 +49,7 @@
 
     def on_end(
         self,
-        state: target_book.TargetState,
+        state: target_state.TargetState,
         found: verdict.Verdict,
         response: client_connection.Response | None,
         now: float,
@@ -78,7 +78,7 @@
             report = replicas.Report(state.id, frozenset(), load.running, load.waiting)
             state.replica.on_report(now, report)
 
-    def on_given_up(self, state: target_book.TargetState, now: float, seconds: float) -> None:
+    def on_given_up(self, state: target_state.TargetState, now: float, seconds: float) -> None:
         """Learn from a call that was no longer waited for.
 
         Args:
@@ -94,7 +94,7 @@
         self._book.note_given_up(state, now, seconds)
 
     def _on_failure(
-        self, state: target_book.TargetState, found: verdict.Verdict, now: float
+        self, state: target_state.TargetState, found: verdict.Verdict, now: float
     ) -> None:
         replica = state.replica
         if found.reason is verdict.Reason.OVERLOADED:
@@ -108,7 +108,7 @@
             replica.is_leaving = True
 
     def _note_avoided(
-        self, state: target_book.TargetState, now: float, until: float, why: str, waited: float
+        self, state: target_state.TargetState, now: float, until: float, why: str, waited: float
     ) -> None:
         """Say that a target is passed over for a while."""
         state.is_avoided = True
@@ -123,7 +123,7 @@
             waited_ms=round(waited * 1000, 1),
         )
 
-    def _note_return(self, state: target_book.TargetState) -> None:
+    def _note_return(self, state: target_state.TargetState) -> None:
         """Say that a target that was passed over answers again."""
         if state.is_avoided:
             state.is_avoided = False
--- /dev/null
+++ b/src/lineworks/forwarding/target_state.py
@@ -0,0 +1,64 @@
+"""One target as an instance sees it."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lineworks.decisions import estimators, replicas
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class TargetState:
+    """One target as this instance sees it."""
+
+    replica: replicas.Replica
+    """Load, limit, back-off and stalls."""
+
+    latency: estimators.Average
+    """Seconds that it took lately."""
+
+    errors: estimators.Average
+    """Share of its answers that were failures."""
+
+    noted_at: float = -math.inf
+    """When it last answered, failed or was given up, in seconds."""
+
+    is_cold: bool = False
+    """Whether it has just started."""
+
+    is_avoided: bool = False
+    """Whether it was passed over for failures or slowness since it last answered."""
+
+    @property
+    def id(self) -> str:
+        """Identity of the target's process."""
+        return self.replica.target.name
+
+    @property
+    def hall(self) -> str:
+        """Data hall that it stands in."""
+        return self.replica.target.hall
+
+
+def condition(state: TargetState, now: float) -> str:
+    """Tell, for logs, what keeps a target from being asked.
+
+    Args:
+        state: The target.
+        now: The present, in seconds.
+
+    Returns:
+        One clause.
+    """
+    replica = state.replica
+    if replica.is_leaving:
+        return "leaving"
+    if replica.rest_until > now:
+        left = round((replica.rest_until - now) * 1000)
+        return f"left alone for {left} ms after {replica.failures} failures"
+    if replica.in_flight >= replica.limit.value:
+        return f"full with {replica.in_flight}"
+    return "not asked: stalled, in another hall, or asked already"
--- a/src/lineworks/forwarding/tools.py
+++ b/src/lineworks/forwarding/tools.py
@@ -11,7 +11,7 @@
     from collections.abc import Sequence
 
     from lineworks.decisions import extra_attempts
-    from lineworks.forwarding import gatherers, target_book, target_calls
+    from lineworks.forwarding import gatherers, target_book, target_calls, target_state
     from lineworks.kernel import bounded_log
 
 HEDGE_LINES_PER_SECOND = 10.0
@@ -148,7 +148,7 @@
         self,
         call: target_calls.TargetCall,
         seconds: float,
-        pairs: Sequence[tuple[target_book.TargetState, target_book.TargetState]],
+        pairs: Sequence[tuple[target_state.TargetState, target_state.TargetState]],
     ) -> None:
         """Write a line for hedges that are about to be sent.
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -140,14 +140,18 @@
     assert list(_timeline.find("q1", "x", ['["q1"]', "q1 {", '{"id": 7}'])) == []
 
 
+def read_metrics(world, name):
+    """Ask an instance for its metrics."""
+    reply = world.send(name, b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n", 7381)
+    world.run(0.2)
+    return reply.body.decode()
+
+
 def test_metrics_are_served_and_their_labels_are_bounded():
     world = test_forwarding.build()
     world.ask("akl-1", "/search/q")
     world.run(0.5)
-    data = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
-    reply = world.send("akl-1", data, 7381)
-    world.run(0.2)
-    text = reply.body.decode()
+    text = read_metrics(world, "akl-1")
     assert 'lineworks_requests_total{reason="ok",route="search",status="200"} 1.0' in text
     assert 'lineworks_configuration{kind="version"} 1.0' in text
     assert "lineworks_store_calls" in text
@@ -158,10 +162,7 @@
     world.ask("akl-1", "/search/q")
     world.nodes["akl-1"].lines_dropped = lambda: 3
     world.run(2.5)
-    data = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
-    reply = world.send("akl-1", data, 7381)
-    world.run(0.2)
-    text = reply.body.decode()
+    text = read_metrics(world, "akl-1")
     assert 'lineworks_event_loop_delay_seconds{kind="greatest"}' in text
     assert 'lineworks_log_lines{kind="dropped"} 3.0' in text
     assert 'lineworks_extra_attempts{kind="instances"} 6.0' in text
