--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -23,6 +23,9 @@
     from lineworks.services import peer_links
     from lineworks.wire import frames
 
+NEVER_AGE = 1e9
+"""Age, in seconds, that stands for never: logs and metrics have no infinity."""
+
 TICK = 0.05
 """Seconds between looks at whether the store should be asked."""
 
@@ -111,9 +114,8 @@
 
     @property
     def age(self) -> float:
-        """Seconds since the store is known to have held nothing newer."""
-        age: float = self._reactor.seconds() - self._fresh_at
-        return age
+        """Seconds since the store is known to have held nothing newer; `NEVER_AGE` at first."""
+        return min(NEVER_AGE, self._reactor.seconds() - self._fresh_at)
 
     @property
     def entries(self) -> Iterable[target_view.TargetEntry]:
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -53,9 +53,6 @@
 MOST_NAMED = 8
 """Targets that a log line names at most."""
 
-NEVER_AGE = 1e9
-"""Age, in seconds, that stands for never, since JSON has no infinity."""
-
 STOP_CHECK = 0.05
 """Seconds between looks for requests under way while the process stops."""
 
@@ -177,7 +174,7 @@
     def _connect(self) -> None:
         """Tie the services together."""
         self._front.is_complete = lambda: self._directory.is_complete
-        self._front.view_age = lambda: min(NEVER_AGE, self._directory.age)
+        self._front.view_age = lambda: self._directory.age
         self._directory.on_table = self._on_table
         self._directory.on_targets = self._on_targets
         self._directory.on_instances = self._registration.on_changes
@@ -230,7 +227,7 @@
         change = self._book.update(self._directory.entries, services)
         for state in change.gone:
             self._calls.forget(state.id)
-        age = round(min(NEVER_AGE, self._directory.age), 3)
+        age = round(self._directory.age, 3)
         for kind, states in (
             ("target_added", change.added),
             ("target_leaving", change.leaving),
@@ -280,7 +277,7 @@
             "lineworks_store_calls": dict(self._store.calls),
             "lineworks_configuration": {
                 "version": float(self._directory.version),
-                "age_seconds": min(NEVER_AGE, self._directory.age),
+                "age_seconds": self._directory.age,
             },
             "lineworks_extra_attempts": {
                 "spent": float(self._extra.spent),
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -201,3 +201,16 @@
     found = [line for line in lines if line["event"] == "hedge"]
     assert found[0]["id"] == "q1"
     assert found[0]["targets"] == [f"s00: {slow.name}, now {other.name}"]
+
+
+def test_lines_are_strict_json_when_nothing_was_ever_heard_from_the_store():
+    # Found in the log of a recorded day: a process that started in an outage wrote "age": Infinity.
+    world = test_forwarding.build()
+    world.server.faults.is_down = True
+    with capture_logs() as lines:
+        world.add_node("akl-3", "akl")
+        world.run(2.0)
+    lost = [line for line in lines if line["event"] == "store_lost"]
+    assert lost
+    for line in lost:
+        json.dumps(line, allow_nan=False)
