Reads of the store are sent again on a new connection while no answer comes

Cause: an instance that started beside a silent store waited 1.5 s for one answer that never came, paused 0.36 s, and refused callers meanwhile, though the store was back after 0.3 s. Ruled out: the store itself (it answered new calls at once) and the links (no instance knew another one).

A read goes out again each 0.2 s on a new connection, beside those that wait, so a slow answer is still taken; the first answer ends all. While nothing is known, a failed read is followed by the next after 0.2 s; only a refusal for the rate of calls still doubles the pause.

--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -45,6 +45,10 @@
 MOST_RETRY_SECONDS = 1.0
 """Seconds between calls while the store fails at most: its return must be noticed soon."""
 
+BLIND_PAUSE = 0.2
+"""Seconds between calls that fail while nothing is known: callers are refused meanwhile, and a call
+that is refused at once costs little."""
+
 BEHIND_SECONDS = 1.5
 """Seconds that a peer may be known to have a newer configuration before it is asked for it: the
 store or the hall's reader usually bring it by then, without bytes between regions."""
@@ -182,12 +186,12 @@
             else:
                 await self._read_all(asked_at)
         except store.StoreError as error:
-            self._on_failure(str(error))
+            self._on_failure(str(error), isinstance(error, store.StoreBusyError))
             return
         except Exception as error:
             # A fault in one answer must not end the task that all knowledge comes through.
             _log.error("ask_failed", error=repr(error))
-            self._on_failure(repr(error))
+            self._on_failure(repr(error), is_busy=False)
             return
         self._on_success()
 
@@ -325,7 +329,7 @@
             return float(now + target_view.LAPSE_GRACE)
         return self._hold_until if now < self._hold_until else 0.0
 
-    def _on_failure(self, error: str) -> None:
+    def _on_failure(self, error: str, is_busy: bool) -> None:
         now = self._reactor.seconds()
         if not self.is_complete:
             self._ask_peers()
@@ -333,6 +337,8 @@
             self._outage_since = now
             _log.warning("store_lost", error=error, age=round(self.age, 3))
         pause = min(MOST_RETRY_SECONDS, RETRY_SECONDS * 2**self._failures)
+        if not self.is_complete and not is_busy:
+            pause = BLIND_PAUSE
         self._failures += 1
         self._next_call = now + pause * (0.75 + self._rng.random() / 2)
 
--- a/src/lineworks/platform/_store_connections.py
+++ b/src/lineworks/platform/_store_connections.py
@@ -1,7 +1,12 @@
-"""Connections to the platform's store: kept for the next call, one request at a time on each."""
+"""Connections to the platform's store: kept for the next call, one request at a time on each.
+
+A read that gets no answer is sent again on a new connection, beside the one that waits: a lost
+answer never comes, and a connection that went silent shows nothing else.
+"""
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer, protocol
@@ -9,11 +14,18 @@
 from lineworks.http1 import client_connection
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lineworks.models import node_settings
 
 CONNECT_SECONDS = 1.0
 """Seconds to wait for a connection."""
 
+REPEAT_SECONDS = 0.2
+"""Seconds without an answer after which a read is sent again: fifty times what the store usually
+takes, and a fifteenth of the time in which a change must be in force. An instance that starts
+beside a silent store asks again within that time of the store's return."""
+
 
 class ConnectError(Exception):
     """No connection could be opened, so nothing was sent."""
@@ -39,14 +51,36 @@
             connection.abort()
         self._idle.clear()
 
+    async def read(
+        self, data: bytes, timeout: float, on_sent: Callable[[], None]
+    ) -> client_connection.Response | client_connection.Broken:
+        """Send a request that changes nothing, again and again until an answer comes.
+
+        Args:
+            data: The request.
+            timeout: Seconds to wait for the answer.
+            on_sent: Called each time that the request is sent.
+
+        Returns:
+            The first answer, or how the last connection broke off.
+
+        Raises:
+            ConnectError: There is no connection.
+        """
+        end: client_connection.Response | client_connection.Broken = await _RepeatedRead(
+            self._reactor, functools.partial(self.exchange, data), timeout, on_sent
+        ).start()
+        return end
+
     async def exchange(
-        self, data: bytes, timeout: float
+        self, data: bytes, timeout: float, is_new: bool = False
     ) -> client_connection.Response | client_connection.Broken:
         """Send a request and wait for its answer.
 
         Args:
             data: The request.
             timeout: Seconds to wait for the answer.
+            is_new: Whether the kept connections are not to be trusted.
 
         Returns:
             The answer, or how the connection broke off before it was whole.
@@ -54,6 +88,8 @@
         Raises:
             ConnectError: There is no connection.
         """
+        if is_new:
+            self.close()
         connection = await self._connect()
         ended: defer.Deferred[Any] = defer.Deferred()
         timer = self._reactor.callLater(timeout, _give_up, connection, ended)
@@ -77,16 +113,73 @@
             if connection.is_reusable(now):
                 return connection
             connection.abort()
-        opened: defer.Deferred[Any] = defer.Deferred()
+        opened: defer.Deferred[Any] = defer.Deferred(lambda _: connector.disconnect())
         factory = _StoreFactory(self._reactor, opened)
         address = self._address
-        self._reactor.connectTCP(address.host, address.port, factory, timeout=CONNECT_SECONDS)
+        connector = self._reactor.connectTCP(
+            address.host, address.port, factory, timeout=CONNECT_SECONDS
+        )
         connected = await opened
         if not isinstance(connected, _StoreConnection):
             raise ConnectError(connected)
         return connected
 
 
+class _RepeatedRead:
+    """One read under way on several connections."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        exchange: Callable[[float, bool], Any],
+        timeout: float,
+        on_sent: Callable[[], None],
+    ) -> None:
+        self._reactor = reactor
+        self._exchange = exchange
+        self._deadline = reactor.seconds() + timeout
+        self._on_sent = on_sent
+        self._running: list[defer.Deferred[Any]] = []
+        self._timer: Any = None
+        self._is_over = False
+        self._ended: defer.Deferred[Any] = defer.Deferred(lambda _: self._stop())
+
+    def start(self) -> defer.Deferred[Any]:
+        """Send it for the first time.
+
+        Returns:
+            A deferred of the answer; cancelling it ends the read.
+        """
+        self._send(is_new=False)
+        return self._ended
+
+    def _send(self, is_new: bool) -> None:
+        left = self._deadline - self._reactor.seconds()
+        if left > REPEAT_SECONDS:
+            self._timer = self._reactor.callLater(REPEAT_SECONDS, self._send, True)
+        self._on_sent()
+        running = defer.ensureDeferred(self._exchange(left, is_new))
+        self._running.append(running)
+        running.addBoth(self._on_end, running)
+
+    def _on_end(self, end: Any, running: defer.Deferred[Any]) -> None:
+        if running in self._running:
+            self._running.remove(running)
+        is_answer = isinstance(end, client_connection.Response)
+        if self._is_over or (self._running and not is_answer):
+            return
+        self._stop()
+        self._ended.callback(end)
+
+    def _stop(self) -> None:
+        self._is_over = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        running, self._running = self._running, []
+        for other in running:
+            other.cancel()
+
+
 class _StoreConnection(client_connection.ClientConnection):
     """A connection to the store that reports when it is open."""
 
--- a/src/lineworks/platform/store.py
+++ b/src/lineworks/platform/store.py
@@ -17,7 +17,7 @@
 from lineworks.platform import _fields, _store_connections
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Awaitable, Iterable, Sequence
 
     from lineworks.models import node_settings
 
@@ -41,6 +41,10 @@
     """The changes after the given revision are not known any more."""
 
 
+class StoreBusyError(StoreError):
+    """More calls were made than are allowed; nothing was done."""
+
+
 class LeaseGoneError(StoreError):
     """There is no such lease."""
 
@@ -120,7 +124,11 @@
     """Talks to the store over HTTP."""
 
     def __init__(
-        self, reactor: Any, address: node_settings.Address, timeout: float = CALL_SECONDS
+        self,
+        reactor: Any,
+        address: node_settings.Address,
+        timeout: float = CALL_SECONDS,
+        repeats: bool = True,
     ) -> None:
         """Make a client; nothing is sent yet.
 
@@ -128,7 +136,9 @@
             reactor: Twisted's reactor.
             address: Where the store listens.
             timeout: Seconds to wait for an answer.
+            repeats: Whether reads are sent again while no answer comes.
         """
+        self._repeats = repeats
         self._timeout = timeout
         self._address = address
         self._connections = _store_connections.StoreConnections(reactor, address)
@@ -155,11 +165,11 @@
             StoreError: The store cannot be reached or refused.
         """
         path = f"/lineworks/kv-key?{_query({_KEY: key})}"
-        status, found = await self._call("get", "GET", path)
+        status, found = await self._read("get", path)
         if status == 404:
             return None
         _expect_ok("get", status)
-        return _read(lambda: _item(_fields.Fields(found)))
+        return _decoded(lambda: _item(_fields.Fields(found)))
 
     async def list_items(self, prefix: str) -> Listing:
         """Read all items below a prefix, page by page.
@@ -178,11 +188,11 @@
         after = ""
         for _ in range(_MAX_PAGES):
             wanted = {"PathPrefix": prefix, **({"after": after} if after else {})}
-            status, found = await self._call("list", "GET", f"/lineworks/kv-range?{_query(wanted)}")
+            status, found = await self._read("list", f"/lineworks/kv-range?{_query(wanted)}")
             _expect_ok("list", status)
-            page = _read(lambda found=found: _fields.Fields(found))
-            rows = _read(lambda page=page: [_item(row) for row in page.tables("items")])
-            revision = revision or _read(lambda page=page: page.integer("AtRev"))
+            page = _decoded(lambda found=found: _fields.Fields(found))
+            rows = _decoded(lambda page=page: [_item(row) for row in page.tables("items")])
+            revision = revision or _decoded(lambda page=page: page.integer("AtRev"))
             items += rows
             if not rows or found.get("HasMore") is not True:
                 return Listing(items, revision)
@@ -206,11 +216,14 @@
         """
         wanted = {"PathPrefix": prefix, "after": after, "WaitMs": int(wait * 1000)}
         path = f"/lineworks/kv-watch?{_query(wanted)}"
-        status, found = await self._call("watch", "GET", path, more=wait)
+        if wait:
+            status, found = await self._call("watch", "GET", path, more=wait)
+        else:
+            status, found = await self._read("watch", path)
         if status == 410:
             raise HistoryGoneError("watch: the history is gone")
         _expect_ok("watch", status)
-        return _read(lambda: _changes(_fields.Fields(found)))
+        return _decoded(lambda: _changes(_fields.Fields(found)))
 
     async def transact(
         self,
@@ -252,7 +265,7 @@
         if status == 404:
             raise LeaseGoneError("write: no such lease")
         _expect_ok("write", status)
-        return _read(lambda: _fields.Fields(found).integer("Revision"))
+        return _decoded(lambda: _fields.Fields(found).integer("Revision"))
 
     async def grant_lease(self, seconds: float) -> int:
         """Open a lease.
@@ -269,7 +282,7 @@
         document = {"TtlMs": int(seconds * 1000)}
         status, found = await self._call("lease", "POST", "/lineworks/kv-lease", document)
         _expect_ok("lease", status)
-        return _read(lambda: _fields.Fields(found).integer("LeaseId"))
+        return _decoded(lambda: _fields.Fields(found).integer("LeaseId"))
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease.
@@ -307,18 +320,37 @@
     ) -> tuple[int, Any]:
         self.calls[kind] += 1
         data = _request(method, path, self._address, document)
-        try:
-            end = await self._connections.exchange(data, self._timeout + more)
-        except _store_connections.ConnectError as error:
-            raise StoreError(f"{kind}: {error}") from error
-        if isinstance(end, client_connection.Broken):
-            raise StoreUnsureError(f"{kind}: {end.detail}")
-        if end.status in (429, 503):
-            raise StoreError(f"{kind}: refused with {end.status}")
-        try:
-            return end.status, json.loads(end.body) if end.body else {}
-        except ValueError as error:
-            raise StoreUnsureError(f"{kind}: the answer is no JSON") from error
+        return await _answer(kind, self._connections.exchange(data, self._timeout + more))
+
+    async def _read(self, kind: str, path: str) -> tuple[int, Any]:
+        """Make a call that changes nothing, and so may be sent again while no answer comes."""
+
+        if not self._repeats:
+            return await self._call(kind, "GET", path)
+
+        def on_sent() -> None:
+            self.calls[kind] += 1
+
+        data = _request("GET", path, self._address, None)
+        return await _answer(kind, self._connections.read(data, self._timeout, on_sent))
+
+
+async def _answer(kind: str, call: Awaitable[Any]) -> tuple[int, Any]:
+    """Wait for a call and read the status and the document of its answer."""
+    try:
+        end = await call
+    except _store_connections.ConnectError as error:
+        raise StoreError(f"{kind}: {error}") from error
+    if isinstance(end, client_connection.Broken):
+        raise StoreUnsureError(f"{kind}: {end.detail}")
+    if end.status == 429:
+        raise StoreBusyError(f"{kind}: refused with 429")
+    if end.status == 503:
+        raise StoreError(f"{kind}: refused with 503")
+    try:
+        return end.status, json.loads(end.body) if end.body else {}
+    except ValueError as error:
+        raise StoreUnsureError(f"{kind}: the answer is no JSON") from error
 
 
 def _request(method: str, path: str, address: node_settings.Address, document: Any) -> bytes:
@@ -338,7 +370,7 @@
         raise StoreError(f"{kind}: status {status}")
 
 
-def _read(decode: Any) -> Any:
+def _decoded(decode: Any) -> Any:
     try:
         return decode()
     except _fields.DocumentError as error:
--- a/src/lineworks/standins/memory_network.py
+++ b/src/lineworks/standins/memory_network.py
@@ -66,6 +66,17 @@
         for sender, receiver, deliver in held:
             self.carry(sender, receiver, deliver)
 
+    def silence(self, address: str) -> None:
+        """Drop whatever is sent from now on over the open connections of a host; new ones work.
+
+        Args:
+            address: The host's address.
+        """
+        for transport in self.host(address).open_transports:
+            transport.is_mute = True
+            if transport.peer is not None:
+                transport.peer.is_mute = True
+
     def carry(self, sender: str, receiver: str, deliver: Callable[[], None]) -> None:
         """Deliver something after the way's delay, or hold it up behind a cut.
 
@@ -104,6 +115,11 @@
         self.is_stopped = False
         """Whether the code on it has stopped the reactor."""
 
+    @property
+    def open_transports(self) -> frozenset[MemoryTransport]:
+        """Its ends of open connections."""
+        return frozenset(self._open)
+
     def seconds(self) -> float:
         """Tell the present."""
         now: float = self.network.clock.seconds()
@@ -142,11 +158,12 @@
 
     def connectTCP(  # noqa: N802
         self, host: str, port: int, factory: Any, timeout: float = 30
-    ) -> None:
+    ) -> _Connecting:
         """Open a connection, as Twisted's reactor does."""
         attempt = _Connecting(self, host, port, factory)
         attempt.timer = self.callLater(timeout, attempt.fail, net_error.TimeoutError())
         self.network.carry(self.address, host, attempt.arrive)
+        return attempt
 
     def stop(self) -> None:
         """Stop the code on this host."""
@@ -257,6 +274,10 @@
         self.timer.cancel()
         client.open(self._factory.buildProtocol(None))
 
+    def disconnect(self) -> None:
+        """Give the attempt up."""
+        self.fail(net_error.UserError())
+
     def fail(self, error: Exception) -> None:
         """Report that there is no connection."""
         if self._is_over:
@@ -283,6 +304,8 @@
         self.peer: MemoryTransport | None = None
         self._early: list[Callable[[], None]] = []
         self.disconnecting = False
+        self.is_mute = False
+        """Whether all that is sent is lost."""
 
     def open(self, protocol: Any) -> None:
         """Connect a protocol.
@@ -345,6 +368,8 @@
     def _send(self, deliver: Callable[[MemoryTransport], None]) -> None:
         peer = self.peer
         assert peer is not None
+        if self.is_mute:
+            return
         self._host.network.carry(
             self._host.address, self._there.address, lambda: peer._take(lambda: deliver(peer))
         )
--- /dev/null
+++ b/tests/test_blind_start.py
@@ -0,0 +1,76 @@
+"""All instances start anew beside a store that does not answer, on a virtual clock."""
+
+from __future__ import annotations
+
+import pytest
+
+from lineworks.platform.standins import deployment
+from tests import test_forwarding
+
+SERVED_AGAIN = 0.6
+"""Seconds after the store's return within which every instance serves: a call on a new connection
+each quarter of a second, its answer, and the first connections to the targets."""
+
+MOST_CALLS = 6.0
+"""Calls a second that an instance without knowledge may make."""
+
+
+def restart_all(world):
+    for name in world.nodes:
+        world.host_of(name).kill()
+    world.run(1.2)
+    for name in list(world.nodes):
+        world.add_node(name, name.partition("-")[0])
+
+
+def start_beside(world, fault, seconds):
+    setattr(world.server.faults, fault, True)
+    restart_all(world)
+    world.run(seconds)
+    setattr(world.server.faults, fault, False)
+
+
+@pytest.mark.parametrize("seconds", [0.05, 0.3, 0.7, 1.4, 2.1, 4.0, 9.3])
+@pytest.mark.parametrize("fault", ["is_silent", "is_down"])
+def test_instances_that_start_beside_a_failing_store_serve_soon_after_its_return(fault, seconds):
+    world = test_forwarding.build()
+    start_beside(world, fault, seconds)
+    world.run(SERVED_AGAIN)
+    replies = [world.ask(name, path) for name in world.nodes for path in ("/read/x", "/search/q")]
+    world.run(0.5)
+    assert {reply.status for reply in replies} == {200}
+
+
+@pytest.mark.parametrize("fault", ["is_silent", "is_down"])
+def test_calls_to_a_failing_store_are_bounded(fault):
+    world = test_forwarding.build()
+    setattr(world.server.faults, fault, True)
+    restart_all(world)
+    before = sum(world.server.calls.values())
+    world.run(10.0)
+    calls = sum(world.server.calls.values()) - before
+    assert calls <= MOST_CALLS * 10 * len(world.nodes)
+
+
+def test_a_slow_store_is_not_given_up():
+    world = test_forwarding.build()
+    world.server.faults.delay = 1.0
+    restart_all(world)
+    world.run(1.4)
+    replies = [world.ask(name, "/read/x") for name in world.nodes]
+    world.run(0.5)
+    assert {reply.status for reply in replies} == {200}
+
+
+@pytest.mark.parametrize("phase", [0.1, 0.4, 0.7, 1.0, 1.3])
+def test_a_configuration_is_in_force_in_time_though_open_connections_went_silent(phase):
+    world = test_forwarding.build()
+    world.run(phase)
+    world.network.silence(deployment.STORE_ADDRESS)
+    routes = [test_forwarding.SEARCH, test_forwarding.READ, test_forwarding.BILL]
+    new = {**test_forwarding.READ, "Name": "new", "PathPrefix": "/new/"}
+    world.configure([*routes, new])
+    world.run(2.7)
+    replies = [world.ask(name, "/new/x") for name in world.nodes]
+    world.run(0.3)
+    assert {reply.status for reply in replies} == {200}
