--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -5,7 +5,7 @@
 import functools
 from typing import TYPE_CHECKING
 
-from lineworks.decisions import deadlines, estimators, routes, verdict
+from lineworks.decisions import deadlines, estimators, mechanisms, routes, verdict
 from lineworks.forwarding import outcome, search, single, target_calls
 from lineworks.http1 import fields as http_fields
 from lineworks.http1 import server_connection
@@ -153,7 +153,9 @@
                 timer.cancel()
                 self._waiting.remove(go_on)
 
-        timer = self._shared.reactor.callLater(START_WAIT_SECONDS, give_up)
+        is_held = mechanisms.Mechanism.START_HOLD not in self._shared.without
+        hold = START_WAIT_SECONDS if is_held else 0.0
+        timer = self._shared.reactor.callLater(hold, give_up)
         self._waiting.append(go_on)
         return stop
 
--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -13,13 +13,13 @@
 import functools
 from typing import TYPE_CHECKING, Any
 
-from lineworks.decisions import parts, verdict
+from lineworks.decisions import mechanisms, parts, verdict
 from lineworks.forwarding import answers, messages, target_calls
 from lineworks.kernel import bounded_log
 from lineworks.platform import headers
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from lineworks.forwarding import target_book
 
@@ -62,6 +62,7 @@
         hall: str,
         book: target_book.TargetBook,
         calls: target_calls.TargetCalls,
+        without: Collection[mechanisms.Mechanism] = (),
     ) -> None:
         """Start without queries.
 
@@ -70,7 +71,10 @@
             hall: Data hall whose targets are asked.
             book: The targets.
             calls: Sends requests.
+            without: Mechanisms that are switched off.
         """
+        self._merges = mechanisms.Mechanism.MERGE not in without
+        self._leaves_out = mechanisms.Mechanism.HEDGE_FLOOR not in without
         self._reactor = reactor
         self._hall = hall
         self._book = book
@@ -97,7 +101,7 @@
             reply: Takes parts, each shard at most once.
         """
         now = self._reactor.seconds()
-        job = _Job(origin, query, reply, is_merging=query.flush_at > now)
+        job = _Job(origin, query, reply, is_merging=self._merges and query.flush_at > now)
         key = (origin, query.number)
         self._jobs[key] = job
         call = target_calls.TargetCall(
@@ -202,7 +206,7 @@
         ready = job.ready if is_due else []
         if not ready and not job.failed:
             return
-        floor = _floor(job)
+        floor = _floor(job) if self._leaves_out else b""
         is_merged = job.is_merging and job.first is None
         groups = [parts.merge(ready, job.query.top)] if is_merged else ready
         found = [[record for record in part.records if record >= floor] for part in groups]
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from lineworks.decisions import extra_attempts, routes
+from lineworks.decisions import extra_attempts, mechanisms, routes
 from lineworks.forwarding import (
     directory,
     front,
@@ -95,12 +95,17 @@
         self._links.heartbeat_seconds = HEARTBEAT_SECONDS
         self._links.make_heartbeat = self._heartbeat
         self._links.handle(frames.Heartbeat, self._on_heartbeat)
-        self._store = store.Store(reactor, settings.store)
-        self._book = target_book.TargetBook(settings.hall, settings.regions, self._rng)
+        without = settings.without
+        self._links.compresses = mechanisms.Mechanism.LINK_COMPRESSION not in without
+        repeats = mechanisms.Mechanism.STORE_REPEATS not in without
+        self._store = store.Store(reactor, settings.store, repeats=repeats)
+        self._book = target_book.TargetBook(settings.hall, settings.regions, self._rng, without)
         self._learning = target_learning.TargetLearning(reactor, self._book, self._rng)
         self._calls = target_calls.TargetCalls(reactor, self._learning)
         self._gatherers = gatherers.Gatherers(reactor, self._links, self._rng)
-        self._gatherer = gathering.Gatherer(reactor, settings.hall, self._book, self._calls)
+        self._gatherer = gathering.Gatherer(
+            reactor, settings.hall, self._book, self._calls, without
+        )
         self._directory = directory.Directory(
             reactor, self._rng, settings.name, settings.hall, self._store, self._links
         )
@@ -117,6 +122,7 @@
             tools.HedgeTimes(),
             self._counters,
             bounded_log.BoundedLog(reactor, "hedges", tools.HEDGE_LINES_PER_SECOND),
+            without,
         )
         self._request_log = request_log.RequestLog(reactor, self._metrics)
         self._front = front.Front(shared, self._request_log)
@@ -157,7 +163,8 @@
         self._listen(settings.metrics, self._server(self._on_metrics))
         self._links.listen(settings.peers.host, settings.peers.port)
         await self._kernel.start()
-        _log.info("started", name=settings.name, hall=settings.hall)
+        without = sorted(mechanism.value for mechanism in settings.without)
+        _log.info("started", name=settings.name, hall=settings.hall, without=without)
 
     def stop(self) -> None:
         """Begin a planned stop: no new connections, then the end when all work is done."""
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -12,7 +12,7 @@
 import functools
 from typing import TYPE_CHECKING, Any
 
-from lineworks.decisions import parts, verdict
+from lineworks.decisions import mechanisms, parts, verdict
 from lineworks.forwarding import outcome, search_attempts, search_hedges, search_state
 from lineworks.http1 import server_connection
 from lineworks.platform import headers
@@ -111,18 +111,22 @@
             return
         self._hedges.begin(now, self._aim_at())
         self._sent.hedge_at = now + self._hedges.remote_delay
-        self._set_timer(self._aim_at() - now, self._on_aim)
+        if mechanisms.Mechanism.EARLY_ANSWER not in shared.without:
+            self._set_timer(self._aim_at() - now, self._on_aim)
         self._dispatch(chosen, is_hedge=False)
-        if self._on_end is not None:
+        if self._on_end is None:
+            return
+        if mechanisms.Mechanism.SEARCH_HEDGES not in shared.without:
             self._set_timer(self._hedges.local_delay, self._on_hedge)
             self._set_timer(self._hedges.remote_delay, self._on_hedge)
-            self._check()
+        self._check()
 
     def _wait_or_refuse(self, open_shards: int, now: float) -> None:
         """Wait a little for targets with room; a search that can't succeed loads no target."""
         reachable = sum(1 for shard in self._shards if self._shared.book.has_any(shard.service))
+        may_wait = mechanisms.Mechanism.ROOM_WAIT not in self._shared.without
         last = self._arrived + WAIT_SHARE * self._route.aim - ROOM_PAUSE
-        if reachable >= self._needed and now < min(last, self._call.deadline):
+        if may_wait and reachable >= self._needed and now < min(last, self._call.deadline):
             self._set_timer(ROOM_PAUSE, self._begin)
             return
         detail = f"{open_shards} of {len(self._shards)} shards have a target with room"
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -8,7 +8,7 @@
 import functools
 from typing import TYPE_CHECKING
 
-from lineworks.decisions import parts, verdict
+from lineworks.decisions import mechanisms, parts, verdict
 from lineworks.forwarding import (
     answers,
     messages,
@@ -84,7 +84,7 @@
             is_hedge: Whether they are second attempts beside slow ones.
         """
         slack = target_book.GOOD_SECONDS
-        if not is_hedge:
+        if not is_hedge and mechanisms.Mechanism.ONE_HALL not in self._shared.without:
             slack = max(slack, ONE_HALL_SHARE * self._route.aim)
         left: dict[int, list[target_state.TargetState]] = {}
         for index in wanted:
@@ -131,6 +131,7 @@
     ) -> bool:
         shared = self._shared
         way = shared.book.round_trip(hall)
+        without_floor = mechanisms.Mechanism.HEDGE_FLOOR in shared.without
         number = shared.gatherers.next_number()
         query = messages.GatherQuery(
             number=number,
@@ -139,7 +140,7 @@
             body=self._call.body,
             attempt=self._call.attempt,
             top=self._route.top,
-            floor=self._floor(),
+            floor=b"" if without_floor else self._floor(),
             deadline=self._call.deadline - way / 2,
             flush_at=now if is_hedge else self.hedge_at - way - FLUSH_LEAD,
         )
@@ -189,7 +190,7 @@
         shard.running.remove(attempt)
         if not end.verdict.is_ok or end.response is None:
             if not answers.was_sent(end.verdict):
-                shard.sent -= 1
+                self._note_unsent(shard)
             self._on_failure(attempt.shard, end.verdict)
             return
         self._record(attempt)
@@ -250,13 +251,18 @@
         shard.running.remove(attempt)
         self._close_query_if_over(attempt.query)
         if failure is messages.Failure.NOT_SENT:
-            shard.sent -= 1
+            self._note_unsent(shard)
             attempt.state.replica.rest_until = max(
                 attempt.state.replica.rest_until, now + NO_ROOM_REST
             )
         self._shared.book.note_failure(attempt.state, now)
         self._on_failure(attempt.shard, search_state.remote_verdict(failure))
 
+    def _note_unsent(self, shard: search_state.Shard) -> None:
+        """Note that an attempt reached no target; another one in its place is not an extra one."""
+        if mechanisms.Mechanism.FREE_RETRIES not in self._shared.without:
+            shard.sent -= 1
+
     def _on_gatherer_lost(self, number: int) -> None:
         tries = self._queries.pop(number, [])
         found = verdict.may_have_run(verdict.Reason.LINK_LOST, "the gatherer is gone")
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -10,7 +10,7 @@
 import functools
 from typing import TYPE_CHECKING, Any
 
-from lineworks.decisions import verdict
+from lineworks.decisions import mechanisms, verdict
 from lineworks.forwarding import answers, outcome, target_calls
 from lineworks.http1 import fields as http_fields
 from lineworks.http1 import server_connection
@@ -86,7 +86,8 @@
         shared.extra.note_request(self._service, now)
         self._set_timer(self._call.deadline - now, self._on_deadline)
         self._place()
-        if self._route.is_repeatable and self._route.max_attempts > 1:
+        is_hedged = mechanisms.Mechanism.READ_HEDGES not in shared.without
+        if is_hedged and self._route.is_repeatable and self._route.max_attempts > 1:
             delay = shared.hedges.delay(self._route.name, False, self._route.aim)
             self._set_timer(delay, self._on_hedge)
 
@@ -119,6 +120,8 @@
             self._finish_without(verdict.Reason.NO_REPLICA, detail)
 
     def _may_wait(self, now: float) -> bool:
+        if mechanisms.Mechanism.ROOM_WAIT in self._shared.without:
+            return False
         if not self._shared.book.has_any(self._service):
             return False
         last = self._arrived + WAIT_SHARE * self._route.aim - ROOM_PAUSE
@@ -174,7 +177,8 @@
             return False
         if not shared.book.has_any(self._service):
             return False
-        if not answers.was_sent(last):
+        is_free = mechanisms.Mechanism.FREE_RETRIES not in shared.without
+        if is_free and not answers.was_sent(last):
             return True
         return shared.may_spend(self._service, now)
 
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -9,7 +9,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from lineworks.decisions import catalog, estimators, replicas
+from lineworks.decisions import catalog, estimators, mechanisms, replicas
 from lineworks.forwarding import target_state
 
 if TYPE_CHECKING:
@@ -80,14 +80,23 @@
 class TargetBook:
     """All targets by service."""
 
-    def __init__(self, hall: str, regions: Mapping[str, str], rng: random.Random) -> None:
+    def __init__(
+        self,
+        hall: str,
+        regions: Mapping[str, str],
+        rng: random.Random,
+        without: Collection[mechanisms.Mechanism] = (),
+    ) -> None:
         """Start without targets.
 
         Args:
             hall: Data hall of this instance.
             regions: For each hall, its region.
             rng: Breaks ties.
+            without: Mechanisms that are switched off.
         """
+        self._knows_load = mechanisms.Mechanism.LOAD_REPORTS not in without
+        self._avoids_slow = mechanisms.Mechanism.SLOW_AVOIDANCE not in without
         self._hall = hall
         self._regions = regions
         self._rng = rng
@@ -157,6 +166,8 @@
             no other.
         """
         able = self._able(service, now, excluded)
+        if not self._avoids_slow:
+            return able
         patience = self.patience(service)
         lively = [state for state in able if not state.replica.is_stalled(now, patience)]
         return lively or able
@@ -275,9 +286,10 @@
         """
         usual = self.service_time(state.replica.target.service)
         weight = 0.5 ** ((now - state.noted_at) / MEMORY_HALF_LIFE)
-        own = usual + (state.latency.value - usual) * weight
+        own = usual + (state.latency.value - usual) * weight if self._avoids_slow else usual
         slots = max(1, state.replica.target.slots)
-        queued = max(0.0, state.replica.load(now) + 1 - slots) / slots
+        load = state.replica.load(now) if self._knows_load else 0.0
+        queued = max(0.0, load + 1 - slots) / slots
         failing = state.errors.value * weight * ERROR_SECONDS
         cold = COLD_SECONDS if state.is_cold else 0.0
         return own + queued * usual + failing + cold + self.way(state.hall)
--- a/src/lineworks/forwarding/tools.py
+++ b/src/lineworks/forwarding/tools.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from lineworks.decisions import extra_attempts
+    from lineworks.decisions import extra_attempts, mechanisms
     from lineworks.forwarding import gatherers, target_book, target_calls, target_state
     from lineworks.kernel import bounded_log
 
@@ -128,6 +128,9 @@
     log: bounded_log.BoundedLog
     """Takes a line for each hedge."""
 
+    without: frozenset[mechanisms.Mechanism] = frozenset()
+    """Mechanisms that are switched off."""
+
     def may_spend(self, service: str, now: float, kept: float = 0.0) -> bool:
         """Take one extra attempt at a service, or count that none was left.
 
--- a/src/lineworks/models/node_settings.py
+++ b/src/lineworks/models/node_settings.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from lineworks.decisions import mechanisms
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
@@ -58,3 +60,6 @@
 
     stop_seconds: float
     """Seconds from SIGTERM until the platform kills the process."""
+
+    without: frozenset[mechanisms.Mechanism] = frozenset()
+    """Mechanisms that are switched off, to measure what they are worth."""
--- a/src/lineworks/platform/standins/deployment.py
+++ b/src/lineworks/platform/standins/deployment.py
@@ -14,7 +14,7 @@
 
 from twisted.internet import defer, protocol
 
-from lineworks.decisions import extra_attempts
+from lineworks.decisions import extra_attempts, mechanisms
 from lineworks.forwarding import node
 from lineworks.http1 import client_connection
 from lineworks.models import node_settings
@@ -78,6 +78,8 @@
         self.targets: dict[str, http_target.HttpTarget] = {}
         self.nodes: dict[str, node.Node] = {}
         self.version = 0
+        self.without: frozenset[mechanisms.Mechanism] = frozenset()
+        """Mechanisms that instances which start from now on do without."""
         self._halls: dict[str, str] = {}
         self._attempts = 0
 
@@ -172,6 +174,7 @@
             store=node_settings.Address(STORE_ADDRESS, STORE_PORT),
             allowance=extra_attempts.Allowance(0.2, 54.0, 10.0),
             stop_seconds=6.0,
+            without=self.without,
         )
         started = node.Node(host, settings)
         defer.ensureDeferred(started.start())
--- a/src/lineworks/programs/node.py
+++ b/src/lineworks/programs/node.py
@@ -5,18 +5,24 @@
 
 from __future__ import annotations
 
+import dataclasses
 import gc
+import os
 import signal
 import socket
 import sys
 from typing import TYPE_CHECKING, Any
 
+from lineworks.decisions import mechanisms
 from lineworks.kernel import lean_imports, listening
 from lineworks.platform import settings as platform_settings
 
 if TYPE_CHECKING:
     from lineworks.models import node_settings
 
+WITHOUT_VARIABLE = "LINEWORKS_WITHOUT"
+"""Environment variable with the names of mechanisms to switch off, separated by commas."""
+
 EXIT_SETTINGS = 2
 """The settings can't be used."""
 
@@ -41,13 +47,22 @@
     # What is imported stays, so looking for garbage among it is lost time.
     gc.disable()
     try:
-        settings = platform_settings.load()
+        settings = _load_settings()
         callers = _open_callers(settings)
     except (platform_settings.SettingsError, OSError) as error:
         return _fail_early(error)
     return _run(settings, callers)
 
 
+def _load_settings() -> node_settings.NodeSettings:
+    """Read the platform's file, and what is switched off for this process."""
+    try:
+        without = mechanisms.parse(os.environ.get(WITHOUT_VARIABLE, ""))
+    except mechanisms.UnknownMechanismError as error:
+        raise platform_settings.SettingsError(f"{WITHOUT_VARIABLE}: {error}") from error
+    return dataclasses.replace(platform_settings.load(), without=without)
+
+
 def _open_callers(settings: node_settings.NodeSettings) -> socket.socket:
     """Let callers connect while the rest is imported."""
     return listening.open_port(settings.callers.host, settings.callers.port)
--- a/src/lineworks/services/peer_link.py
+++ b/src/lineworks/services/peer_link.py
@@ -52,7 +52,7 @@
         self._links = links
         self.is_dialler = is_dialler
         self._nonce = os.urandom(_NONCE_BYTES)
-        self._deflater = deflate.Deflater()
+        self._deflater = deflate.Deflater(deflate.LEVEL if links.compresses else deflate.STORED)
         self._inflater = deflate.Inflater(codec.MAX_FRAME)
         self._is_dead = False
         self.hello: frames.Hello | None = None
--- a/src/lineworks/services/peer_links.py
+++ b/src/lineworks/services/peer_links.py
@@ -71,6 +71,8 @@
         self._timer: Any = None
         self._is_stopped = False
         self.heartbeat_seconds = HEARTBEAT_SECONDS
+        self.compresses = True
+        """Whether frames that are sent are compressed."""
         self.on_closed_by: list[Callable[[str], None]] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self.make_heartbeat: Callable[[], frames.Heartbeat] = lambda: frames.Heartbeat(False, 0, "")
--- a/src/lineworks/wire/deflate.py
+++ b/src/lineworks/wire/deflate.py
@@ -14,6 +14,9 @@
 LEVEL = 4
 """Level of compression: higher ones find hardly more in frames of some hundred bytes."""
 
+STORED = 0
+"""Level without compression; the receiving side needs not know."""
+
 WINDOW_BITS = 13
 """History of 8 KB: some tens of frames. Larger ones cost memory for each link."""
 
@@ -26,8 +29,13 @@
 class Deflater:
     """The sending side of a link."""
 
-    def __init__(self) -> None:
-        self._state = zlib.compressobj(LEVEL, zlib.DEFLATED, -WINDOW_BITS, MEMORY_LEVEL)
+    def __init__(self, level: int = LEVEL) -> None:
+        """Start without history.
+
+        Args:
+            level: Level of compression.
+        """
+        self._state = zlib.compressobj(level, zlib.DEFLATED, -WINDOW_BITS, MEMORY_LEVEL)
 
     def deflate(self, data: bytes) -> bytes:
         """Compress a frame.
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -22,8 +22,9 @@
 BILL = {**READ, "Name": "bill", "PathPrefix": "/bill/", "RouteType": "non_idempotent"}
 
 
-def build(work=lambda: 0.03):
+def build(work=lambda: 0.03, without=()):
     world = deployment.Deployment(fakes.VirtualClock())
+    world.without = frozenset(without)
     for number, shard in enumerate(SHARDS):
         halls = [hall for place, hall in enumerate(deployment.HALLS) if place != number % 3]
         for hall in halls:
