--- a/bench/trials.py
+++ b/bench/trials.py
@@ -213,7 +213,8 @@
     if flags.out:
         with open(flags.out, "a", encoding="utf-8") as file:
             for one in results:
-                file.write(json.dumps({"site": pathlib.Path(flags.site).stem, **dataclasses.asdict(one)}) + "\n")
+                row = {"site": pathlib.Path(flags.site).stem, **dataclasses.asdict(one)}
+                file.write(json.dumps(row) + "\n")
     print("\n".join(write_table(results)))
     return 0
 
