--- /dev/null
+++ b/src/lineworks/programs/_losses.py
@@ -0,0 +1,199 @@
+"""Tells from the logs of instances where requests went badly: which, where, when and why.
+
+A request that was not answered counts as lost whole, a late one nearly so, and a search without
+some of its shards by the square of the share that it covered. Only what is logged can be counted:
+lines left out for their number are told apart.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import json
+import re
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator, Sequence
+
+LATE_LOSS = 0.9
+"""Part of a request's use that is lost when it is answered after its aim: callers mostly have gone
+on by then."""
+
+MOST_ROWS = 12
+"""Rows that a table shows at most."""
+
+MOST_EXAMPLES = 3
+"""Identities of requests that a row names at most."""
+
+_IDENTITY = re.compile(r"\b[a-z]+-[0-9a-f]{4,}\b")
+_SERVICE = re.compile(r"^\S+: ")
+_PREFIX = re.compile(r"^\s*(-?\d+\.\d+)\s+(\S+)\s+\{")
+_UNKNOWN = "?"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """A request that went badly."""
+
+    identity: str
+    """The caller's identity of the try."""
+
+    route: str
+    """Its route; a question mark where none was known yet."""
+
+    hall: str
+    """Data hall of its instance."""
+
+    second: int
+    """When it ended, in seconds on the log's clock."""
+
+    reason: str
+    """Why, in a few words."""
+
+    amount: float
+    """Part of its use that was lost, from 0 to 1."""
+
+
+class LossReader:
+    """Reads logs one after the other; it remembers the halls of instances and what is left out."""
+
+    def __init__(self) -> None:
+        """Start with nothing read."""
+        self._halls: dict[str, str] = {}
+        self.left_out = 0
+        """Lines on requests that the instances left out for their number."""
+
+    def read(self, name: str, lines: Iterable[str]) -> Iterator[Loss]:
+        """Read one log.
+
+        Args:
+            name: Name of the log, which stands for the instance where a line does not name one.
+            lines: Its lines. Each may begin with a time and the name of an instance; what is no
+                log line is passed over.
+
+        Yields:
+            Requests that went badly.
+        """
+        for text in lines:
+            fields = _fields(text)
+            if fields is None:
+                continue
+            prefix = _PREFIX.match(text)
+            instance = prefix[2] if prefix else name
+            at = float(prefix[1]) if prefix else _number(fields.get("t"))
+            found = self._take(instance, at, fields)
+            if found is not None:
+                yield found
+
+    def _take(self, instance: str, at: float, fields: dict[str, Any]) -> Loss | None:
+        event = fields.get("event")
+        if event == "started":
+            self._halls[instance] = str(fields.get("hall", _UNKNOWN))
+        elif event == "lines_left_out" and fields.get("kind") == "request":
+            self.left_out += int(_number(fields.get("count")))
+        elif event == "caller_gone":
+            return self._loss(instance, at, fields, "the caller left", 1.0)
+        elif event == "request":
+            return self._judge(instance, at, fields)
+        return None
+
+    def _judge(self, instance: str, at: float, fields: dict[str, Any]) -> Loss | None:
+        """Say what a request lost; an unknown route is no loss, since nobody owes an answer."""
+        if fields.get("status") == 404:
+            return None
+        if fields.get("status") != 200:
+            return self._loss(instance, at, fields, _why_failed(fields), 1.0)
+        aim = _number(fields.get("aim_ms"))
+        if aim and _number(fields.get("ms")) > aim:
+            return self._loss(instance, at, fields, "late", LATE_LOSS)
+        total = _number(fields.get("total"))
+        covered = _number(fields.get("covered"))
+        if covered < total:
+            amount = 1.0 - (covered / total) ** 2
+            return self._loss(instance, at, fields, _why_partial(fields), amount)
+        return None
+
+    def _loss(
+        self, instance: str, at: float, fields: dict[str, Any], reason: str, amount: float
+    ) -> Loss:
+        return Loss(
+            identity=str(fields.get("id", _UNKNOWN)),
+            route=str(fields.get("route") or _UNKNOWN),
+            hall=self._halls.get(instance, _UNKNOWN),
+            second=int(at // 1),
+            reason=reason,
+            amount=amount,
+        )
+
+
+def write(losses: Sequence[Loss], left_out: int) -> list[str]:
+    """Write tables of what was lost, the greatest first; seconds in their order.
+
+    Args:
+        losses: Requests that went badly.
+        left_out: Lines on requests that the logs leave out.
+
+    Returns:
+        Lines for a person.
+    """
+    whole = sum(loss.amount for loss in losses)
+    lines = [f"{len(losses)} requests went badly; together they lost the use of {whole:.1f}"]
+    if left_out:
+        lines.append(f"{left_out} lines on requests were left out for their number")
+    lines += _table("route", losses, lambda loss: loss.route)
+    lines += _table("hall", losses, lambda loss: loss.hall)
+    lines += _table("reason", losses, lambda loss: loss.reason)
+    lines += _table("second", losses, lambda loss: f"{loss.second:5d}", is_ordered=True)
+    return lines
+
+
+def _table(title: str, losses: Sequence[Loss], key: Any, is_ordered: bool = False) -> list[str]:
+    groups: dict[str, list[Loss]] = collections.defaultdict(list)
+    for loss in losses:
+        groups[key(loss)].append(loss)
+    ranked = sorted(groups.items(), key=lambda item: -_amount(item[1]))
+    shown = ranked[:MOST_ROWS]
+    if is_ordered:
+        shown.sort()
+    lines = ["", f"{'lost':>7} {'requests':>8}  {title}, with examples"]
+    for name, found in shown:
+        worst = sorted(found, key=lambda loss: -loss.amount)[:MOST_EXAMPLES]
+        examples = " ".join(loss.identity for loss in worst)
+        lines.append(f"{_amount(found):7.1f} {len(found):8d}  {name}: {examples}")
+    if len(ranked) > len(shown):
+        rest = [loss for _, found in ranked[MOST_ROWS:] for loss in found]
+        lines.append(f"{_amount(rest):7.1f} {len(rest):8d}  ({len(ranked) - MOST_ROWS} more)")
+    return lines
+
+
+def _amount(losses: Iterable[Loss]) -> float:
+    return sum(loss.amount for loss in losses)
+
+
+def _why_failed(fields: dict[str, Any]) -> str:
+    detail = re.sub(r"\d+", "n", _IDENTITY.sub("", str(fields.get("detail", "")))).strip()
+    return f"{fields.get('status')} {fields.get('reason')}: {detail.partition(',')[0]}"
+
+
+def _why_partial(fields: dict[str, Any]) -> str:
+    """Name what most of the missing shards waited for."""
+    missing = fields.get("missing") or [_UNKNOWN]
+    clauses = [_IDENTITY.sub("a target", _SERVICE.sub("", str(clause))) for clause in missing]
+    clause, _ = collections.Counter(clauses).most_common(1)[0]
+    return f"in part: {clause}"
+
+
+def _fields(text: str) -> dict[str, Any] | None:
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        found = json.loads(text[start:])
+    except ValueError:
+        return None
+    return found if isinstance(found, dict) else None
+
+
+def _number(value: Any) -> float:
+    return float(value) if isinstance(value, int | float) else 0.0
--- a/src/lineworks/programs/ctl.py
+++ b/src/lineworks/programs/ctl.py
@@ -21,6 +21,7 @@
     timeline ID FILE...
                    find a forwarded request in the logs of several processes, for example
                    lineworks-ctl timeline 9c41d07be2a35f68 akl-1.log wlg-1.log
+    losses FILE... tell from the logs of instances which requests went badly, where, when and why
     drain          let an instance finish its requests and stop
 
 Exit codes: 0 done; 1 failed; 2 the arguments or a file cannot be used; 3 refused, and so not
@@ -45,7 +46,7 @@
 from twisted.web import http_headers
 
 from lineworks.models import configuration
-from lineworks.programs import _common, _timeline
+from lineworks.programs import _common, _losses, _timeline
 from lineworks.services import auth
 
 if TYPE_CHECKING:
@@ -261,6 +262,7 @@
 
 
 _TIMELINE = "timeline"
+_LOSSES = "losses"
 
 
 def _show_timeline(identity: str, paths: list[str]) -> int:
@@ -277,6 +279,21 @@
     return _common.EXIT_OK if found else _common.EXIT_FAILED
 
 
+def _show_losses(paths: list[str]) -> int:
+    """Print what went badly by the logs; nothing is sent anywhere."""
+    reader = _losses.LossReader()
+    found: list[_losses.Loss] = []
+    for path in paths:
+        try:
+            with open(path, encoding="utf-8", errors="replace") as lines:
+                found += reader.read(pathlib.Path(path).stem, lines)
+        except OSError as error:
+            return _common.fail(f"{path}: {error.strerror}")
+    for line in _losses.write(found, reader.left_out):
+        print(line)
+    return _common.EXIT_OK
+
+
 async def _execute(reactor: Any, arguments: list[str], secret: bytes) -> int:
     client = Client(reactor, _ENTRY.value, secret)
     command = arguments[0]
@@ -292,11 +309,13 @@
 
 def _check_arguments(arguments: list[str]) -> str | None:
     """Say what is wrong with the arguments, or None."""
-    known = sorted((*_PLAIN, *_WITH_ARGUMENT, _TIMELINE))
+    known = sorted((*_PLAIN, *_WITH_ARGUMENT, _TIMELINE, _LOSSES))
     if not arguments or arguments[0] not in known:
         return f"give a command: {', '.join(known)} (see --help)"
     if arguments[0] == _TIMELINE:
         return None if len(arguments) > 2 else "timeline takes an identity and at least one file"
+    if arguments[0] == _LOSSES:
+        return None if len(arguments) > 1 else "losses takes at least one file"
     wanted = 1 if arguments[0] in _PLAIN else 2
     if len(arguments) != wanted:
         return f"{arguments[0]} takes {wanted - 1} argument{'' if wanted == 2 else 's'}"
@@ -317,6 +336,8 @@
         return _common.fail(problem)
     if argv[1] == _TIMELINE:
         return _show_timeline(argv[2], argv[3:])
+    if argv[1] == _LOSSES:
+        return _show_losses(argv[2:])
     secret = b""
     if argv[1] != "validate":
         if _SECRET_FILE.value is None:
--- /dev/null
+++ b/tests/test_losses.py
@@ -0,0 +1,88 @@
+"""What the command line tells of requests that went badly, from logs alone."""
+
+from __future__ import annotations
+
+import json
+
+from lineworks.programs import _losses, ctl
+
+STARTED = {"event": "started", "name": "a1", "hall": "akl", "t": 1.0}
+
+
+def request(identity, **fields):
+    usual = {
+        "event": "request",
+        "id": identity,
+        "route": "sweep",
+        "status": 200,
+        "ms": 50.0,
+        "aim_ms": 200.0,
+        "covered": 10,
+        "total": 10,
+        "t": 5.5,
+    }
+    return {**usual, **fields}
+
+
+def read(*rows, prefix=""):
+    reader = _losses.LossReader()
+    lines = [f"{prefix}{json.dumps(row)}\n" for row in rows]
+    return list(reader.read("a1", lines)), reader
+
+
+def test_good_requests_and_unknown_routes_lose_nothing():
+    found, _ = read(STARTED, request("q1"), request("q2", status=404, route=None))
+    assert found == []
+
+
+def test_what_is_lost_by_failure_lateness_and_missing_shards():
+    found, _ = read(
+        STARTED,
+        request("q1", status=503, reason="no_replica", detail="3 of 20 shards have a target"),
+        request("q2", ms=201.0),
+        request("q3", covered=9, missing=["s01: waiting for i-7f3a91c2 after 1 sent"]),
+    )
+    assert [(loss.identity, round(loss.amount, 2)) for loss in found] == [
+        ("q1", 1.0),
+        ("q2", 0.9),
+        ("q3", 0.19),
+    ]
+    assert found[0].reason == "503 no_replica: n of n shards have a target"
+    assert found[2].reason == "in part: waiting for a target after 1 sent"
+    assert {loss.hall for loss in found} == {"akl"}
+    assert {loss.second for loss in found} == {5}
+
+
+def test_a_caller_that_left_counts_whole():
+    found, _ = read({"event": "caller_gone", "id": "q1", "route": "sweep", "ms": 400.0, "t": 7.0})
+    assert found[0].amount == 1.0
+    assert found[0].hall == "?"
+
+
+def test_lines_may_begin_with_time_and_instance():
+    found, _ = read(STARTED, request("q1", ms=300.0), prefix="  35.8153 b7 ")
+    assert (found[0].second, found[0].hall) == (35, "akl")
+
+
+def test_lines_that_are_none_are_passed_over_and_those_left_out_are_counted():
+    reader = _losses.LossReader()
+    lines = ["no json\n", "{broken\n", "[1]\n"]
+    lines.append(json.dumps({"event": "lines_left_out", "kind": "request", "count": 4}))
+    assert list(reader.read("a1", lines)) == []
+    assert reader.left_out == 4
+
+
+def test_the_command_prints_tables_with_examples(tmp_path, capsys):
+    log = tmp_path / "a1.log"
+    rows = [STARTED, request("q1", ms=300.0), request("q2", status=502, reason="link_lost")]
+    log.write_text("\n".join(json.dumps(row) for row in rows))
+    assert ctl.main(["ctl", "losses", str(log)]) == 0
+    printed = capsys.readouterr().out
+    assert printed.startswith("2 requests went badly; together they lost the use of 1.9")
+    assert "akl: q2 q1" in printed
+    assert "502 link_lost" in printed
+
+
+def test_the_command_needs_files_that_exist():
+    assert ctl.main(["ctl", "losses"]) == 2
+    assert ctl.main(["ctl", "losses", "nowhere.log"]) == 2
