Open connections that went silent are dropped, and silent gatherers passed over until heard of

Cause: when all open connections went silent without a reset, first attempts and hedges of searches both went over kept connections and silent links.

Four targets that owe answers over kept connections, while none answers over any, are evidence enough to close the idle ones and to go past all gatherers until they are heard of.

--- a/src/lineworks/forwarding/gatherers.py
+++ b/src/lineworks/forwarding/gatherers.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import itertools
+import math
 from typing import TYPE_CHECKING, Any
 
 from lineworks.forwarding import messages
@@ -25,6 +26,8 @@
 
     open: int = 0
     waiting_since: float = 0.0
+    silent_at: float = -math.inf
+    """When it was last known to be silent; it is passed over until it is heard of again."""
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -91,6 +94,12 @@
         else:
             self._leaving.discard(peer)
 
+    def distrust_all(self) -> None:
+        """Pass all gatherers over until they are heard of: open connections went silent."""
+        now = self._reactor.seconds()
+        for name in self._links.up:
+            self._peer(name).silent_at = now
+
     def next_number(self) -> int:
         """Number a query."""
         return next(self._numbers)
@@ -133,7 +142,12 @@
         order = self._orders.pop(number, None)
         if order is None:
             return
-        self._peer(order.peer).open -= 1
+        peer = self._peer(order.peer)
+        link = self._links.up.get(order.peer)
+        now = self._reactor.seconds()
+        if link is not None and self._is_silent(order.peer, link, now):
+            peer.silent_at = now
+        peer.open -= 1
         if shards:
             self._links.send(order.peer, messages.GatherCancel(number, ()))
 
@@ -156,6 +170,8 @@
 
     def _is_silent(self, name: str, link: Any, now: float) -> bool:
         peer = self._peer(name)
+        if link.heard_at < peer.silent_at:
+            return True
         if not peer.open:
             return False
         return now - max(link.heard_at, peer.waiting_since) > SILENCE
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -185,6 +185,7 @@
         self._directory.on_table = self._on_table
         self._directory.on_targets = self._on_targets
         self._directory.on_instances = self._registration.on_changes
+        self._calls.on_silence = self._gatherers.distrust_all
         links = self._links
         links.handle(messages.GatherQuery, self._on_query)
         links.handle(messages.GatherCancel, self._on_cancel)
--- a/src/lineworks/forwarding/target_calls.py
+++ b/src/lineworks/forwarding/target_calls.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING, Any
 
+import structlog
 from twisted.internet import protocol
 
 from lineworks.decisions import ownership, verdict
@@ -28,10 +30,23 @@
 UNREPEATABLE_IDLE_SHARE = 0.5
 """Part of a target's idle time after which its connection gets no unrepeatable request."""
 
+SILENT_TARGETS = 4
+"""Targets that do not answer over kept connections, while none does, from which on these are taken
+to be silent for good. Pauses and slow targets rarely meet in so many without one that answers."""
+
+SILENT_FACTOR = 1.5
+"""Usual service times after which a target counts as one that does not answer."""
+
+SILENT_FLOOR = 0.04
+"""Seconds that an answer may always take: two ways between regions."""
+
 SWEEP_SECONDS = 1.0
 """Seconds between looks for connections that were idle too long."""
 
 
+_log = structlog.get_logger(component="target_calls")
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetCall:
     """A request as every target gets it."""
@@ -73,6 +88,7 @@
     started: float
     connection: client_connection.ClientConnection | None = None
     connector: Any = None
+    is_kept: bool = False
 
 
 class TargetCalls:
@@ -89,8 +105,12 @@
         self._learning = learning
         self._pools: dict[str, _connection_pool.ConnectionPool] = {}
         self._timer: Any = None
+        self._kept: dict[_Exchange, None] = {}
+        self._heard_from = -math.inf
         self.opened = 0
         """Connections opened so far."""
+        self.on_silence: Callable[[], None] = lambda: None
+        """Called when open connections are found silent."""
 
     def start(self) -> None:
         """Begin to look for connections that were idle too long."""
@@ -130,12 +150,16 @@
             A function that cancels the call and what the target does for it.
         """
         now = self._reactor.seconds()
+        if self._are_kept_silent(now):
+            self._drop_kept(now)
         exchange = _Exchange(state, call, on_end, now)
         state.replica.on_started(now)
         pool = self._pool(state)
         share = 1.0 if call.is_repeatable else UNREPEATABLE_IDLE_SHARE
         connection = pool.take(now, share)
         if connection is not None:
+            exchange.is_kept = True
+            self._kept[exchange] = None
             self._send_on(exchange, connection)
         elif pool.has_room:
             self._connect(pool, exchange)
@@ -143,6 +167,26 @@
             self._reactor.callLater(0, self._on_capped, exchange)
         return lambda: self._cancel(exchange)
 
+    def _are_kept_silent(self, now: float) -> bool:
+        """Say whether several targets owe answers over kept connections, and none gives any."""
+        silent = set()
+        for exchange in self._kept:
+            if now - exchange.started <= SILENT_FLOOR:
+                break
+            usual = self._learning.usual(exchange.state)
+            is_late = now - exchange.started > SILENT_FACTOR * usual
+            if is_late and exchange.started > self._heard_from:
+                silent.add(exchange.state.id)
+        return len(silent) >= SILENT_TARGETS
+
+    def _drop_kept(self, now: float) -> None:
+        """Close all idle connections, so that what is sent from now on goes over new ones."""
+        _log.warning("connections_silent", under_way=len(self._kept))
+        self._heard_from = now
+        for pool in self._pools.values():
+            pool.close_idle()
+        self.on_silence()
+
     def _pool(self, state: target_state.TargetState) -> _connection_pool.ConnectionPool:
         pool = self._pools.get(state.id)
         if pool is None:
@@ -212,6 +256,8 @@
     ) -> None:
         connection = exchange.connection
         exchange.connection = None
+        if self._kept.pop(exchange, exchange) is None:
+            self._heard_from = max(self._heard_from, exchange.started)
         if isinstance(end, client_connection.Broken):
             found = verdict.may_have_run(verdict.Reason.LINK_LOST, end.detail)
             self._end(exchange, CallEnd(found), is_progress=False)
@@ -245,6 +291,7 @@
         if exchange.on_end is None:
             return
         exchange.on_end = None
+        self._kept.pop(exchange, None)
         now = self._reactor.seconds()
         exchange.state.replica.on_ended(now, is_progress=False)
         self._learning.on_given_up(exchange.state, now, now - exchange.started)
--- a/src/lineworks/forwarding/target_learning.py
+++ b/src/lineworks/forwarding/target_learning.py
@@ -47,6 +47,10 @@
         """Log lines left out since the start."""
         return self._log.left_out_in_all
 
+    def usual(self, state: target_state.TargetState) -> float:
+        """Tell how long targets of its service usually take, in seconds; 0 when unknown."""
+        return self._book.service_time(state.replica.target.service)
+
     def on_end(
         self,
         state: target_state.TargetState,
