--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -12,9 +12,10 @@
 import structlog
 
 from lineworks.decisions import ownership, routes, target_view
-from lineworks.forwarding import messages, target_documents
+from lineworks.forwarding import target_documents
 from lineworks.kernel import task
 from lineworks.platform import configuration, store, target_entries
+from lineworks.wire import node_frames
 
 if TYPE_CHECKING:
     import random
@@ -101,9 +102,9 @@
         self.on_table: Callable[[routes.RouteTable], None] = lambda table: None
         self.on_targets: Callable[[], None] = lambda: None
         self.on_instances: Callable[[Sequence[store.Change]], None] = lambda rows: None
-        links.handle(messages.TargetUpdate, self._on_target_update)
-        links.handle(messages.TableUpdate, self._on_table_update)
-        links.handle(messages.TablePull, self._on_pull)
+        links.handle(node_frames.TargetUpdate, self._on_target_update)
+        links.handle(node_frames.TableUpdate, self._on_table_update)
+        links.handle(node_frames.TablePull, self._on_pull)
         links.on_up.append(self._on_up)
 
     @property
@@ -151,7 +152,7 @@
         """Ask a peer for what it has, when the store and the own hall did not bring it in time."""
         now = self._reactor.seconds()
         if self._ahead is not None and now - self._ahead_since >= BEHIND_SECONDS:
-            self._links.send(self._ahead, messages.TablePull(self.version))
+            self._links.send(self._ahead, node_frames.TablePull(self.version))
             self._ahead = None
 
     async def _run(self) -> None:
@@ -263,7 +264,7 @@
         self._ahead = None
         self._document = document
         self.on_table(table)
-        update = messages.TableUpdate(table.version, document)
+        update = node_frames.TableUpdate(table.version, document)
         for name in self._hall_peers():
             self._links.send(name, update)
 
@@ -275,13 +276,13 @@
         ]
 
     def _tell_peers(self, before: int, news: list[target_view.TargetChange]) -> None:
-        update = messages.TargetUpdate(
+        update = node_frames.TargetUpdate(
             before, self._view.revision, max(0.0, self.age), target_documents.encode(news)
         )
         for name in self._hall_peers():
             self._links.send(name, update)
 
-    def _on_target_update(self, link: Any, frame: messages.TargetUpdate) -> None:
+    def _on_target_update(self, link: Any, frame: node_frames.TargetUpdate) -> None:
         """Take in what a peer read from the store."""
         if frame.from_revision > self._view.revision:
             return
@@ -301,26 +302,28 @@
         if is_changed:
             self.on_targets()
 
-    def _on_table_update(self, link: Any, frame: messages.TableUpdate) -> None:
+    def _on_table_update(self, link: Any, frame: node_frames.TableUpdate) -> None:
         if frame.version > self.version:
             self._take_table(frame.document)
 
-    def _on_pull(self, link: Any, frame: messages.TablePull) -> None:
+    def _on_pull(self, link: Any, frame: node_frames.TablePull) -> None:
         """Give a peer what it lacks."""
         if self._table is not None and self.version > frame.version:
-            link.send(messages.TableUpdate(self.version, self._document))
+            link.send(node_frames.TableUpdate(self.version, self._document))
         if frame.version == 0 and self._has_targets:
             document = target_documents.encode(self._view.all_changes())
-            link.send(messages.TargetUpdate(0, self._view.revision, max(0.0, self.age), document))
+            link.send(
+                node_frames.TargetUpdate(0, self._view.revision, max(0.0, self.age), document)
+            )
 
     def _on_up(self, hello: frames.Hello) -> None:
         """Ask a peer for everything while nothing is known and the store does not answer."""
         if not self.is_complete and self._failures:
-            self._links.send(hello.name, messages.TablePull(0))
+            self._links.send(hello.name, node_frames.TablePull(0))
 
     def _ask_peers(self) -> None:
         for name in list(self._links.up)[:1]:
-            self._links.send(name, messages.TablePull(0))
+            self._links.send(name, node_frames.TablePull(0))
 
     def _hold(self) -> float:
         """Tell until when missing entries prove nothing; 0 outside an outage."""
--- a/src/lineworks/forwarding/gatherers.py
+++ b/src/lineworks/forwarding/gatherers.py
@@ -7,7 +7,7 @@
 import math
 from typing import TYPE_CHECKING, Any
 
-from lineworks.forwarding import messages
+from lineworks.wire import node_frames
 
 if TYPE_CHECKING:
     import random
@@ -35,7 +35,7 @@
     """A query sent to a gatherer."""
 
     peer: str
-    on_parts: Callable[[messages.GatherParts], None]
+    on_parts: Callable[[node_frames.GatherParts], None]
     on_lost: Callable[[], None]
 
 
@@ -57,7 +57,7 @@
         self._orders: dict[int, _Order] = {}
         self._peers: dict[str, _Peer] = {}
         self._leaving: set[str] = set()
-        links.handle(messages.GatherParts, self._on_parts)
+        links.handle(node_frames.GatherParts, self._on_parts)
         links.on_down.append(self._on_down)
 
     def choose(self, hall: str) -> str | None:
@@ -107,8 +107,8 @@
     def send(
         self,
         peer: str,
-        query: messages.GatherQuery,
-        on_parts: Callable[[messages.GatherParts], None],
+        query: node_frames.GatherQuery,
+        on_parts: Callable[[node_frames.GatherParts], None],
         on_lost: Callable[[], None],
     ) -> bool:
         """Send a query.
@@ -149,7 +149,7 @@
             peer.silent_at = now
         peer.open -= 1
         if shards:
-            self._links.send(order.peer, messages.GatherCancel(number, ()))
+            self._links.send(order.peer, node_frames.GatherCancel(number, ()))
 
     def cancel(self, number: int, shards: tuple[int, ...]) -> None:
         """Give up some shards of a query.
@@ -160,7 +160,7 @@
         """
         order = self._orders.get(number)
         if order is not None and shards:
-            self._links.send(order.peer, messages.GatherCancel(number, shards))
+            self._links.send(order.peer, node_frames.GatherCancel(number, shards))
 
     def _peer(self, name: str) -> _Peer:
         peer = self._peers.get(name)
@@ -176,7 +176,7 @@
             return False
         return now - max(link.heard_at, peer.waiting_since) > SILENCE
 
-    def _on_parts(self, link: Any, frame: messages.GatherParts) -> None:
+    def _on_parts(self, link: Any, frame: node_frames.GatherParts) -> None:
         order = self._orders.get(frame.number)
         if order is not None and link.hello is not None and order.peer == link.hello.name:
             order.on_parts(frame)
--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -14,9 +14,10 @@
 from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import mechanisms, parts, verdict
-from lineworks.forwarding import answers, messages, target_calls
+from lineworks.forwarding import answers, target_calls
 from lineworks.kernel import bounded_log
 from lineworks.platform import headers
+from lineworks.wire import node_frames
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -30,9 +31,9 @@
 """Log lines a second for attempts that failed."""
 
 _FAILURES = {
-    verdict.Certainty.NOT_RUN: messages.Failure.NOT_RUN,
-    verdict.Certainty.MAY_HAVE_RUN: messages.Failure.MAY_HAVE_RUN,
-    verdict.Certainty.RAN: messages.Failure.RAN,
+    verdict.Certainty.NOT_RUN: node_frames.Failure.NOT_RUN,
+    verdict.Certainty.MAY_HAVE_RUN: node_frames.Failure.MAY_HAVE_RUN,
+    verdict.Certainty.RAN: node_frames.Failure.RAN,
 }
 
 
@@ -41,11 +42,11 @@
     """A query under way."""
 
     origin: str
-    query: messages.GatherQuery
-    reply: Callable[[messages.GatherParts], None]
+    query: node_frames.GatherQuery
+    reply: Callable[[node_frames.GatherParts], None]
     running: dict[int, Callable[[], None]] = dataclasses.field(default_factory=dict)
     ready: list[parts.Part] = dataclasses.field(default_factory=list)
-    failed: dict[int, messages.Failure] = dataclasses.field(default_factory=dict)
+    failed: dict[int, node_frames.Failure] = dataclasses.field(default_factory=dict)
     is_merging: bool = True
     flush: Any = None
     timeout: Any = None
@@ -90,8 +91,8 @@
     def on_query(
         self,
         origin: str,
-        query: messages.GatherQuery,
-        reply: Callable[[messages.GatherParts], None],
+        query: node_frames.GatherQuery,
+        reply: Callable[[node_frames.GatherParts], None],
     ) -> None:
         """Ask the targets of a query's shards.
 
@@ -110,7 +111,7 @@
         for shard, service in enumerate(query.services):
             state = self._book.choose_in(self._hall, service, now, not job.is_merging)
             if state is None:
-                job.failed[shard] = messages.Failure.NOT_SENT
+                job.failed[shard] = node_frames.Failure.NOT_SENT
                 detail = self._book.describe(service, now)
                 self._note_failure(
                     query, service, verdict.not_run(verdict.Reason.NO_REPLICA, detail)
@@ -128,7 +129,7 @@
         else:
             self._close(key)
 
-    def on_cancel(self, origin: str, cancel: messages.GatherCancel) -> None:
+    def on_cancel(self, origin: str, cancel: node_frames.GatherCancel) -> None:
         """Give up shards that the front has no more use for.
 
         Args:
@@ -167,7 +168,7 @@
             job.ready.append(parts.Part(frozenset((shard,)), (stamp,), top))
         else:
             is_sent = answers.was_sent(end.verdict)
-            failure = _FAILURES[end.verdict.certainty] if is_sent else messages.Failure.NOT_SENT
+            failure = _FAILURES[end.verdict.certainty] if is_sent else node_frames.Failure.NOT_SENT
             job.failed[shard] = failure
             self._note_failure(job.query, job.query.services[shard], end.verdict)
         if not job.running:
@@ -178,7 +179,7 @@
             job.flush = self._reactor.callLater(COALESCE_SECONDS, self._on_flush, key)
 
     def _note_failure(
-        self, query: messages.GatherQuery, service: str, found: verdict.Verdict
+        self, query: node_frames.GatherQuery, service: str, found: verdict.Verdict
     ) -> None:
         self._log.info(
             "gather_failed",
@@ -216,7 +217,7 @@
                 job.first = tuple(found[0])
         failed, job.failed = job.failed, {}
         job.reply(
-            messages.GatherParts(
+            node_frames.GatherParts(
                 job.query.number,
                 tuple(shard for part in ready for shard in part.shards),
                 tuple(stamp for part in ready for stamp in part.stamps),
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -16,7 +16,6 @@
     front,
     gatherers,
     gathering,
-    messages,
     metrics,
     registration,
     request_log,
@@ -30,7 +29,7 @@
 from lineworks.models import node_settings
 from lineworks.platform import headers, store
 from lineworks.services import peer_links
-from lineworks.wire import frames
+from lineworks.wire import frames, node_frames
 
 if TYPE_CHECKING:
     import socket
@@ -187,8 +186,8 @@
         self._directory.on_instances = self._registration.on_changes
         self._calls.on_silence = self._gatherers.distrust_all
         links = self._links
-        links.handle(messages.GatherQuery, self._on_query)
-        links.handle(messages.GatherCancel, self._on_cancel)
+        links.handle(node_frames.GatherQuery, self._on_query)
+        links.handle(node_frames.GatherCancel, self._on_cancel)
         links.on_up.append(lambda hello: self._count_instances())
         links.on_down.append(lambda name: self._count_instances())
         links.on_closed_by.append(self._gatherer.on_origin_lost)
@@ -246,10 +245,10 @@
                 _log.info(kind, count=len(named), targets=named[:MOST_NAMED], view_age=age)
         self._go_on_if_complete()
 
-    def _on_query(self, link: Any, query: messages.GatherQuery) -> None:
+    def _on_query(self, link: Any, query: node_frames.GatherQuery) -> None:
         self._gatherer.on_query(link.hello.incarnation, query, link.send)
 
-    def _on_cancel(self, link: Any, cancel: messages.GatherCancel) -> None:
+    def _on_cancel(self, link: Any, cancel: node_frames.GatherCancel) -> None:
         self._gatherer.on_cancel(link.hello.incarnation, cancel)
 
     def _heartbeat(self) -> frames.Heartbeat:
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -11,13 +11,13 @@
 from lineworks.decisions import mechanisms, parts, verdict
 from lineworks.forwarding import (
     answers,
-    messages,
     search_state,
     target_book,
     target_calls,
     target_state,
 )
 from lineworks.platform import headers
+from lineworks.wire import node_frames
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
@@ -133,7 +133,7 @@
         way = shared.book.round_trip(hall)
         without_floor = mechanisms.Mechanism.HEDGE_FLOOR in shared.without
         number = shared.gatherers.next_number()
-        query = messages.GatherQuery(
+        query = node_frames.GatherQuery(
             number=number,
             services=tuple(self._shards[index].service for index in chosen),
             head=self._call.head,
@@ -199,7 +199,7 @@
         stamp = headers.read_stamp(end.response.headers)
         self._take(parts.Part(frozenset((attempt.shard,)), (stamp,), top), (attempt,))
 
-    def _on_parts(self, number: int, frame: messages.GatherParts) -> None:
+    def _on_parts(self, number: int, frame: node_frames.GatherParts) -> None:
         """Take in what a gatherer sent."""
         tries = self._queries.get(number)
         if tries is None or self._is_over:
@@ -243,14 +243,14 @@
         self._record(attempt)
 
     def _on_remote_failure(
-        self, attempt: search_state.Try, failure: messages.Failure, now: float
+        self, attempt: search_state.Try, failure: node_frames.Failure, now: float
     ) -> None:
         shard = self._shards[attempt.shard]
         if attempt not in shard.running:
             return
         shard.running.remove(attempt)
         self._close_query_if_over(attempt.query)
-        if failure is messages.Failure.NOT_SENT:
+        if failure is node_frames.Failure.NOT_SENT:
             self._note_unsent(shard)
             attempt.state.replica.rest_until = max(
                 attempt.state.replica.rest_until, now + NO_ROOM_REST
--- a/src/lineworks/forwarding/search_state.py
+++ b/src/lineworks/forwarding/search_state.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from lineworks.decisions import parts, verdict
-from lineworks.forwarding import messages
+from lineworks.wire import node_frames
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -127,7 +127,7 @@
 
 
 def read_parts(
-    tries: Sequence[Try], frame: messages.GatherParts
+    tries: Sequence[Try], frame: node_frames.GatherParts
 ) -> list[tuple[parts.Part, list[Try]]]:
     """Read what a gatherer has of the shards of a query.
 
@@ -155,7 +155,7 @@
     return found
 
 
-def remote_verdict(failure: messages.Failure) -> verdict.Verdict:
+def remote_verdict(failure: node_frames.Failure) -> verdict.Verdict:
     """Say what a gatherer's failure means for the shard.
 
     Args:
@@ -164,10 +164,10 @@
     Returns:
         The verdict of the attempt.
     """
-    if failure is messages.Failure.NOT_SENT:
+    if failure is node_frames.Failure.NOT_SENT:
         return verdict.not_run(verdict.Reason.UNREACHABLE, "no target of the hall has room")
-    if failure is messages.Failure.NOT_RUN:
+    if failure is node_frames.Failure.NOT_RUN:
         return verdict.not_run(verdict.Reason.OVERLOADED, "no target of the hall ran it")
-    if failure is messages.Failure.RAN:
+    if failure is node_frames.Failure.RAN:
         return verdict.ran(verdict.Reason.FAILED, "a target of the hall failed")
     return verdict.may_have_run(verdict.Reason.LINK_LOST, "a target of the hall broke off")
--- a/src/lineworks/services/peer_link.py
+++ b/src/lineworks/services/peer_link.py
@@ -5,7 +5,7 @@
 import hashlib
 import hmac
 import os
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 import structlog
 from twisted.protocols import basic
@@ -13,7 +13,7 @@
 from lineworks.wire import codec, deflate, frames
 
 if TYPE_CHECKING:
-    from lineworks.services import peer_links
+    import collections
 
 _NONCE_BYTES = 16
 _log = structlog.get_logger(component="peer_links")
@@ -36,23 +36,52 @@
     return hmac.new(secret, nonce + text, hashlib.sha256).digest()
 
 
+class LinkOwner(Protocol):
+    """What a link needs of the instance that it belongs to."""
+
+    compresses: bool
+    """Whether frames that are sent are compressed."""
+
+    counts: collections.Counter[str]
+    """Links closed, by reason."""
+
+    @property
+    def now(self) -> float:
+        """The present, in seconds."""
+
+    def make_hello(self, nonce: bytes) -> frames.Hello:
+        """Answer a challenge."""
+
+    def is_genuine(self, hello: frames.Hello, nonce: bytes) -> bool:
+        """Check a hello against the challenge that was sent."""
+
+    def on_opened(self, link: PeerLink) -> None:
+        """Take a proven link into use."""
+
+    def on_frame(self, link: PeerLink, frame: frames.Frame) -> None:
+        """Take a frame in."""
+
+    def on_closed(self, link: PeerLink) -> None:
+        """Note that a link is gone."""
+
+
 class PeerLink(basic.Int32StringReceiver):
     """One end of a link."""
 
     MAX_LENGTH = codec.MAX_FRAME
     transport: Any
 
-    def __init__(self, links: peer_links.PeerLinks, is_dialler: bool = False) -> None:
+    def __init__(self, owner: LinkOwner, is_dialler: bool = False) -> None:
         """Make an end that is not connected yet.
 
         Args:
-            links: The links of this instance.
+            owner: The instance's links.
             is_dialler: Whether this end opened the connection.
         """
-        self._links = links
+        self._owner = owner
         self.is_dialler = is_dialler
         self._nonce = os.urandom(_NONCE_BYTES)
-        self._deflater = deflate.Deflater(deflate.LEVEL if links.compresses else deflate.STORED)
+        self._deflater = deflate.Deflater(deflate.LEVEL if owner.compresses else deflate.STORED)
         self._inflater = deflate.Inflater(codec.MAX_FRAME)
         self._is_dead = False
         self.hello: frames.Hello | None = None
@@ -61,7 +90,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Challenge the other side."""
         self.transport.setTcpNoDelay(True)
-        self.heard_at = self._links.now
+        self.heard_at = self._owner.now
         self.send(frames.Challenge(self._nonce))
 
     def send(self, frame: frames.Frame) -> None:
@@ -70,7 +99,7 @@
         Args:
             frame: The frame.
         """
-        self.sendString(self._deflater.deflate(codec.encode(frame, self._links.now)))
+        self.sendString(self._deflater.deflate(codec.encode(frame, self._owner.now)))
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Take in one frame.
@@ -80,7 +109,7 @@
         """
         if self._is_dead:
             return
-        self.heard_at = self._links.now
+        self.heard_at = self._owner.now
         try:
             frame = codec.decode(self._inflater.inflate(string), self.heard_at)
         except codec.MalformedFrameError as error:
@@ -89,7 +118,7 @@
         if self.hello is None:
             self._on_handshake(frame)
         else:
-            self._links.on_frame(self, frame)
+            self._owner.on_frame(self, frame)
 
     def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
         """Close the link, because a frame is too long.
@@ -106,7 +135,7 @@
             reason: Why, by Twisted.
         """
         self._is_dead = True
-        self._links.on_closed(self)
+        self._owner.on_closed(self)
 
     def close(self, reason: str) -> None:
         """Close the link.
@@ -119,17 +148,17 @@
         self._is_dead = True
         name = self.hello.name if self.hello else None
         _log.warning("link_closed", peer=name, reason=reason)
-        self._links.counts[f"closed:{reason.partition(':')[0]}"] += 1
+        self._owner.counts[f"closed:{reason.partition(':')[0]}"] += 1
         self.transport.abortConnection()
 
     def _on_handshake(self, frame: frames.Frame) -> None:
         if isinstance(frame, frames.Challenge):
-            self.send(self._links.make_hello(frame.nonce))
+            self.send(self._owner.make_hello(frame.nonce))
         elif isinstance(frame, frames.Hello):
-            if not self._links.is_genuine(frame, self._nonce):
+            if not self._owner.is_genuine(frame, self._nonce):
                 self.close("refused: the signature is wrong")
                 return
             self.hello = frame
-            self._links.on_opened(self)
+            self._owner.on_opened(self)
         else:
             self.close(f"refused: {type(frame).__name__} before hello")
--- a/src/lineworks/wire/_gather_codec.py
+++ b/src/lineworks/wire/_gather_codec.py
@@ -4,16 +4,15 @@
 
 from typing import TYPE_CHECKING, Any
 
-from lineworks.forwarding import messages
-from lineworks.wire import _base
+from lineworks.wire import _base, node_frames
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-_FAILURES = tuple(messages.Failure)
+_FAILURES = tuple(node_frames.Failure)
 
 
-def _write_query(builder: Any, frame: messages.GatherQuery, now: float) -> None:
+def _write_query(builder: Any, frame: node_frames.GatherQuery, now: float) -> None:
     body = builder.init("gatherQuery")
     body.number = frame.number
     body.services = list(frame.services)
@@ -26,11 +25,11 @@
     body.flushIn = _base.remaining(frame.flush_at, now)
 
 
-def _read_query(body: Any, now: float) -> messages.GatherQuery:
+def _read_query(body: Any, now: float) -> node_frames.GatherQuery:
     services = tuple(body.services)
     if not services:
         raise _base.MalformedFrameError("a query without shards")
-    return messages.GatherQuery(
+    return node_frames.GatherQuery(
         number=body.number,
         services=services,
         head=bytes(body.head),
@@ -43,7 +42,7 @@
     )
 
 
-def _write_parts(builder: Any, frame: messages.GatherParts, now: float) -> None:
+def _write_parts(builder: Any, frame: node_frames.GatherParts, now: float) -> None:
     body = builder.init("gatherParts")
     body.number = frame.number
     body.shards = list(frame.shards)
@@ -54,7 +53,7 @@
     body.counts = list(frame.counts)
 
 
-def _read_parts(body: Any, now: float) -> messages.GatherParts:
+def _read_parts(body: Any, now: float) -> node_frames.GatherParts:
     shards, stamps = tuple(body.shards), tuple(body.stamps)
     failed, failures = tuple(body.failed), tuple(body.failures)
     counts = tuple(body.counts)
@@ -62,7 +61,7 @@
         raise _base.MalformedFrameError("columns of different lengths")
     if counts and len(counts) != len(shards):
         raise _base.MalformedFrameError("columns of different lengths")
-    return messages.GatherParts(
+    return node_frames.GatherParts(
         body.number,
         shards,
         stamps,
@@ -73,17 +72,17 @@
     )
 
 
-def _write_cancel(builder: Any, frame: messages.GatherCancel, now: float) -> None:
+def _write_cancel(builder: Any, frame: node_frames.GatherCancel, now: float) -> None:
     body = builder.init("gatherCancel")
     body.number = frame.number
     body.shards = list(frame.shards)
 
 
-def _read_cancel(body: Any, now: float) -> messages.GatherCancel:
-    return messages.GatherCancel(body.number, tuple(body.shards))
+def _read_cancel(body: Any, now: float) -> node_frames.GatherCancel:
+    return node_frames.GatherCancel(body.number, tuple(body.shards))
 
 
-def _write_targets(builder: Any, frame: messages.TargetUpdate, now: float) -> None:
+def _write_targets(builder: Any, frame: node_frames.TargetUpdate, now: float) -> None:
     body = builder.init("targetUpdate")
     body.fromRevision = frame.from_revision
     body.toRevision = frame.to_revision
@@ -91,36 +90,36 @@
     body.document = frame.document
 
 
-def _read_targets(body: Any, now: float) -> messages.TargetUpdate:
+def _read_targets(body: Any, now: float) -> node_frames.TargetUpdate:
     age = body.age / _base.MICROSECONDS
-    return messages.TargetUpdate(body.fromRevision, body.toRevision, age, bytes(body.document))
+    return node_frames.TargetUpdate(body.fromRevision, body.toRevision, age, bytes(body.document))
 
 
-def _write_table(builder: Any, frame: messages.TableUpdate, now: float) -> None:
+def _write_table(builder: Any, frame: node_frames.TableUpdate, now: float) -> None:
     body = builder.init("tableUpdate")
     body.version = frame.version
     body.document = frame.document
 
 
-def _read_table(body: Any, now: float) -> messages.TableUpdate:
-    return messages.TableUpdate(body.version, bytes(body.document))
+def _read_table(body: Any, now: float) -> node_frames.TableUpdate:
+    return node_frames.TableUpdate(body.version, bytes(body.document))
 
 
-def _write_pull(builder: Any, frame: messages.TablePull, now: float) -> None:
+def _write_pull(builder: Any, frame: node_frames.TablePull, now: float) -> None:
     builder.init("tablePull").version = frame.version
 
 
-def _read_pull(body: Any, now: float) -> messages.TablePull:
-    return messages.TablePull(body.version)
+def _read_pull(body: Any, now: float) -> node_frames.TablePull:
+    return node_frames.TablePull(body.version)
 
 
 ENCODERS: dict[type, Callable[[Any, Any, float], None]] = {
-    messages.GatherQuery: _write_query,
-    messages.GatherParts: _write_parts,
-    messages.GatherCancel: _write_cancel,
-    messages.TargetUpdate: _write_targets,
-    messages.TableUpdate: _write_table,
-    messages.TablePull: _write_pull,
+    node_frames.GatherQuery: _write_query,
+    node_frames.GatherParts: _write_parts,
+    node_frames.GatherCancel: _write_cancel,
+    node_frames.TargetUpdate: _write_targets,
+    node_frames.TableUpdate: _write_table,
+    node_frames.TablePull: _write_pull,
 }
 """Writers by message class: (builder of a frame, message, present)."""
 
--- a/src/lineworks/wire/frames.py
+++ b/src/lineworks/wire/frames.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 from lineworks.engine import messages
-from lineworks.forwarding import messages as forwarding_messages
+from lineworks.wire import node_frames
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -128,11 +128,11 @@
     | ConfigChanges
     | Relay
     | RelayReply
-    | forwarding_messages.GatherQuery
-    | forwarding_messages.GatherParts
-    | forwarding_messages.GatherCancel
-    | forwarding_messages.TargetUpdate
-    | forwarding_messages.TableUpdate
-    | forwarding_messages.TablePull
+    | node_frames.GatherQuery
+    | node_frames.GatherParts
+    | node_frames.GatherCancel
+    | node_frames.TargetUpdate
+    | node_frames.TableUpdate
+    | node_frames.TablePull
 )
 """Everything that travels on a peer link."""
--- a/src/lineworks/forwarding/messages.py
+++ b/src/lineworks/wire/node_frames.py
@@ -1,4 +1,4 @@
-"""Messages between a front and the gatherers in other data halls."""
+"""Frames between instances on the platform's path: queries, parts, targets and configurations."""
 
 from __future__ import annotations
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -10,8 +10,7 @@
 
 from lineworks.decisions import catalog, verdict
 from lineworks.engine import messages
-from lineworks.forwarding import messages as forwarding_messages
-from lineworks.wire import codec, frames
+from lineworks.wire import codec, frames, node_frames
 
 _text = st.text(st.characters(exclude_categories=("Cs",), exclude_characters="\0"), max_size=20)
 _number = st.integers(0, 2**63 - 1)
@@ -61,19 +60,19 @@
     count = draw(st.integers(0, 5))
     failed = draw(st.lists(st.integers(0, 2**16 - 1), max_size=3))
     columns = st.lists(st.integers(0, 2**16 - 1), min_size=count, max_size=count)
-    return forwarding_messages.GatherParts(
+    return node_frames.GatherParts(
         number=draw(_number),
         shards=tuple(draw(columns)),
         stamps=tuple(draw(st.lists(_text, min_size=count, max_size=count))),
         records=draw(st.binary(max_size=100)),
         failed=tuple(failed),
-        failures=tuple(draw(st.sampled_from(forwarding_messages.Failure)) for _ in failed),
+        failures=tuple(draw(st.sampled_from(node_frames.Failure)) for _ in failed),
         counts=tuple(draw(columns)) if draw(st.booleans()) else (),
     )
 
 
 _gather_query = st.builds(
-    forwarding_messages.GatherQuery,
+    node_frames.GatherQuery,
     number=_number,
     services=st.lists(_text, min_size=1, max_size=5).map(tuple),
     head=st.binary(max_size=100),
@@ -89,13 +88,13 @@
     _gather_query,
     _gather_parts(),
     st.builds(
-        forwarding_messages.GatherCancel,
+        node_frames.GatherCancel,
         _number,
         st.lists(st.integers(0, 2**16 - 1), max_size=5).map(tuple),
     ),
-    st.builds(forwarding_messages.TargetUpdate, _number, _number, _micros, st.binary(max_size=50)),
-    st.builds(forwarding_messages.TableUpdate, _number, st.binary(max_size=50)),
-    st.builds(forwarding_messages.TablePull, _number),
+    st.builds(node_frames.TargetUpdate, _number, _number, _micros, st.binary(max_size=50)),
+    st.builds(node_frames.TableUpdate, _number, st.binary(max_size=50)),
+    st.builds(node_frames.TablePull, _number),
     st.builds(frames.Challenge, st.binary(max_size=32)),
     st.builds(frames.Hello, _text, _text, _text, st.binary(max_size=32)),
     st.builds(frames.Heartbeat, st.booleans(), _number, _text),
@@ -124,11 +123,11 @@
         return (frame.frame, frame.query, frame.services, frame.shards, frame.body, times)
     if isinstance(frame, frames.Replies):
         return [(row.frame, row.verdict, row.body, round(row.waited, 5)) for row in frame.replies]
-    if isinstance(frame, forwarding_messages.GatherQuery):
+    if isinstance(frame, node_frames.GatherQuery):
         return dataclasses.replace(
             frame, deadline=round(frame.deadline, 5), flush_at=round(frame.flush_at, 5)
         )
-    if isinstance(frame, forwarding_messages.TargetUpdate):
+    if isinstance(frame, node_frames.TargetUpdate):
         return dataclasses.replace(frame, age=round(frame.age, 5))
     if isinstance(frame, frames.Relay):
         return (frame.number, frame.ticket, frame.document, round(frame.deadline, 5))
@@ -170,7 +169,7 @@
 
 
 def test_uneven_columns_of_gathered_parts_are_malformed():
-    whole = forwarding_messages.GatherParts(1, (0, 1), ("a", "b"), b"", (), (), (0, 0))
+    whole = node_frames.GatherParts(1, (0, 1), ("a", "b"), b"", (), (), (0, 0))
     for uneven in ({"counts": (1,)}, {"stamps": ("a",)}, {"failed": (2,)}):
         data = codec.encode(dataclasses.replace(whole, **uneven), 0.0)
         with pytest.raises(codec.MalformedFrameError, match="different lengths"):
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -8,8 +8,9 @@
 from twisted.internet import task
 
 from lineworks.decisions import parts, routes, target_view, verdict
-from lineworks.forwarding import gathering, messages, search_state, target_book, target_calls
+from lineworks.forwarding import gathering, search_state, target_book, target_calls
 from lineworks.http1 import client_connection
+from lineworks.wire import node_frames
 
 
 class Calls:
@@ -58,7 +59,7 @@
         if stalled_beside:
             states[0].replica.suspect_until = 1.0
         self.gatherer = gathering.Gatherer(self.clock, "akl", book, self.calls)
-        query = messages.GatherQuery(
+        query = node_frames.GatherQuery(
             7, tuple(services), b"", b"", b"a1", top, floor, deadline=2.0, flush_at=flush_at
         )
         self.gatherer.on_query("front-1", query, self.sent.append)
@@ -123,7 +124,7 @@
 def test_parts_side_by_side_are_read_apart():
     tries = [search_state.Try(shard, None, 0.0) for shard in (4, 5, 6)]
     records = b"".join(letter.encode() * 16 for letter in "ced")
-    frame = messages.GatherParts(7, (2, 9, 0), ("x", "y", "z"), records, (), (), (1, 1, 1))
+    frame = node_frames.GatherParts(7, (2, 9, 0), ("x", "y", "z"), records, (), (), (1, 1, 1))
     found = search_state.read_parts(tries, frame)
     assert [(part.stamps, sorted(part.shards), done) for part, done in found] == [
         (("x",), [6], [tries[2]]),
@@ -152,11 +153,11 @@
 def test_failures_travel_at_once():
     case = Case(missing=("s2",))
     assert case.sent[0].failed == (2,)
-    assert case.sent[0].failures == (messages.Failure.NOT_SENT,)
+    assert case.sent[0].failures == (node_frames.Failure.NOT_SENT,)
     case.calls.fail("s1", verdict.may_have_run(verdict.Reason.LINK_LOST))
-    assert case.sent[1].failures == (messages.Failure.MAY_HAVE_RUN,)
+    assert case.sent[1].failures == (node_frames.Failure.MAY_HAVE_RUN,)
     case.calls.fail("s0", verdict.not_run(verdict.Reason.OVERLOADED))
-    assert case.sent[2].failures == (messages.Failure.NOT_RUN,)
+    assert case.sent[2].failures == (node_frames.Failure.NOT_RUN,)
     assert case.gatherer.is_idle
 
 
@@ -164,13 +165,13 @@
 def test_what_reached_no_target_is_told_apart(reason):
     case = Case(shards=1)
     case.calls.fail("s0", verdict.not_run(reason))
-    assert case.sent[0].failures == (messages.Failure.NOT_SENT,)
+    assert case.sent[0].failures == (node_frames.Failure.NOT_SENT,)
 
 
 def test_a_cancelled_shard_is_stopped_and_never_travels():
     case = Case()
     case.calls.answer("s1", "c")
-    case.gatherer.on_cancel("front-1", messages.GatherCancel(7, (0, 1)))
+    case.gatherer.on_cancel("front-1", node_frames.GatherCancel(7, (0, 1)))
     assert case.calls.cancelled == ["s0"]
     case.calls.answer("s2", "d")
     assert [frame.shards for frame in case.sent] == [(2,)]
@@ -193,4 +194,4 @@
     case = Case(shards=1, flush_at=flush_at, stalled_beside="wlg")
     assert list(case.calls.open) == asked
     failed = [frame.failures for frame in case.sent]
-    assert failed == ([] if asked else [(messages.Failure.NOT_SENT,)])
+    assert failed == ([] if asked else [(node_frames.Failure.NOT_SENT,)])
