A blind instance tells callers to come back after a second

Cause: refused after 80 ms and told to come back after 0.25 s, callers of a blind start came back to another refusal and had no try left. They ask once more only, so the time that they are told decides whether they are served.

--- a/src/lineworks/forwarding/outcome.py
+++ b/src/lineworks/forwarding/outcome.py
@@ -10,6 +10,11 @@
 RETRY_AFTER = 0.25
 """Seconds after which a caller may ask again: a replica's pause is over, or a restart is known."""
 
+BLIND_RETRY_AFTER = 1.0
+"""Seconds after which a caller may ask an instance again that knows neither configuration nor
+targets: its store does not answer, which rarely ends within a fraction of a second, and callers ask
+only once or twice more. They wait for a third of the time that they have left at most."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
@@ -60,5 +65,7 @@
         status = 504
     else:
         status = 502
-    fields = [(b"Retry-After", b"%.2f" % RETRY_AFTER)] if status != 504 else []
+    is_blind = found.reason is verdict.Reason.NOT_READY
+    pause = BLIND_RETRY_AFTER if is_blind else RETRY_AFTER
+    fields = [(b"Retry-After", b"%.2f" % pause)] if status != 504 else []
     return Outcome(server_connection.Answer(status, fields), found, attempts)
--- a/tests/test_blind_start.py
+++ b/tests/test_blind_start.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lineworks.forwarding import outcome
 from lineworks.platform.standins import deployment
 from tests import test_forwarding
 
@@ -74,3 +75,13 @@
     replies = [world.ask(name, "/new/x") for name in world.nodes]
     world.run(0.3)
     assert {reply.status for reply in replies} == {200}
+
+
+def test_a_blind_instance_tells_callers_to_come_back_later_than_a_busy_one():
+    world = test_forwarding.build()
+    world.server.faults.is_silent = True
+    restart_all(world)
+    reply = world.ask("akl-1", "/read/x")
+    world.run(0.3)
+    assert reply.status == 503
+    assert float(reply.headers["retry-after"]) == outcome.BLIND_RETRY_AFTER
