--- /dev/null
+++ b/src/lineworks/decisions/hall_ways.py
@@ -0,0 +1,68 @@
+"""How long the ways between data halls take, and what it costs to leave the own one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+SAME_HALL_SECONDS = 0.0005
+"""Way there and back within a data hall, in seconds: under a millisecond on the users' sheets."""
+
+SAME_REGION_SECONDS = 0.002
+"""Way there and back between data halls of one region, in seconds."""
+
+OTHER_REGION_SECONDS = 0.02
+"""Way there and back between regions, in seconds: 16 and 24 ms on the users' sheets."""
+
+REMOTE_RELUCTANCE = 0.02
+"""Seconds that a target in another hall must be faster by before it is preferred: its answer
+costs bytes between halls."""
+
+
+class HallWays:
+    """The ways from one hall."""
+
+    def __init__(self, hall: str, regions: Mapping[str, str]) -> None:
+        """Take the layout of a deployment.
+
+        Args:
+            hall: The hall that the ways begin in.
+            regions: For each hall, its region.
+        """
+        self._hall = hall
+        self._regions = regions
+
+    @property
+    def farthest(self) -> float:
+        """Way to the farthest hall and back, in seconds."""
+        return max((self.round_trip(hall) for hall in self._regions), default=SAME_HALL_SECONDS)
+
+    def cost(self, hall: str) -> float:
+        """Tell what the way to a hall costs.
+
+        Args:
+            hall: The hall.
+
+        Returns:
+            Seconds there and back, with the reluctance to leave the own hall.
+        """
+        if hall == self._hall:
+            return SAME_HALL_SECONDS
+        return self.round_trip(hall) + REMOTE_RELUCTANCE
+
+    def round_trip(self, hall: str) -> float:
+        """Tell how long the way to a hall and back takes.
+
+        Args:
+            hall: The hall.
+
+        Returns:
+            Seconds.
+        """
+        if hall == self._hall:
+            return SAME_HALL_SECONDS
+        if self._regions.get(hall) == self._regions.get(self._hall):
+            return SAME_REGION_SECONDS
+        return OTHER_REGION_SECONDS
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -130,7 +130,7 @@
         is_hedge: bool,
     ) -> bool:
         shared = self._shared
-        way = shared.book.round_trip(hall)
+        way = shared.book.ways.round_trip(hall)
         without_floor = mechanisms.Mechanism.HEDGE_FLOOR in shared.without
         number = shared.gatherers.next_number()
         query = node_frames.GatherQuery(
@@ -234,7 +234,7 @@
     def _note_remote(self, attempt: search_state.Try, now: float) -> None:
         """Learn how long a target took that a gatherer asked."""
         book = self._shared.book
-        seconds = now - attempt.started - book.round_trip(attempt.state.hall)
+        seconds = now - attempt.started - book.ways.round_trip(attempt.state.hall)
         # Parts wait at the gatherer for the slowest of their query, so only a target that is
         # later than the first parts is known to be slow.
         usual = book.service_time(attempt.state.replica.target.service)
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -9,7 +9,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from lineworks.decisions import catalog, estimators, mechanisms, replicas
+from lineworks.decisions import catalog, estimators, hall_ways, mechanisms, replicas
 from lineworks.forwarding import target_state
 
 if TYPE_CHECKING:
@@ -18,19 +18,6 @@
 
     from lineworks.decisions import routes, target_view
 
-SAME_HALL_SECONDS = 0.0005
-"""Way there and back within a data hall, in seconds: under a millisecond on the users' sheets."""
-
-SAME_REGION_SECONDS = 0.002
-"""Way there and back between data halls of one region, in seconds."""
-
-OTHER_REGION_SECONDS = 0.02
-"""Way there and back between regions, in seconds: 16 and 24 ms on the users' sheets."""
-
-REMOTE_RELUCTANCE = 0.02
-"""Seconds that a target in another hall must be faster by before it is preferred: its answer
-costs bytes between halls."""
-
 GOOD_SECONDS = 0.015
 """Seconds that a target may always be slower than the best when that saves asking another hall."""
 
@@ -100,18 +87,13 @@
         """
         self._knows_load = mechanisms.Mechanism.LOAD_REPORTS not in without
         self._avoids_slow = mechanisms.Mechanism.SLOW_AVOIDANCE not in without
-        self._hall = hall
-        self._regions = regions
+        self.ways = hall_ways.HallWays(hall, regions)
+        """The ways to the targets' halls."""
         self._rng = rng
         self._states: dict[str, target_state.TargetState] = {}
         self._by_service: dict[str, list[target_state.TargetState]] = {}
         self._service_times: dict[str, estimators.Average] = {}
 
-    @property
-    def farthest(self) -> float:
-        """Way to the farthest data hall and back, in seconds."""
-        return max((self.round_trip(hall) for hall in self._regions), default=SAME_HALL_SECONDS)
-
     def update(
         self,
         entries: Iterable[target_view.TargetEntry],
@@ -295,7 +277,9 @@
 
     def least(self, state: target_state.TargetState) -> float:
         """Tell how long a target takes at least, with the way there and back, in seconds."""
-        return self.service_time(state.replica.target.service) / 2 + self.round_trip(state.hall)
+        return self.service_time(state.replica.target.service) / 2 + self.ways.round_trip(
+            state.hall
+        )
 
     def expected(self, state: target_state.TargetState, now: float) -> float:
         """Estimate how long a target takes to answer, with the way there and back.
@@ -315,35 +299,7 @@
         queued = max(0.0, load + 1 - slots) / slots
         failing = state.errors.value * weight * ERROR_SECONDS
         cold = COLD_SECONDS if state.is_cold else 0.0
-        return own + queued * usual + failing + cold + self.way(state.hall)
-
-    def way(self, hall: str) -> float:
-        """Tell what the way to a hall costs.
-
-        Args:
-            hall: The hall.
-
-        Returns:
-            Seconds there and back, with the reluctance to leave the own hall.
-        """
-        if hall == self._hall:
-            return SAME_HALL_SECONDS
-        return self.round_trip(hall) + REMOTE_RELUCTANCE
-
-    def round_trip(self, hall: str) -> float:
-        """Tell how long the way to a hall and back takes.
-
-        Args:
-            hall: The hall.
-
-        Returns:
-            Seconds.
-        """
-        if hall == self._hall:
-            return SAME_HALL_SECONDS
-        if self._regions.get(hall) == self._regions.get(self._hall):
-            return SAME_REGION_SECONDS
-        return OTHER_REGION_SECONDS
+        return own + queued * usual + failing + cold + self.ways.cost(state.hall)
 
     def service_time(self, service: str) -> float:
         """Tell how long the targets of a service usually take, in seconds; 0 when unknown."""
@@ -360,7 +316,7 @@
             Seconds; only those of the way while nothing is known of the services.
         """
         slowest = max((self.service_time(service) for service in services), default=0.0)
-        return self.farthest + USUAL_WORK * slowest
+        return self.ways.farthest + USUAL_WORK * slowest
 
     def patience(self, service: str) -> float:
         """Tell after how many seconds without progress a target of a service is stalled."""
