A repeated read ends at its deadline though a connection is still being opened

Cause: beside a store that answers no packets at all the last connection of a read took up to a second more, and nothing was asked meanwhile; found while reading the change again. The new case of the test (dark for 1.6 s) failed before. Looks for silent connections are limited to one each 10 ms, since each goes through the calls under way.

--- a/src/lineworks/forwarding/target_calls.py
+++ b/src/lineworks/forwarding/target_calls.py
@@ -40,6 +40,9 @@
 SILENT_FLOOR = 0.04
 """Seconds that an answer may always take: two ways between regions."""
 
+SILENT_LOOK_SECONDS = 0.01
+"""Seconds between looks for targets that do not answer: each goes through the calls under way."""
+
 SWEEP_SECONDS = 1.0
 """Seconds between looks for connections that were idle too long."""
 
@@ -107,6 +110,7 @@
         self._timer: Any = None
         self._kept: dict[_Exchange, None] = {}
         self._heard_from = -math.inf
+        self._next_look = -math.inf
         self.opened = 0
         """Connections opened so far."""
         self.on_silence: Callable[[], None] = lambda: None
@@ -169,6 +173,9 @@
 
     def _are_kept_silent(self, now: float) -> bool:
         """Say whether several targets owe answers over kept connections, and none gives any."""
+        if now < self._next_look:
+            return False
+        self._next_look = now + SILENT_LOOK_SECONDS
         silent = set()
         for exchange in self._kept:
             if now - exchange.started <= SILENT_FLOOR:
--- a/src/lineworks/platform/_store_connections.py
+++ b/src/lineworks/platform/_store_connections.py
@@ -141,6 +141,7 @@
         self._on_sent = on_sent
         self._running: list[defer.Deferred[Any]] = []
         self._timer: Any = None
+        self._limit: Any = None
         self._is_over = False
         self._ended: defer.Deferred[Any] = defer.Deferred(lambda _: self._stop())
 
@@ -150,6 +151,8 @@
         Returns:
             A deferred of the answer; cancelling it ends the read.
         """
+        left = self._deadline - self._reactor.seconds()
+        self._limit = self._reactor.callLater(left, self._on_deadline)
         self._send(is_new=False)
         return self._ended
 
@@ -171,10 +174,16 @@
         self._stop()
         self._ended.callback(end)
 
+    def _on_deadline(self) -> None:
+        """End the read; a connection that is still being opened would hold it up."""
+        self._stop()
+        self._ended.callback(client_connection.Broken("no answer in time", False))
+
     def _stop(self) -> None:
         self._is_over = True
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        for timer in (self._timer, self._limit):
+            if timer is not None and timer.active():
+                timer.cancel()
         running, self._running = self._running, []
         for other in running:
             other.cancel()
--- a/tests/test_blind_start.py
+++ b/tests/test_blind_start.py
@@ -24,15 +24,31 @@
         world.add_node(name, name.partition("-")[0])
 
 
+def begin(world, fault):
+    if fault == "is_dark":
+        world.network.host(deployment.STORE_ADDRESS).power_off()
+    else:
+        setattr(world.server.faults, fault, True)
+
+
+def end(world, fault):
+    if fault == "is_dark":
+        host = world.network.host(deployment.STORE_ADDRESS)
+        host.power_on()
+        host.listenTCP(deployment.STORE_PORT, world.server.factory)
+    else:
+        setattr(world.server.faults, fault, False)
+
+
 def start_beside(world, fault, seconds):
-    setattr(world.server.faults, fault, True)
+    begin(world, fault)
     restart_all(world)
     world.run(seconds)
-    setattr(world.server.faults, fault, False)
+    end(world, fault)
 
 
-@pytest.mark.parametrize("seconds", [0.05, 0.3, 0.7, 1.4, 2.1, 4.0, 9.3])
-@pytest.mark.parametrize("fault", ["is_silent", "is_down"])
+@pytest.mark.parametrize("seconds", [0.05, 0.3, 0.7, 1.4, 1.6, 2.1, 2.6, 4.0, 9.3])
+@pytest.mark.parametrize("fault", ["is_silent", "is_down", "is_dark"])
 def test_instances_that_start_beside_a_failing_store_serve_soon_after_its_return(fault, seconds):
     world = test_forwarding.build()
     start_beside(world, fault, seconds)
