--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,6 +20,12 @@
 _POLL_SECONDS = 1.2
 """Seconds between looks of a hall's reader at the store (`forwarding/directory.py`)."""
 
+_REPEAT_SECONDS = 0.2
+"""Seconds after which a read without an answer is repeated (`platform/_store_connections.py`)."""
+
+_MOST_PAUSE_SECONDS = 1.0
+"""Longest pause after a refusal for the rate of calls (`forwarding/directory.py`)."""
+
 _RENEW_SECONDS = 45.0
 """Seconds between renewals of a node's lease (`forwarding/registration.py`)."""
 
@@ -236,6 +242,13 @@
             "the whole book is looked through; only what changed: not built",
         ),
         ("store, all nodes", f"{reads:.1f} reads/s", "-", "one reader a hall; leases of 120 s"),
+        (
+            "store, all nodes started beside a silent one",
+            f"{size.nodes / _REPEAT_SECONDS:,.0f} reads/s; where it refuses for the rate, down to"
+            f" {size.nodes / _MOST_PAUSE_SECONDS:,.0f}",
+            "-",
+            "reads repeated while nothing is known; the first that knows tells all: not built",
+        ),
     ]
 
 
