Clean-up: stand-ins import one way

platform/standins held a deployment that imports forwarding, and imported the store's model from standins, which imports platform. The model is the platform's own now, the deployment stands above both, and the platform's words in it are documents of the platform's folder.

--- a/bench/platform.py
+++ b/bench/platform.py
@@ -13,8 +13,8 @@
 
 from lineworks.kernel import task
 from lineworks.platform import store
+from lineworks.platform.standins import store_model
 from lineworks.services import platform_client
-from lineworks.standins import store_model
 
 if TYPE_CHECKING:
     import random
--- /dev/null
+++ b/src/lineworks/platform/standins/documents.py
@@ -0,0 +1,79 @@
+"""What the platform's operator, its targets' keys, its balancer and its callers say on the wire."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+CONFIGURATION_KEY = "op/config"
+"""Key that holds the newest configuration."""
+
+READINESS_REQUEST = b"GET /lineworks/readiness HTTP/1.1\r\nHost: x\r\n\r\n"
+"""What the balancer sends."""
+
+_USUAL_ROUTE = {
+    "Hostname": "x.example",
+    "RouteType": "idempotent",
+    "TimeoutMs": 2000,
+    "SloMs": 200,
+    "MaxAttempts": 2,
+    "Priority": 1,
+}
+_LIMITS = {"HeaderBytes": 4096, "BodyBytes": 10000, "HeaderMs": 3000, "IdleMs": 15000}
+_CONNECTIONS = 25
+
+
+def target_key(name: str) -> str:
+    """Name the key of a target's entry."""
+    return f"servers/{name}"
+
+
+def configuration(version: int, routes: Sequence[dict[str, Any]], services: Iterable[str]) -> str:
+    """Write a configuration.
+
+    Args:
+        version: Its version.
+        routes: Routes in the platform's form; what is usual may be left out.
+        services: Names of the services.
+
+    Returns:
+        The document as the store holds it.
+    """
+    document = {
+        "ConfigVersion": version,
+        "Routing": [{**_USUAL_ROUTE, **route} for route in routes],
+        "Services": [{"Name": name, "MaxConns": _CONNECTIONS} for name in sorted(services)],
+        "Limits": _LIMITS,
+    }
+    return encoded(json.dumps(document))
+
+
+def encoded(text: str) -> str:
+    """Encode a value as the store holds it."""
+    return base64.b64encode(text.encode()).decode()
+
+
+def caller_request(method: str, path: str, attempt: str, budget: float, body: bytes) -> bytes:
+    """Write a caller's request.
+
+    Args:
+        method: Method.
+        path: Path.
+        attempt: Identity of the try.
+        budget: Seconds that the caller waits.
+        body: Body; empty for none.
+
+    Returns:
+        Its bytes.
+    """
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: {attempt}\r\n"
+        f"X-Time-Budget: {int(budget * 1000)}\r\n"
+    )
+    if body:
+        head += f"Content-Length: {len(body)}\r\n"
+    return head.encode() + b"\r\n" + body
--- a/src/lineworks/platform/standins/store_server.py
+++ b/src/lineworks/platform/standins/store_server.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 from lineworks.http1 import server_connection
-from lineworks.standins import store_model
+from lineworks.platform.standins import store_model
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/lineworks/platform/standins/deployment.py
+++ b/src/lineworks/standins/deployment.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-import base64
 import dataclasses
-import json
 import random
 from typing import TYPE_CHECKING, Any
 
@@ -18,8 +16,8 @@
 from lineworks.forwarding import node
 from lineworks.http1 import client_connection
 from lineworks.models import node_settings
-from lineworks.platform.standins import http_target, store_server
-from lineworks.standins import memory_network, store_model
+from lineworks.platform.standins import documents, http_target, store_model, store_server
+from lineworks.standins import memory_network
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -113,11 +111,12 @@
 
     def announce(self, target: http_target.HttpTarget, state: str = "ready") -> None:
         """Write a target's entry."""
-        self.store.write(f"servers/{target.name}", _encoded(target.entry(state)))
+        key = documents.target_key(target.name)
+        self.store.write(key, documents.encoded(target.entry(state)))
 
     def withdraw(self, target: http_target.HttpTarget) -> None:
         """Remove a target's entry."""
-        self.store.remove(f"servers/{target.name}")
+        self.store.remove(documents.target_key(target.name))
 
     def configure(self, routes: Sequence[dict[str, Any]], version: int | None = None) -> None:
         """Put a configuration into the store.
@@ -127,27 +126,9 @@
             version: Its version; one more than the last when not given.
         """
         self.version = self.version + 1 if version is None else version
-        usual = {
-            "Hostname": "x.example",
-            "RouteType": "idempotent",
-            "TimeoutMs": 2000,
-            "SloMs": 200,
-            "MaxAttempts": 2,
-            "Priority": 1,
-        }
         services = {target.service for target in self.targets.values()}
-        document = {
-            "ConfigVersion": self.version,
-            "Routing": [{**usual, **route} for route in routes],
-            "Services": [{"Name": name, "MaxConns": 25} for name in sorted(services)],
-            "Limits": {
-                "HeaderBytes": 4096,
-                "BodyBytes": 10000,
-                "HeaderMs": 3000,
-                "IdleMs": 15000,
-            },
-        }
-        self.store.write("op/config", _encoded(json.dumps(document)))
+        document = documents.configuration(self.version, routes, services)
+        self.store.write(documents.CONFIGURATION_KEY, document)
 
     def add_node(self, name: str, hall: str) -> node.Node:
         """Start an instance.
@@ -218,13 +199,7 @@
         """
         self._attempts += 1
         attempt = attempt or f"a{self._attempts:06d}"
-        head = (
-            f"{method} {path} HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: {attempt}\r\n"
-            f"X-Time-Budget: {int(budget * 1000)}\r\n"
-        )
-        if body:
-            head += f"Content-Length: {len(body)}\r\n"
-        return self.send(name, head.encode() + b"\r\n" + body)
+        return self.send(name, documents.caller_request(method, path, attempt, budget, body))
 
     def send(self, name: str, data: bytes, port: int = CALLER_PORT) -> Reply:
         """Send bytes to an instance on a new connection and read one answer."""
@@ -236,8 +211,7 @@
 
     def is_ready(self, name: str) -> bool:
         """Ask an instance for its readiness, as the balancer does."""
-        data = b"GET /lineworks/readiness HTTP/1.1\r\nHost: x\r\n\r\n"
-        reply = self.send(name, data, READY_PORT)
+        reply = self.send(name, documents.READINESS_REQUEST, READY_PORT)
         self.run(0.1)
         return reply.status == 200
 
@@ -295,7 +269,3 @@
         reply.status = end.status
         reply.headers = {key.decode(): value.decode() for key, value in end.fields}
         reply.body = end.body
-
-
-def _encoded(text: str) -> str:
-    return base64.b64encode(text.encode()).decode()
--- a/src/lineworks/standins/site.py
+++ b/src/lineworks/standins/site.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import catalog
-from lineworks.platform.standins import store_server
-from lineworks.standins import shapes, store_model, target_model, target_server
+from lineworks.platform.standins import store_model, store_server
+from lineworks.standins import shapes, target_model, target_server
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/tests/test_blind_start.py
+++ b/tests/test_blind_start.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lineworks.forwarding import outcome
-from lineworks.platform.standins import deployment
+from lineworks.standins import deployment
 from tests import test_forwarding
 
 SERVED_AGAIN = 0.6
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -8,7 +8,7 @@
 
 from bench import fakes
 from lineworks.decisions import parts
-from lineworks.platform.standins import deployment
+from lineworks.standins import deployment
 
 SHARDS = tuple(f"s{number:02d}" for number in range(12))
 SEARCH = {
--- a/tests/test_search_retries.py
+++ b/tests/test_search_retries.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lineworks.platform.standins import deployment
+from lineworks.standins import deployment
 from tests import test_forwarding
 
 
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lineworks.platform.standins import deployment
+from lineworks.standins import deployment
 from tests import test_forwarding
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -8,9 +8,9 @@
 from bench import fakes
 from lineworks.models import member, node_settings
 from lineworks.platform import store
-from lineworks.platform.standins import store_server
+from lineworks.platform.standins import store_model, store_server
 from lineworks.services import platform_client
-from lineworks.standins import memory_network, store_model
+from lineworks.standins import memory_network
 
 
 class World:
