--- a/src/lineworks/platform/standins/store_server.py
+++ b/src/lineworks/platform/standins/store_server.py
@@ -30,6 +30,9 @@
     is_down: bool = False
     """Whether every call is refused."""
 
+    is_busy: bool = False
+    """Whether every call is refused for the rate of calls."""
+
     is_silent: bool = False
     """Whether no call is answered or done."""
 
@@ -88,8 +91,8 @@
         self.calls[name] += 1
         if self.faults.is_silent:
             return
-        if self.faults.is_down:
-            answer(server_connection.Answer(503))
+        if self.faults.is_down or self.faults.is_busy:
+            answer(server_connection.Answer(503 if self.faults.is_down else 429))
             return
         wanted = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         later = self._delayed(answer)
--- a/tests/test_blind_start.py
+++ b/tests/test_blind_start.py
@@ -69,6 +69,16 @@
     assert calls <= MOST_CALLS * 10 * len(world.nodes)
 
 
+def test_calls_to_a_store_that_refuses_for_their_rate_become_rare():
+    world = test_forwarding.build()
+    world.server.faults.is_busy = True
+    restart_all(world)
+    world.run(5.0)
+    before = world.server.calls["kv-range"]
+    world.run(10.0)
+    assert world.server.calls["kv-range"] - before <= 1.5 * 10 * len(world.nodes)
+
+
 def test_a_slow_store_is_not_given_up():
     world = test_forwarding.build()
     world.server.faults.delay = 1.0
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -8,6 +8,7 @@
 
 from bench import fakes
 from lineworks.decisions import parts
+from lineworks.forwarding import search
 from lineworks.standins import deployment
 
 SHARDS = tuple(f"s{number:02d}" for number in range(12))
@@ -284,6 +285,11 @@
     assert world.is_ready("akl-1")
 
 
+@pytest.mark.parametrize(("way", "kept"), [(0.004, 0.009), (0.012, 0.017), (None, 0.017)])
+def test_the_latest_moment_of_an_answer_leaves_time_for_the_callers_way(way, kept):
+    assert search.answer_due(10.0, 0.2, way) == pytest.approx(10.2 - kept)
+
+
 def test_a_search_in_part_reaches_its_caller_just_within_the_aim():
     # Both targets of a shard hang, so the answer waits for them as long as it may.
     world = build()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -195,3 +195,66 @@
         world.do(client.put("k", "two"))
     with pytest.raises(platform_client.PlatformError):
         world.do(client.get("k"))
+
+
+def test_a_read_without_an_answer_is_repeated_and_ends_in_time(world):
+    world.server.faults.is_silent = True
+    found = world.start(world.client.get("a/1"))
+    world.clock.run_until(world.clock.seconds() + store.CALL_SECONDS + 0.01)
+    assert found[0].check(store.StoreUnsureError)
+    assert world.server.calls["kv-key"] == 8
+    assert world.client.calls["get"] == 8
+
+
+def test_a_slow_answer_to_the_first_sending_is_taken(world):
+    world.write("a/1")
+    world.server.faults.delay = 1.0
+    before = world.clock.seconds()
+    ended = []
+    defer.ensureDeferred(world.client.get("a/1")).addCallback(
+        lambda item: ended.append(world.clock.seconds())
+    )
+    world.clock.run_until(before + 2.0)
+    assert ended[0] - before == pytest.approx(1.01, abs=0.01)
+
+
+def test_a_repeated_read_goes_past_connections_that_went_silent(world):
+    world.write("a/1")
+    world.network.silence("10.0.0.1")
+    before = world.clock.seconds()
+    item = world.do(world.client.get("a/1"), seconds=0.25)
+    assert item.value == b"v"
+    assert world.clock.seconds() - before < 0.3
+
+
+def test_a_cancelled_read_leaves_no_connection_and_no_timer(world):
+    world.server.faults.is_silent = True
+    call = defer.ensureDeferred(world.client.get("a/1"))
+    call.addErrback(lambda failure: None)
+    world.clock.run_until(world.clock.seconds() + 0.5)
+    call.cancel()
+    world.clock.run_until(world.clock.seconds() + 0.1)
+    assert not world.network.host("10.0.0.2").open_transports
+    asked = world.server.calls["kv-key"]
+    world.clock.run_until(world.clock.seconds() + 3.0)
+    assert world.server.calls["kv-key"] == asked
+
+
+def test_a_write_is_never_repeated(world):
+    world.server.faults.is_silent = True
+    with pytest.raises(store.StoreUnsureError):
+        world.write("a/1")
+    assert world.server.calls["kv-txn"] == 1
+
+
+def test_a_watch_that_waits_is_not_repeated(world):
+    first = world.write("a/1")
+    world.do(world.client.watch("a/", first, 1.0))
+    assert world.server.calls["kv-watch"] == 1
+
+
+def test_a_refusal_for_the_rate_is_told_apart(world):
+    world.server.faults.is_busy = True
+    with pytest.raises(store.StoreBusyError):
+        world.do(world.client.get("a/1"))
+    assert world.server.calls["kv-key"] == 1
