--- a/src/lineworks/programs/_losses.py
+++ b/src/lineworks/programs/_losses.py
@@ -9,10 +9,11 @@
 
 import collections
 import dataclasses
-import json
 import re
 from typing import TYPE_CHECKING, Any
 
+from lineworks.programs import _log_lines
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Sequence
 
@@ -76,12 +77,12 @@
             Requests that went badly.
         """
         for text in lines:
-            fields = _fields(text)
+            fields = _log_lines.fields_of(text)
             if fields is None:
                 continue
             prefix = _PREFIX.match(text)
             instance = prefix[2] if prefix else name
-            at = float(prefix[1]) if prefix else _number(fields.get("t"))
+            at = float(prefix[1]) if prefix else _log_lines.number(fields.get("t"))
             found = self._take(instance, at, fields)
             if found is not None:
                 yield found
@@ -91,7 +92,7 @@
         if event == "started":
             self._halls[instance] = str(fields.get("hall", _UNKNOWN))
         elif event == "lines_left_out" and fields.get("kind") == "request":
-            self.left_out += int(_number(fields.get("count")))
+            self.left_out += int(_log_lines.number(fields.get("count")))
         elif event == "caller_gone":
             return self._loss(instance, at, fields, "the caller left", 1.0)
         elif event == "request":
@@ -104,11 +105,11 @@
             return None
         if fields.get("status") != 200:
             return self._loss(instance, at, fields, _why_failed(fields), 1.0)
-        aim = _number(fields.get("aim_ms"))
-        if aim and _number(fields.get("ms")) > aim:
+        aim = _log_lines.number(fields.get("aim_ms"))
+        if aim and _log_lines.number(fields.get("ms")) > aim:
             return self._loss(instance, at, fields, "late", LATE_LOSS)
-        total = _number(fields.get("total"))
-        covered = _number(fields.get("covered"))
+        total = _log_lines.number(fields.get("total"))
+        covered = _log_lines.number(fields.get("covered"))
         if covered < total:
             amount = 1.0 - (covered / total) ** 2
             return self._loss(instance, at, fields, _why_partial(fields), amount)
@@ -182,18 +183,3 @@
     clauses = [_IDENTITY.sub("a target", _SERVICE.sub("", str(clause))) for clause in missing]
     clause, _ = collections.Counter(clauses).most_common(1)[0]
     return f"in part: {clause}"
-
-
-def _fields(text: str) -> dict[str, Any] | None:
-    start = text.find("{")
-    if start < 0:
-        return None
-    try:
-        found = json.loads(text[start:])
-    except ValueError:
-        return None
-    return found if isinstance(found, dict) else None
-
-
-def _number(value: Any) -> float:
-    return float(value) if isinstance(value, int | float) else 0.0
--- a/src/lineworks/programs/_timeline.py
+++ b/src/lineworks/programs/_timeline.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
-import json
 from typing import TYPE_CHECKING, Any
 
+from lineworks.programs import _log_lines
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Sequence
 
@@ -28,8 +29,7 @@
     @property
     def time(self) -> float:
         """Seconds on the clock of the process that wrote it."""
-        found = self.fields.get("t", 0.0)
-        return float(found) if isinstance(found, int | float) else 0.0
+        return _log_lines.number(self.fields.get("t"))
 
 
 def find(identity: str, name: str, lines: Iterable[str]) -> Iterator[Line]:
@@ -44,14 +44,8 @@
         The lines in order.
     """
     for number, text in enumerate(lines, 1):
-        start = text.find("{")
-        if start < 0 or identity not in text:
-            continue
-        try:
-            fields = json.loads(text[start:])
-        except ValueError:
-            continue
-        if isinstance(fields, dict) and fields.get("id") == identity:
+        fields = _log_lines.fields_of(text) if identity in text else None
+        if fields is not None and fields.get("id") == identity:
             yield Line(name, number, fields)
 
 
