--- a/bench/trials.py
+++ b/bench/trials.py
@@ -25,6 +25,7 @@
 import absl.flags
 
 from lineworks.decisions import mechanisms
+from lineworks.programs import node
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -33,7 +34,6 @@
 """Seconds after which a play is given up: a day of 60 machines takes up to four minutes."""
 
 DEPLOY_FILE = "deploy/system.toml"
-VARIABLE = "LINEWORKS_WITHOUT"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,7 +79,7 @@
         return kept
     return re.sub(
         r"^(run = .*\n)",
-        lambda found: f'{found[1]}env = {{ {VARIABLE} = "{without}" }}\n',
+        lambda found: f'{found[1]}env = {{ {node.WITHOUT_VARIABLE} = "{without}" }}\n',
         kept,
         flags=re.MULTILINE,
     )
--- a/src/lineworks/standins/memory_network.py
+++ b/src/lineworks/standins/memory_network.py
@@ -8,12 +8,13 @@
 from __future__ import annotations
 
 import collections
-import struct
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import error as net_error
 from twisted.python import failure
 
+from lineworks.standins import memory_transport
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -108,7 +109,7 @@
         self.network = network
         self.address = address
         self._ports: dict[int, _Listening] = {}
-        self._open: set[MemoryTransport] = set()
+        self._open: set[memory_transport.MemoryTransport] = set()
         self._life = 0
         self._is_dark = False
         self._next_port = FIRST_PORT
@@ -117,7 +118,7 @@
         """Whether the code on it has stopped the reactor."""
 
     @property
-    def open_transports(self) -> frozenset[MemoryTransport]:
+    def open_transports(self) -> frozenset[memory_transport.MemoryTransport]:
         """Its ends of open connections."""
         return frozenset(self._open)
 
@@ -215,11 +216,11 @@
         """Stop listening on a port."""
         self._ports.pop(port, None)
 
-    def note(self, transport: MemoryTransport) -> None:
+    def note(self, transport: memory_transport.MemoryTransport) -> None:
         """Note an open socket."""
         self._open.add(transport)
 
-    def forget(self, transport: MemoryTransport) -> None:
+    def forget(self, transport: memory_transport.MemoryTransport) -> None:
         """Note that a socket is closed."""
         self._open.discard(transport)
 
@@ -261,13 +262,13 @@
         protocol = listening.factory.buildProtocol(None)
         if protocol is None:
             return
-        server = MemoryTransport(there, self._host)
-        client = MemoryTransport(self._host, there)
+        server = memory_transport.MemoryTransport(there, self._host)
+        client = memory_transport.MemoryTransport(self._host, there)
         server.peer, client.peer = client, server
         server.open(protocol)
         network.carry(self._peer, self._host.address, lambda: self._succeed(client))
 
-    def _succeed(self, client: MemoryTransport) -> None:
+    def _succeed(self, client: memory_transport.MemoryTransport) -> None:
         if self._is_over:
             client.reset(tells_own_side=False)
             return
@@ -287,125 +288,3 @@
         if self.timer.active():
             self.timer.cancel()
         self._factory.clientConnectionFailed(None, failure.Failure(error))
-
-
-class MemoryTransport:
-    """One end of a connection."""
-
-    def __init__(self, host: Host, there: Host) -> None:
-        """Make an end; `open` connects it.
-
-        Args:
-            host: The host that it belongs to.
-            there: The other host.
-        """
-        self._host = host
-        self._there = there
-        self._protocol: Any = None
-        self.peer: MemoryTransport | None = None
-        self._early: list[Callable[[], None]] = []
-        self.disconnecting = False
-        self.is_mute = False
-        """Whether all that is sent is lost."""
-
-    def open(self, protocol: Any) -> None:
-        """Connect a protocol.
-
-        Args:
-            protocol: Takes what arrives.
-        """
-        self._protocol = protocol
-        self._host.note(self)
-        protocol.makeConnection(self)
-        early, self._early = self._early, []
-        for call in early:
-            call()
-
-    def write(self, data: bytes) -> None:
-        """Send bytes."""
-        if self._protocol is None or self.disconnecting:
-            return
-        self._send(lambda peer: peer._on_data(bytes(data)))
-
-    def writeSequence(self, pieces: Any) -> None:  # noqa: N802
-        """Send pieces."""
-        self.write(b"".join(pieces))
-
-    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
-        """Do nothing: there is no Nagle here."""
-
-    def setTcpKeepAlive(self, enabled: bool) -> None:  # noqa: N802
-        """Do nothing."""
-
-    def getHandle(self) -> Any:  # noqa: N802
-        """Give a socket whose options can be set without effect."""
-        return _Socket(self._host, self._there)
-
-    def loseConnection(self) -> None:  # noqa: N802
-        """Close in order."""
-        if self._protocol is None or self.disconnecting:
-            return
-        self.disconnecting = True
-        self._send(lambda peer: peer._on_end(net_error.ConnectionDone()))
-        self._host.callLater(0, self._on_end, net_error.ConnectionDone())
-
-    def abortConnection(self) -> None:  # noqa: N802
-        """Close with a reset."""
-        self.reset(tells_own_side=True)
-
-    def reset(self, tells_own_side: bool) -> None:
-        """Reset the connection.
-
-        Args:
-            tells_own_side: Whether the own protocol hears of it.
-        """
-        self._send(lambda peer: peer._on_end(net_error.ConnectionLost()))
-        if tells_own_side:
-            self._host.callLater(0, self._on_end, net_error.ConnectionLost())
-        else:
-            self._protocol = None
-            self._host.forget(self)
-
-    def _send(self, deliver: Callable[[MemoryTransport], None]) -> None:
-        peer = self.peer
-        assert peer is not None
-        if self.is_mute:
-            return
-        self._host.network.carry(
-            self._host.address, self._there.address, lambda: peer._take(lambda: deliver(peer))
-        )
-
-    def _take(self, call: Callable[[], None]) -> None:
-        if self._protocol is None:
-            self._early.append(call)
-        else:
-            call()
-
-    def _on_data(self, data: bytes) -> None:
-        if self._protocol is not None and not self.disconnecting:
-            self._protocol.dataReceived(data)
-
-    def _on_end(self, error: Exception) -> None:
-        protocol = self._protocol
-        self._protocol = None
-        self._host.forget(self)
-        if protocol is not None:
-            protocol.connectionLost(failure.Failure(error))
-
-
-class _Socket:
-    """What can be asked of a connection's socket."""
-
-    def __init__(self, host: Host, there: Host) -> None:
-        self._host = host
-        self._there = there
-
-    def setsockopt(self, *args: Any) -> None:
-        """Do nothing."""
-
-    def getsockopt(self, level: int, option: int, size: int) -> bytes:
-        """Tell the round trip, as Linux does in its `tcp_info`; nothing else is asked for."""
-        delay = self._host.network.delay
-        there, back = self._there.address, self._host.address
-        seconds = delay(there, back) + delay(back, there)
-        return struct.pack("=68xI", int(seconds * 1e6)).ljust(size, b"\0")
