--- a/bench/trials.py
+++ b/bench/trials.py
@@ -182,13 +182,7 @@
         return list(pool.map(play_one, trials))
 
 
-def main() -> int:
-    """Play what the command line says.
-
-    Returns:
-        The exit code.
-    """
-    flags = absl.flags.FLAGS
+def _define_flags() -> None:
     absl.flags.DEFINE_string("bench", None, "Path of the bench's program.", required=True)
     absl.flags.DEFINE_string("site", None, "Path of a site file.", required=True)
     absl.flags.DEFINE_list("days", ["trouble-1"], "Days to play.")
@@ -197,24 +191,58 @@
     absl.flags.DEFINE_bool("base", True, "Also play with nothing switched off.")
     absl.flags.DEFINE_string("why", None, "What the plays are for.", required=True)
     absl.flags.DEFINE_string("out", None, "File that gets one JSON line for each play.")
+
+
+def plan(
+    without: Sequence[str], has_base: bool, days: Sequence[str], seeds: Sequence[str]
+) -> list[Trial]:
+    """List the plays that the command line asks for.
+
+    Args:
+        without: Names of mechanisms for each variant, separated by commas.
+        has_base: Whether there is a variant with nothing switched off.
+        days: Days to play.
+        seeds: Seeds to play each day with.
+
+    Returns:
+        Each variant with each day and seed.
+
+    Raises:
+        ValueError: A mechanism is unknown or a seed is no number.
+    """
+    for names in without:
+        mechanisms.parse(names)
+    variants = ["", *without] if has_base else list(without)
+    return [Trial(*row) for row in itertools.product(variants, days, map(int, seeds))]
+
+
+def _write_rows(path: str, site: str, results: Sequence[Result]) -> None:
+    with open(path, "a", encoding="utf-8") as file:
+        for one in results:
+            row = {"site": pathlib.Path(site).stem, **dataclasses.asdict(one)}
+            file.write(json.dumps(row) + "\n")
+
+
+def main() -> int:
+    """Play what the command line says.
+
+    Returns:
+        The exit code: 2 when the command line can't be used.
+    """
+    flags = absl.flags.FLAGS
+    _define_flags()
     try:
         clones = [pathlib.Path(name) for name in flags(sys.argv)[1:]]
-        for names in flags.without:
-            mechanisms.parse(names)
-    except (absl.flags.Error, mechanisms.UnknownMechanismError) as error:
+        trials = plan(flags.without, flags.base, flags.days, flags.seeds)
+    except (absl.flags.Error, ValueError) as error:
         print(f"trials: {error}", file=sys.stderr)
         return 2
     if not clones or not all((clone / DEPLOY_FILE).exists() for clone in clones):
         print("trials: name at least one clone of the repository", file=sys.stderr)
         return 2
-    variants = [""] * flags.base + flags.without
-    rows = itertools.product(variants, flags.days, map(int, flags.seeds))
-    results = play_all(flags.bench, flags.site, clones, flags.why, [Trial(*row) for row in rows])
+    results = play_all(flags.bench, flags.site, clones, flags.why, trials)
     if flags.out:
-        with open(flags.out, "a", encoding="utf-8") as file:
-            for one in results:
-                row = {"site": pathlib.Path(flags.site).stem, **dataclasses.asdict(one)}
-                file.write(json.dumps(row) + "\n")
+        _write_rows(flags.out, flags.site, results)
     print("\n".join(write_table(results)))
     return 0
 
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -5,6 +5,8 @@
 import pathlib
 import tomllib
 
+import pytest
+
 from bench import trials
 
 DEPLOY = (pathlib.Path(__file__).parents[1] / trials.DEPLOY_FILE).read_text()
@@ -40,3 +42,22 @@
         "| (nothing) | 2 | 0.750 | +0.000 | +0.000 to +0.000 | none |",
         "| merge | 2 | 0.675 | -0.075 | -0.100 to -0.050 | none |",
     ]
+
+
+def test_the_plan_plays_each_variant_with_each_day_and_seed():
+    found = trials.plan(["merge", "merge,one_hall"], True, ["quiet-1"], ["0", "7"])
+    assert [(one.without, one.seed) for one in found] == [
+        ("", 0),
+        ("", 7),
+        ("merge", 0),
+        ("merge", 7),
+        ("merge,one_hall", 0),
+        ("merge,one_hall", 7),
+    ]
+    assert len(trials.plan(["merge"], False, ["quiet-1"], ["0"])) == 1
+
+
+@pytest.mark.parametrize(("without", "seed"), [("marge", "0"), ("merge", "one")])
+def test_a_plan_that_cannot_be_played_is_refused(without, seed):
+    with pytest.raises(ValueError, match="marge|one"):
+        trials.plan([without], True, ["quiet-1"], [seed])
