--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -277,9 +277,8 @@
 
     def least(self, state: target_state.TargetState) -> float:
         """Tell how long a target takes at least, with the way there and back, in seconds."""
-        return self.service_time(state.replica.target.service) / 2 + self.ways.round_trip(
-            state.hall
-        )
+        usual = self.service_time(state.replica.target.service)
+        return usual / 2 + self.ways.round_trip(state.hall)
 
     def expected(self, state: target_state.TargetState, now: float) -> float:
         """Estimate how long a target takes to answer, with the way there and back.
--- a/src/lineworks/forwarding/target_calls.py
+++ b/src/lineworks/forwarding/target_calls.py
@@ -91,7 +91,6 @@
     started: float
     connection: client_connection.ClientConnection | None = None
     connector: Any = None
-    is_kept: bool = False
 
 
 class TargetCalls:
@@ -108,7 +107,9 @@
         self._learning = learning
         self._pools: dict[str, _connection_pool.ConnectionPool] = {}
         self._timer: Any = None
+        # Calls under way over kept connections, the oldest first.
         self._kept: dict[_Exchange, None] = {}
+        # Start of the latest call that a kept connection brought an answer, or an end, to.
         self._heard_from = -math.inf
         self._next_look = -math.inf
         self.opened = 0
@@ -162,7 +163,6 @@
         share = 1.0 if call.is_repeatable else UNREPEATABLE_IDLE_SHARE
         connection = pool.take(now, share)
         if connection is not None:
-            exchange.is_kept = True
             self._kept[exchange] = None
             self._send_on(exchange, connection)
         elif pool.has_room:
@@ -263,7 +263,8 @@
     ) -> None:
         connection = exchange.connection
         exchange.connection = None
-        if self._kept.pop(exchange, exchange) is None:
+        if exchange in self._kept:
+            del self._kept[exchange]
             self._heard_from = max(self._heard_from, exchange.started)
         if isinstance(end, client_connection.Broken):
             found = verdict.may_have_run(verdict.Reason.LINK_LOST, end.detail)
--- a/src/lineworks/kernel/round_trip.py
+++ b/src/lineworks/kernel/round_trip.py
@@ -23,6 +23,7 @@
     try:
         found = handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _INFO_BYTES)
     except OSError:
+        # Not every system has it, and a line for each connection would tell nothing new.
         return None
     if len(found) < _RTT.size:
         return None
