The latest moment of an answer leaves time for the delay that the process was seen to have

Cause: with the measured way alone 3 ms and a hundredth of the aim were left for the process.

The delay from the latest moment until the answer has left is learned (90th percentile; 8 ms while little is known; a tenth of the aim at most) and kept besides.

--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -187,7 +187,8 @@
 
         work: search.Search | single.SingleRequest
         if route.is_search:
-            due = search.answer_due(request.arrived, route.aim, request.caller_way)
+            lag = search.answer_lag(self._shared.lags)
+            due = search.answer_due(request.arrived, route.aim, request.caller_way, lag)
             work = search.Search(self._shared, route, call, due, request.arrived, on_end)
         else:
             service = self._turns.choose(route)
--- a/src/lineworks/forwarding/tools.py
+++ b/src/lineworks/forwarding/tools.py
@@ -131,6 +131,9 @@
     without: frozenset[mechanisms.Mechanism] = frozenset()
     """Mechanisms that are switched off."""
 
+    lags: estimators.Quantiles = dataclasses.field(default_factory=estimators.Quantiles)
+    """How long after their latest moment answers of searches left."""
+
     def may_spend(self, service: str, now: float, kept: float = 0.0) -> bool:
         """Take one extra attempt at a service, or count that none was left.
 
