Extra attempts are held together by each data hall

Cause: the fixed part of the allowance was divided by the instances, so that with 195 of them each had about one attempt a shard and ten seconds, and with 62 not two, while all together could send some 200 a shard.

Change: instances earn credit by time. Whoever is asked collects the credit of its hall's instances and grants it (forwarding/extra_keeper.py); credit is only moved, never copied, and ends after 3, 2 and 0.25 seconds where it is earned, kept and granted, so the sum holds in every window whoever is asked, cut off, frozen or restarted (decisions/extra_attempts.py). The number of instances is remembered for 300 s, so halves that are cut from each other do not spend twice.

Ruled out: leases on a keeper's office (two may believe they hold it), an equal part of the rest for restarted instances (0.45 of the fixed number was all that was used; now 0.8), lending by the share of requests (a window of lent and spent ones needs half the share to stay safe).

--- a/src/lineworks/decisions/extra_attempts.py
+++ b/src/lineworks/decisions/extra_attempts.py
@@ -1,30 +1,66 @@
 """How many attempts beyond the first of each request a service may get.
 
-The allowance holds for all instances together over any window of time: a share of the requests
-plus a fixed number. Each instance keeps to its part of it on its own: the share of the requests
-that it took itself, and an equal part of the fixed number. Attempts that a target refused count.
+The allowance holds for all instances together over any window of time: a share of the requests plus
+a fixed number. Attempts that a target refused count.
+
+Each instance spends the share of the requests that it took itself. The fixed number is held
+together as credit: every instance earns an equal part of it as time passes, and the credit of a
+data hall gathers at one instance, its keeper, which grants it where it is needed. Divided among 195
+instances the fixed number left each one attempt a shard and window, and while 15 of 100 targets
+were slow half of all searches came late; gathered by hall it is 32 of them.
+
+What makes this safe without agreement on who the keeper is:
+
+- Credit is only ever earned, handed over or spent, never copied. A message that is lost loses
+  credit, and an instance that restarts begins with none.
+- Credit ends: `HOLD_SECONDS` where it is earned, `POOL_SECONDS` at a keeper and `GRANT_SECONDS`
+  where it is granted. Each receiver counts from the moment at which it asked, so a message that was
+  held up brings credit that is over.
+
+So what is spent in any window was earned in it or within these times before it, and the rate of
+earning follows from that (`Allowance.rate`). Two keepers in one hall share what there is.
 """
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 
 BUCKETS = 20
-"""Pieces that the window is counted in."""
-
-SLACK_IN_USE = 0.45
-"""Part of the fixed number that is used. The rest is left for instances that restarted within the
-window and forgot what they had spent, and for instances that are not known yet."""
+"""Pieces that the window of the share is counted in."""
 
 SHARE_IN_USE = 0.95
 """Part of the allowed share that is used, because requests and attempts near the edge of a window
 may be counted on different sides of it."""
 
+SLACK_IN_USE = 0.8
+"""Part of the fixed number that is used. The rest is left for attempts that reach their target
+later than others which were sent after them, and for instances that are not known yet."""
+
+HOLD_SECONDS = 3.0
+"""Seconds for which an instance keeps credit that nobody asked it for: what a hall can spend at
+once when targets begin to fail."""
+
+POOL_SECONDS = 2.0
+"""Seconds for which a keeper keeps credit: a few rounds of collecting it."""
+
+GRANT_SECONDS = 0.25
+"""Seconds for which granted credit is of use, from the moment at which it was asked for: the
+message and the next look at what is late take less."""
+
+BUCKET_SECONDS = 0.25
+"""Pieces of time in which credit ends together."""
+
+COUNT_SECONDS = 300.0
+"""Seconds for which an instance goes on to count others that it has lost sight of. They may live
+behind a cut and spend their part, and regions lose each other for minutes."""
 
 KEPT_FROM_HEDGES = 0.25
 """Part of the allowance that hedges leave for retries: an attempt after a failed one is worth more
 than a second one beside a slow one."""
 
+_ROUNDING = 1e-9
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Allowance:
@@ -39,16 +75,157 @@
     window: float = 10.0
     """Length of the window in seconds."""
 
+    @property
+    def rate(self) -> float:
+        """Credit that all instances together earn in a second, for each service."""
+        longest_life = HOLD_SECONDS + POOL_SECONDS + GRANT_SECONDS
+        return self.slack * SLACK_IN_USE / (self.window + longest_life)
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    """Credit that was earned in one piece of time."""
+
+    epoch: int
+    amount: float
+    spent: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def left(self, service: str) -> float:
+        return self.amount - self.spent.get(service, 0.0)
+
+
+class Credit:
+    """Credit that ends: the same amount for every service, less what each one spent."""
+
+    def __init__(self, lifetime: float) -> None:
+        """Start with none.
+
+        Args:
+            lifetime: Seconds after which credit ends.
+        """
+        self._lifetime = lifetime
+        self._buckets: list[_Bucket] = []
+
+    def add(self, amount: float, at: float, now: float) -> None:
+        """Add credit for every service.
+
+        Args:
+            amount: Extra attempts, fractions included.
+            at: Time from which its life is counted, in seconds; not after the present.
+            now: The present, in seconds.
+        """
+        epoch = int(at / BUCKET_SECONDS)
+        self._drop_ended(now)
+        if amount <= 0 or self._is_over(epoch, now):
+            return
+        for bucket in self._buckets:
+            if bucket.epoch == epoch:
+                bucket.amount += amount
+                return
+        self._buckets.append(_Bucket(epoch, amount))
+        self._buckets.sort(key=lambda bucket: bucket.epoch)
+
+    def take(self, service: str, amount: float, now: float, kept: float = 0.0) -> bool:
+        """Spend credit of one service, what ends first before the rest.
+
+        Args:
+            service: The service.
+            amount: How much.
+            now: The present, in seconds.
+            kept: Part of all credit (0 to 1) that is left for others.
+
+        Returns:
+            Whether there was enough; nothing is spent otherwise.
+        """
+        left = self.left(service, now)
+        floor = kept * sum(bucket.amount for bucket in self._buckets)
+        if left - amount < floor - _ROUNDING:
+            return False
+        for bucket in self._buckets:
+            part = min(amount, bucket.left(service))
+            if part > 0:
+                bucket.spent[service] = bucket.spent.get(service, 0.0) + part
+                amount -= part
+        return True
+
+    def left(self, service: str, now: float) -> float:
+        """Tell how much credit a service has left.
+
+        Args:
+            service: The service.
+            now: The present, in seconds.
+
+        Returns:
+            A number of attempts, fractions included.
+        """
+        self._drop_ended(now)
+        return sum(bucket.left(service) for bucket in self._buckets)
+
+    def _is_over(self, epoch: int, now: float) -> bool:
+        """Say whether the oldest credit of a bucket is over; the rest of it goes along."""
+        return epoch * BUCKET_SECONDS + self._lifetime <= now
+
+    def _drop_ended(self, now: float) -> None:
+        if self._buckets and self._is_over(self._buckets[0].epoch, now):
+            self._buckets = [one for one in self._buckets if not self._is_over(one.epoch, now)]
+
+
+class InstanceCount:
+    """How many instances share the fixed number, counting those that went out of sight lately."""
+
+    def __init__(self) -> None:
+        self._seen = 0
+        # Greater counts of the last `COUNT_SECONDS` with the time they held until: falling counts,
+        # rising times.
+        self._before: collections.deque[tuple[int, float]] = collections.deque()
+
+    def note(self, count: int, now: float) -> None:
+        """Take in how many instances are seen.
+
+        Args:
+            count: The number, this instance included; 0 while nothing is known.
+            now: The present, in seconds.
+        """
+        self._remember(self._seen, now)
+        self._seen = count
+
+    def note_told(self, count: int, now: float) -> None:
+        """Take in how many instances a peer sees.
+
+        Args:
+            count: The number.
+            now: The present, in seconds.
+        """
+        self._remember(count, now)
+
+    def value(self, now: float) -> int:
+        """Tell how many instances may spend.
+
+        Args:
+            now: The present, in seconds.
+
+        Returns:
+            The number; 0 while nothing is known.
+        """
+        while self._before and now - self._before[0][1] > COUNT_SECONDS:
+            self._before.popleft()
+        return max(self._seen, self._before[0][0]) if self._before else self._seen
+
+    def _remember(self, count: int, now: float) -> None:
+        while self._before and self._before[-1][0] <= count:
+            self._before.pop()
+        self._before.append((count, now))
+
 
 class _Counts:
-    """Requests and extra attempts of one service in the last window, in buckets."""
+    """Requests of one service in the last window, and what their share was spent on, in buckets."""
 
     __slots__ = ("epoch", "extras", "requests")
 
     def __init__(self, epoch: int) -> None:
         self.epoch = epoch
         self.requests = [0] * (BUCKETS + 1)
-        self.extras = [0] * (BUCKETS + 1)
+        self.extras = [0.0] * (BUCKETS + 1)
 
     def advance(self, epoch: int) -> None:
         """Empty the buckets that fell out of the window."""
@@ -56,23 +233,27 @@
         for step in range(steps):
             slot = (epoch - step) % (BUCKETS + 1)
             self.requests[slot] = 0
-            self.extras[slot] = 0
+            self.extras[slot] = 0.0
         self.epoch = max(self.epoch, epoch)
 
 
 class ExtraAttempts:
-    """The extra attempts of one instance."""
+    """The extra attempts of one instance, and those that it keeps for others."""
 
-    def __init__(self, allowance: Allowance) -> None:
-        """Start with nothing counted.
+    def __init__(self, allowance: Allowance, now: float) -> None:
+        """Start with nothing counted and no credit.
 
         Args:
             allowance: What all instances together may spend.
+            now: The present, in seconds.
         """
         self._allowance = allowance
         self._services: dict[str, _Counts] = {}
-        self.instances = 1
-        """Instances believed alive, this one included."""
+        self._held_since = now
+        self._pool = Credit(POOL_SECONDS)
+        self._grants: dict[str, collections.deque[float]] = {}
+        self.instances = InstanceCount()
+        """Instances that share the fixed number."""
         self.spent = 0
         """Extra attempts sent since the start."""
 
@@ -87,7 +268,10 @@
         counts.requests[counts.epoch % (BUCKETS + 1)] += 1
 
     def spend(self, service: str, now: float, kept: float = 0.0) -> bool:
-        """Take one extra attempt, if one is left.
+        """Take one extra attempt, if one is left here.
+
+        Granted credit goes first, because it ends first; then the share of the own requests, made
+        up with credit that this instance keeps.
 
         Args:
             service: The service.
@@ -97,15 +281,66 @@
         Returns:
             Whether it may be sent.
         """
+        if self._use_grant(service, now):
+            self.spent += 1
+            return True
         counts = self._counts(service, now)
-        if sum(counts.extras) + 1 > self._limit(counts) * (1.0 - kept):
+        from_share = min(1.0, max(0.0, self._share_left(counts, kept)))
+        from_pool = 1.0 - from_share
+        if from_pool > _ROUNDING and not self._pool.take(service, from_pool, now, kept):
             return False
-        counts.extras[counts.epoch % (BUCKETS + 1)] += 1
+        counts.extras[counts.epoch % (BUCKETS + 1)] += from_share
         self.spent += 1
         return True
 
+    def hand_over(self, now: float) -> float:
+        """Give away the credit that this instance earned and that nobody asked it for yet.
+
+        Args:
+            now: The present, in seconds.
+
+        Returns:
+            Credit for every service; none while it is not known how many instances share.
+        """
+        held = min(now - self._held_since, HOLD_SECONDS)
+        self._held_since = now
+        instances = self.instances.value(now)
+        return held * self._allowance.rate / instances if instances else 0.0
+
+    def take_in(self, amount: float, at: float, now: float) -> None:
+        """Keep credit that an instance handed over.
+
+        Args:
+            amount: Credit for every service.
+            at: When it was asked for, in seconds.
+            now: The present, in seconds.
+        """
+        self._pool.add(amount, at, now)
+
+    def grant(self, service: str, now: float, kept: float = 0.0) -> bool:
+        """Take one extra attempt out of the credit kept here, for another instance.
+
+        Args:
+            service: The service.
+            now: The present, in seconds.
+            kept: Part of the credit (0 to 1) that is left for others.
+
+        Returns:
+            Whether there was one.
+        """
+        return self._pool.take(service, 1.0, now, kept)
+
+    def accept(self, service: str, until: float) -> None:
+        """Take one extra attempt that a keeper granted.
+
+        Args:
+            service: The service.
+            until: When it ends, in seconds.
+        """
+        self._grants.setdefault(service, collections.deque()).append(until)
+
     def left(self, service: str, now: float) -> float:
-        """Tell how many extra attempts are left.
+        """Tell how many extra attempts are left here.
 
         Args:
             service: The service.
@@ -114,8 +349,9 @@
         Returns:
             A number of attempts.
         """
-        counts = self._counts(service, now)
-        return self._limit(counts) - sum(counts.extras)
+        granted = sum(1 for until in self._grants.get(service, ()) if now < until)
+        own = self._share_left(self._counts(service, now), 0.0)
+        return granted + own + self._pool.left(service, now)
 
     def least_left(self, now: float) -> float:
         """Tell what is left to the service that has the fewest extra attempts left.
@@ -128,13 +364,19 @@
         """
         return min((self.left(service, now) for service in self._services), default=0.0)
 
-    def _limit(self, counts: _Counts) -> float:
+    def _use_grant(self, service: str, now: float) -> bool:
+        grants = self._grants.get(service)
+        while grants:
+            if now < grants.popleft():
+                return True
+        return False
+
+    def _share_left(self, counts: _Counts, kept: float) -> float:
         # The oldest bucket is partly outside the window, so its requests do not count.
         oldest = (counts.epoch + 1) % (BUCKETS + 1)
         requests = sum(counts.requests) - counts.requests[oldest]
-        allowed = self._allowance
-        slack = allowed.slack * SLACK_IN_USE / max(1, self.instances)
-        return allowed.share * SHARE_IN_USE * requests + slack
+        limit = self._allowance.share * SHARE_IN_USE * requests
+        return limit * (1.0 - kept) - sum(counts.extras)
 
     def _counts(self, service: str, now: float) -> _Counts:
         epoch = int(now * BUCKETS / self._allowance.window)
--- a/src/lineworks/decisions/mechanisms.py
+++ b/src/lineworks/decisions/mechanisms.py
@@ -48,6 +48,9 @@
     LINK_COMPRESSION = "link_compression"
     """Frames between instances are compressed."""
 
+    SHARED_ATTEMPTS = "shared_attempts"
+    """The extra attempts of a hall's instances are gathered and granted where they are needed."""
+
     STORE_REPEATS = "store_repeats"
     """Reads of the store are sent again on a new connection while no answer comes."""
 
--- /dev/null
+++ b/src/lineworks/forwarding/extra_keeper.py
@@ -0,0 +1,281 @@
+"""Gathers the extra attempts of a data hall at one instance, which grants them where they are
+needed.
+
+An instance that needs extra attempts asks the keeper of its hall: the instance that rendezvous
+hashing names among those it hears of. Whoever is asked acts as keeper: it collects the credit of
+the hall's instances and grants what there is. So no agreement is needed, and a keeper that is
+killed, cut off or frozen costs those that ask it `ASK_SECONDS` once. Why this never grants too much
+is told in `lineworks.decisions.extra_attempts`.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import functools
+import itertools
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+from lineworks.decisions import extra_attempts, ownership
+from lineworks.wire import node_frames
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from lineworks.forwarding import gatherers
+    from lineworks.services import peer_links
+
+KEEPER = "extra attempts"
+"""What rendezvous hashing looks for."""
+
+ASK_SECONDS = 0.06
+"""Seconds that an answer of the keeper is waited for; then it is passed over until it is heard of
+again. Two round trips in a hall and a collection take a few milliseconds, on a busy one some
+more."""
+
+PULL_SECONDS = 0.25
+"""Seconds between collections at least: each one costs a message from and to every instance of the
+hall."""
+
+PULL_WAIT = 0.02
+"""Seconds that a collection waits for instances that do not answer."""
+
+_log = structlog.get_logger(component="extra_keeper")
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Request:
+    """What an instance asks the keeper for."""
+
+    hedges: list[str]
+    retries: list[str]
+    reply: Callable[[Sequence[str]], None]
+    granted: list[str] = dataclasses.field(default_factory=list)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether something is still to be granted."""
+        return bool(self.hedges or self.retries)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Pending:
+    """A request that another instance was asked with."""
+
+    keeper: str
+    sent_at: float
+    listeners: list[Callable[[], None]]
+    timer: Any
+
+
+class ExtraKeeper:
+    """Asks for extra attempts, and grants them to others."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        name: str,
+        hall: str,
+        links: peer_links.PeerLinks,
+        peers: gatherers.Gatherers,
+        extra: extra_attempts.ExtraAttempts,
+        is_shared: bool = True,
+    ) -> None:
+        """Start with nothing asked.
+
+        Args:
+            reactor: Twisted's reactor.
+            name: Name of this instance.
+            hall: Its data hall.
+            links: Links to the other instances.
+            peers: Tells which of them can be asked.
+            extra: Extra attempts of this instance.
+            is_shared: Whether others are asked; otherwise this instance uses its own part only.
+        """
+        self._reactor = reactor
+        self._name = name
+        self._hall = hall
+        self._links = links
+        self._peers = peers
+        self._extra = extra
+        self._is_shared = is_shared
+        self._numbers = itertools.count(1)
+        self._hedges: list[str] = []
+        self._retries: list[str] = []
+        self._listeners: list[Callable[[], None]] = []
+        self._pending: dict[int, _Pending] = {}
+        self._keeper = ""
+        # The collection under way: who has not answered, and who waits for its end.
+        self._owing: set[str] = set()
+        self._waiting: list[_Request] = []
+        self._pulls: dict[int, float] = {}
+        self._pulled_at = -PULL_SECONDS
+        self.counts: collections.Counter[str] = collections.Counter()
+        """Requests, attempts granted and refused, requests without an answer, collections."""
+        links.handle(node_frames.ExtraAsk, self._on_ask)
+        links.handle(node_frames.ExtraGrant, self._on_grant)
+        links.handle(node_frames.CreditPull, self._on_pull)
+        links.handle(node_frames.CreditShare, self._on_share)
+        links.on_down.append(self._on_down)
+
+    def ask(self, services: Sequence[str], is_hedge: bool, on_reply: Callable[[], None]) -> None:
+        """Ask for one extra attempt at each of some services.
+
+        What is granted can be spent as soon as the answer is here.
+
+        Args:
+            services: The services. is_hedge: Whether they are for hedges, which leave a part for
+            retries. on_reply: Called once, never from inside this function, when an answer came or
+            none will.
+        """
+        if not self._listeners:
+            self._reactor.callLater(0, self._flush)
+        wanted = self._hedges if is_hedge else self._retries
+        wanted.extend(services)
+        self._listeners.append(on_reply)
+
+    def _flush(self) -> None:
+        """Ask for all that was wanted in this turn of the event loop."""
+        listeners, self._listeners = self._listeners, []
+        hedges, self._hedges = self._hedges, []
+        retries, self._retries = self._retries, []
+        self.counts["asked"] += 1
+        now = self._reactor.seconds()
+        keeper = self._choose()
+        number = next(self._numbers)
+        ask = node_frames.ExtraAsk(number, tuple(hedges), tuple(retries))
+        if keeper != self._name and self._links.send(keeper, ask):
+            timer = self._reactor.callLater(ASK_SECONDS, self._on_timeout, number)
+            self._pending[number] = _Pending(keeper, now, listeners, timer)
+            return
+        reply = functools.partial(self._accept, now, listeners)
+        self._serve(_Request(hedges, retries, reply))
+
+    def _choose(self) -> str:
+        """Choose the keeper among the hall's instances that are heard of."""
+        able = self._peers.able(self._hall) if self._is_shared else []
+        (keeper,) = ownership.owners(KEEPER, [*able, self._name], 1)
+        if keeper != self._keeper:
+            _log.info("extra_keeper", keeper=keeper, before=self._keeper, instances=len(able) + 1)
+            self._keeper = keeper
+        return keeper
+
+    def _accept(
+        self, asked_at: float, listeners: Sequence[Callable[[], None]], services: Sequence[str]
+    ) -> None:
+        for service in services:
+            self._extra.accept(service, asked_at + extra_attempts.GRANT_SECONDS)
+        for listener in listeners:
+            listener()
+
+    def _on_grant(self, link: Any, frame: node_frames.ExtraGrant) -> None:
+        pending = self._pending.pop(frame.number, None)
+        if pending is None or pending.keeper != link.hello.name:
+            return
+        pending.timer.cancel()
+        self._accept(pending.sent_at, pending.listeners, frame.services)
+
+    def _on_timeout(self, number: int) -> None:
+        """Pass a keeper over that does not answer."""
+        pending = self._pending.pop(number)
+        self.counts["unanswered"] += 1
+        self._peers.distrust(pending.keeper)
+        self._accept(pending.sent_at, pending.listeners, ())
+
+    def _on_down(self, name: str) -> None:
+        lost = [number for number, pending in self._pending.items() if pending.keeper == name]
+        for number in lost:
+            pending = self._pending.pop(number)
+            pending.timer.cancel()
+            self._accept(pending.sent_at, pending.listeners, ())
+        if name in self._owing:
+            self._settle(name)
+
+    def _on_ask(self, link: Any, frame: node_frames.ExtraAsk) -> None:
+        def reply(services: Sequence[str]) -> None:
+            link.send(node_frames.ExtraGrant(frame.number, tuple(services)))
+
+        self._serve(_Request(list(frame.hedges), list(frame.retries), reply))
+
+    def _serve(self, request: _Request) -> None:
+        """Grant what there is; collect the hall's credit first where that is due and needed."""
+        now = self._reactor.seconds()
+        self._grant(request, now)
+        if request.is_open and now - self._pulled_at >= PULL_SECONDS:
+            self._pull(now)
+            self._grant(request, now)
+        if request.is_open and self._owing:
+            self._waiting.append(request)
+        else:
+            self._reply(request)
+
+    def _grant(self, request: _Request, now: float) -> None:
+        kept = extra_attempts.KEPT_FROM_HEDGES
+        request.retries = self._grant_each(request, request.retries, now, 0.0)
+        request.hedges = self._grant_each(request, request.hedges, now, kept)
+
+    def _grant_each(
+        self, request: _Request, services: Sequence[str], now: float, kept: float
+    ) -> list[str]:
+        """Grant what there is, and tell what was wanted in vain."""
+        refused = []
+        for service in services:
+            if self._extra.grant(service, now, kept):
+                request.granted.append(service)
+            else:
+                refused.append(service)
+        return refused
+
+    def _reply(self, request: _Request) -> None:
+        self.counts["granted"] += len(request.granted)
+        self.counts["refused"] += len(request.hedges) + len(request.retries)
+        request.reply(request.granted)
+
+    def _pull(self, now: float) -> None:
+        """Collect the credit of the hall's instances, the own one at once."""
+        self.counts["collections"] += 1
+        self._pulled_at = now
+        self._extra.take_in(self._extra.hand_over(now), now, now)
+        if not self._is_shared:
+            return
+        oldest = now - extra_attempts.POOL_SECONDS
+        self._pulls = {number: at for number, at in self._pulls.items() if at > oldest}
+        number = next(self._numbers)
+        self._pulls[number] = now
+        self._owing = set(self._peers.able(self._hall))
+        for peer in self._owing:
+            self._links.send(peer, node_frames.CreditPull(number))
+        if self._owing:
+            self._reactor.callLater(PULL_WAIT, self._on_pull_over, number)
+
+    def _on_pull(self, link: Any, frame: node_frames.CreditPull) -> None:
+        amount = self._extra.hand_over(self._reactor.seconds())
+        link.send(node_frames.CreditShare(frame.number, amount))
+
+    def _on_share(self, link: Any, frame: node_frames.CreditShare) -> None:
+        asked_at = self._pulls.get(frame.number)
+        if asked_at is None:
+            return
+        self._extra.take_in(frame.amount, asked_at, self._reactor.seconds())
+        if frame.number == max(self._pulls):
+            self._settle(link.hello.name)
+
+    def _settle(self, peer: str) -> None:
+        """Note that nothing more is to be expected of an instance in this collection."""
+        self._owing.discard(peer)
+        if not self._owing:
+            self._end_pull()
+
+    def _on_pull_over(self, number: int) -> None:
+        if self._pulls and number == max(self._pulls) and self._owing:
+            self._owing.clear()
+            self._end_pull()
+
+    def _end_pull(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        now = self._reactor.seconds()
+        for request in waiting:
+            self._grant(request, now)
+            self._reply(request)
--- a/src/lineworks/forwarding/gatherers.py
+++ b/src/lineworks/forwarding/gatherers.py
@@ -69,8 +69,22 @@
         Returns:
             Name of the instance, or None when none can be asked.
         """
+        able = self.able(hall)
+        if not able:
+            return None
+        return min(able, key=lambda name: (self._peer(name).open, self._rng.random()))
+
+    def able(self, hall: str) -> list[str]:
+        """List the other instances of a hall that are heard of and take new work.
+
+        Args:
+            hall: The hall.
+
+        Returns:
+            Their names.
+        """
         now = self._reactor.seconds()
-        able = [
+        return [
             name
             for name, link in self._links.up.items()
             if link.hello is not None
@@ -78,9 +92,6 @@
             and name not in self._leaving
             and not self._is_silent(name, link, now)
         ]
-        if not able:
-            return None
-        return min(able, key=lambda name: (self._peer(name).open, self._rng.random()))
 
     def set_leaving(self, peer: str, is_leaving: bool) -> None:
         """Note whether a gatherer takes no new work.
@@ -94,11 +105,18 @@
         else:
             self._leaving.discard(peer)
 
+    def distrust(self, name: str) -> None:
+        """Pass an instance over until it is heard of.
+
+        Args:
+            name: The instance.
+        """
+        self._peer(name).silent_at = self._reactor.seconds()
+
     def distrust_all(self) -> None:
         """Pass all gatherers over until they are heard of: open connections went silent."""
-        now = self._reactor.seconds()
         for name in self._links.up:
-            self._peer(name).silent_at = now
+            self.distrust(name)
 
     def next_number(self) -> int:
         """Number a query."""
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -13,6 +13,7 @@
 from lineworks.decisions import extra_attempts, mechanisms, routes
 from lineworks.forwarding import (
     directory,
+    extra_keeper,
     front,
     gatherers,
     gathering,
@@ -83,7 +84,7 @@
         self._hand_over_until = 0.0
         self._counters = tools.Counters()
         self._metrics = metrics.RequestMetrics()
-        self._extra = extra_attempts.ExtraAttempts(settings.allowance)
+        self._extra = extra_attempts.ExtraAttempts(settings.allowance, reactor.seconds())
         self._links = peer_links.PeerLinks(
             reactor,
             settings.name,
@@ -102,6 +103,15 @@
         self._learning = target_learning.TargetLearning(reactor, self._book, self._rng)
         self._calls = target_calls.TargetCalls(reactor, self._learning)
         self._gatherers = gatherers.Gatherers(reactor, self._links, self._rng)
+        self._keeper = extra_keeper.ExtraKeeper(
+            reactor,
+            settings.name,
+            settings.hall,
+            self._links,
+            self._gatherers,
+            self._extra,
+            mechanisms.Mechanism.SHARED_ATTEMPTS not in without,
+        )
         self._gatherer = gathering.Gatherer(
             reactor, settings.hall, self._book, self._calls, without
         )
@@ -118,6 +128,7 @@
             self._calls,
             self._gatherers,
             self._extra,
+            self._keeper,
             tools.HedgeTimes(),
             self._counters,
             bounded_log.BoundedLog(reactor, "hedges", tools.HEDGE_LINES_PER_SECOND),
@@ -184,6 +195,7 @@
         self._directory.on_table = self._on_table
         self._directory.on_targets = self._on_targets
         self._directory.on_instances = self._registration.on_changes
+        self._registration.on_listed = self._count_instances
         self._calls.on_silence = self._gatherers.distrust_all
         links = self._links
         links.handle(node_frames.GatherQuery, self._on_query)
@@ -252,15 +264,23 @@
         self._gatherer.on_cancel(link.hello.incarnation, cancel)
 
     def _heartbeat(self) -> frames.Heartbeat:
-        return frames.Heartbeat(self._is_stopping, self._directory.version, "")
+        return frames.Heartbeat(
+            self._is_stopping, self._directory.version, "", self._seen_instances
+        )
 
     def _on_heartbeat(self, link: Any, frame: frames.Heartbeat) -> None:
         self._gatherers.set_leaving(link.hello.name, frame.is_leaving)
         self._directory.on_peer_version(link.hello.name, frame.config_version)
+        self._extra.instances.note_told(frame.instances, self._reactor.seconds())
+
+    @property
+    def _seen_instances(self) -> int:
+        """Instances that are linked or listed, this one included; 0 while none is."""
+        linked = len(self._links.up) + 1 if self._links.up else 0
+        return max(linked, self._registration.known)
 
     def _count_instances(self) -> None:
-        alive = len(self._links.up) + 1
-        self._extra.instances = max(alive, self._registration.known)
+        self._extra.instances.note(self._seen_instances, self._reactor.seconds())
 
     def _check_stopped(self) -> None:
         """End when the balancer has let go and no request is under way, or time is up."""
@@ -289,7 +309,8 @@
             "lineworks_extra_attempts": {
                 "spent": float(self._extra.spent),
                 "least_left": self._extra.least_left(now),
-                "instances": float(self._extra.instances),
+                "instances": float(self._extra.instances.value(now)),
+                **{kind: float(count) for kind, count in self._keeper.counts.items()},
             },
             "lineworks_event_loop_delay_seconds": {
                 "last": self._loop_delay.last,
--- a/src/lineworks/forwarding/registration.py
+++ b/src/lineworks/forwarding/registration.py
@@ -69,13 +69,15 @@
         self._links = links
         self._jitter = jitter
         self._lease = 0
+        self.on_listed: Callable[[], None] = lambda: None
+        """Called when the instances that are listed have changed."""
         self._members: dict[str, member.Member] = {}
         self._task = task.Task("registration", self._run)
 
     @property
     def known(self) -> int:
-        """Instances listed, this one included."""
-        return max(1, len(self._members))
+        """Instances listed, this one included once its key is; 0 while no list was read."""
+        return len(self._members)
 
     def start(self) -> None:
         """Begin to register."""
@@ -127,6 +129,7 @@
                 is_changed |= self._members.pop(name, None) is not None
         if is_changed:
             self._links.set_wanted(self._members)
+            self.on_listed()
 
     async def _keep(self) -> None:
         while True:
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -282,8 +282,16 @@
         self._check()
 
     def _on_no_budget(self, index: int) -> None:
+        """Ask for an extra attempt, or give the shard up when there is none."""
         shard = self._shards[index]
-        if not shard.running and not shard.is_waiting:
+        if shard.running or shard.is_waiting:
+            return
+        if shard.asks < search_hedges.MOST_ASKS:
+            shard.asks += 1
+            shard.is_waiting = True
+            on_reply = functools.partial(self._on_retry, index)
+            self._shared.keeper.ask((shard.service,), False, on_reply)
+        else:
             shard.is_given_up = True
 
     def _on_hedge(self) -> None:
@@ -291,17 +299,28 @@
         if self._on_end is None:
             return
         now = self._shared.reactor.seconds()
+        self._send_hedges(now)
+        pause = self._hedges.next_look(now)
+        if pause is not None:
+            self._set_timer(pause, self._on_hedge)
+        self._check()
+
+    def _on_more_extras(self) -> None:
+        """Choose again, because extra attempts that were lacking may have come."""
+        if self._on_end is None:
+            return
+        self._send_hedges(self._shared.reactor.seconds())
+        self._check()
+
+    def _send_hedges(self, now: float) -> None:
         hedged = self._hedges.choose(now)
+        self._hedges.ask_for_more(self._on_more_extras)
         if hedged:
             pairs = [
                 (self._shards[index].running[0].state, state) for index, state in hedged.items()
             ]
             self._shared.log_hedges(self._call, now - self._arrived, pairs)
             self._dispatch(hedged, is_hedge=True)
-        pause = self._hedges.next_look(now)
-        if pause is not None:
-            self._set_timer(pause, self._on_hedge)
-        self._check()
 
     def _on_aim(self) -> None:
         self._is_late = True
--- a/src/lineworks/forwarding/search_hedges.py
+++ b/src/lineworks/forwarding/search_hedges.py
@@ -8,7 +8,7 @@
 from lineworks.forwarding import search_state
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from lineworks.decisions import routes
     from lineworks.forwarding import target_state, tools
@@ -23,6 +23,9 @@
 MOST_RECHECKS = 4
 """Looks at late shards after the first."""
 
+MOST_ASKS = 2
+"""Times that more extra attempts are asked for a shard: once more if the keeper did not answer."""
+
 HEDGES_IN_TIME = 2.0
 """Hedges, one after the other, that should still be in time for the answer."""
 
@@ -59,6 +62,7 @@
         self._began = 0.0
         self._aim_at = 0.0
         self._rechecks = 0
+        self._lacking: list[str] = []
         self.local_delay = 0.0
         """Seconds after which an attempt in the own hall is late."""
         self.remote_delay = 0.0
@@ -97,6 +101,16 @@
         self._shared.counters.hedges += len(chosen)
         return chosen
 
+    def ask_for_more(self, on_reply: Callable[[], None]) -> None:
+        """Ask for the extra attempts that were lacking at the last choice, if any were.
+
+        Args:
+            on_reply: Called when they may have come, so that the search chooses again.
+        """
+        lacking, self._lacking = self._lacking, []
+        if lacking:
+            self._shared.keeper.ask(lacking, True, on_reply)
+
     def next_look(self, now: float) -> float | None:
         """Tell when to look again.
 
@@ -156,6 +170,9 @@
             return None
         if not self._shared.may_spend(shard.service, now, extra_attempts.KEPT_FROM_HEDGES):
             shard.not_hedged = search_state.NotHedged.NO_BUDGET
+            if shard.asks < MOST_ASKS:
+                shard.asks += 1
+                self._lacking.append(shard.service)
             return None
         shard.is_hedged = True
         return state
--- a/src/lineworks/forwarding/search_state.py
+++ b/src/lineworks/forwarding/search_state.py
@@ -80,6 +80,9 @@
     """Attempts without a result here that a target has worked on or may still work on: their part
     could not be used, their gatherer is gone, or it was just told to give them up."""
 
+    asks: int = 0
+    """Times that an extra attempt was asked for."""
+
     is_hedged: bool = False
     """Whether a hedge was sent."""
 
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -30,6 +30,9 @@
 """Share of the aim that a request waits for a target with room before it is refused: a refusal
 within a quarter of the aim still leaves time for another try."""
 
+MOST_ASKS = 2
+"""Times that more extra attempts are asked for: once more if the keeper did not answer."""
+
 MOST_ATTEMPTS = 6
 """Attempts at one request in all, refused ones included."""
 
@@ -73,6 +76,7 @@
         self._running: list[_Attempt] = []
         self._tried: set[str] = set()
         self._attempts = 0
+        self._asks = 0
         self._timers: list[Any] = []
         self._known: list[verdict.Verdict] = []
         self._failures: list[str] = []
@@ -160,9 +164,11 @@
 
     def _go_on(self, last: verdict.Verdict) -> None:
         """After the last attempt failed: try once more, or tell the caller."""
-        if self._may_retry(last):
+        if self._may_retry(last) and self._has_extra(last):
             self._shared.counters.retries += 1
             self._place()
+        elif self._may_retry(last) and self._may_ask():
+            self._ask_for_extra(functools.partial(self._on_retry_granted, last))
         elif self._failure is not None:
             self._pass_back(self._failure, last)
         else:
@@ -175,12 +181,27 @@
             return False
         if self._attempts >= MOST_ATTEMPTS or now + ROOM_PAUSE >= self._call.deadline:
             return False
-        if not shared.book.has_any(self._service):
-            return False
+        return shared.book.has_any(self._service)
+
+    def _has_extra(self, last: verdict.Verdict) -> bool:
+        """Pay for another attempt; one in place of an attempt that reached no target is free."""
+        shared = self._shared
         is_free = mechanisms.Mechanism.FREE_RETRIES not in shared.without
         if is_free and not answers.was_sent(last):
             return True
-        return shared.may_spend(self._service, now)
+        return shared.may_spend(self._service, shared.reactor.seconds())
+
+    def _may_ask(self) -> bool:
+        return self._asks < MOST_ASKS
+
+    def _ask_for_extra(self, on_reply: Callable[[], None]) -> None:
+        self._asks += 1
+        self._shared.keeper.ask((self._service,), False, on_reply)
+
+    def _on_retry_granted(self, last: verdict.Verdict) -> None:
+        """Go on after an extra attempt was asked for."""
+        if self._on_end is not None and not self._running:
+            self._go_on(last)
 
     def _on_hedge(self) -> None:
         """Ask a second target while the first is slow."""
@@ -192,6 +213,8 @@
         if state is None:
             return
         if not shared.may_spend(self._service, now):
+            if self._may_ask():
+                self._ask_for_extra(self._on_hedge)
             return
         shared.counters.hedges += 1
         shared.log_hedges(self._call, now - self._arrived, [(self._running[0].state, state)])
--- a/src/lineworks/forwarding/tools.py
+++ b/src/lineworks/forwarding/tools.py
@@ -11,7 +11,13 @@
     from collections.abc import Sequence
 
     from lineworks.decisions import extra_attempts, mechanisms
-    from lineworks.forwarding import gatherers, target_book, target_calls, target_state
+    from lineworks.forwarding import (
+        extra_keeper,
+        gatherers,
+        target_book,
+        target_calls,
+        target_state,
+    )
     from lineworks.kernel import bounded_log
 
 HEDGE_LINES_PER_SECOND = 10.0
@@ -85,7 +91,7 @@
     """Attempts after a failed one."""
 
     budget_spent: int = 0
-    """Attempts not made because no extra attempt was left."""
+    """Times that no extra attempt was left here when one was wanted."""
 
     gather_queries: int = 0
     """Queries sent to gatherers in other halls."""
@@ -119,6 +125,9 @@
     extra: extra_attempts.ExtraAttempts
     """Attempts beyond the first that are left."""
 
+    keeper: extra_keeper.ExtraKeeper
+    """Asks for more of them."""
+
     hedges: HedgeTimes
     """When a sub-query counts as late."""
 
--- /dev/null
+++ b/src/lineworks/wire/_extra_codec.py
@@ -0,0 +1,71 @@
+"""Encodes and decodes the frames by which instances share extra attempts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from lineworks.wire import node_frames
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_MILLIONTHS = 1_000_000
+
+_MOST_MILLIONTHS = 2**32 - 1
+
+
+def _write_ask(builder: Any, frame: node_frames.ExtraAsk, now: float) -> None:
+    body = builder.init("extraAsk")
+    body.number = frame.number
+    body.hedges = list(frame.hedges)
+    body.retries = list(frame.retries)
+
+
+def _read_ask(body: Any, now: float) -> node_frames.ExtraAsk:
+    return node_frames.ExtraAsk(body.number, tuple(body.hedges), tuple(body.retries))
+
+
+def _write_grant(builder: Any, frame: node_frames.ExtraGrant, now: float) -> None:
+    body = builder.init("extraGrant")
+    body.number = frame.number
+    body.services = list(frame.services)
+
+
+def _read_grant(body: Any, now: float) -> node_frames.ExtraGrant:
+    return node_frames.ExtraGrant(body.number, tuple(body.services))
+
+
+def _write_pull(builder: Any, frame: node_frames.CreditPull, now: float) -> None:
+    builder.init("creditPull").number = frame.number
+
+
+def _read_pull(body: Any, now: float) -> node_frames.CreditPull:
+    return node_frames.CreditPull(body.number)
+
+
+def _write_share(builder: Any, frame: node_frames.CreditShare, now: float) -> None:
+    body = builder.init("creditShare")
+    body.number = frame.number
+    # Rounded down, so that no credit comes into being on the way.
+    body.amount = min(_MOST_MILLIONTHS, int(frame.amount * _MILLIONTHS))
+
+
+def _read_share(body: Any, now: float) -> node_frames.CreditShare:
+    return node_frames.CreditShare(body.number, body.amount / _MILLIONTHS)
+
+
+ENCODERS: dict[type, Callable[[Any, Any, float], None]] = {
+    node_frames.ExtraAsk: _write_ask,
+    node_frames.ExtraGrant: _write_grant,
+    node_frames.CreditPull: _write_pull,
+    node_frames.CreditShare: _write_share,
+}
+"""Writers by message class: (builder of a frame, message, present)."""
+
+DECODERS: dict[str, Callable[[Any, float], Any]] = {
+    "extraAsk": _read_ask,
+    "extraGrant": _read_grant,
+    "creditPull": _read_pull,
+    "creditShare": _read_share,
+}
+"""Readers by the frame's kind: (body, present)."""
--- a/src/lineworks/wire/codec.py
+++ b/src/lineworks/wire/codec.py
@@ -12,7 +12,7 @@
 
 from lineworks.decisions import catalog, verdict
 from lineworks.engine import messages
-from lineworks.wire import _base, _gather_codec, frames
+from lineworks.wire import _base, _extra_codec, _gather_codec, frames
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -96,6 +96,7 @@
     body.isLeaving = frame.is_leaving
     body.configVersion = frame.config_version
     body.configDigest = frame.config_digest
+    body.instances = frame.instances
 
 
 def _write_sub_queries(builder: Any, frame: messages.SubQueries, now: float) -> None:
@@ -178,7 +179,7 @@
 
 
 def _read_heartbeat(body: Any, now: float) -> frames.Frame:
-    return frames.Heartbeat(body.isLeaving, body.configVersion, body.configDigest)
+    return frames.Heartbeat(body.isLeaving, body.configVersion, body.configDigest, body.instances)
 
 
 def _read_sub_queries(body: Any, now: float) -> frames.Frame:
@@ -293,6 +294,7 @@
     frames.Relay: _write_relay,
     frames.RelayReply: _write_relay_reply,
     **_gather_codec.ENCODERS,
+    **_extra_codec.ENCODERS,
 }
 
 _DECODERS: dict[str, Callable[[Any, float], frames.Frame]] = {
@@ -308,4 +310,5 @@
     "relay": _read_relay,
     "relayReply": _read_relay_reply,
     **_gather_codec.DECODERS,
+    **_extra_codec.DECODERS,
 }
--- a/src/lineworks/wire/frames.py
+++ b/src/lineworks/wire/frames.py
@@ -52,6 +52,9 @@
     config_digest: str
     """Digest of the chain of changes up to that version."""
 
+    instances: int = 0
+    """Instances that the sender sees, itself included; 0 where that is not known."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Replies:
@@ -134,5 +137,9 @@
     | node_frames.TargetUpdate
     | node_frames.TableUpdate
     | node_frames.TablePull
+    | node_frames.ExtraAsk
+    | node_frames.ExtraGrant
+    | node_frames.CreditPull
+    | node_frames.CreditShare
 )
 """Everything that travels on a peer link."""
--- a/src/lineworks/wire/node_frames.py
+++ b/src/lineworks/wire/node_frames.py
@@ -94,6 +94,50 @@
     """Positions given up; empty for all."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExtraAsk:
+    """Asks a keeper for extra attempts, one at each service."""
+
+    number: int
+    """Number of this message, unique for the sending process."""
+
+    hedges: tuple[str, ...]
+    """Services that a second attempt beside a slow one is wanted for."""
+
+    retries: tuple[str, ...]
+    """Services that an attempt after a failed one is wanted for."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExtraGrant:
+    """A keeper's answer."""
+
+    number: int
+    """Number of the `ExtraAsk`."""
+
+    services: tuple[str, ...]
+    """Services that one extra attempt each is granted for."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CreditPull:
+    """Asks an instance for the credit that it has earned."""
+
+    number: int
+    """Number of this message, unique for the sending process."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CreditShare:
+    """Hands credit over; the sender has none of it any more."""
+
+    number: int
+    """Number of the `CreditPull`."""
+
+    amount: float
+    """Extra attempts for every service, fractions included."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetUpdate:
     """Tells the peers of a data hall what the platform's store said of the targets."""
--- a/src/lineworks/wire/peer.capnp
+++ b/src/lineworks/wire/peer.capnp
@@ -21,6 +21,10 @@
     targetUpdate @14 :TargetUpdate;
     tableUpdate @15 :TableUpdate;
     tablePull @16 :TablePull;
+    extraAsk @17 :ExtraAsk;
+    extraGrant @18 :ExtraGrant;
+    creditPull @19 :CreditPull;
+    creditShare @20 :CreditShare;
   }
 }
 
@@ -37,6 +41,7 @@
   isLeaving @0 :Bool;
   configVersion @1 :UInt64;
   configDigest @2 :Text;
+  instances @3 :UInt32;
 }
 
 struct SubQueries {
@@ -120,3 +125,12 @@
 struct TableUpdate { version @0 :UInt64; document @1 :Data; }
 
 struct TablePull { version @0 :UInt64; }
+
+struct ExtraAsk { number @0 :UInt64; hedges @1 :List(Text); retries @2 :List(Text); }
+
+struct ExtraGrant { number @0 :UInt64; services @1 :List(Text); }
+
+struct CreditPull { number @0 :UInt64; }
+
+# Millionths of an extra attempt.
+struct CreditShare { number @0 :UInt64; amount @1 :UInt32; }
--- /dev/null
+++ b/tests/test_extra_attempts_model.py
@@ -0,0 +1,204 @@
+"""Every order of messages, losses, restarts and spending, up to a bound, on the real bookkeeping.
+
+Two instances, both of which may act as keeper. Times are shortened to whole steps, so that all that
+ends does so within the bound.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+import pytest
+
+from lineworks.decisions import extra_attempts
+
+
+@dataclasses.dataclass(frozen=True)
+class Bound:
+    """How far the search goes."""
+
+    steps: int
+    """Steps of time."""
+
+    under_way: int
+    """Messages under way at one moment."""
+
+    restarts: int
+
+
+HOLD, POOL, GRANT = 1, 1, 1
+EACH_STEP = 1.0
+"""Credit that each of the two instances earns in a step."""
+
+
+@dataclasses.dataclass
+class World:
+    """Two instances, and what is under way between them."""
+
+    books: list
+    now: int = 0
+    under_way: tuple = ()
+    restarts: int = 0
+    spent: tuple = ()
+
+    def copy(self):
+        books = [copied(book) for book in self.books]
+        return World(books, self.now, self.under_way, self.restarts, self.spent)
+
+    def key(self):
+        books = []
+        for book in self.books:
+            pool = tuple((b.epoch, b.amount, b.spent.get("s", 0.0)) for b in book._pool._buckets)
+            grants = tuple(book._grants.get("s", ()))
+            books.append((book._held_since, pool, grants))
+        return tuple(books), self.now, self.under_way, self.restarts, self.spent
+
+
+def copied(book):
+    other = extra_attempts.ExtraAttempts(book._allowance, book._held_since)
+    other.instances = book.instances
+    other._pool._buckets = [
+        extra_attempts._Bucket(one.epoch, one.amount, dict(one.spent))
+        for one in book._pool._buckets
+    ]
+    other._grants = {service: collections.deque(ends) for service, ends in book._grants.items()}
+    return other
+
+
+@pytest.fixture
+def allowed(monkeypatch):
+    monkeypatch.setattr(extra_attempts, "HOLD_SECONDS", HOLD)
+    monkeypatch.setattr(extra_attempts, "POOL_SECONDS", POOL)
+    monkeypatch.setattr(extra_attempts, "GRANT_SECONDS", GRANT)
+    monkeypatch.setattr(extra_attempts, "BUCKET_SECONDS", 1)
+    window = 2.0
+    slack = 2 * EACH_STEP * (window + HOLD + POOL + GRANT) / extra_attempts.SLACK_IN_USE
+    allowance = extra_attempts.Allowance(0.0, slack, window)
+    assert allowance.rate == pytest.approx(2 * EACH_STEP)
+    return allowance
+
+
+def make(allowed, now):
+    book = extra_attempts.ExtraAttempts(allowed, now)
+    book.instances.note(2, now)
+    return book
+
+
+def actions(world, allowed, bound):
+    """List what may happen next, as functions that change a copy of the world."""
+    found = []
+    if world.now < bound.steps:
+        found.append(tick)
+    for one in (0, 1):
+        found += [
+            lambda w, one=one: spend(w, one),
+            lambda w, one=one: pull(w, one, bound),
+            lambda w, one=one: send(w, bound, ("ask", one, w.now)),
+        ]
+        if world.restarts < bound.restarts:
+            found.append(lambda w, one=one: restart(w, one, allowed))
+    for place in range(len(world.under_way)):
+        found.append(lambda w, place=place: deliver(w, place, bound))
+        found.append(lambda w, place=place: lose(w, place))
+    return found
+
+
+def tick(world):
+    world.now += 1
+    return True
+
+
+def spend(world, one):
+    if not world.books[one].spend("s", world.now):
+        return False
+    world.spent = (*world.spent, world.now)
+    return True
+
+
+def send(world, bound, message):
+    if len(world.under_way) >= bound.under_way:
+        return False
+    world.under_way = (*world.under_way, message)
+    return True
+
+
+def pull(world, keeper, bound):
+    book = world.books[keeper]
+    book.take_in(book.hand_over(world.now), world.now, world.now)
+    return send(world, bound, ("pull", keeper, world.now))
+
+
+def restart(world, one, allowed):
+    world.books[one] = make(allowed, world.now)
+    world.restarts += 1
+    # What was asked for by a process that is gone finds nobody.
+    world.under_way = tuple(message for message in world.under_way if message[1] != one)
+    return True
+
+
+def lose(world, place):
+    world.under_way = world.under_way[:place] + world.under_way[place + 1 :]
+    return True
+
+
+def deliver(world, place, bound):
+    kind, asker, asked_at, *more = world.under_way[place]
+    lose(world, place)
+    other = 1 - asker
+    if kind == "pull":
+        amount = world.books[other].hand_over(world.now)
+        return send(world, bound, ("share", asker, asked_at, amount))
+    if kind == "ask":
+        if world.books[other].grant("s", world.now):
+            return send(world, bound, ("grant", asker, asked_at))
+        return False
+    if kind == "share":
+        world.books[asker].take_in(more[0], asked_at, world.now)
+    else:
+        world.books[asker].accept("s", asked_at + extra_attempts.GRANT_SECONDS)
+    return True
+
+
+def check(world):
+    """Hold what was spent against what was earned at the time."""
+    life = HOLD + POOL + GRANT
+    for first in range(len(world.spent)):
+        for last in range(first, len(world.spent)):
+            begin, end = world.spent[first], world.spent[last]
+            earned = 2 * EACH_STEP * (end - max(0, begin - life))
+            assert last - first + 1 <= earned + 1e-6, world.spent
+
+
+def explore(allowed, bound):
+    """Go through every world that can come about; return how many there are."""
+    first = World([make(allowed, 0), make(allowed, 0)])
+    seen = {first.key()}
+    left = [first]
+    while left:
+        world = left.pop()
+        for action in actions(world, allowed, bound):
+            after = world.copy()
+            if not action(after):
+                continue
+            key = after.key()
+            if key in seen:
+                continue
+            seen.add(key)
+            check(after)
+            left.append(after)
+    return len(seen)
+
+
+# The last one goes through some 127,000 worlds.
+@pytest.mark.parametrize("bound", [Bound(2, 1, 1), Bound(3, 1, 0)])
+def test_no_order_of_events_spends_more_than_was_earned(allowed, bound):
+    assert explore(allowed, bound) > 20_000
+
+
+def test_the_model_finds_credit_that_is_copied(allowed, monkeypatch):
+    monkeypatch.setattr(
+        extra_attempts.ExtraAttempts, "hand_over", lambda book, now: float(min(now, HOLD))
+    )
+    with pytest.raises(AssertionError):
+        explore(allowed, Bound(2, 1, 0))
