Connects to dark targets are given up by the measured way; modules of their own

Cause: a connection to a target that is dark was waited for 0.5 s, each instance and target for itself, while the urgent search has 0.11 s and the other one 0.34 s in all; the request has not run meanwhile and could be elsewhere, outside the allowance.

Change: 60 ms and three ways there and back (decisions/hall_ways.py). Evidence on targets is worked out when a report comes, not at each choice, the same is told once a second, and the two reports must come within two seconds: two pauses of a sound target made it count as slow.

The test fails with 0.5 s.

--- a/src/lineworks/decisions/extra_attempts.py
+++ b/src/lineworks/decisions/extra_attempts.py
@@ -26,6 +26,8 @@
 import collections
 import dataclasses
 
+from lineworks.decisions import credit, instance_count
+
 BUCKETS = 20
 """Pieces that the window of the share is counted in."""
 
@@ -49,13 +51,6 @@
 """Seconds for which granted credit is of use, from the moment at which it was asked for: the
 message and the next look at what is late take less."""
 
-BUCKET_SECONDS = 0.25
-"""Pieces of time in which credit ends together."""
-
-COUNT_SECONDS = 300.0
-"""Seconds for which an instance goes on to count others that it has lost sight of. They may live
-behind a cut and spend their part, and regions lose each other for minutes."""
-
 KEPT_FROM_HEDGES = 0.1
 """Part of the allowance that hedges leave for retries: an attempt after a failed one is worth more
 than a second one beside a slow one. The same load: 0.914 with a tenth, 0.870 with a quarter and
@@ -84,141 +79,6 @@
         return self.slack * SLACK_IN_USE / (self.window + longest_life)
 
 
-@dataclasses.dataclass(slots=True)
-class _Bucket:
-    """Credit that was earned in one piece of time."""
-
-    epoch: int
-    amount: float
-    spent: dict[str, float] = dataclasses.field(default_factory=dict)
-
-    def left(self, service: str) -> float:
-        return self.amount - self.spent.get(service, 0.0)
-
-
-class Credit:
-    """Credit that ends: the same amount for every service, less what each one spent."""
-
-    def __init__(self, lifetime: float) -> None:
-        """Start with none.
-
-        Args:
-            lifetime: Seconds after which credit ends.
-        """
-        self._lifetime = lifetime
-        self._buckets: list[_Bucket] = []
-
-    def add(self, amount: float, at: float, now: float) -> None:
-        """Add credit for every service.
-
-        Args:
-            amount: Extra attempts, fractions included.
-            at: Time from which its life is counted, in seconds; not after the present.
-            now: The present, in seconds.
-        """
-        epoch = int(at / BUCKET_SECONDS)
-        self._drop_ended(now)
-        if amount <= 0 or self._is_over(epoch, now):
-            return
-        for bucket in self._buckets:
-            if bucket.epoch == epoch:
-                bucket.amount += amount
-                return
-        self._buckets.append(_Bucket(epoch, amount))
-        self._buckets.sort(key=lambda bucket: bucket.epoch)
-
-    def take(self, service: str, amount: float, now: float, kept: float = 0.0) -> bool:
-        """Spend credit of one service, what ends first before the rest.
-
-        Args:
-            service: The service.
-            amount: How much.
-            now: The present, in seconds.
-            kept: Part of all credit (0 to 1) that is left for others.
-
-        Returns:
-            Whether there was enough; nothing is spent otherwise.
-        """
-        left = self.left(service, now)
-        floor = kept * sum(bucket.amount for bucket in self._buckets)
-        if left - amount < floor - _ROUNDING:
-            return False
-        for bucket in self._buckets:
-            part = min(amount, bucket.left(service))
-            if part > 0:
-                bucket.spent[service] = bucket.spent.get(service, 0.0) + part
-                amount -= part
-        return True
-
-    def left(self, service: str, now: float) -> float:
-        """Tell how much credit a service has left.
-
-        Args:
-            service: The service.
-            now: The present, in seconds.
-
-        Returns:
-            A number of attempts, fractions included.
-        """
-        self._drop_ended(now)
-        return sum(bucket.left(service) for bucket in self._buckets)
-
-    def _is_over(self, epoch: int, now: float) -> bool:
-        """Say whether the oldest credit of a bucket is over; the rest of it goes along."""
-        return epoch * BUCKET_SECONDS + self._lifetime <= now
-
-    def _drop_ended(self, now: float) -> None:
-        if self._buckets and self._is_over(self._buckets[0].epoch, now):
-            self._buckets = [one for one in self._buckets if not self._is_over(one.epoch, now)]
-
-
-class InstanceCount:
-    """How many instances share the fixed number, counting those that went out of sight lately."""
-
-    def __init__(self) -> None:
-        self._seen = 0
-        # Greater counts of the last `COUNT_SECONDS` with the time they held until: falling counts,
-        # rising times.
-        self._before: collections.deque[tuple[int, float]] = collections.deque()
-
-    def note(self, count: int, now: float) -> None:
-        """Take in how many instances are seen.
-
-        Args:
-            count: The number, this instance included; 0 while nothing is known.
-            now: The present, in seconds.
-        """
-        self._remember(self._seen, now)
-        self._seen = count
-
-    def note_told(self, count: int, now: float) -> None:
-        """Take in how many instances a peer sees.
-
-        Args:
-            count: The number.
-            now: The present, in seconds.
-        """
-        self._remember(count, now)
-
-    def value(self, now: float) -> int:
-        """Tell how many instances may spend.
-
-        Args:
-            now: The present, in seconds.
-
-        Returns:
-            The number; 0 while nothing is known.
-        """
-        while self._before and now - self._before[0][1] > COUNT_SECONDS:
-            self._before.popleft()
-        return max(self._seen, self._before[0][0]) if self._before else self._seen
-
-    def _remember(self, count: int, now: float) -> None:
-        while self._before and self._before[-1][0] <= count:
-            self._before.pop()
-        self._before.append((count, now))
-
-
 class _Counts:
     """Requests of one service in the last window, and what their share was spent on, in buckets."""
 
@@ -252,9 +112,9 @@
         self._allowance = allowance
         self._services: dict[str, _Counts] = {}
         self._held_since = now
-        self._pool = Credit(POOL_SECONDS)
+        self._pool = credit.Credit(POOL_SECONDS)
         self._grants: dict[str, collections.deque[float]] = {}
-        self.instances = InstanceCount()
+        self.instances = instance_count.InstanceCount()
         """Instances that share the fixed number."""
         self.spent = 0
         """Extra attempts sent since the start."""
--- a/src/lineworks/decisions/hall_ways.py
+++ b/src/lineworks/decisions/hall_ways.py
@@ -21,6 +21,27 @@
 costs bytes between halls."""
 
 
+CONNECT_FLOOR = 0.06
+"""Seconds that a connection may always take to open: a target takes 6 ms for one, and may have
+others to take first."""
+
+CONNECT_WAYS = 3.0
+"""Ways there and back besides. A target that is dark never answers, and what waits for it has not
+run and could be elsewhere, while half a second is more than an urgent search has in all."""
+
+
+def connect_seconds(round_trip: float) -> float:
+    """Tell how long to wait for a connection.
+
+    Args:
+        round_trip: Way there and back, in seconds.
+
+    Returns:
+        Seconds.
+    """
+    return CONNECT_FLOOR + CONNECT_WAYS * round_trip
+
+
 class HallWays:
     """The ways from one hall."""
 
--- a/src/lineworks/decisions/target_evidence.py
+++ b/src/lineworks/decisions/target_evidence.py
@@ -16,17 +16,26 @@
 
 import dataclasses
 import enum
-import math
+from typing import TYPE_CHECKING, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
+
+_Value = TypeVar("_Value")
 
 APART_SECONDS = 0.3
 """Seconds that must lie between the reports on a target that is called slow: more than the pauses
 that targets make, which are over by then."""
 
+CONFIRM_SECONDS = 2.0
+"""Seconds within which they must come: two pauses of a sound target lie further apart."""
+
 MIN_ORIGINS = 2
 """Instances that must say so, this one included."""
 
 MEMORY_SECONDS = 6.0
-"""Seconds after which a report is forgotten: three half-lives of what is known of a target."""
+"""Seconds after which a target is not believed to be slow any more unless it is called so again:
+three half-lives of what is known of a target."""
 
 MOST_FACTOR = 10.0
 """Multiple of the usual time that a report can claim."""
@@ -41,10 +50,6 @@
 MOST_SHARE = 0.5
 """Part of all targets that an instance may call slow before it is not heeded."""
 
-RECHECK_SECONDS = 0.25
-"""Seconds for which the answer is kept whether an instance calls too many targets slow: it takes a
-walk over all reports."""
-
 FEW_TARGETS = 8
 """Targets that it may call slow in any case."""
 
@@ -96,16 +101,17 @@
     last: float
 
 
-_NONE: dict[str, _Report] = {}
-
-
 class TargetEvidence:
-    """Reports by target and origin."""
+    """Reports by target and origin, and what is believed for them.
+
+    What is believed is worked out when a report comes: a search looks at hundreds of targets.
+    """
 
     def __init__(self) -> None:
         self._reports: dict[str, dict[str, _Report]] = {}
-        self._gone: dict[str, float] = {}
-        self._heeded: dict[str, tuple[float, bool]] = {}
+        self._beliefs: dict[str, Slowness] = {}
+        # By origin the targets that it called slow, with the time of the last report.
+        self._called: dict[str, dict[str, float]] = {}
         self.targets = 0
         """Targets known, of which an instance may call a part slow."""
 
@@ -117,12 +123,14 @@
             origin: Name of the instance.
             at: When it was seen, in seconds.
         """
-        if sighting.kind is Kind.SLOW:
-            self._note_slow(sighting.target, origin, sighting.factor, at)
+        target = sighting.target
+        if sighting.kind is Kind.GONE:
+            self._beliefs[target] = Slowness(MOST_FACTOR, at)
         elif sighting.kind is Kind.WELL:
-            self._reports.pop(sighting.target, None)
-        else:
-            self._gone[sighting.target] = at
+            self._reports.pop(target, None)
+            self._beliefs.pop(target, None)
+        elif self._is_heeded(target, origin, at):
+            self._note_slow(target, origin, min(MOST_FACTOR, sighting.factor), at)
 
     def is_called_slow(self, target: str) -> bool:
         """Say whether any instance called a target slow lately.
@@ -135,15 +143,6 @@
         """
         return target in self._reports
 
-    def _note_slow(self, target: str, origin: str, factor: float, at: float) -> None:
-        reports = self._reports.setdefault(target, {})
-        factor = min(MOST_FACTOR, factor)
-        known = reports.get(origin)
-        if known is None or at - known.last > MEMORY_SECONDS:
-            reports[origin] = _Report(factor, at, at)
-        else:
-            known.factor, known.last = factor, max(known.last, at)
-
     def slowness(self, target: str, now: float) -> Slowness | None:
         """Tell how slow a target is believed to be.
 
@@ -154,24 +153,10 @@
         Returns:
             The belief, or None when there is not enough evidence.
         """
-        if target not in self._reports and target not in self._gone:
-            return None
-        gone_at = self._gone.get(target, -math.inf)
-        if now - gone_at <= MEMORY_SECONDS:
-            return Slowness(MOST_FACTOR, gone_at)
-        found = [
-            report
-            for origin, report in self._reports.get(target, _NONE).items()
-            if now - report.last <= MEMORY_SECONDS and self._is_heeded(origin, now)
-        ]
-        if len(found) < MIN_ORIGINS:
-            return None
-        first = min(report.first for report in found)
-        last = max(report.last for report in found)
-        if last - first < APART_SECONDS:
+        belief = self._beliefs.get(target)
+        if belief is None or now - belief.at > MEMORY_SECONDS:
             return None
-        factors = sorted((report.factor for report in found), reverse=True)
-        return Slowness(factors[MIN_ORIGINS - 1], last)
+        return belief
 
     def forget_absent(self, present: set[str]) -> None:
         """Forget targets that are not there any more.
@@ -180,20 +165,45 @@
             present: Identities of those that are.
         """
         self.targets = len(present)
-        for known in (self._reports, self._gone):
-            for target in [target for target in known if target not in present]:
-                del known[target]
-
-    def _is_heeded(self, origin: str, now: float) -> bool:
-        """Say whether an instance does not call too many targets slow."""
-        checked_at, is_heeded = self._heeded.get(origin, (-math.inf, True))
-        if now - checked_at < RECHECK_SECONDS:
-            return is_heeded
-        called = 0
+        self._reports = _only(self._reports, present)
+        self._beliefs = _only(self._beliefs, present)
+        self._called = {origin: _only(one, present) for origin, one in self._called.items()}
+
+    def _note_slow(self, target: str, origin: str, factor: float, at: float) -> None:
+        reports = self._reports.setdefault(target, {})
+        known = reports.get(origin)
+        if known is None or at - known.last > CONFIRM_SECONDS:
+            reports[origin] = _Report(factor, at, at)
+        else:
+            known.factor, known.last = factor, max(known.last, at)
+        if self.slowness(target, at) is not None or self._is_confirmed(reports, at):
+            factors = sorted((report.factor for report in reports.values()), reverse=True)
+            place = min(MIN_ORIGINS, len(factors)) - 1
+            self._beliefs[target] = Slowness(factors[place], at)
+
+    def _is_confirmed(self, reports: dict[str, _Report], now: float) -> bool:
+        """Say whether enough instances call a target slow, for longer than a pause."""
+        late = [origin for origin in reports if now - reports[origin].last > CONFIRM_SECONDS]
+        for origin in late:
+            del reports[origin]
+        first = min(report.first for report in reports.values())
+        return len(reports) >= MIN_ORIGINS and now - first >= APART_SECONDS
+
+    def _is_heeded(self, target: str, origin: str, at: float) -> bool:
+        """Note whom an instance calls slow, and say whether these are not too many."""
+        called = self._called.setdefault(origin, {})
+        called[target] = at
+        most = max(FEW_TARGETS, MOST_SHARE * self.targets)
+        if len(called) <= most:
+            return True
+        recent = {one: last for one, last in called.items() if at - last <= MEMORY_SECONDS}
+        self._called[origin] = recent
+        if len(recent) <= most:
+            return True
         for reports in self._reports.values():
-            report = reports.get(origin)
-            if report is not None and now - report.last <= MEMORY_SECONDS:
-                called += 1
-        is_heeded = called <= max(FEW_TARGETS, MOST_SHARE * self.targets)
-        self._heeded[origin] = (now, is_heeded)
-        return is_heeded
+            reports.pop(origin, None)
+        return False
+
+
+def _only(known: Mapping[str, _Value], present: Collection[str]) -> dict[str, _Value]:
+    return {target: value for target, value in known.items() if target in present}
--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -5,7 +5,7 @@
 import functools
 from typing import TYPE_CHECKING
 
-from lineworks.decisions import deadlines, estimators, mechanisms, routes, verdict
+from lineworks.decisions import answer_time, deadlines, estimators, mechanisms, routes, verdict
 from lineworks.forwarding import outcome, search, single, target_calls
 from lineworks.http1 import fields as http_fields
 from lineworks.http1 import server_connection
@@ -187,8 +187,8 @@
 
         work: search.Search | single.SingleRequest
         if route.is_search:
-            lag = search.answer_lag(self._shared.lags)
-            due = search.answer_due(request.arrived, route.aim, request.caller_way, lag)
+            lag = answer_time.answer_lag(self._shared.lags)
+            due = answer_time.answer_due(request.arrived, route.aim, request.caller_way, lag)
             work = search.Search(self._shared, route, call, due, request.arrived, on_end)
         else:
             service = self._turns.choose(route)
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -15,13 +15,12 @@
     hall_ways,
     mechanisms,
     replicas,
-    target_evidence,
 )
-from lineworks.forwarding import target_state
+from lineworks.forwarding import target_sightings, target_state
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+    from collections.abc import Collection, Iterable, Mapping, Sequence
 
     from lineworks.decisions import routes, target_view
 
@@ -44,9 +43,6 @@
 ERROR_SECONDS = 0.3
 """Seconds that a target with nothing but failures counts as slower: about one more try."""
 
-MEMORY_HALF_LIFE = 2.0
-"""Seconds after which a target's record counts half, so that it is tried again."""
-
 STALL_FACTOR = 2.5
 """A target without progress for this many usual service times counts as stalled."""
 
@@ -56,9 +52,6 @@
 USUAL_WORK = 1.5
 """Usual service times that one more answer is expected to take."""
 
-OWN = ""
-"""Origin of what this instance saw itself."""
-
 COLD_SECONDS = 0.03
 """Seconds that a target counts as slower while it has just started."""
 
@@ -103,11 +96,10 @@
         self._states: dict[str, target_state.TargetState] = {}
         self._by_service: dict[str, list[target_state.TargetState]] = {}
         self._service_times: dict[str, estimators.Average] = {}
-        self.evidence = target_evidence.TargetEvidence()
+        self.sightings = target_sightings.TargetSightings(
+            mechanisms.Mechanism.SHARED_EVIDENCE not in without
+        )
         """What this instance and others saw of slow targets."""
-        self.on_sighting: Callable[[target_evidence.Sighting], None] = lambda sighting: None
-        """Takes what this instance saw of a target."""
-        self._is_told = mechanisms.Mechanism.SHARED_EVIDENCE not in without
 
     def update(
         self,
@@ -147,7 +139,7 @@
         gone = [state for name, state in self._states.items() if name not in present]
         for state in gone:
             state.replica.is_leaving = True
-        self.evidence.forget_absent(set(present))
+        self.sightings.evidence.forget_absent(set(present))
         self._states = present
         self._by_service = by_service
         return BookChange(added, leaving, gone)
@@ -307,9 +299,9 @@
             Seconds.
         """
         usual = self.service_time(state.replica.target.service)
-        weight = 0.5 ** ((now - state.noted_at) / MEMORY_HALF_LIFE)
+        weight = 0.5 ** ((now - state.noted_at) / target_sightings.MEMORY_HALF_LIFE)
         own = usual + (state.latency.value - usual) * weight if self._avoids_slow else usual
-        own = max(own, self._told_seconds(state, now, usual))
+        own = max(own, self.sightings.told_seconds(state.id, state.noted_at, now, usual))
         slots = max(1, state.replica.target.slots)
         load = state.replica.load(now) if self._knows_load else 0.0
         queued = max(0.0, load + 1 - slots) / slots
@@ -317,13 +309,6 @@
         cold = COLD_SECONDS if state.is_cold else 0.0
         return own + queued * usual + failing + cold + self.ways.cost(state.hall)
 
-    def _told_seconds(self, state: target_state.TargetState, now: float, usual: float) -> float:
-        """Tell what others said of a target's time, unless this instance saw it later itself."""
-        told = self.evidence.slowness(state.id, now) if self._is_told else None
-        if told is None or told.at <= state.noted_at:
-            return 0.0
-        return usual * (1 + (told.factor - 1) * 0.5 ** ((now - told.at) / MEMORY_HALF_LIFE))
-
     def service_time(self, service: str) -> float:
         """Tell how long the targets of a service usually take, in seconds; 0 when unknown."""
         found = self._service_times.get(service)
@@ -357,7 +342,7 @@
         usual = self._service_times.get(service)
         if usual is None:
             usual = self._service_times[service] = estimators.Average(SERVICE_WEIGHT)
-        self._note_sighting(state, now, seconds, usual.value)
+        self.sightings.note_answer(state.id, now, seconds, usual.value)
         known = max(usual.value, state.latency.value)
         usual.record(seconds)
         # The service's average keeps the pauses, because hedges must leave time for them.
@@ -384,49 +369,11 @@
             seconds: How long it had been waited for.
         """
         usual = self.service_time(state.replica.target.service)
-        if usual and seconds >= target_evidence.SLOW_FACTOR * usual:
-            self._note_slow(state, now, seconds / usual)
+        self.sightings.note_given_up(state.id, now, seconds, usual)
         if seconds > max(state.latency.value, usual):
             state.latency.record(seconds)
             state.noted_at = now
 
-    def note_unreachable(self, state: target_state.TargetState, now: float) -> None:
-        """Note that no connection to a target could be opened.
-
-        Args:
-            state: The target.
-            now: The present, in seconds.
-        """
-        self._note_slow(state, now, target_evidence.MOST_FACTOR)
-
-    def note_gone(self, state: target_state.TargetState, now: float) -> None:
-        """Note that another process has a target's address.
-
-        Args:
-            state: The target.
-            now: The present, in seconds.
-        """
-        self._tell(target_evidence.Sighting(state.id, target_evidence.Kind.GONE), now)
-
-    def _note_sighting(
-        self, state: target_state.TargetState, now: float, seconds: float, usual: float
-    ) -> None:
-        """Tell of an answer that was slow, or that shows a target called slow to be well."""
-        if usual and seconds >= target_evidence.SLOW_FACTOR * usual:
-            self._note_slow(state, now, seconds / usual)
-        elif seconds <= target_evidence.FAST_FACTOR * usual and self.evidence.is_called_slow(
-            state.id
-        ):
-            self._tell(target_evidence.Sighting(state.id, target_evidence.Kind.WELL), now)
-
-    def _note_slow(self, state: target_state.TargetState, now: float, factor: float) -> None:
-        self._tell(target_evidence.Sighting(state.id, target_evidence.Kind.SLOW, factor), now)
-
-    def _tell(self, sighting: target_evidence.Sighting, now: float) -> None:
-        if self._is_told:
-            self.evidence.note(sighting, OWN, now)
-            self.on_sighting(sighting)
-
 
 def _target(entry: target_view.TargetEntry, connections: int) -> catalog.Target:
     return catalog.Target(
--- a/src/lineworks/forwarding/target_calls.py
+++ b/src/lineworks/forwarding/target_calls.py
@@ -24,9 +24,6 @@
 
     from lineworks.forwarding import target_state
 
-CONNECT_SECONDS = 0.5
-"""Seconds to wait for a connection: many times the longest way, and a fraction of any deadline."""
-
 UNREPEATABLE_IDLE_SHARE = 0.5
 """Part of a target's idle time after which its connection gets no unrepeatable request."""
 
@@ -207,7 +204,10 @@
         target = exchange.state.replica.target
         factory = _Factory(self, pool, exchange)
         exchange.connector = self._reactor.connectTCP(
-            target.host, target.port, factory, timeout=CONNECT_SECONDS
+            target.host,
+            target.port,
+            factory,
+            timeout=self._learning.connect_seconds(exchange.state),
         )
 
     def on_connected(
--- a/src/lineworks/forwarding/target_learning.py
+++ b/src/lineworks/forwarding/target_learning.py
@@ -7,7 +7,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from lineworks.decisions import replicas, verdict
+from lineworks.decisions import hall_ways, replicas, verdict
 from lineworks.kernel import bounded_log
 from lineworks.platform import headers
 
@@ -51,6 +51,10 @@
         """Tell how long targets of its service usually take, in seconds; 0 when unknown."""
         return self._book.service_time(state.replica.target.service)
 
+    def connect_seconds(self, state: target_state.TargetState) -> float:
+        """Tell how long to wait for a connection to a target, in seconds."""
+        return hall_ways.connect_seconds(self._book.ways.round_trip(state.hall))
+
     def on_end(
         self,
         state: target_state.TargetState,
@@ -107,12 +111,12 @@
         elif found.reason in (verdict.Reason.UNREACHABLE, verdict.Reason.LINK_LOST):
             replica.on_unreachable(now, self._rng)
             if found.reason is verdict.Reason.UNREACHABLE:
-                self._book.note_unreachable(state, now)
+                self._book.sightings.note_unreachable(state.id, now)
             self._note_avoided(state, now, replica.rest_until, found.reason.value, 0.0)
         elif found.reason is verdict.Reason.LEAVING:
             # Another process has the address, so this one is gone for good.
             replica.is_leaving = True
-            self._book.note_gone(state, now)
+            self._book.sightings.note_gone(state.id, now)
 
     def _note_avoided(
         self, state: target_state.TargetState, now: float, until: float, why: str, waited: float
--- a/tests/test_acting_together.py
+++ b/tests/test_acting_together.py
@@ -147,3 +147,16 @@
     made.load(4.0)
     for node in made.world.nodes.values():
         assert node._keeper.counts["collections"] == 0
+
+
+def test_a_search_goes_on_elsewhere_long_before_its_aim_when_a_target_is_dark():
+    made = fleet.Fleet(fleet.Plan(instances=2, shards=8))
+    dark = [target for target in made.world.targets.values() if target.hall == "akl"]
+    for target in dark:
+        target.host.power_off()
+    # Nothing is connected yet, and the own hall is asked first.
+    reply = made.world.ask("akl-0", "/search/q")
+    made.world.run(1.0)
+    assert reply.status == 200
+    assert reply.headers.get("x-parts-missing", "0") == "0"
+    assert reply.seconds < 0.6 * fleet.AIM
