--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from bench import platform_slopes, slopes
+from lineworks.forwarding import extra_keeper
 
 PAGE = pathlib.Path(__file__).parent.parent / "docs" / "CAPACITY.md"
 """The page."""
@@ -222,7 +223,17 @@
     update = target["update_us"] * size.replicas / 1e6
     share = update / _POLL_SECONDS
     reads = size.halls / _POLL_SECONDS + size.nodes / _RENEW_SECONDS * _RENEWAL_PRICE
+    collections = (size.hall_nodes - 1) / extra_keeper.PULL_SECONDS
+    collection = found["collection"]
     return [
+        (
+            "extra attempts, the keeper of a hall while targets fail; nothing while all is well",
+            f"{collections * collection['bytes']:,.0f} bytes/s,"
+            f" {collections * collection['us'] / 1e6:.2%} of a core",
+            _ratio(collections * collection["bytes"], size.bytes_per_second),
+            "one keeper a hall, asked at most 4 times a second to collect; collections of a part of"
+            " the hall: not built",
+        ),
         (
             "heartbeats",
             f"{bytes_per_second:,.0f} bytes/s, {processor:.2%} of a core",
--- a/bench/platform_slopes.py
+++ b/bench/platform_slopes.py
@@ -1,4 +1,5 @@
-"""Measures what a target and a heartbeat cost a node: `python -m bench.platform_slopes`."""
+"""Measures what a target, a heartbeat and shared extra attempts cost: `python -m
+bench.platform_slopes`."""
 
 from __future__ import annotations
 
@@ -7,11 +8,14 @@
 import random
 import time
 import tracemalloc
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import routes, target_view
 from lineworks.forwarding import target_book
-from lineworks.wire import codec, deflate, frames
+from lineworks.wire import codec, deflate, frames, node_frames
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 OUT = pathlib.Path(__file__).with_name("platform_slopes.json")
 """Where the figures go."""
@@ -69,21 +73,45 @@
     Returns:
         Bytes of one on the wire, and microseconds for its two ends.
     """
+    return _measure_frames(
+        [frames.Heartbeat(False, number // 20, "") for number in range(HEARTBEATS)]
+    )
+
+
+def measure_collection() -> dict[str, float]:
+    """Measure collections of extra attempts on one link.
+
+    Returns:
+        Bytes of a question with its answer on the wire, and microseconds for their two ends.
+    """
+    asked = _measure_frames([node_frames.CreditPull(number) for number in range(HEARTBEATS)])
+    answered = _measure_frames(
+        [node_frames.CreditShare(number, 0.1 + number / 1e4) for number in range(HEARTBEATS)]
+    )
+    return {kind: asked[kind] + answered[kind] for kind in asked}
+
+
+def _measure_frames(sent: Sequence[frames.Frame]) -> dict[str, float]:
+    """Measure frames of one kind on one link: bytes of one, and microseconds for its two ends."""
     deflater = deflate.Deflater()
     inflater = deflate.Inflater(codec.MAX_FRAME)
     size = 0
     began = time.perf_counter()
-    for number in range(HEARTBEATS):
-        data = deflater.deflate(codec.encode(frames.Heartbeat(False, number // 20, ""), 0.0))
+    for frame in sent:
+        data = deflater.deflate(codec.encode(frame, 0.0))
         size += len(data) + 4
         codec.decode(inflater.inflate(data), 0.0)
     seconds = time.perf_counter() - began
-    return {"bytes": size / HEARTBEATS, "us": seconds / HEARTBEATS * 1e6}
+    return {"bytes": size / len(sent), "us": seconds / len(sent) * 1e6}
 
 
 def main() -> None:
     """Measure and write the figures."""
-    found: dict[str, Any] = {"target": measure_book(), "heartbeat": measure_heartbeat()}
+    found: dict[str, Any] = {
+        "target": measure_book(),
+        "heartbeat": measure_heartbeat(),
+        "collection": measure_collection(),
+    }
     OUT.write_text(json.dumps(found, indent=1) + "\n")
 
 
