Searches that lack parts ask on for extra attempts; a small pool keeps nothing back

One search of 40 beside two frozen instances ended at its deadline (504), and a shard whose first target refused got no second attempt.

Change: below three attempts nothing is kept back (less than one would be), and a search that has too few parts to be answered looks again each 100 ms until its deadline. Only a timed look asks again: an answer that asked anew without time passing went round for ever.

--- a/src/lineworks/decisions/credit.py
+++ b/src/lineworks/decisions/credit.py
@@ -7,6 +7,10 @@
 BUCKET_SECONDS = 0.25
 """Pieces of time in which credit ends together."""
 
+SMALL_POOL = 3.0
+"""Credit below which nothing is kept for others: it would be a part of an attempt, which nobody
+could spend. A hall of two instances had no second attempt left for a shard beside it."""
+
 _ROUNDING = 1e-9
 
 
@@ -66,7 +70,8 @@
             Whether there was enough; nothing is spent otherwise.
         """
         left = self.left(service, now)
-        floor = kept * sum(bucket.amount for bucket in self._buckets)
+        total = sum(bucket.amount for bucket in self._buckets)
+        floor = kept * total if total >= SMALL_POOL else 0.0
         if left - amount < floor - _ROUNDING:
             return False
         for bucket in self._buckets:
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -254,6 +254,7 @@
             return
         now = self._shared.reactor.seconds()
         self._send_hedges(now)
+        self._hedges.ask_for_more(self._on_more_extras)
         pause = self._hedges.next_look(now)
         if pause is not None:
             self._set_timer(pause, self._on_hedge)
@@ -268,7 +269,6 @@
 
     def _send_hedges(self, now: float) -> None:
         hedged = self._hedges.choose(now)
-        self._hedges.ask_for_more(self._on_more_extras)
         if hedged:
             pairs = [
                 (self._shards[index].running[0].state, state) for index, state in hedged.items()
--- a/src/lineworks/forwarding/search_hedges.py
+++ b/src/lineworks/forwarding/search_hedges.py
@@ -26,6 +26,11 @@
 MOST_ASKS = 2
 """Times that more extra attempts are asked for a shard: once more if the keeper did not answer."""
 
+LACKING_RECHECK_SECONDS = 0.1
+"""Seconds between looks at the late shards of a search that has too few parts to be answered. While
+two instances of a hall were frozen, a search ended at its deadline of two seconds because the extra
+attempts had been used up when it asked for them."""
+
 HEDGES_IN_TIME = 2.0
 """Hedges, one after the other, that should still be in time for the answer."""
 
@@ -63,6 +68,7 @@
         self._aim_at = 0.0
         self._rechecks = 0
         self._lacking: list[str] = []
+        self._is_lacking = False
         self.local_delay = 0.0
         """Seconds after which an attempt in the own hall is late."""
         self.remote_delay = 0.0
@@ -92,6 +98,7 @@
             Positions of shards, each with the target to ask.
         """
         chosen: dict[int, target_state.TargetState] = {}
+        self._lacking.clear()
         for index, shard in enumerate(self._shards):
             if index not in self._found.covered and self._is_due(shard, now):
                 state = self._hedge(shard, now)
@@ -108,8 +115,12 @@
             on_reply: Called when they may have come, so that the search chooses again.
         """
         lacking, self._lacking = self._lacking, []
-        if lacking:
-            self._shared.keeper.ask(lacking, True, on_reply)
+        if not lacking:
+            return
+        for shard in self._shards:
+            if shard.service in lacking:
+                shard.asks += 1
+        self._shared.keeper.ask(lacking, True, on_reply)
 
     def next_look(self, now: float) -> float | None:
         """Tell when to look again.
@@ -120,10 +131,14 @@
         Returns:
             Seconds from now, or None when another look is planned already or there were enough.
         """
-        if self._rechecks >= MOST_RECHECKS or now < self._began + self.remote_delay - TIMER_SLACK:
+        if now < self._began + self.remote_delay - TIMER_SLACK:
             return None
-        self._rechecks += 1
-        return RECHECK_SECONDS
+        if self._rechecks < MOST_RECHECKS:
+            self._rechecks += 1
+            return RECHECK_SECONDS
+        # Without more parts there is no answer at all, so it asks on until its deadline.
+        self._is_lacking = len(self._found.covered) < self._needed
+        return LACKING_RECHECK_SECONDS if self._is_lacking else None
 
     def _delay(self, is_remote: bool) -> float:
         """Tell after how long an attempt is hedged: late, but with time for two more.
@@ -170,8 +185,7 @@
             return None
         if not self._shared.may_spend(shard.service, now, extra_attempts.KEPT_FROM_HEDGES):
             shard.not_hedged = search_state.NotHedged.NO_BUDGET
-            if shard.asks < MOST_ASKS:
-                shard.asks += 1
+            if shard.asks < MOST_ASKS or self._is_lacking:
                 self._lacking.append(shard.service)
             return None
         shard.is_hedged = True
