--- a/src/lineworks/forwarding/evidence_exchange.py
+++ b/src/lineworks/forwarding/evidence_exchange.py
@@ -1,9 +1,9 @@
 """Gathers what the instances of a data hall saw of slow targets at one of them, the keeper.
 
-The keeper tells the hall what it makes of the reports, which is rare; a report of one instance goes
-to the keeper only. While each report went to all of 62 instances' halls, processor time rose by a
-tenth and urgent searches came late. Whoever is sent reports acts as keeper. What reports are worth
-is decided in `lineworks.decisions.target_evidence`.
+A report goes to the keeper only, one message in place of one to each instance of the hall, which
+would be 233 at 2,100 instances. The keeper tells the hall what it makes of several reports, which
+is rare. Whoever is sent reports acts as keeper. What reports are worth is decided in
+`lineworks.decisions.target_evidence`.
 """
 
 from __future__ import annotations
--- a/src/lineworks/forwarding/extra_keeper.py
+++ b/src/lineworks/forwarding/extra_keeper.py
@@ -35,6 +35,10 @@
 again. Two round trips in a hall and a collection take a few milliseconds, on a busy one some
 more."""
 
+MOST_ASKS = 2
+"""Times that an extra attempt is asked for, for one shard or single request: once more if the
+keeper did not answer."""
+
 PULL_SECONDS = 0.25
 """Seconds between collections at least: each one costs a message from and to every instance of the
 hall."""
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import mechanisms, parts, verdict
-from lineworks.forwarding import outcome, search_attempts, search_hedges, search_state
+from lineworks.forwarding import extra_keeper, outcome, search_attempts, search_hedges, search_state
 from lineworks.http1 import server_connection
 from lineworks.platform import headers
 
@@ -240,7 +240,7 @@
         shard = self._shards[index]
         if shard.running or shard.is_waiting:
             return
-        if shard.asks < search_hedges.MOST_ASKS:
+        if shard.asks < extra_keeper.MOST_ASKS:
             shard.asks += 1
             shard.is_waiting = True
             on_reply = functools.partial(self._on_retry, index)
--- a/src/lineworks/forwarding/search_hedges.py
+++ b/src/lineworks/forwarding/search_hedges.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from lineworks.decisions import extra_attempts, parts
-from lineworks.forwarding import search_state
+from lineworks.forwarding import extra_keeper, search_state
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -23,9 +23,6 @@
 MOST_RECHECKS = 4
 """Looks at late shards after the first."""
 
-MOST_ASKS = 2
-"""Times that more extra attempts are asked for a shard: once more if the keeper did not answer."""
-
 LACKING_RECHECK_SECONDS = 0.1
 """Seconds between looks at the late shards of a search that has too few parts to be answered. While
 two instances of a hall were frozen, a search ended at its deadline of two seconds because the extra
@@ -185,7 +182,7 @@
             return None
         if not self._shared.may_spend(shard.service, now, extra_attempts.KEPT_FROM_HEDGES):
             shard.not_hedged = search_state.NotHedged.NO_BUDGET
-            if shard.asks < MOST_ASKS or self._is_lacking:
+            if shard.asks < extra_keeper.MOST_ASKS or self._is_lacking:
                 self._lacking.append(shard.service)
             return None
         shard.is_hedged = True
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import mechanisms, verdict
-from lineworks.forwarding import answers, outcome, target_calls
+from lineworks.forwarding import answers, extra_keeper, outcome, target_calls
 from lineworks.http1 import fields as http_fields
 from lineworks.http1 import server_connection
 from lineworks.platform import headers
@@ -30,9 +30,6 @@
 """Share of the aim that a request waits for a target with room before it is refused: a refusal
 within a quarter of the aim still leaves time for another try."""
 
-MOST_ASKS = 2
-"""Times that more extra attempts are asked for: once more if the keeper did not answer."""
-
 MOST_ATTEMPTS = 6
 """Attempts at one request in all, refused ones included."""
 
@@ -192,7 +189,7 @@
         return shared.may_spend(self._service, shared.reactor.seconds())
 
     def _may_ask(self) -> bool:
-        return self._asks < MOST_ASKS
+        return self._asks < extra_keeper.MOST_ASKS
 
     def _ask_for_extra(self, on_reply: Callable[[], None]) -> None:
         self._asks += 1
