A lost gatherer: queries that a search's end has closed are passed over

Cause: the queries at a lost gatherer were listed, and the end of one could close another of the list; the next look-up raised KeyError, and the rest was never told of the loss.

--- a/src/lineworks/forwarding/gatherers.py
+++ b/src/lineworks/forwarding/gatherers.py
@@ -203,6 +203,9 @@
         self._leaving.discard(name)
         lost = [number for number, order in self._orders.items() if order.peer == name]
         for number in lost:
-            order = self._orders.pop(number)
+            order = self._orders.pop(number, None)
+            if order is None:
+                # The end of an earlier query ended its search, which closed this one as well.
+                continue
             self._peer(name).open -= 1
             order.on_lost()
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -68,6 +68,7 @@
         reactor: Any,
         settings: node_settings.NodeSettings,
         callers_port: socket.socket | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         """Make the process's services.
 
@@ -75,11 +76,12 @@
             reactor: Twisted's reactor, on the steady clock.
             settings: Settings of the process.
             callers_port: Socket that listens for callers already; opened at the start if not given.
+            rng: Source of all random choices; one with a seed of its own if not given.
         """
         self._reactor = reactor
         self._settings = settings
         self._callers_port = callers_port
-        self._rng = random.Random(secrets.randbits(64))
+        self._rng = rng or random.Random(secrets.randbits(64))
         self._is_stopping = False
         self._stop_by = 0.0
         self._hand_over_until = 0.0
--- a/src/lineworks/standins/deployment.py
+++ b/src/lineworks/standins/deployment.py
@@ -159,7 +159,7 @@
             stop_seconds=6.0,
             without=self.without,
         )
-        started = node.Node(host, settings)
+        started = node.Node(host, settings, rng=random.Random(self.rng.getrandbits(64)))
         defer.ensureDeferred(started.start())
         self.nodes[name] = started
         return started
