Hosts in memory: a timer put off by a freeze can be cancelled when the host wakes

Cause of the second test that failed once (KeyError in Gatherer._on_flush, keepers frozen and woken): the stand-in counted a timer as fired when it fell due in a freeze, so a cancel on waking was lost; a reactor drops such calls. No fault of the gatherer. The test of the stand-in fails on the old one.

--- a/src/lineworks/standins/memory_network.py
+++ b/src/lineworks/standins/memory_network.py
@@ -96,6 +96,27 @@
         self.host(receiver).run(deliver)
 
 
+class _Timer:
+    """A scheduled call, which can be cancelled until it is made: a freeze puts it off."""
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        self._call: Callable[[], None] | None = call
+
+    def active(self) -> bool:
+        """Whether the call is still to be made."""
+        return self._call is not None
+
+    def cancel(self) -> None:
+        """Do not make the call."""
+        self._call = None
+
+    def fire(self) -> None:
+        """Make the call, unless it was cancelled."""
+        call, self._call = self._call, None
+        if call is not None:
+            call()
+
+
 class Host:
     """One machine; to the code on it, this is the reactor."""
 
@@ -129,13 +150,15 @@
 
     def callLater(self, delay: float, call: Callable[..., Any], *args: Any) -> Any:  # noqa: N802
         """Schedule a call; it is not made once the process is gone."""
+        timer = _Timer(lambda: call(*args))
         life = self._life
 
         def make() -> None:
             if life == self._life:
-                self.run(lambda: call(*args))
+                self.run(timer.fire)
 
-        return self.network.clock.callLater(max(0.0, delay), make)
+        self.network.clock.callLater(max(0.0, delay), make)
+        return timer
 
     def callFromThread(self, call: Callable[..., Any], *args: Any) -> None:  # noqa: N802
         """Schedule a call for the next turn."""
