A target that came and went between two looks is known to nobody

Logs: five peers added it, no reader did, nobody saw it leave. Ruled out: a late write of the target, readers that died (view ages of 6 to 24 ms). The test fails first.

--- a/src/lineworks/decisions/target_view.py
+++ b/src/lineworks/decisions/target_view.py
@@ -62,6 +62,26 @@
     """The entry, or None when it is gone."""
 
 
+def news(known: Mapping[str, TargetEntry], changes: Iterable[TargetChange]) -> list[TargetChange]:
+    """Leave out changes that bring nothing new after what was known and the changes before them.
+
+    Args:
+        known: The entries before the changes, by identity.
+        changes: The changes, in their order.
+
+    Returns:
+        Those that change an entry. The removal of an entry that came with the same changes is one
+        of them: without it peers kept a target that had left, and sent it requests.
+    """
+    present: dict[str, TargetEntry | None] = dict(known)
+    found = []
+    for change in changes:
+        if present.get(change.id) != change.entry:
+            found.append(change)
+        present[change.id] = change.entry
+    return found
+
+
 class TargetView:
     """The entries as one instance knows them."""
 
--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -227,8 +227,7 @@
         self._take_others(found.changes)
         if is_changed:
             self.on_targets()
-        news = [change for change in entries if known.get(change.id) != change.entry]
-        self._tell_peers(before, news)
+        self._tell_peers(before, target_view.news(known, entries))
 
     def _decode(self, rows: Iterable[store.Change]) -> list[target_view.TargetChange]:
         changes = []
--- a/tests/test_forwarding_changes.py
+++ b/tests/test_forwarding_changes.py
@@ -352,3 +352,26 @@
     world.run(6.0)
     assert world.is_ready(name)
     assert statuses(world, "/read/x")[name] == 200
+
+
+def test_a_target_that_comes_and_goes_between_two_looks_is_known_to_nobody():
+    # Found on a hunted day (DRAIN): the reader of a hall told its peers of the entry and kept its
+    # removal from them, because it had not known the target before.
+    world = test_forwarding.build()
+    short = world.add_target("shelf", "akl")
+    world.withdraw(short)
+    world.run(4.0)
+    for node in world.nodes.values():
+        assert short.name not in {entry.id for entry in node._directory.entries}
+
+
+def test_a_target_that_comes_and_leaves_between_two_looks_gets_no_request():
+    world = test_forwarding.build()
+    short = world.add_target("shelf", "akl")
+    world.announce(short, "draining")
+    world.run(3.0)
+    for name in world.nodes:
+        for _ in range(6):
+            world.ask(name, "/read/x")
+    world.run(1.0)
+    assert not [run for run in world.runs if run.target == short.name]
