--- a/src/lineworks/decisions/extra_attempts.py
+++ b/src/lineworks/decisions/extra_attempts.py
@@ -42,8 +42,8 @@
 HOLD_SECONDS = 5.0
 """Seconds for which an instance keeps credit that nobody asked it for: what a hall can spend at
 once when targets begin to fail. Mean worth of a fleet of 60 in memory in the five seconds after 15
-of 100 targets turn slow (`bench.fleet`, three seeds): 0.955 with 5 seconds here and 3 at the
-keeper, 0.870 with 3 and 2."""
+of 100 targets turn slow (`bench.fleet`, three seeds, a tenth kept from hedges): 0.933 with 5
+seconds here and 3 at the keeper, 0.914 with 3 and 2."""
 
 POOL_SECONDS = 3.0
 """Seconds for which a keeper keeps credit: a few rounds of collecting it."""
