Sight: a line and a count for requests that more targets may have run than their route allows

Cause for it: the logs could not tell which targets a shard was sent to and how each attempt ended, and lines were left out just where it mattered. Searches and reads now keep their attempts with the end of each (forwarding/attempts.py, one type for both), and a request over its route's limit is logged with them at a rate of its own. What is sent is unchanged.

--- a/src/lineworks/forwarding/metrics.py
+++ b/src/lineworks/forwarding/metrics.py
@@ -58,6 +58,7 @@
         self._times: dict[str, _Times] = {}
         self._ends: collections.Counter[tuple[str, str, str]] = collections.Counter()
         self._missing: collections.Counter[str] = collections.Counter()
+        self._over_limit: collections.Counter[str] = collections.Counter()
         self._reads: list[Callable[[], Mapping[str, Mapping[str, float]]]] = []
 
     def on_end(self, route: routes.Route | None, found: outcome.Outcome, seconds: float) -> None:
@@ -76,6 +77,8 @@
         self._ends[(label, str(found.answer.status), found.verdict.reason.value)] += 1
         if found.covered < found.total:
             self._missing[label] += found.total - found.covered
+        if found.over_limit:
+            self._over_limit[label] += 1
 
     def on_caller_gone(self, route: routes.Route) -> None:
         """Count a request whose caller left.
@@ -128,6 +131,14 @@
         for route, count in self._missing.items():
             missing.add_metric((route,), float(count))
         yield missing
+        over_limit = core.CounterMetricFamily(
+            "lineworks_attempts_over_limit",
+            "Requests that more targets may have run than their route allows.",
+            labels=("route",),
+        )
+        for route, count in self._over_limit.items():
+            over_limit.add_metric((route,), float(count))
+        yield over_limit
         for read in self._reads:
             yield from _gauges(read())
 
--- a/src/lineworks/forwarding/outcome.py
+++ b/src/lineworks/forwarding/outcome.py
@@ -44,6 +44,9 @@
     failures: tuple[str, ...] = ()
     """Attempts that failed, each with its target or service and why."""
 
+    over_limit: tuple[str, ...] = ()
+    """What more targets may have run than the route allows: each service with its attempts."""
+
     target: str = ""
     """The target that answered, or the last one tried."""
 
--- a/src/lineworks/forwarding/request_log.py
+++ b/src/lineworks/forwarding/request_log.py
@@ -23,6 +23,10 @@
 GOOD_PER_SECOND = 0.5
 """Lines a second for all others: enough to compare with."""
 
+OVER_LIMIT_PER_SECOND = 20.0
+"""Lines a second for requests that more targets may have run than their route allows. None is due,
+so they have a rate of their own: other lines must not crowd them out."""
+
 
 class RequestLog:
     """Logs and counts the requests of one front."""
@@ -38,11 +42,13 @@
         self._counts = counts
         self._bad = bounded_log.BoundedLog(reactor, "front", BAD_PER_SECOND)
         self._good = bounded_log.BoundedLog(reactor, "front", GOOD_PER_SECOND)
+        self._over_limit = bounded_log.BoundedLog(reactor, "front", OVER_LIMIT_PER_SECOND)
 
     @property
     def left_out(self) -> int:
         """Lines left out since the start."""
-        return self._bad.left_out_in_all + self._good.left_out_in_all
+        logs = (self._bad, self._good, self._over_limit)
+        return sum(log.left_out_in_all for log in logs)
 
     def on_end(
         self,
@@ -89,6 +95,13 @@
             target=found.target,
             view_age=round(view_age, 3),
         )
+        if found.over_limit:
+            self._over_limit.info(
+                "attempts_over_limit",
+                id=attempt.decode("latin-1"),
+                limit=route.max_attempts if route is not None else None,
+                attempts=found.over_limit[:MOST_NAMED],
+            )
 
     def on_caller_gone(
         self, request: server_connection.Request, attempt: bytes, route: routes.Route
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -341,6 +341,7 @@
                 if index not in self._parts.covered
             ),
             failures=tuple(self._failures),
+            over_limit=search_state.over_limit(self._shards, self._route.max_attempts),
         )
         self._stop()
         if on_end is not None:
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -11,6 +11,7 @@
 from lineworks.decisions import mechanisms, parts, verdict
 from lineworks.forwarding import (
     answers,
+    attempts,
     search_state,
     target_book,
     target_calls,
@@ -177,7 +178,8 @@
         self, index: int, state: target_state.TargetState, now: float, is_hedge: bool
     ) -> search_state.Try:
         shard = self._shards[index]
-        attempt = search_state.Try(index, state, now, is_hedge)
+        attempt = search_state.Try(state, now, is_hedge, shard=index)
+        shard.made.append(attempt)
         shard.running.append(attempt)
         shard.tried.add(state.id)
         shard.sent += 1
@@ -188,6 +190,7 @@
         """Take in the answer of a target that was asked directly."""
         shard = self._shards[attempt.shard]
         shard.running.remove(attempt)
+        attempt.end = end.verdict
         if not end.verdict.is_ok or end.response is None:
             if not answers.was_sent(end.verdict):
                 self._note_unsent(shard)
@@ -210,6 +213,7 @@
             done = [one for one in arrived if one in self._shards[one.shard].running]
             for attempt in done:
                 self._shards[attempt.shard].running.remove(attempt)
+                attempt.end = verdict.OK
                 self._note_remote(attempt, now)
             found.append((part, done))
         self._close_query_if_over(number)
@@ -256,7 +260,8 @@
                 attempt.state.replica.rest_until, now + NO_ROOM_REST
             )
         self._shared.book.note_failure(attempt.state, now)
-        self._on_failure(attempt.shard, search_state.remote_verdict(failure))
+        attempt.end = search_state.remote_verdict(failure)
+        self._on_failure(attempt.shard, attempt.end)
 
     def _note_unsent(self, shard: search_state.Shard) -> None:
         """Note that an attempt reached no target; another one in its place is not an extra one."""
@@ -270,6 +275,7 @@
         for attempt in lost:
             self._shards[attempt.shard].running.remove(attempt)
             self._shards[attempt.shard].unsettled += 1
+            attempt.end = found
         for attempt in lost:
             self._on_failure(attempt.shard, found)
 
@@ -299,6 +305,7 @@
         shard.running.clear()
         now = self._shared.reactor.seconds()
         for attempt in running:
+            attempt.end = attempts.GIVEN_UP
             if attempt.cancel is not None:
                 attempt.cancel()
             elif attempt.query:
--- a/src/lineworks/forwarding/search_state.py
+++ b/src/lineworks/forwarding/search_state.py
@@ -7,33 +7,20 @@
 from typing import TYPE_CHECKING
 
 from lineworks.decisions import parts, verdict
+from lineworks.forwarding import attempts
 from lineworks.wire import node_frames
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
-
-    from lineworks.forwarding import target_state
+    from collections.abc import Iterable, Sequence
 
 
 @dataclasses.dataclass(slots=True, eq=False)
-class Try:
+class Try(attempts.Attempt):
     """One attempt at one shard."""
 
-    shard: int
+    shard: int = 0
     """Position of the shard in the search."""
 
-    state: target_state.TargetState
-    """The target; of an attempt through a gatherer, the one that it should choose."""
-
-    started: float
-    """When it was sent, in seconds."""
-
-    is_hedge: bool = False
-    """Whether it was made beside a slow one."""
-
-    cancel: Callable[[], None] | None = None
-    """Cancels an attempt that went straight to its target."""
-
     query: int = 0
     """Number of the gatherer's query; 0 for none."""
 
@@ -64,6 +51,9 @@
     service: str
     """The service that it is."""
 
+    made: list[Try] = dataclasses.field(default_factory=list)
+    """All attempts, in the order in which they were sent."""
+
     running: list[Try] = dataclasses.field(default_factory=list)
     """Attempts under way."""
 
@@ -107,6 +97,23 @@
         return len(self.running) + self.unsettled < most
 
 
+def over_limit(shards: Iterable[Shard], most: int) -> tuple[str, ...]:
+    """Tell of the shards that more targets may have run than the route allows.
+
+    Args:
+        shards: The search's shards.
+        most: Targets that the route allows.
+
+    Returns:
+        For each of them its service, with the end of every attempt.
+    """
+    return tuple(
+        attempts.describe(shard.service, shard.made)
+        for shard in shards
+        if len(shard.made) > most and attempts.count_runs(shard.made) > most
+    )
+
+
 def why_missing(shard: Shard) -> str:
     """Tell what a shard that is not in waited for.
 
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import mechanisms, verdict
-from lineworks.forwarding import answers, extra_keeper, outcome, target_calls
+from lineworks.forwarding import answers, attempts, extra_keeper, outcome, target_calls
 from lineworks.http1 import fields as http_fields
 from lineworks.http1 import server_connection
 from lineworks.platform import headers
@@ -34,14 +34,6 @@
 """Attempts at one request in all, refused ones included."""
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Attempt:
-    state: target_state.TargetState
-    started: float
-    is_hedge: bool
-    cancel: Callable[[], None] | None = None
-
-
 class SingleRequest:
     """One request under way."""
 
@@ -70,9 +62,9 @@
         self._call = call
         self._arrived = arrived
         self._on_end: Callable[[outcome.Outcome], None] | None = on_end
-        self._running: list[_Attempt] = []
+        self._made: list[attempts.Attempt] = []
+        self._running: list[attempts.Attempt] = []
         self._tried: set[str] = set()
-        self._attempts = 0
         self._asks = 0
         self._timers: list[Any] = []
         self._known: list[verdict.Verdict] = []
@@ -129,16 +121,17 @@
         return now < min(last, self._call.deadline)
 
     def _send(self, state: target_state.TargetState, now: float, is_hedge: bool) -> None:
-        attempt = _Attempt(state, now, is_hedge)
+        attempt = attempts.Attempt(state, now, is_hedge)
+        self._made.append(attempt)
         self._running.append(attempt)
         self._tried.add(state.id)
-        self._attempts += 1
         self._target = state.id
         on_end = functools.partial(self._on_call_end, attempt)
         attempt.cancel = self._shared.calls.send(state, self._call, on_end)
 
-    def _on_call_end(self, attempt: _Attempt, end: target_calls.CallEnd) -> None:
+    def _on_call_end(self, attempt: attempts.Attempt, end: target_calls.CallEnd) -> None:
         self._running.remove(attempt)
+        attempt.end = end.verdict
         if self._on_end is None:
             return
         if end.verdict.is_ok and end.response is not None:
@@ -155,7 +148,7 @@
         if not self._running:
             self._go_on(end.verdict)
 
-    def _record(self, attempt: _Attempt) -> None:
+    def _record(self, attempt: attempts.Attempt) -> None:
         hall = attempt.state.hall
         self._shared.record_answer(self._route.name, hall, attempt.started, attempt.is_hedge)
 
@@ -176,7 +169,7 @@
         now = shared.reactor.seconds()
         if not last.is_not_run and not self._call.is_repeatable:
             return False
-        if self._attempts >= MOST_ATTEMPTS or now + ROOM_PAUSE >= self._call.deadline:
+        if len(self._made) >= MOST_ATTEMPTS or now + ROOM_PAUSE >= self._call.deadline:
             return False
         return shared.book.has_any(self._service)
 
@@ -220,9 +213,9 @@
     def _on_deadline(self) -> None:
         if self._on_end is None:
             return
-        if self._attempts:
+        if self._made:
             found = verdict.may_have_run(verdict.Reason.DEADLINE, "no answer in time")
-            self._end(outcome.refuse(found, self._attempts))
+            self._end(outcome.refuse(found, len(self._made)))
         else:
             self._finish_without(verdict.Reason.OVERLOADED, "no target had room in time")
 
@@ -237,20 +230,31 @@
             return
         passed = http_fields.end_to_end(response.fields)
         answer = server_connection.Answer(response.status, passed, response.body)
-        self._end(outcome.Outcome(answer, found, self._attempts, target=self._target))
+        self._end(outcome.Outcome(answer, found, len(self._made), target=self._target))
 
     def _finish_without(self, reason: verdict.Reason, detail: str) -> None:
         certainty = verdict.combine(self._known)
         found = verdict.Verdict(certainty, reason, detail)
-        self._end(outcome.refuse(found, self._attempts))
+        self._end(outcome.refuse(found, len(self._made)))
 
     def _end(self, found: outcome.Outcome) -> None:
         on_end = self._on_end
         self._on_end = None
         self._stop(cancels_attempts=True)
         if on_end is not None:
-            failures = tuple(self._failures)
-            on_end(dataclasses.replace(found, target=self._target, failures=failures))
+            described = dataclasses.replace(
+                found,
+                target=self._target,
+                failures=tuple(self._failures),
+                over_limit=self._over_limit(),
+            )
+            on_end(described)
+
+    def _over_limit(self) -> tuple[str, ...]:
+        """Tell of the attempts when more targets may have run it than the route allows."""
+        if attempts.count_runs(self._made) <= self._route.max_attempts:
+            return ()
+        return (attempts.describe(self._service, self._made),)
 
     def _stop(self, cancels_attempts: bool) -> None:
         for timer in self._timers:
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -131,7 +131,7 @@
 
 
 def test_parts_side_by_side_are_read_apart():
-    tries = [search_state.Try(shard, None, 0.0) for shard in (4, 5, 6)]
+    tries = [search_state.Try(None, 0.0, shard=shard) for shard in (4, 5, 6)]
     records = b"".join(letter.encode() * 16 for letter in "ced")
     frame = node_frames.GatherParts(7, (2, 9, 0), ("x", "y", "z"), records, (), (), (1, 1, 1))
     found = search_state.read_parts(tries, frame)
