--- /dev/null
+++ b/tests/test_attempt_limit.py
@@ -0,0 +1,178 @@
+"""No try of a caller runs on more targets than its route allows, for each shard of a search.
+
+While some targets answered 500 at once, searches ran on three targets of one shard where their
+route allows two. An attempt that had failed was no longer counted, so a shard was asked again after
+a failure and hedged beside that, or asked a third time after two failures. What settled it were the
+attempts of such shards as the front had kept them:
+
+    "limit": 2, "attempts": ["hufi75w: i-db247e2424 failed a target of the hall failed,
+    i-7b4a4bdcb6 failed a target of the hall failed, i-9de8a84d63 ok"]
+    "limit": 2, "attempts": ["dami2i: i-55bcd98d84 failed a target of the hall failed,
+    i-57fc18ca98 ok, i-0089fa67c3 (hedge) cancelled given up"]
+
+Twelve lines of this kind in two seconds each held a target that had failed, and the targets' own
+books told the same number of requests.
+"""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from lineworks.standins import deployment
+from tests import test_forwarding
+
+AT_ONCE = 0.001
+"""Seconds after which a target that fails does so."""
+
+
+def build(most=2):
+    """Make a deployment with a target of each shard and three of the shelf in every hall."""
+    world = test_forwarding.build()
+    for shard in test_forwarding.SHARDS:
+        for hall in deployment.HALLS:
+            if all(target.hall != hall for target in test_forwarding.targets_of(world, shard)):
+                world.add_target(shard, hall)
+    routes = (test_forwarding.SEARCH, test_forwarding.READ, test_forwarding.BILL)
+    world.configure([{**route, "MaxAttempts": most} for route in routes])
+    world.run(3.0)
+    # Earlier requests, from which extra attempts are allowed.
+    for _ in range(50):
+        world.ask("akl-1", "/search/q")
+        world.ask("akl-1", "/read/q")
+        world.run(0.1)
+    return world
+
+
+def fail(target):
+    target.faults.status = 500
+    target.work = lambda: AT_ONCE
+
+
+def ran_on(world, attempt, service):
+    """List the targets of a service that ran a try."""
+    return {
+        run.target for run in world.runs_of(attempt) if world.targets[run.target].service == service
+    }
+
+
+@pytest.mark.parametrize("most", [1, 2, 3])
+def test_a_shard_whose_targets_fail_is_asked_no_more_often_than_the_route_allows(most):
+    world = build(most)
+    for target in test_forwarding.targets_of(world, "s00"):
+        fail(target)
+    reply = world.ask("akl-1", "/search/q", attempt="q1")
+    world.run(1.0)
+    assert len(ran_on(world, "q1", "s00")) == most
+    assert test_forwarding.check_search(world, reply, "q1") == 1
+
+
+def test_a_shard_that_failed_once_is_not_hedged_beside_its_second_attempt():
+    world = build()
+    near, *others = sorted(
+        test_forwarding.targets_of(world, "s00"), key=lambda target: target.hall != "akl"
+    )
+    fail(near)
+    for target in others:
+        target.work = lambda: 0.15
+    reply = world.ask("akl-1", "/search/q", attempt="q1")
+    world.run(1.0)
+    assert near.name in ran_on(world, "q1", "s00")
+    assert len(ran_on(world, "q1", "s00")) == 2
+    assert reply.status == 200
+
+
+def test_a_hedge_that_fails_is_not_replaced_while_the_first_attempt_is_slow():
+    world = build()
+    near, *others = sorted(
+        test_forwarding.targets_of(world, "s00"), key=lambda target: target.hall != "akl"
+    )
+    near.work = lambda: 5.0
+    for target in others:
+        fail(target)
+    world.ask("akl-1", "/search/q", attempt="q1")
+    world.run(1.0)
+    assert near.name in ran_on(world, "q1", "s00")
+    assert len(ran_on(world, "q1", "s00")) == 2
+
+
+@pytest.mark.parametrize("most", [1, 2, 3])
+def test_a_read_whose_targets_fail_is_sent_no_more_often_than_the_route_allows(most):
+    world = build(most)
+    world.add_target("shelf", "akl")
+    world.run(1.0)
+    for target in test_forwarding.targets_of(world, "shelf"):
+        fail(target)
+    reply = world.ask("akl-1", "/read/q", attempt="q1")
+    world.run(1.0)
+    assert len(ran_on(world, "q1", "shelf")) == most
+    assert reply.status == 500
+
+
+def test_a_read_that_failed_once_is_not_hedged_beside_its_second_attempt():
+    world = build()
+    near, *others = sorted(
+        test_forwarding.targets_of(world, "shelf"), key=lambda target: target.hall != "akl"
+    )
+    fail(near)
+    for target in others:
+        target.work = lambda: 1.0
+    world.ask("akl-1", "/read/q", attempt="q1")
+    world.run(2.0)
+    assert near.name in ran_on(world, "q1", "shelf")
+    assert len(ran_on(world, "q1", "shelf")) == 2
+
+
+def test_targets_that_refuse_do_not_use_up_the_attempts():
+    world = build()
+    first, second, third = test_forwarding.targets_of(world, "s00")
+    for target in (first, second):
+        target.faults.sheds = True
+    reply = world.ask("akl-1", "/search/q", attempt="q1")
+    world.run(1.0)
+    assert ran_on(world, "q1", "s00") == {third.name}
+    assert test_forwarding.check_search(world, reply, "q1") == 0
+
+
+def deal_faults(world, rng):
+    """Give each target a new state: most are well, the others fail, hang, refuse or break off."""
+    for target in world.targets.values():
+        target.faults.status = 200
+        target.faults.sheds = target.faults.loses_answers = False
+        target.work = lambda: 0.03
+        drawn = rng.random()
+        if drawn < 0.15:
+            fail(target)
+        elif drawn < 0.25:
+            target.work = lambda: 0.2
+        elif drawn < 0.3:
+            target.work = lambda: 5.0
+        elif drawn < 0.35:
+            target.faults.sheds = True
+        elif drawn < 0.4:
+            target.faults.loses_answers = True
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_mix_of_faults_makes_a_try_run_on_more_targets_than_allowed(seed):
+    rng = random.Random(seed)
+    most = 1 + seed % 3
+    world = build(most)
+    tries = []
+    for _ in range(12):
+        deal_faults(world, rng)
+        for name in world.nodes:
+            for path in ("/search/q", "/read/q", "/bill/q"):
+                tries.append(f"{path[1]}{len(tries)}")
+                world.ask(name, path, attempt=tries[-1])
+        world.run(0.25)
+    world.run(2.0)
+    over = {}
+    for attempt in tries:
+        allowed = 1 if attempt.startswith("b") else most
+        for service in {world.targets[run.target].service for run in world.runs_of(attempt)}:
+            ran = ran_on(world, attempt, service)
+            if len(ran) > allowed:
+                over[attempt] = (service, ran)
+    assert not over
