--- /dev/null
+++ b/bench/soak/__main__.py
@@ -0,0 +1,92 @@
+"""`python -m bench.soak`: real processes on loopback under faults dealt from a seed.
+
+Exit codes: 0 when all promises were kept, 1 when one was broken, 2 for bad arguments.
+"""
+
+from __future__ import annotations
+
+import collections
+import pathlib
+import shutil
+import sys
+from typing import TYPE_CHECKING, Any
+
+import absl.app
+import absl.flags
+
+from bench.soak import checkers
+from lineworks.kernel import steady_reactor
+from lineworks.programs import _common
+
+if TYPE_CHECKING:
+    from bench.soak import history
+    from bench.soak import run as runs
+
+_SEED = absl.flags.DEFINE_integer("seed", 1, "Seed of the first run; the same deals the same.", 0)
+_RUNS = absl.flags.DEFINE_integer("runs", 1, "Runs, each with the next seed.", 1, 1000)
+_SECONDS = absl.flags.DEFINE_float("seconds", 20.0, "Seconds of traffic of a run.", 8.0, 600.0)
+_FOLDER = absl.flags.DEFINE_string("folder", "out/soak", "Takes a folder for each run.")
+
+MOST_SHOWN = 10
+"""Broken promises that are printed for one run."""
+
+
+async def _play(reactor: Any, seed: int, folder: pathlib.Path) -> bool:
+    """Play one run and say whether all promises were kept."""
+    from bench.soak import run as runs
+
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
+    one = runs.Run(reactor, seed, _SECONDS.value, folder)
+    found = await one.play()
+    broken = checkers.check(found)
+    _print(seed, one, found, broken, folder)
+    return not broken and not one.exits
+
+
+def _print(
+    seed: int,
+    one: runs.Run,
+    found: history.History,
+    broken: list[checkers.Broken],
+    folder: pathlib.Path,
+) -> None:
+    statuses = collections.Counter(call.status for call in found.calls)
+    told = ", ".join(f"{status or 'none'} {count}" for status, count in sorted(statuses.items()))
+    print(f"seed {seed}: {len(one.steps)} steps, {len(found.calls)} requests ({told}), ", end="")
+    print(f"{len(found.arrivals)} arrivals, {len(broken)} broken", flush=True)
+    for row in broken[:MOST_SHOWN]:
+        print(f"  {row.promise}: {row.attempt}: {row.detail}")
+        print(f"    lineworks-ctl timeline {row.attempt} {folder}/*.log")
+    for ended in one.exits:
+        print(f"  an instance ended by itself: {ended}")
+    if broken or one.exits:
+        print(f"  again: python -m bench.soak --seed {seed} --seconds {_SECONDS.value:g}")
+
+
+async def _play_all(reactor: Any) -> int:
+    is_kept = True
+    for seed in range(_SEED.value, _SEED.value + _RUNS.value):
+        folder = pathlib.Path(_FOLDER.value) / f"seed-{seed}"
+        is_kept = await _play(reactor, seed, folder) and is_kept
+    return _common.EXIT_OK if is_kept else _common.EXIT_FAILED
+
+
+def main(argv: list[str]) -> int:
+    """Play the runs.
+
+    Args:
+        argv: Program name and arguments left after flags.
+
+    Returns:
+        The exit code.
+    """
+    if len(argv) > 1:
+        return _common.fail(f"unexpected argument: {argv[1]}")
+    _common.set_up_logs("warning")
+    reactor = steady_reactor.install()
+    return _common.run_reactor(reactor, lambda: _play_all(reactor))
+
+
+if __name__ == "__main__":
+    absl.app.run(lambda argv: sys.exit(main(argv)))
--- /dev/null
+++ b/bench/soak/callers.py
@@ -0,0 +1,187 @@
+"""Callers of a run: they keep their connections until the process at the other end is gone."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import json
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import protocol
+
+from bench.soak import history
+from lineworks.http1 import client_connection
+from lineworks.platform.standins import documents
+
+if TYPE_CHECKING:
+    import pathlib
+    import random
+    from collections.abc import Mapping
+
+BUDGET = 1.0
+"""Seconds that a caller waits."""
+
+PATIENCE = 4.0
+"""Seconds after its budget at which a caller closes the connection: a late answer is still seen."""
+
+CONNECT_SECONDS = 1.0
+"""Seconds that a connection may take to open."""
+
+ROUTES = (("search", 0.6), ("read", 0.25), ("bill", 0.15))
+"""Routes with their shares of the requests."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Try:
+    """A try under way."""
+
+    attempt: str
+    route: str
+    front: str
+    sent_at: float
+    timer: Any = None
+    connection: client_connection.ClientConnection | None = None
+
+
+class Callers:
+    """Sends requests at a steady rate and notes how each ended."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        rng: random.Random,
+        fronts: Mapping[str, int],
+        rate: float,
+        book: pathlib.Path,
+    ) -> None:
+        """Make callers; nothing is sent yet.
+
+        Args:
+            reactor: Twisted's reactor.
+            rng: Draws routes and instances.
+            fronts: For each instance its port for callers.
+            rate: Requests a second.
+            book: File for what was sent and came back.
+        """
+        self._reactor = reactor
+        self._rng = rng
+        self._fronts = fronts
+        self._pause = 1 / rate
+        self._file = book.open("w", buffering=1)
+        self._numbers = itertools.count(1)
+        self._idle: dict[str, list[client_connection.ClientConnection]] = {}
+        self._due = 0.0
+        self._ends_at = 0.0
+        self.under_way = 0
+        """Tries without an end."""
+
+    def start(self, seconds: float) -> None:
+        """Begin to send.
+
+        Args:
+            seconds: For how long.
+        """
+        self._due = self._reactor.seconds()
+        self._ends_at = self._due + seconds
+        self._send_due()
+
+    def _send_due(self) -> None:
+        now = self._reactor.seconds()
+        while self._due <= now < self._ends_at:
+            self._send()
+            self._due += self._pause
+        if now < self._ends_at:
+            self._reactor.callLater(max(0.0, self._due - now), self._send_due)
+
+    def _send(self) -> None:
+        route = self._rng.choices([name for name, _ in ROUTES], [share for _, share in ROUTES])[0]
+        front = self._rng.choice(sorted(self._fronts))
+        one = _Try(f"t{next(self._numbers):06d}", route, front, self._reactor.seconds())
+        self.under_way += 1
+        one.timer = self._reactor.callLater(BUDGET + PATIENCE, self._give_up, one)
+        while self._idle.get(front):
+            connection = self._idle[front].pop()
+            if not connection.is_closed:
+                self.on_open(one, connection)
+                return
+        port = self._fronts[front]
+        factory = _Factory(self, one)
+        self._reactor.connectTCP("127.0.0.1", port, factory, timeout=CONNECT_SECONDS)
+
+    def on_open(self, one: _Try, connection: client_connection.ClientConnection) -> None:
+        """Send a try on a connection."""
+        one.connection = connection
+        data = documents.caller_request("GET", f"/{one.route}/q", one.attempt, BUDGET, b"")
+        connection.send(data, False, lambda end: self._on_end(one, end))
+
+    def on_no_connection(self, one: _Try, detail: str) -> None:
+        """Note that an instance took no connection."""
+        self._note(one, detail=detail)
+
+    def _give_up(self, one: _Try) -> None:
+        if one.connection is not None:
+            one.connection.abort()
+        self._note(one, detail="gave up")
+
+    def _on_end(
+        self, one: _Try, end: client_connection.Response | client_connection.Broken
+    ) -> None:
+        if isinstance(end, client_connection.Broken):
+            self._note(one, detail=end.detail)
+            return
+        if one.connection is not None and not one.connection.is_closed:
+            self._idle.setdefault(one.front, []).append(one.connection)
+        found = {key.decode().lower(): value.decode() for key, value in end.fields}
+        stamps = [part.strip() for part in found.get("x-part-stamps", "").split(",")]
+        self._note(
+            one,
+            status=end.status,
+            stamps=tuple(stamp for stamp in stamps if stamp),
+            missing=int(found.get("x-parts-missing", "0")),
+            body=end.body.hex(),
+        )
+
+    def _note(self, one: _Try, status: int = 0, **more: Any) -> None:
+        if one.timer is None:
+            return
+        if one.timer.active():
+            one.timer.cancel()
+        one.timer = None
+        self.under_way -= 1
+        now = self._reactor.seconds()
+        call = history.Call(
+            one.attempt, one.route, one.front, one.sent_at, BUDGET, now, status, **more
+        )
+        self._file.write(json.dumps(dataclasses.asdict(call)) + "\n")
+
+
+class _Factory(protocol.ClientFactory):
+    """Opens a connection for one try; others use it after that."""
+
+    noisy = False
+
+    def __init__(self, callers: Callers, one: _Try) -> None:
+        self._callers = callers
+        self._one = one
+
+    def buildProtocol(self, addr: Any) -> _Connection:  # noqa: N802
+        """Make the caller's end."""
+        return _Connection(self._callers, self._one)
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
+        """Report that there is no connection."""
+        self._callers.on_no_connection(self._one, type(reason.value).__name__)
+
+
+class _Connection(client_connection.ClientConnection):
+    """A caller's connection, which sends its first try when it is open."""
+
+    def __init__(self, callers: Callers, one: _Try) -> None:
+        super().__init__(callers._reactor.seconds, lambda connection: None)
+        self._callers = callers
+        self._one = one
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Send the first try."""
+        super().connectionMade()
+        self._callers.on_open(self._one, self)
--- /dev/null
+++ b/bench/soak/checkers.py
@@ -0,0 +1,205 @@
+"""Whether a run kept its promises: each checker takes a history and tells what broke one."""
+
+from __future__ import annotations
+
+import bisect
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from lineworks.decisions import parts
+from lineworks.platform.standins import http_target
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Sequence
+
+    from bench.soak import history
+
+SPREAD_SECONDS = 5.0
+"""Seconds for which a configuration may be in force after the next one was written."""
+
+LATE_SECONDS = 0.5
+"""Seconds after its deadline at which a caller must have its answer."""
+
+ONCE = frozenset(("bill",))
+"""Routes whose requests may run once."""
+
+SEARCH = "search"
+"""The route that reaches every shard."""
+
+TOP = 20
+"""Records of a search's answer."""
+
+REFUSED = frozenset((408, 421, 429, 503))
+"""Statuses that promise that a request has not run and never will."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """A promise that was broken."""
+
+    promise: str
+    """The promise in a few words."""
+
+    attempt: str
+    """Identity of a try that shows it; the last one of several."""
+
+    detail: str
+    """What was seen, and what is allowed."""
+
+
+def attempts_a_shard(found: history.History) -> Iterable[Broken]:
+    """Find tries that ran on more targets of a service than a route in force allowed."""
+    calls = {call.attempt: call for call in found.calls}
+    ran: dict[tuple[str, str], set[str]] = collections.defaultdict(set)
+    for arrival in found.arrivals:
+        if arrival.has_run:
+            ran[(arrival.attempt, arrival.service)].add(arrival.target)
+    for (attempt, service), targets in ran.items():
+        call = calls.get(attempt)
+        if call is None:
+            yield Broken("targets run only what callers sent", attempt, f"ran at {service}")
+            continue
+        most = 1 if call.route in ONCE else _most_allowed(found.configured, call)
+        if len(targets) > most:
+            detail = f"{service}: ran on {', '.join(sorted(targets))}; {most} allowed"
+            yield Broken("attempts a shard", attempt, detail)
+
+
+def _most_allowed(configured: Sequence[history.Configured], call: history.Call) -> int:
+    """Tell the greatest limit among the configurations that may have been in force for a try."""
+    allowed = []
+    for place, one in enumerate(configured):
+        following = configured[place + 1 : place + 2]
+        is_over = any(call.sent_at > later.at + SPREAD_SECONDS for later in following)
+        if one.at <= call.ended_at and not is_over:
+            allowed.append(one.max_attempts)
+    return max(allowed)
+
+
+def extra_attempts(found: history.History) -> Iterable[Broken]:
+    """Find windows in which a service got more arrivals beyond the first than allowed."""
+    sent: dict[str, list[float]] = collections.defaultdict(list)
+    for call in found.calls:
+        for service in found.services[call.route]:
+            sent[service].append(call.sent_at)
+    seen: set[tuple[str, str]] = set()
+    extras: dict[str, list[history.Arrival]] = collections.defaultdict(list)
+    for arrival in found.arrivals:
+        key = (arrival.attempt, arrival.service)
+        if key in seen:
+            extras[arrival.service].append(arrival)
+        seen.add(key)
+    for service, arrivals in extras.items():
+        yield from _windows_over(found, service, arrivals, sent[service])
+
+
+def _windows_over(
+    found: history.History,
+    service: str,
+    extras: Sequence[history.Arrival],
+    sent: Sequence[float],
+) -> Iterable[Broken]:
+    """Hold each window that ends with an extra arrival against the requests of its time."""
+    window = found.allowance.window
+    times = [arrival.at for arrival in extras]
+    for place, arrival in enumerate(extras):
+        count = place + 1 - bisect.bisect_left(times, arrival.at - window)
+        # The window itself, the one before it and the one half a window before, the best of them.
+        ends = (arrival.at - back * window for back in (0.0, 0.5, 1.0))
+        requests = max(_count_between(sent, end - window, end) for end in ends)
+        most = found.allowance.share * requests + found.allowance.slack
+        if count > most:
+            detail = f"{service}: {count} extra arrivals in {window:g} s; {most:.1f} allowed"
+            yield Broken("sum of extra attempts", arrival.attempt, detail)
+
+
+def _count_between(times: Sequence[float], begin: float, end: float) -> int:
+    return bisect.bisect_right(times, end) - bisect.bisect_left(times, begin)
+
+
+def runs_once(found: history.History) -> Iterable[Broken]:
+    """Find requests that may run once and ran more often."""
+    routes = {call.attempt: call.route for call in found.calls}
+    runs: collections.Counter[str] = collections.Counter(
+        arrival.attempt
+        for arrival in found.arrivals
+        if arrival.has_run and routes.get(arrival.attempt) in ONCE
+    )
+    for attempt, count in runs.items():
+        if count > 1:
+            yield Broken("runs once", attempt, f"ran {count} times")
+
+
+def refusals_are_true(found: history.History) -> Iterable[Broken]:
+    """Find requests that may run once and ran though their caller was told that they had not."""
+    ran = {arrival.attempt for arrival in found.arrivals if arrival.has_run}
+    for call in found.calls:
+        if call.route in ONCE and call.status in REFUSED and call.attempt in ran:
+            yield Broken("refused means not run", call.attempt, f"answered {call.status}")
+
+
+def answers_are_exact(found: history.History) -> Iterable[Broken]:
+    """Find answers of searches that are not the greatest records of the parts that they name."""
+    for call in found.calls:
+        if call.route == SEARCH and call.status == 200:
+            detail = _what_is_wrong(call, found.services[SEARCH])
+            if detail:
+                yield Broken("answers are exact", call.attempt, detail)
+
+
+def _what_is_wrong(call: history.Call, services: Sequence[str]) -> str:
+    """Tell what is wrong with an answer of a search, or nothing."""
+    named = [stamp.split(".") for stamp in call.stamps]
+    covered = [service for service, _, _ in named]
+    if any(attempt != call.attempt for _, attempt, _ in named):
+        return "a part of another try"
+    if len(set(covered)) != len(covered) or not set(covered) <= set(services):
+        return "a shard is in twice, or is none of the route's"
+    if len(covered) + call.missing != len(services):
+        return f"{len(covered)} parts and {call.missing} missing of {len(services)}"
+    records: list[bytes] = []
+    for _, attempt, target in named:
+        records += http_target.records_of(attempt, target)
+    if call.body != b"".join(parts.greatest(records, TOP)).hex():
+        return "other records than the greatest of its parts"
+    return ""
+
+
+def answered_in_time(found: history.History) -> Iterable[Broken]:
+    """Find callers of undisturbed instances that were left waiting past their deadline."""
+    for call in found.calls:
+        by = call.sent_at + call.budget + LATE_SECONDS
+        if call.ended_at > by and not _is_disturbed(found.disturbed, call):
+            detail = f"{call.front}: {call.ended_at - call.sent_at:.2f} s of {call.budget:g} s"
+            yield Broken("answered by the deadline", call.attempt, detail)
+
+
+def _is_disturbed(spans: Iterable[history.Span], call: history.Call) -> bool:
+    return any(
+        span.front == call.front and span.begin <= call.ended_at and call.sent_at <= span.end
+        for span in spans
+    )
+
+
+CHECKERS: tuple[Callable[[history.History], Iterable[Broken]], ...] = (
+    attempts_a_shard,
+    extra_attempts,
+    runs_once,
+    refusals_are_true,
+    answers_are_exact,
+    answered_in_time,
+)
+"""All checkers."""
+
+
+def check(found: history.History) -> list[Broken]:
+    """Hold a run against all promises.
+
+    Args:
+        found: The run.
+
+    Returns:
+        What was broken; empty when all was kept.
+    """
+    return [broken for checker in CHECKERS for broken in checker(found)]
--- /dev/null
+++ b/bench/soak/history.py
@@ -0,0 +1,162 @@
+"""What callers, targets and the operator saw in one run, as the checkers read it.
+
+All times are seconds on the machine's steady clock, which every process of a run shares.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    import pathlib
+    from collections.abc import Iterable, Mapping
+
+    from lineworks.decisions import extra_attempts
+
+CALLS = "calls.jsonl"
+"""File with what callers sent and got."""
+
+ARRIVALS = "arrivals-*.jsonl"
+"""Files with what reached targets, one for each process of targets."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One try of a caller, with its end."""
+
+    attempt: str
+    """Identity of the try."""
+
+    route: str
+    """Name of its route."""
+
+    front: str
+    """Instance that it was sent to."""
+
+    sent_at: float
+    """When it was sent."""
+
+    budget: float
+    """Seconds that the caller waits."""
+
+    ended_at: float
+    """When its answer came, its connection broke or its caller gave up."""
+
+    status: int
+    """Status of the answer; 0 for none."""
+
+    stamps: tuple[str, ...] = ()
+    """Signatures of the parts in the answer."""
+
+    missing: int = 0
+    """Shards that the answer leaves out, by its own word."""
+
+    body: str = ""
+    """The answer's body in hexadecimal digits."""
+
+    detail: str = ""
+    """Why there was no answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached a target."""
+
+    attempt: str
+    """Identity of the try."""
+
+    target: str
+    """Identity of the target."""
+
+    service: str
+    """Service that the target serves."""
+
+    at: float
+    """When it arrived."""
+
+    has_run: bool
+    """Whether the target began to work on it; otherwise it refused."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configured:
+    """A configuration that was put in force."""
+
+    at: float
+    """When it was written."""
+
+    max_attempts: int
+    """Targets that one try may run on, for each shard."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Span:
+    """A time in which an instance was killed, stopped or frozen, with a while to recover."""
+
+    front: str
+    """The instance."""
+
+    begin: float
+    """Its beginning."""
+
+    end: float
+    """Its end."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class History:
+    """One run."""
+
+    calls: tuple[Call, ...]
+    """All tries, in the order in which they were sent."""
+
+    arrivals: tuple[Arrival, ...]
+    """All requests that reached targets, in their order."""
+
+    configured: tuple[Configured, ...]
+    """All configurations, in their order."""
+
+    services: Mapping[str, tuple[str, ...]]
+    """For each route the services that a try of it reaches."""
+
+    allowance: extra_attempts.Allowance
+    """Attempts beyond the first that a service may get."""
+
+    disturbed: tuple[Span, ...] = ()
+    """When instances could not answer in time."""
+
+
+def read_calls(folder: pathlib.Path) -> tuple[Call, ...]:
+    """Read what callers noted.
+
+    Args:
+        folder: The run's folder.
+
+    Returns:
+        Their tries, in the order in which they were sent.
+    """
+    rows = [Call(**{**row, "stamps": tuple(row["stamps"])}) for row in _rows([folder / CALLS])]
+    return tuple(sorted(rows, key=lambda call: call.sent_at))
+
+
+def read_arrivals(folder: pathlib.Path) -> tuple[Arrival, ...]:
+    """Read what targets noted.
+
+    Args:
+        folder: The run's folder.
+
+    Returns:
+        All arrivals in their order.
+    """
+    rows = [Arrival(**row) for row in _rows(sorted(folder.glob(ARRIVALS)))]
+    return tuple(sorted(rows, key=lambda arrival: arrival.at))
+
+
+def _rows(paths: Iterable[pathlib.Path]) -> Iterable[dict[str, Any]]:
+    for path in paths:
+        for line in path.read_text().splitlines():
+            # A killed process may leave half a line at the end of its book.
+            if line.endswith("}"):
+                yield json.loads(line)
--- /dev/null
+++ b/bench/soak/plan.py
@@ -0,0 +1,154 @@
+"""Deals, from a seed, what goes wrong in a run, and when."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import random
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+CALM_SECONDS = 3.0
+"""Seconds at the start and at the end without new faults."""
+
+MEAN_PAUSE = 0.5
+"""Mean seconds between two steps: most of them last longer, so they overlap."""
+
+LONGEST = 4.0
+"""Seconds that a fault lasts at most."""
+
+SHARE_OF_TARGETS = 0.25
+"""Share of the targets that one fault strikes at most."""
+
+ATTEMPT_LIMITS = (1, 2, 3)
+"""Limits of attempts that configurations deal."""
+
+
+class Kind(enum.Enum):
+    """What a step does."""
+
+    TARGETS_FAIL = "targets_fail"
+    """Targets answer 500 at once."""
+
+    TARGETS_SLOW = "targets_slow"
+    """Targets take ten times as long."""
+
+    TARGETS_HANG = "targets_hang"
+    """Targets take longer than any caller waits."""
+
+    TARGETS_REFUSE = "targets_refuse"
+    """Targets refuse everything."""
+
+    TARGETS_BREAK = "targets_break"
+    """Targets do the work and break the connection off."""
+
+    TARGETS_DRAIN = "targets_drain"
+    """Targets leave with notice and come back."""
+
+    HALL_RESTARTS = "hall_restarts"
+    """The targets of a hall are killed; others start at their addresses."""
+
+    NODE_KILLED = "node_killed"
+    """An instance is killed and started again."""
+
+    NODE_FROZEN = "node_frozen"
+    """An instance is stopped by a signal and goes on later."""
+
+    NODE_STOPPED = "node_stopped"
+    """An instance is asked to stop, and started again when it is gone."""
+
+    NODE_SIGNALLED = "node_signalled"
+    """An instance is told to read its settings again."""
+
+    STORE_DOWN = "store_down"
+    """The store refuses every call."""
+
+    STORE_BUSY = "store_busy"
+    """The store refuses calls for their rate."""
+
+    STORE_SILENT = "store_silent"
+    """The store answers nothing."""
+
+    STORE_SLOW = "store_slow"
+    """The store answers late."""
+
+    STORE_FORGETS = "store_forgets"
+    """The store forgets its history."""
+
+    CONFIGURED = "configured"
+    """A configuration with another limit of attempts."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """One thing that goes wrong."""
+
+    at: float
+    """When, in seconds from the start of traffic."""
+
+    kind: Kind
+    """What."""
+
+    seconds: float = 0.0
+    """How long it lasts, where it lasts."""
+
+    subjects: tuple[str, ...] = ()
+    """Names of targets, of an instance, or of a hall."""
+
+    value: int = 0
+    """Limit of attempts, of a configuration."""
+
+
+def deal(
+    seed: int,
+    seconds: float,
+    targets: Sequence[str],
+    nodes: Sequence[str],
+    halls: Sequence[str],
+) -> list[Step]:
+    """Deal the steps of a run.
+
+    Args:
+        seed: Decides everything.
+        seconds: Length of the run.
+        targets: Names of the places of targets.
+        nodes: Names of the instances.
+        halls: Names of the data halls.
+
+    Returns:
+        The steps in their order; the same for the same arguments.
+    """
+    rng = random.Random(seed)
+    steps = []
+    at = CALM_SECONDS + rng.expovariate(1 / MEAN_PAUSE)
+    while at < seconds - CALM_SECONDS:
+        kind = rng.choice(list(Kind))
+        lasts = rng.uniform(0.2, LONGEST)
+        subjects = _subjects(kind, rng, targets, nodes, halls)
+        value = rng.choice(ATTEMPT_LIMITS) if kind is Kind.CONFIGURED else 0
+        steps.append(Step(round(at, 3), kind, round(lasts, 3), subjects, value))
+        at += rng.expovariate(1 / MEAN_PAUSE)
+    return steps
+
+
+def _subjects(
+    kind: Kind,
+    rng: random.Random,
+    targets: Sequence[str],
+    nodes: Sequence[str],
+    halls: Sequence[str],
+) -> tuple[str, ...]:
+    choices: dict[str, Callable[[], tuple[str, ...]]] = {
+        "targets": lambda: _some(rng, targets),
+        "hall": lambda: (rng.choice(halls),),
+        "node": lambda: (rng.choice(nodes),),
+    }
+    choose = choices.get(kind.value.partition("_")[0])
+    return choose() if choose is not None else ()
+
+
+def _some(rng: random.Random, targets: Sequence[str]) -> tuple[str, ...]:
+    most = max(1, round(SHARE_OF_TARGETS * len(targets)))
+    return tuple(sorted(rng.sample(list(targets), rng.randint(1, most))))
--- /dev/null
+++ b/bench/soak/processes.py
@@ -0,0 +1,316 @@
+"""The processes of a run: the store, the targets of each hall, and the instances.
+
+Only processes that were started here are signalled, each by its own id.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+from typing import TYPE_CHECKING, Any
+
+from lineworks.platform.standins import documents
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from lineworks.decisions import extra_attempts
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+NODE_PROGRAM = ROOT / "src" / "lineworks_node.py"
+
+HALLS = ("akl", "wlg", "chc")
+"""Data halls, each a region of its own."""
+
+PORTS = (15000, 32000)
+"""First port that may be used, and the one after the last: below those that Linux gives to outgoing
+connections, which would take a port while its process restarts."""
+
+GRACE_SECONDS = 4.0
+"""Seconds that an instance has to stop."""
+
+
+@dataclasses.dataclass(slots=True)
+class Place:
+    """Where targets of one service stand; each start there makes a target with a new identity."""
+
+    service: str
+    """The service."""
+
+    hall: str
+    """Data hall."""
+
+    port: int
+    """TCP port, which the next target there takes over."""
+
+    starts: int = 0
+    """Targets started here so far."""
+
+    @property
+    def name(self) -> str:
+        """Name of the place."""
+        return f"{self.service}-{self.hall}"
+
+    @property
+    def target(self) -> str:
+        """Identity of the target that stands here now."""
+        return f"i-{self.service}-{self.hall}-{self.starts}"
+
+
+class Child:
+    """A process with orders on its standard input, and its output in a file."""
+
+    def __init__(self, arguments: Sequence[str], log: pathlib.Path, **environment: str) -> None:
+        """Start it.
+
+        Args:
+            arguments: What follows the interpreter.
+            log: File that its output is added to.
+            **environment: Variables besides those of this process.
+        """
+        with log.open("ab") as output:
+            self._process = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdin=subprocess.PIPE,
+                stdout=output,
+                stderr=output,
+                cwd=ROOT,
+                env={**os.environ, **environment},
+            )
+
+    @property
+    def is_running(self) -> bool:
+        """Whether it has not ended."""
+        return self._process.poll() is None
+
+    @property
+    def exit_code(self) -> int | None:
+        """Its exit code; negative after a signal."""
+        return self._process.poll()
+
+    def order(self, **order: Any) -> None:
+        """Give an order; one that comes after its end is lost with it."""
+        if not self.is_running:
+            return
+        assert self._process.stdin is not None
+        try:
+            self._process.stdin.write(json.dumps(order).encode() + b"\n")
+            self._process.stdin.flush()
+        except BrokenPipeError:
+            if self.is_running:
+                raise
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, if it still runs."""
+        if self.is_running:
+            self._process.send_signal(number)
+
+    def end(self) -> None:
+        """Kill it and wait for its end."""
+        self.signal(signal.SIGKILL)
+        self._process.wait()
+        if self._process.stdin is not None:
+            self._process.stdin.close()
+
+
+class Store:
+    """The store's process."""
+
+    def __init__(self, port: int, folder: pathlib.Path) -> None:
+        """Start it.
+
+        Args:
+            port: TCP port.
+            folder: The run's folder.
+        """
+        self.child = Child(["-m", "bench.soak.store_process", str(port)], folder / "store.log")
+
+    def write(self, key: str, value: str) -> None:
+        """Write a key, as the operator and the targets do."""
+        self.child.order(do="write", key=key, value=value)
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        self.child.order(do="remove", key=key)
+
+    def set_fault(self, name: str, value: Any) -> None:
+        """Set one of the store's faults."""
+        self.child.order(do="fault", name=name, value=value)
+
+    def forget(self) -> None:
+        """Make it forget its history."""
+        self.child.order(do="forget")
+
+    def announce(self, place: Place, state: str) -> None:
+        """Write the entry of the target at a place."""
+        entry = {
+            "Service": place.service,
+            "Address": f"127.0.0.1:{place.port}",
+            "Zone": place.hall,
+            "ConfigVersion": "v1",
+            "Capacity": 4,
+            "State": state,
+            "WarmupLeftMs": 0,
+            "CallSeq": 1,
+        }
+        self.write(documents.target_key(place.target), documents.encoded(json.dumps(entry)))
+
+
+class Hall:
+    """The targets of one hall, in one process at a time."""
+
+    def __init__(
+        self, name: str, places: Sequence[Place], folder: pathlib.Path, store: Store
+    ) -> None:
+        """Prepare them; `start` starts them.
+
+        Args:
+            name: The hall.
+            places: Its places.
+            folder: The run's folder.
+            store: Takes their entries.
+        """
+        self._name = name
+        self._places = places
+        self._folder = folder
+        self._store = store
+        self._child: Child | None = None
+
+    def start(self) -> None:
+        """Start targets with new identities, and announce them, unless they run."""
+        if self._child is not None and self._child.is_running:
+            return
+        rows = []
+        for place in self._places:
+            place.starts += 1
+            rows.append({"name": place.target, "service": place.service, "port": place.port})
+        book = self._folder / f"arrivals-{self._name}-{self._places[0].starts}.jsonl"
+        module = "bench.soak.target_process"
+        arguments = ["-m", module, self._name, str(book), json.dumps(rows)]
+        self._child = Child(arguments, self._folder / f"targets-{self._name}.log")
+        for place in self._places:
+            self._store.announce(place, "ready")
+
+    def kill(self) -> None:
+        """Kill all of them; their entries go, as their leases end."""
+        if self._child is not None:
+            self._child.end()
+        for place in self._places:
+            self._store.remove(documents.target_key(place.target))
+
+    def announce(self, place: Place, state: str) -> None:
+        """Write the entry of a target, unless it was killed."""
+        if self._child is not None and self._child.is_running:
+            self._store.announce(place, state)
+
+    def set_fault(self, place: Place, seconds: float, **faults: Any) -> None:
+        """Set how the target at a place misbehaves.
+
+        Args:
+            place: The place.
+            seconds: Time that a request takes; 0 for the usual one.
+            **faults: Fields of `http_target.TargetFaults`.
+        """
+        if self._child is not None:
+            self._child.order(target=place.target, seconds=seconds, faults=faults)
+
+
+class Node:
+    """One instance, through all its lives."""
+
+    def __init__(
+        self,
+        name: str,
+        hall: str,
+        ports: Sequence[int],
+        store_port: int,
+        allowance: extra_attempts.Allowance,
+        folder: pathlib.Path,
+    ) -> None:
+        """Write its settings; `start` starts it.
+
+        Args:
+            name: Its name.
+            hall: Its data hall.
+            ports: TCP ports: for callers, for readiness, and the first and last of a range.
+            store_port: Port of the store.
+            allowance: Attempts beyond the first that a service may get.
+            folder: The run's folder.
+        """
+        self.name = name
+        self.port = ports[0]
+        self._settings = folder / f"{name}.json"
+        self._log = folder / f"{name}.log"
+        self._child: Child | None = None
+        bounds = {
+            "RetryRatio": allowance.share,
+            "RetryWindowS": allowance.window,
+            "RetrySlack": allowance.slack,
+            "GraceS": GRACE_SECONDS,
+        }
+        document = {
+            "NodeName": name,
+            "Ip": "127.0.0.1",
+            "Zone": hall,
+            "Region": hall,
+            "Zones": {one: one for one in HALLS},
+            "ListenAddrs": {
+                "Front": f"127.0.0.1:{ports[0]}",
+                "Ready": f"127.0.0.1:{ports[1]}",
+            },
+            "PortRange": [ports[2], ports[3]],
+            "TimingBounds": bounds,
+            "platform": {"Address": f"127.0.0.1:{store_port}"},
+        }
+        self._settings.write_text(json.dumps(document, indent=1) + "\n")
+
+    @property
+    def child(self) -> Child:
+        """Its present process."""
+        assert self._child is not None
+        return self._child
+
+    def start(self) -> None:
+        """Start a life of it."""
+        environment = {"LINEWORKS_SETTINGS": str(self._settings)}
+        self._child = Child([str(NODE_PROGRAM)], self._log, **environment)
+
+
+def free_ports(count: int) -> list[int]:
+    """Find neighbouring TCP ports on loopback that nobody listens on.
+
+    Args:
+        count: How many.
+
+    Returns:
+        The ports, rising.
+    """
+    # Another run on the machine most likely begins elsewhere.
+    port = random.SystemRandom().randrange(*PORTS)
+    found: list[int] = []
+    while len(found) < count:
+        if port >= PORTS[1]:
+            port = PORTS[0]
+            found.clear()
+        if _is_free(port):
+            found.append(port)
+        else:
+            found.clear()
+        port += 1
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as one:
+        try:
+            one.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
--- /dev/null
+++ b/bench/soak/run.py
@@ -0,0 +1,284 @@
+"""One run: starts the processes, carries out the plan, and gathers what everyone saw."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import random
+import signal
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer
+
+from bench.soak import callers, history, plan, processes
+from lineworks.decisions import extra_attempts
+from lineworks.kernel import task
+from lineworks.platform.standins import documents
+
+if TYPE_CHECKING:
+    import pathlib
+    from collections.abc import Callable
+
+SHARDS = tuple(f"s{number:02d}" for number in range(8))
+"""Shards of the searches, each with a target in every hall."""
+
+SHELF = "shelf"
+"""Service of the reads and of what may run once."""
+
+NODES_A_HALL = 2
+"""Instances in each hall."""
+
+RATE = 40.0
+"""Requests a second: few enough for one core beside the processes."""
+
+START_SECONDS = 4.0
+"""Seconds from the start of the processes to the first request."""
+
+RECOVERY_SECONDS = 3.0
+"""Seconds after a step on an instance within which its callers may wait longer."""
+
+POLL_SECONDS = 0.05
+"""Seconds between looks whether an instance has ended."""
+
+ALLOWANCE = extra_attempts.Allowance(0.2, 30.0, 5.0)
+"""Extra attempts: a short window, so that a run of half a minute has several."""
+
+HANG_SECONDS = 30.0
+SLOW_SECONDS = 0.25
+STORE_DELAY = 0.5
+
+TARGET_FAULTS: dict[plan.Kind, tuple[float, dict[str, Any]]] = {
+    plan.Kind.TARGETS_FAIL: (0.001, {"status": 500}),
+    plan.Kind.TARGETS_SLOW: (SLOW_SECONDS, {}),
+    plan.Kind.TARGETS_HANG: (HANG_SECONDS, {}),
+    plan.Kind.TARGETS_REFUSE: (0.0, {"sheds": True}),
+    plan.Kind.TARGETS_BREAK: (0.0, {"loses_answers": True}),
+}
+"""For each fault of targets the seconds that a request takes (0: as usual), and what else."""
+
+STORE_FAULTS: dict[plan.Kind, tuple[str, Any, Any]] = {
+    plan.Kind.STORE_DOWN: ("is_down", True, False),
+    plan.Kind.STORE_BUSY: ("is_busy", True, False),
+    plan.Kind.STORE_SILENT: ("is_silent", True, False),
+    plan.Kind.STORE_SLOW: ("delay", STORE_DELAY, 0.0),
+}
+"""For each fault of the store its field, with the value during it and after it."""
+
+
+class Run:
+    """One run of the soak."""
+
+    def __init__(self, reactor: Any, seed: int, seconds: float, folder: pathlib.Path) -> None:
+        """Prepare a run.
+
+        Args:
+            reactor: Twisted's reactor.
+            seed: Decides what goes wrong, and what callers ask.
+            seconds: How long callers send.
+            folder: Takes settings, logs and books; it exists.
+        """
+        self._reactor = reactor
+        self._seconds = seconds
+        self._folder = folder
+        nodes = len(processes.HALLS) * NODES_A_HALL
+        places = len(processes.HALLS) * (len(SHARDS) + 1)
+        ports = processes.free_ports(1 + 4 * nodes + places)
+        store_port, self._ports = ports[0], iter(ports[1:])
+        self._store = processes.Store(store_port, folder)
+        self._nodes = self._make_nodes(store_port)
+        self._places = {
+            place.name: place for hall in processes.HALLS for place in self._make_places(hall)
+        }
+        self._halls = {
+            hall: processes.Hall(
+                hall,
+                [place for place in self._places.values() if place.hall == hall],
+                folder,
+                self._store,
+            )
+            for hall in processes.HALLS
+        }
+        self._steps = plan.deal(
+            seed, seconds, tuple(self._places), tuple(self._nodes), processes.HALLS
+        )
+        fronts = {name: node.port for name, node in self._nodes.items()}
+        self._callers = callers.Callers(
+            reactor, random.Random(seed), fronts, RATE, folder / history.CALLS
+        )
+        self._configured: list[history.Configured] = []
+        self._disturbed: list[history.Span] = []
+        self._exits: list[str] = []
+        self._is_over = False
+
+    def _make_nodes(self, store_port: int) -> dict[str, processes.Node]:
+        nodes = {}
+        for hall in processes.HALLS:
+            for number in range(1, NODES_A_HALL + 1):
+                name = f"{hall}-{number}"
+                ports = [next(self._ports) for _ in range(4)]
+                nodes[name] = processes.Node(name, hall, ports, store_port, ALLOWANCE, self._folder)
+        return nodes
+
+    def _make_places(self, hall: str) -> list[processes.Place]:
+        return [processes.Place(service, hall, next(self._ports)) for service in (*SHARDS, SHELF)]
+
+    @property
+    def steps(self) -> list[plan.Step]:
+        """What goes wrong."""
+        return self._steps
+
+    @property
+    def exits(self) -> list[str]:
+        """Ends of instances that nobody asked for, a clause each."""
+        return self._exits
+
+    async def play(self) -> history.History:
+        """Play the run to its end; all its processes are gone then.
+
+        Returns:
+            What was seen.
+        """
+        try:
+            self._configure(2)
+            for hall in self._halls.values():
+                hall.start()
+            for node in self._nodes.values():
+                node.start()
+            await task.sleep(self._reactor, START_SECONDS)
+            begin = self._reactor.seconds()
+            self._write_timeline(begin)
+            self._callers.start(self._seconds)
+            for step in self._steps:
+                self._reactor.callLater(step.at, self._do, step)
+            await task.sleep(self._reactor, self._seconds)
+            await self._wait_until_quiet()
+        finally:
+            self._end()
+        return self._history()
+
+    async def _wait_until_quiet(self) -> None:
+        until = self._reactor.seconds() + callers.BUDGET + callers.PATIENCE
+        while self._callers.under_way and self._reactor.seconds() < until:
+            await task.sleep(self._reactor, POLL_SECONDS)
+
+    def _end(self) -> None:
+        """End every process of this run."""
+        self._is_over = True
+        for name, node in self._nodes.items():
+            if not node.child.is_running:
+                self._exits.append(f"{name} ended with {node.child.exit_code}")
+            node.child.end()
+        for hall in self._halls.values():
+            hall.kill()
+        self._store.child.end()
+
+    def _write_timeline(self, begin: float) -> None:
+        rows = [
+            {**dataclasses.asdict(step), "kind": step.kind.value, "clock": begin + step.at}
+            for step in self._steps
+        ]
+        text = "".join(json.dumps(row) + "\n" for row in rows)
+        (self._folder / "timeline.jsonl").write_text(text)
+
+    def _configure(self, most: int) -> None:
+        shape = {"MaxAttempts": most}
+        search = {"Fanout": list(SHARDS), "TopK": 20, "OldestVersion": 0.5}
+        once = {"RouteType": "non_idempotent", "MaxAttempts": 1}
+        routes = [
+            {"Name": "search", "PathPrefix": "/search/", **search, **shape},
+            {"Name": "read", "PathPrefix": "/read/", "Service": SHELF, "SloMs": 600, **shape},
+            {"Name": "bill", "PathPrefix": "/bill/", "Service": SHELF, "SloMs": 600, **once},
+        ]
+        version = len(self._configured) + 1
+        document = documents.configuration(version, routes, (*SHARDS, SHELF))
+        self._store.write(documents.CONFIGURATION_KEY, document)
+        self._configured.append(history.Configured(self._reactor.seconds(), most))
+
+    def _do(self, step: plan.Step) -> None:
+        """Carry out a step."""
+        if self._is_over:
+            return
+        if step.kind in TARGET_FAULTS:
+            seconds, faults = TARGET_FAULTS[step.kind]
+            self._set_faults(step.subjects, seconds, faults)
+            self._later(step, self._set_faults, step.subjects, 0.0, {})
+        elif step.kind in STORE_FAULTS:
+            field, during, after = STORE_FAULTS[step.kind]
+            self._store.set_fault(field, during)
+            self._later(step, self._store.set_fault, field, after)
+        elif step.kind is plan.Kind.STORE_FORGETS:
+            self._store.forget()
+        elif step.kind is plan.Kind.CONFIGURED:
+            self._configure(step.value)
+        elif step.kind is plan.Kind.TARGETS_DRAIN:
+            self._announce(step.subjects, "draining")
+            self._later(step, self._announce, step.subjects, "ready")
+        elif step.kind is plan.Kind.HALL_RESTARTS:
+            self._halls[step.subjects[0]].kill()
+            self._later(step, self._halls[step.subjects[0]].start)
+        else:
+            self._do_to_node(step, self._nodes[step.subjects[0]])
+
+    def _later(self, step: plan.Step, call: Callable[..., None], *arguments: Any) -> None:
+        """Do something at the end of a step, unless the run is over by then."""
+
+        def act() -> None:
+            if not self._is_over:
+                call(*arguments)
+
+        self._reactor.callLater(step.seconds, act)
+
+    def _set_faults(self, names: tuple[str, ...], seconds: float, faults: dict[str, Any]) -> None:
+        for name in names:
+            place = self._places[name]
+            self._halls[place.hall].set_fault(place, seconds, **faults)
+
+    def _announce(self, names: tuple[str, ...], state: str) -> None:
+        for name in names:
+            place = self._places[name]
+            self._halls[place.hall].announce(place, state)
+
+    def _do_to_node(self, step: plan.Step, node: processes.Node) -> None:
+        if not node.child.is_running:
+            return
+        if step.kind is plan.Kind.NODE_SIGNALLED:
+            node.child.signal(signal.SIGHUP)
+            return
+        self._note_disturbed(node, step.seconds)
+        if step.kind is plan.Kind.NODE_FROZEN:
+            child = node.child
+            child.signal(signal.SIGSTOP)
+            self._later(step, child.signal, signal.SIGCONT)
+        elif step.kind is plan.Kind.NODE_KILLED:
+            node.child.end()
+            self._later(step, self._restart, node)
+        else:
+            node.child.signal(signal.SIGTERM)
+            defer.ensureDeferred(self._restart_when_gone(node))
+
+    def _note_disturbed(self, node: processes.Node, seconds: float) -> None:
+        now = self._reactor.seconds()
+        lasts = max(seconds, processes.GRACE_SECONDS) + RECOVERY_SECONDS
+        self._disturbed.append(history.Span(node.name, now, now + lasts))
+
+    def _restart(self, node: processes.Node) -> None:
+        if not self._is_over and not node.child.is_running:
+            node.start()
+
+    async def _restart_when_gone(self, node: processes.Node) -> None:
+        child = node.child
+        while child.is_running and not self._is_over:
+            await task.sleep(self._reactor, POLL_SECONDS)
+        if child.exit_code not in (0, -signal.SIGKILL, None):
+            self._exits.append(f"{node.name} stopped with {child.exit_code}")
+        self._restart(node)
+
+    def _history(self) -> history.History:
+        return history.History(
+            history.read_calls(self._folder),
+            history.read_arrivals(self._folder),
+            tuple(self._configured),
+            {"search": SHARDS, "read": (SHELF,), "bill": (SHELF,)},
+            ALLOWANCE,
+            tuple(self._disturbed),
+        )
--- /dev/null
+++ b/bench/soak/store_process.py
@@ -0,0 +1,37 @@
+"""`python -m bench.soak.store_process PORT`: the platform's store as a process."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING, Any
+
+from bench.soak import _control
+from lineworks.kernel import steady_reactor
+from lineworks.platform.standins import store_model, store_server
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+def main(reactor: Any, port: int) -> None:
+    """Serve until the standard input ends.
+
+    Args:
+        reactor: Twisted's reactor.
+        port: TCP port.
+    """
+    model = store_model.StoreModel(reactor)
+    server = store_server.StoreServer(reactor, model)
+    server.listen(reactor, port=port)
+    orders: dict[str, Callable[[dict[str, Any]], Any]] = {
+        "write": lambda order: model.write(order["key"], order["value"]),
+        "remove": lambda order: model.remove(order["key"]),
+        "forget": lambda order: model.forget_history(),
+        "fault": lambda order: setattr(server.faults, order["name"], order["value"]),
+    }
+    _control.follow(reactor, lambda order: orders[order["do"]](order))
+    reactor.run(installSignalHandlers=False)
+
+
+if __name__ == "__main__":
+    main(steady_reactor.install(), int(sys.argv[1]))
--- /dev/null
+++ b/bench/soak/target_process.py
@@ -0,0 +1,105 @@
+"""`python -m bench.soak.target_process HALL BOOK PLACES`: the targets of one hall as a process.
+
+PLACES is JSON: for each target its name, service and port. What reaches them is noted in BOOK.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import pathlib
+import random
+import sys
+from typing import TYPE_CHECKING, Any
+
+from bench.soak import _control, history
+from lineworks.kernel import steady_reactor
+from lineworks.platform.standins import http_target
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+USUAL_SECONDS = (0.01, 0.04)
+"""Least and most seconds that a request usually takes."""
+
+
+class _Loopback:
+    """Twisted's reactor as the host of a target."""
+
+    address = "127.0.0.1"
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._reactor, name)
+
+    def listenTCP(self, port: int, factory: Any) -> Any:  # noqa: N802
+        """Listen on loopback."""
+        return self._reactor.listenTCP(port, factory, interface=self.address, backlog=128)
+
+
+class _Book:
+    """Notes arrivals, a line each, so that a kill loses none but the last."""
+
+    def __init__(self, reactor: Any, path: pathlib.Path) -> None:
+        self._reactor = reactor
+        self._file = path.open("a", buffering=1)
+
+    def note(self, target: http_target.HttpTarget, attempt: str, has_run: bool) -> None:
+        at = self._reactor.seconds()
+        arrival = history.Arrival(attempt, target.name, target.service, at, has_run)
+        self._file.write(json.dumps(dataclasses.asdict(arrival)) + "\n")
+
+
+class _Runs(list[http_target.Run]):
+    """Takes the runs of one target and notes them at once."""
+
+    def __init__(self, on_run: Callable[[str], None]) -> None:
+        super().__init__()
+        self._on_run = on_run
+
+    def append(self, run: http_target.Run) -> None:
+        self._on_run(run.attempt)
+
+
+def _start(reactor: Any, place: dict[str, Any], hall: str, book: _Book) -> http_target.HttpTarget:
+    target: http_target.HttpTarget
+    runs = _Runs(lambda attempt: book.note(target, attempt, True))
+    work = _work(random.Random(place["name"]), 0.0)
+    target = http_target.HttpTarget(
+        _Loopback(reactor), place["name"], place["service"], hall, work, runs
+    )
+    target.on_refused = lambda attempt: book.note(target, attempt, False)
+    target.port = place["port"]
+    target.listen()
+    return target
+
+
+def _work(rng: random.Random, seconds: float) -> Callable[[], float]:
+    return lambda: seconds or rng.uniform(*USUAL_SECONDS)
+
+
+def main(reactor: Any, hall: str, book: pathlib.Path, places: list[dict[str, Any]]) -> None:
+    """Serve until the standard input ends.
+
+    Args:
+        reactor: Twisted's reactor.
+        hall: Data hall of the targets.
+        book: File for the arrivals.
+        places: Name, service and port of each target.
+    """
+    noted = _Book(reactor, book)
+    targets = {place["name"]: _start(reactor, place, hall, noted) for place in places}
+
+    def on_order(order: dict[str, Any]) -> None:
+        target = targets[order["target"]]
+        target.faults = http_target.TargetFaults(**order["faults"])
+        target.work = _work(random.Random(target.name), order["seconds"])
+
+    _control.follow(reactor, on_order)
+    reactor.run(installSignalHandlers=False)
+
+
+if __name__ == "__main__":
+    main(steady_reactor.install(), sys.argv[1], pathlib.Path(sys.argv[2]), json.loads(sys.argv[3]))
--- a/src/lineworks/platform/standins/http_target.py
+++ b/src/lineworks/platform/standins/http_target.py
@@ -18,6 +18,23 @@
 
 RECORD_BYTES = 16
 
+RECORDS = 8
+"""Records of one answer."""
+
+
+def records_of(attempt: str, target: str) -> list[bytes]:
+    """Make the records that a target has for a try, so that an answer can be held against them.
+
+    Args:
+        attempt: Identity of the try.
+        target: Identity of the target.
+
+    Returns:
+        The records, in no order.
+    """
+    seeds = (f"{attempt}|{target}|{number}".encode() for number in range(RECORDS))
+    return [hashlib.md5(seed).digest()[:RECORD_BYTES] for seed in seeds]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
@@ -86,6 +103,8 @@
         self.faults = TargetFaults()
         self.on_arrival: Callable[[float], None] = lambda at: None
         """Called with the time of each request that arrives, refused or not."""
+        self.on_refused: Callable[[str], None] = lambda attempt: None
+        """Called with the identity of each try that it refuses."""
         self.cancelled = 0
         """Requests whose connection was closed while they ran."""
 
@@ -108,10 +127,9 @@
             }
         )
 
-    def records(self, attempt: str, count: int = 8) -> bytes:
+    def records(self, attempt: str) -> bytes:
         """Make the records of an answer; no two targets give the same ones."""
-        seeds = (f"{attempt}|{self.name}|{number}".encode() for number in range(count))
-        return b"".join(hashlib.md5(seed).digest()[:RECORD_BYTES] for seed in seeds)
+        return b"".join(records_of(attempt, self.name))
 
     def stamp(self, attempt: str) -> str:
         """Sign an answer."""
@@ -164,9 +182,11 @@
         attempt = headers.get("x-attempt-id", "")
         target.on_arrival(target.host.seconds())
         if headers.get("x-expect-instance", target.name) != target.name:
+            target.on_refused(attempt)
             self._answer(421, attempt, b"", "X-Not-Executed: 1\r\n")
             return
         if target.faults.sheds:
+            target.on_refused(attempt)
             self._answer(503, attempt, b"", "X-Not-Executed: 1\r\n")
             return
         now = target.host.seconds()
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,184 @@
+"""The soak: what it deals, and checkers that see each promise broken in a made-up history."""
+
+from __future__ import annotations
+
+import dataclasses
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from bench.soak import checkers, history, plan, processes
+from lineworks.decisions import extra_attempts, parts
+from lineworks.platform.standins import http_target
+
+SHARDS = ("s0", "s1")
+SERVICES = {"search": SHARDS, "read": ("shelf",), "bill": ("shelf",)}
+RUN_SECONDS = 120
+"""Seconds after which a short run that hangs is ended."""
+
+
+def call(attempt, route="search", status=200, sent_at=1.0, ended_at=1.1, **more):
+    return history.Call(attempt, route, "n1", sent_at, 1.0, ended_at, status, **more)
+
+
+def arrival(attempt, target, service, at=1.05, has_run=True):
+    return history.Arrival(attempt, target, service, at, has_run)
+
+
+def found(calls, arrivals, configured=((0.0, 2),), **more):
+    return history.History(
+        tuple(calls),
+        tuple(arrivals),
+        tuple(history.Configured(*one) for one in configured),
+        SERVICES,
+        extra_attempts.Allowance(0.5, 2.0, 1.0),
+        **more,
+    )
+
+
+def exact(attempt, *targets):
+    """Make the right answer of a search from one target for each shard, the first ones named."""
+    records = [one for target in targets for one in http_target.records_of(attempt, target)]
+    stamps = tuple(
+        f"{service}.{attempt}.{target}" for service, target in zip(SHARDS, targets, strict=False)
+    )
+    body = b"".join(parts.greatest(records, checkers.TOP)).hex()
+    return call(attempt, stamps=stamps, body=body, missing=len(SHARDS) - len(targets))
+
+
+def promises(one):
+    return [broken.promise for broken in checkers.check(one)]
+
+
+KEPT = found(
+    [exact("a", "x", "y"), call("b", "bill"), call("c", "bill", status=503)],
+    [
+        arrival("a", "x", "s0"),
+        arrival("a", "y", "s1"),
+        arrival("b", "z", "shelf"),
+        arrival("c", "z", "shelf", has_run=False),
+    ],
+)
+
+
+def test_a_history_in_order_breaks_nothing():
+    assert promises(KEPT) == []
+
+
+def test_a_third_target_of_a_shard_is_seen():
+    arrivals = [arrival("a", name, "s0") for name in ("x", "y", "z")]
+    assert promises(found([call("a", status=502)], arrivals)) == ["attempts a shard"]
+
+
+def test_a_target_that_is_asked_twice_or_refuses_is_no_third_one():
+    arrivals = [arrival("a", name, "s0") for name in ("x", "y", "x")]
+    arrivals.append(arrival("a", "z", "s0", 9.0, has_run=False))
+    assert promises(found([call("a", status=502)], arrivals)) == []
+
+
+@pytest.mark.parametrize(("since", "is_broken"), [(0.5, False), (-9.0, True)])
+def test_an_earlier_limit_counts_only_while_it_may_be_in_force(since, is_broken):
+    arrivals = [arrival("a", name, "s0") for name in ("x", "y", "z")]
+    configured = ((-10.0, 3), (since, 2))
+    one = found([call("a", status=502)], arrivals, configured)
+    assert bool(promises(one)) == is_broken
+
+
+def test_a_run_that_no_caller_sent_is_seen():
+    assert promises(found([], [arrival("a", "x", "s0")])) == ["targets run only what callers sent"]
+
+
+def test_too_many_extra_arrivals_in_a_window_are_seen():
+    # One request allows half an attempt, the fixed number two more: the third one is too many.
+    arrivals = [arrival("a", "x", "s0", 1.0 + 0.1 * number) for number in range(4)]
+    calls = [call("a", status=502, ended_at=2.0)]
+    assert promises(found(calls, arrivals)) == ["sum of extra attempts"]
+    assert promises(found(calls, arrivals[:3])) == []
+
+
+def test_extra_arrivals_that_targets_refuse_count():
+    arrivals = [arrival("a", "x", "s0", 1.0 + 0.1 * number, has_run=False) for number in range(4)]
+    assert promises(found([call("a", status=502)], arrivals)) == ["sum of extra attempts"]
+
+
+def test_extra_arrivals_far_apart_are_allowed():
+    arrivals = [arrival("a", "x", "s0", 1.0 + number) for number in range(4)]
+    assert promises(found([call("a", status=502)], arrivals)) == []
+
+
+def test_a_request_that_ran_twice_is_seen():
+    arrivals = [arrival("b", "z", "shelf"), arrival("b", "z", "shelf", 1.06)]
+    assert promises(found([call("b", "bill")], arrivals)) == ["runs once"]
+
+
+@pytest.mark.parametrize("status", sorted(checkers.REFUSED))
+def test_a_refusal_of_what_ran_is_seen(status):
+    one = found([call("b", "bill", status=status)], [arrival("b", "z", "shelf")])
+    assert promises(one) == ["refused means not run"]
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"body": "00" * 16},
+        {"missing": 1},
+        {"stamps": ("s0.other.x", "s1.a.y")},
+        {"stamps": ("s0.a.x", "s0.a.y")},
+    ],
+)
+def test_an_answer_that_is_not_exact_is_seen(wrong):
+    one = dataclasses.replace(exact("a", "x", "y"), **wrong)
+    assert promises(found([one], [])) == ["answers are exact"]
+
+
+def test_a_caller_left_waiting_is_seen():
+    late = call("a", status=504, ended_at=3.0)
+    assert promises(found([late], [])) == ["answered by the deadline"]
+    frozen = (history.Span("n1", 1.5, 2.5),)
+    assert promises(found([late], [], disturbed=frozen)) == []
+    other = (history.Span("n2", 1.5, 2.5),)
+    assert promises(found([late], [], disturbed=other)) == ["answered by the deadline"]
+
+
+def test_a_seed_deals_the_same_again_and_another_one_does_not():
+    dealt = [plan.deal(seed, 30.0, ("t1", "t2"), ("n1",), ("h",)) for seed in (1, 1, 2)]
+    assert dealt[0] == dealt[1] != dealt[2]
+
+
+def test_every_kind_is_dealt_within_the_run():
+    steps = [
+        step for seed in range(40) for step in plan.deal(seed, 30.0, ("t1", "t2"), ("n1",), ("h",))
+    ]
+    assert {step.kind for step in steps} == set(plan.Kind)
+    assert all(plan.CALM_SECONDS <= step.at <= 30.0 - plan.CALM_SECONDS for step in steps)
+
+
+def test_ports_in_use_are_passed_over():
+    ports = processes.free_ports(20)
+    assert ports == list(range(ports[0], ports[0] + 20))
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", ports[0]))
+        assert ports[0] not in processes.free_ports(20)
+
+
+def test_books_are_read_back_and_half_a_line_at_the_end_is_passed_over(tmp_path):
+    one = '{"attempt": "a", "target": "x", "service": "s0", "at": 1.0, "has_run": true}\n'
+    (tmp_path / "arrivals-akl-1.jsonl").write_text(one + one[:30])
+    assert history.read_arrivals(tmp_path) == (arrival("a", "x", "s0", 1.0),)
+
+
+def test_a_short_run_over_real_processes_keeps_every_promise(tmp_path):
+    arguments = ["--seed", "1", "--seconds", "10", "--folder", str(tmp_path)]
+    done = subprocess.run(
+        [sys.executable, "-m", "bench.soak", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=RUN_SECONDS,
+        check=False,
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert "0 broken" in done.stdout
+    calls = history.read_calls(tmp_path / "seed-1")
+    assert sum(call.status == 200 for call in calls) > len(calls) / 2
