Soak: links with faults before store and targets, resharding, lost answers, times of answers

Links are proxies on loopback in a process of their own: slow, held one way or both, reset, open connections silent for good while new ones work. Held against: an answer's shards are those of one configuration that may be in force.

The time in which a configuration must be in force now begins when the store is without a fault; made-up histories show both sides.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -19,6 +19,8 @@
 from lineworks.programs import _common
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from bench.soak import history
     from bench.soak import run as runs
 
@@ -27,6 +29,9 @@
 _SECONDS = absl.flags.DEFINE_float("seconds", 20.0, "Seconds of traffic of a run.", 8.0, 600.0)
 _FOLDER = absl.flags.DEFINE_string("folder", "out/soak", "Takes a folder for each run.")
 
+QUANTILES = (0.5, 0.9, 0.99)
+"""Shares of the successes whose times are printed."""
+
 MOST_SHOWN = 10
 """Broken promises that are printed for one run."""
 
@@ -55,6 +60,8 @@
     told = ", ".join(f"{status or 'none'} {count}" for status, count in sorted(statuses.items()))
     print(f"seed {seed}: {len(one.steps)} steps, {len(found.calls)} requests ({told}), ", end="")
     print(f"{len(found.arrivals)} arrivals, {len(broken)} broken", flush=True)
+    for line in _latencies(found):
+        print(line)
     for row in broken[:MOST_SHOWN]:
         print(f"  {row.promise}: {row.attempt}: {row.detail}")
         print(f"    lineworks-ctl timeline {row.attempt} {folder}/*.log")
@@ -64,6 +71,20 @@
         print(f"  again: python -m bench.soak --seed {seed} --seconds {_SECONDS.value:g}")
 
 
+def _latencies(found: history.History) -> Iterable[str]:
+    """Tell how long successes took, by route."""
+    times: dict[str, list[float]] = collections.defaultdict(list)
+    for call in found.calls:
+        if call.status == 200:
+            times[call.route].append((call.ended_at - call.sent_at) * 1000)
+    for route, values in sorted(times.items()):
+        ranked = sorted(values)
+        quantiles = (ranked[int(share * (len(ranked) - 1))] for share in QUANTILES)
+        told = ", ".join(f"{value:.0f}" for value in quantiles)
+        shares = "/".join(f"{100 * share:g}" for share in QUANTILES)
+        yield f"  {route}: {len(ranked)} successes, p{shares} {told} ms"
+
+
 async def _play_all(reactor: Any) -> int:
     is_kept = True
     for seed in range(_SEED.value, _SEED.value + _RUNS.value):
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -90,6 +90,9 @@
     max_attempts: int
     """Targets that one try may run on, for each shard."""
 
+    shards: tuple[str, ...]
+    """Services that are the shards of a search."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Span:
@@ -118,8 +121,8 @@
     configured: tuple[Configured, ...]
     """All configurations, in their order."""
 
-    services: Mapping[str, tuple[str, ...]]
-    """For each route the services that a try of it reaches."""
+    services: Mapping[str, str]
+    """For each route but the search the service that a try of it reaches."""
 
     allowance: extra_attempts.Allowance
     """Attempts beyond the first that a service may get."""
@@ -127,6 +130,9 @@
     disturbed: tuple[Span, ...] = ()
     """When instances could not answer in time."""
 
+    store_faults: tuple[tuple[float, float], ...] = ()
+    """Beginning and end of each time in which the store, or a link to it, had a fault."""
+
 
 def read_calls(folder: pathlib.Path) -> tuple[Call, ...]:
     """Read what callers noted.
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -50,6 +50,9 @@
     port: int
     """TCP port, which the next target there takes over."""
 
+    link_port: int
+    """TCP port of the link to it, which its entry names."""
+
     starts: int = 0
     """Targets started here so far."""
 
@@ -152,7 +155,7 @@
         """Write the entry of the target at a place."""
         entry = {
             "Service": place.service,
-            "Address": f"127.0.0.1:{place.port}",
+            "Address": f"127.0.0.1:{place.link_port}",
             "Zone": place.hall,
             "ConfigVersion": "v1",
             "Capacity": 4,
@@ -163,6 +166,35 @@
         self.write(documents.target_key(place.target), documents.encoded(json.dumps(entry)))
 
 
+class Links:
+    """The links before the store and the targets, in one process."""
+
+    def __init__(self, rows: Sequence[dict[str, Any]], folder: pathlib.Path) -> None:
+        """Start it.
+
+        Args:
+            rows: Name, port and server's port of each link.
+            folder: The run's folder.
+        """
+        arguments = ["-m", "bench.soak.link_process", json.dumps(rows)]
+        self.child = Child(arguments, folder / "links.log")
+
+    def set_faults(self, names: Sequence[str], **faults: Any) -> None:
+        """Set what is wrong with some links: fields of `link.Faults`."""
+        for name in names:
+            self.child.order(link=name, do="fault", faults=faults)
+
+    def reset(self, names: Sequence[str]) -> None:
+        """Reset all connections over some links."""
+        for name in names:
+            self.child.order(link=name, do="reset")
+
+    def silence(self, names: Sequence[str]) -> None:
+        """Silence the open connections over some links for good."""
+        for name in names:
+            self.child.order(link=name, do="silence")
+
+
 class Hall:
     """The targets of one hall, in one process at a time."""
 
@@ -240,7 +272,7 @@
             name: Its name.
             hall: Its data hall.
             ports: TCP ports: for callers, for readiness, and the first and last of a range.
-            store_port: Port of the store.
+            store_port: Port of its link to the store.
             allowance: Attempts beyond the first that a service may get.
             folder: The run's folder.
         """
