--- a/tests/test_attempt_limit.py
+++ b/tests/test_attempt_limit.py
@@ -52,6 +52,13 @@
     target.work = lambda: AT_ONCE
 
 
+def nearest_first(world, service):
+    """List the targets of a service, that of the callers' data hall first."""
+    return sorted(
+        test_forwarding.targets_of(world, service), key=lambda target: target.hall != "akl"
+    )
+
+
 def ran_on(world, attempt, service):
     """List the targets of a service that ran a try."""
     return {
@@ -72,9 +79,7 @@
 
 def test_a_shard_that_failed_once_is_not_hedged_beside_its_second_attempt():
     world = build()
-    near, *others = sorted(
-        test_forwarding.targets_of(world, "s00"), key=lambda target: target.hall != "akl"
-    )
+    near, *others = nearest_first(world, "s00")
     fail(near)
     for target in others:
         target.work = lambda: 0.15
@@ -87,9 +92,7 @@
 
 def test_a_hedge_that_fails_is_not_replaced_while_the_first_attempt_is_slow():
     world = build()
-    near, *others = sorted(
-        test_forwarding.targets_of(world, "s00"), key=lambda target: target.hall != "akl"
-    )
+    near, *others = nearest_first(world, "s00")
     near.work = lambda: 5.0
     for target in others:
         fail(target)
@@ -114,9 +117,7 @@
 
 def test_a_read_that_failed_once_is_not_hedged_beside_its_second_attempt():
     world = build()
-    near, *others = sorted(
-        test_forwarding.targets_of(world, "shelf"), key=lambda target: target.hall != "akl"
-    )
+    near, *others = nearest_first(world, "shelf")
     fail(near)
     for target in others:
         target.work = lambda: 1.0
