Soak: a run that is stopped ends its processes; what a step took down did not end by itself

Found by stopping two runs by a signal: 12 instances were left behind, since a default SIGTERM runs no clean-up and instances don't follow the runner's end. A signal now cancels the run, which ends its processes in order. And an instance killed by a step in the last seconds was told as one that ended by itself.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -8,11 +8,13 @@
 import collections
 import pathlib
 import shutil
+import signal
 import sys
 from typing import TYPE_CHECKING, Any
 
 import absl.app
 import absl.flags
+from twisted.internet import defer
 
 from bench.soak import checkers
 from lineworks.kernel import steady_reactor
@@ -93,6 +95,18 @@
     return _common.EXIT_OK if is_kept else _common.EXIT_FAILED
 
 
+def _play_until_signal(reactor: Any) -> defer.Deferred[int]:
+    """Play the runs; a signal ends the present one in order, with all its processes."""
+    playing = defer.ensureDeferred(_play_all(reactor))
+
+    def on_signal(number: int, frame: Any) -> None:
+        reactor.callFromThread(playing.cancel)
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    return playing
+
+
 def main(argv: list[str]) -> int:
     """Play the runs.
 
@@ -106,7 +120,7 @@
         return _common.fail(f"unexpected argument: {argv[1]}")
     _common.set_up_logs("warning")
     reactor = steady_reactor.install()
-    return _common.run_reactor(reactor, lambda: _play_all(reactor))
+    return _common.run_reactor(reactor, lambda: _play_until_signal(reactor))
 
 
 if __name__ == "__main__":
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -303,6 +303,11 @@
         }
         self._settings.write_text(json.dumps(document, indent=1) + "\n")
 
+    @property
+    def has_started(self) -> bool:
+        """Whether it was started at all."""
+        return self._child is not None
+
     @property
     def child(self) -> Child:
         """Its present process."""
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -17,7 +17,7 @@
 
 if TYPE_CHECKING:
     import pathlib
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection, Mapping
 
 SHARDS = (
     tuple(f"s{number:02d}" for number in range(8)),
@@ -142,6 +142,7 @@
         self._disturbed: list[history.Span] = []
         self._store_faults: list[tuple[float, float]] = []
         self._exits: list[str] = []
+        self._taken_down: set[str] = set()
         self._is_over = False
 
     def _make_nodes(self, store_port: int) -> dict[str, processes.Node]:
@@ -210,9 +211,10 @@
     def _end(self) -> None:
         """End every process of this run."""
         self._is_over = True
-        for name, node in self._nodes.items():
-            if not node.child.is_running:
-                self._exits.append(f"{name} ended with {node.child.exit_code}")
+        started = {name: node for name, node in self._nodes.items() if node.has_started}
+        codes = {name: node.child.exit_code for name, node in started.items()}
+        self._exits += unexpected_ends(codes, self._taken_down)
+        for node in started.values():
             node.child.end()
         for hall in self._halls.values():
             hall.kill()
@@ -317,9 +319,11 @@
             child.signal(signal.SIGSTOP)
             self._later(step, child.signal, signal.SIGCONT)
         elif step.kind is plan.Kind.NODE_KILLED:
+            self._taken_down.add(node.name)
             node.child.end()
             self._later(step, self._restart, node)
         else:
+            self._taken_down.add(node.name)
             node.child.signal(signal.SIGTERM)
             defer.ensureDeferred(self._restart_when_gone(node))
 
@@ -330,6 +334,7 @@
 
     def _restart(self, node: processes.Node) -> None:
         if not self._is_over and not node.child.is_running:
+            self._taken_down.discard(node.name)
             node.start()
 
     async def _restart_when_gone(self, node: processes.Node) -> None:
@@ -352,6 +357,23 @@
         )
 
 
+def unexpected_ends(codes: Mapping[str, int | None], taken_down: Collection[str]) -> list[str]:
+    """Tell which instances ended though nothing took them down.
+
+    Args:
+        codes: For each instance its exit code, or None while it runs.
+        taken_down: Instances that a step killed or stopped, and that were not started again.
+
+    Returns:
+        A clause for each that ended by itself.
+    """
+    return [
+        f"{name} ended with {code}"
+        for name, code in codes.items()
+        if code is not None and name not in taken_down
+    ]
+
+
 def _strikes_store(step: plan.Step) -> bool:
     """Say whether the store, or a link to it, has a fault during a step."""
     if step.kind.value.startswith("links_"):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
+import pathlib
+import signal
 import socket
 import subprocess
 import sys
+import time
 
 import pytest
 from twisted.internet import protocol
 
 from bench import fakes
-from bench.soak import checkers, history, link, plan, processes
+from bench.soak import checkers, history, link, plan, processes, run
 from lineworks.decisions import extra_attempts, parts
 from lineworks.platform.standins import http_target
 from lineworks.standins import memory_network
@@ -308,3 +312,34 @@
     client = world.connect()
     world.run(3.0)
     assert client.is_lost
+
+
+def test_a_run_that_is_stopped_by_a_signal_leaves_no_process_behind(tmp_path):
+    arguments = ["--seed", "1", "--seconds", "60", "--folder", str(tmp_path)]
+    runner = subprocess.Popen([sys.executable, "-m", "bench.soak", *arguments])
+    folder = str(tmp_path)
+    until = time.monotonic() + RUN_SECONDS
+    while processes_of(folder, "LINEWORKS_SETTINGS") < 6:
+        assert runner.poll() is None
+        assert time.monotonic() < until
+        time.sleep(0.1)
+    runner.send_signal(signal.SIGTERM)
+    assert runner.wait(RUN_SECONDS) != 0
+    assert processes_of(folder, "LINEWORKS_SETTINGS") == 0
+
+
+def processes_of(folder, variable):
+    """Count the processes whose environment names a file below a folder."""
+    wanted = f"{variable}={folder}".encode()
+    count = 0
+    for path in pathlib.Path("/proc").glob("[0-9]*/environ"):
+        with contextlib.suppress(OSError):
+            count += wanted in path.read_bytes()
+    return count
+
+
+def test_an_instance_that_a_step_took_down_did_not_end_by_itself():
+    # Its restart comes after the end of the run.
+    kept = run.unexpected_ends({"n1": -9, "n2": 0, "n3": None}, {"n1", "n2"})
+    assert kept == []
+    assert run.unexpected_ends({"n1": 3, "n2": None}, set()) == ["n1 ended with 3"]
