--- a/bench/soak/checkers.py
+++ b/bench/soak/checkers.py
@@ -7,6 +7,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from bench.soak import processes
 from lineworks.decisions import parts
 from lineworks.platform.standins import http_target
 
@@ -31,6 +32,9 @@
 TOP = 20
 """Records of a search's answer."""
 
+NO_CONNECTION = frozenset(("ConnectionRefusedError", "TimeoutError"))
+"""Why a caller could not connect."""
+
 REFUSED = frozenset((408, 421, 429, 503))
 """Statuses that promise that a request has not run and never will."""
 
@@ -193,15 +197,41 @@
     """Find callers of undisturbed instances that were left waiting past their deadline."""
     for call in found.calls:
         by = call.sent_at + call.budget + LATE_SECONDS
-        if call.ended_at > by and not _is_disturbed(found.disturbed, call):
+        if call.ended_at > by and not _disturbances(found, call):
             detail = f"{call.front}: {call.ended_at - call.sent_at:.2f} s of {call.budget:g} s"
             yield Broken("answered by the deadline", call.attempt, detail)
 
 
-def _is_disturbed(spans: Iterable[history.Span], call: history.Call) -> bool:
-    return any(
-        span.front == call.front and span.begin <= call.ended_at and call.sent_at <= span.end
-        for span in spans
+def _disturbances(found: history.History, call: history.Call) -> list[history.Span]:
+    """List the times of its instance that a try falls into."""
+    return [
+        span
+        for span in found.disturbed
+        if span.front == call.front and span.begin <= call.ended_at and call.sent_at <= span.end
+    ]
+
+
+def answered_at_all(found: history.History) -> Iterable[Broken]:
+    """Find tries that ran, or found no instance, and whose callers got no answer.
+
+    An instance that was killed or frozen is excused; one that was asked to stop answers what ran
+    within the time that it has.
+    """
+    ran = {arrival.attempt for arrival in found.arrivals if arrival.has_run}
+    for call in found.calls:
+        if call.status:
+            continue
+        spans = _disturbances(found, call)
+        if not spans and (call.attempt in ran or call.detail in NO_CONNECTION):
+            yield Broken("every request is answered", call.attempt, f"{call.front}: {call.detail}")
+        elif spans and call.attempt in ran and _is_within_stop(spans, call):
+            yield Broken("a stop cuts no request", call.attempt, f"{call.front}: {call.detail}")
+
+
+def _is_within_stop(spans: Sequence[history.Span], call: history.Call) -> bool:
+    """Say whether a planned stop is all that disturbed a try, and its time was not over."""
+    return all(
+        span.is_planned and call.ended_at <= span.begin + processes.GRACE_SECONDS for span in spans
     )
 
 
@@ -212,6 +242,7 @@
     refusals_are_true,
     answers_are_exact,
     answered_in_time,
+    answered_at_all,
 )
 """All checkers."""
 
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -107,6 +107,9 @@
     end: float
     """Its end."""
 
+    is_planned: bool = False
+    """Whether the instance was asked to stop."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class History:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -313,7 +313,7 @@
         if step.kind is plan.Kind.NODE_SIGNALLED:
             node.child.signal(signal.SIGHUP)
             return
-        self._note_disturbed(node, step.seconds)
+        self._note_disturbed(node, step)
         if step.kind is plan.Kind.NODE_FROZEN:
             child = node.child
             child.signal(signal.SIGSTOP)
@@ -327,10 +327,11 @@
             node.child.signal(signal.SIGTERM)
             defer.ensureDeferred(self._restart_when_gone(node))
 
-    def _note_disturbed(self, node: processes.Node, seconds: float) -> None:
+    def _note_disturbed(self, node: processes.Node, step: plan.Step) -> None:
         now = self._reactor.seconds()
-        lasts = max(seconds, processes.GRACE_SECONDS) + RECOVERY_SECONDS
-        self._disturbed.append(history.Span(node.name, now, now + lasts))
+        lasts = max(step.seconds, processes.GRACE_SECONDS) + RECOVERY_SECONDS
+        is_planned = step.kind is plan.Kind.NODE_STOPPED
+        self._disturbed.append(history.Span(node.name, now, now + lasts, is_planned))
 
     def _restart(self, node: processes.Node) -> None:
         if not self._is_over and not node.child.is_running:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -173,6 +173,33 @@
     assert promises(found([late], [], disturbed=other)) == ["answered by the deadline"]
 
 
+def unanswered(detail="closed by the server", ended_at=1.1):
+    return call("b", "bill", status=0, ended_at=ended_at, detail=detail)
+
+
+def test_a_request_that_ran_and_got_no_answer_is_seen():
+    ran = [arrival("b", "z", "shelf")]
+    assert promises(found([unanswered()], ran)) == ["every request is answered"]
+    # One that crossed the close of a connection and was not passed on may be sent again.
+    assert promises(found([unanswered()], [])) == []
+    refused = unanswered("ConnectionRefusedError")
+    assert promises(found([refused], [])) == ["every request is answered"]
+
+
+def test_a_stop_that_cuts_a_request_is_seen():
+    ran = [arrival("b", "z", "shelf")]
+    stop = history.Span("n1", 0.9, 9.0, is_planned=True)
+    kill = history.Span("n1", 0.9, 9.0)
+    too_late = 0.9 + processes.GRACE_SECONDS + 0.1
+    for one, spans, expected in (
+        (unanswered(), (stop,), ["a stop cuts no request"]),
+        (unanswered(), (kill,), []),
+        (unanswered(), (stop, kill), []),
+        (unanswered(ended_at=too_late), (stop,), []),
+    ):
+        assert promises(found([one], ran, disturbed=spans)) == expected
+
+
 def test_a_seed_deals_the_same_again_and_another_one_does_not():
     dealt = [plan.deal(seed, 30.0, SUBJECTS) for seed in (1, 1, 2)]
     assert dealt[0] == dealt[1] != dealt[2]
