Tests of the node's program take ports that outgoing connections can't have

Cause: a port was found among those that the system hands out to outgoing connections, given back, and its neighbour never looked at. The test's own finder goes.

--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -12,22 +12,13 @@
 
 import pytest
 
+from bench.soak import processes
+
 PROGRAM = pathlib.Path(__file__).parent.parent / "src" / "lineworks_node.py"
 LIMIT = 60
 """Seconds after which a process that hangs is ended."""
 
 
-def free_ports(count):
-    """Find ports that nobody listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
 def write_settings(path, front, ready, inner):
     path.write_text(
         f"""
@@ -69,7 +60,7 @@
     with socket.socket() as taken:
         taken.bind(("127.0.0.1", 0))
         taken.listen()
-        ready, inner = free_ports(2)
+        ready, inner, _ = processes.free_ports(3)
         path = write_settings(tmp_path / "s.yaml", taken.getsockname()[1], ready, inner)
         process = start(path)
         output, _ = process.communicate(timeout=LIMIT)
@@ -78,7 +69,7 @@
 
 
 def test_a_planned_stop_ends_with_success(tmp_path):
-    front, ready, inner = free_ports(3)
+    front, ready, inner, _ = processes.free_ports(4)
     process = start(write_settings(tmp_path / "s.yaml", front, ready, inner))
     assert process.stdout is not None
     seen = ""
