Stand-ins and soak: one writer of a target's entry, one number of records of an answer

The soak wrote the entry of a target a second time beside the stand-in target's own, and its configuration held the number of records that its checker holds answers against as a bare 20. Nothing that is sent, dealt or checked changes.

--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -33,6 +33,9 @@
 """First port that may be used, and the one after the last: below those that Linux gives to outgoing
 connections, which would take a port while its process restarts."""
 
+SLOTS = 4
+"""Requests that a target says it works on at a time."""
+
 GRACE_SECONDS = 4.0
 """Seconds that an instance has to stop."""
 
@@ -153,17 +156,9 @@
 
     def announce(self, place: Place, state: str) -> None:
         """Write the entry of the target at a place."""
-        entry = {
-            "Service": place.service,
-            "Address": f"127.0.0.1:{place.link_port}",
-            "Zone": place.hall,
-            "ConfigVersion": "v1",
-            "Capacity": 4,
-            "State": state,
-            "WarmupLeftMs": 0,
-            "CallSeq": 1,
-        }
-        self.write(documents.target_key(place.target), documents.encoded(json.dumps(entry)))
+        address = f"127.0.0.1:{place.link_port}"
+        entry = documents.target_entry(place.service, address, place.hall, SLOTS, state)
+        self.write(documents.target_key(place.target), documents.encoded(entry))
 
 
 class Links:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -10,7 +10,7 @@
 
 from twisted.internet import defer
 
-from bench.soak import callers, history, plan, processes
+from bench.soak import callers, checkers, history, plan, processes
 from lineworks.decisions import extra_attempts
 from lineworks.kernel import task
 from lineworks.platform.standins import documents
@@ -231,7 +231,7 @@
 
     def _configure(self, most: int, shards: tuple[str, ...]) -> None:
         shape = {"MaxAttempts": most}
-        search = {"Fanout": list(shards), "TopK": 20, "OldestVersion": 0.5}
+        search = {"Fanout": list(shards), "TopK": checkers.TOP, "OldestVersion": 0.5}
         once = {"RouteType": "non_idempotent", "MaxAttempts": 1}
         routes = [
             {"Name": "search", "PathPrefix": "/search/", **search, **shape},
--- a/src/lineworks/platform/standins/documents.py
+++ b/src/lineworks/platform/standins/documents.py
@@ -32,6 +32,33 @@
     return f"servers/{name}"
 
 
+def target_entry(service: str, address: str, hall: str, slots: int, state: str) -> str:
+    """Write a target's entry.
+
+    Args:
+        service: Service that it serves.
+        address: Where it takes requests, as `HOST:PORT`.
+        hall: Its data hall.
+        slots: Requests that it works on at a time.
+        state: `ready` or `draining`.
+
+    Returns:
+        The entry's JSON, not yet encoded for the store.
+    """
+    return json.dumps(
+        {
+            "Service": service,
+            "Address": address,
+            "Zone": hall,
+            "ConfigVersion": "v1",
+            "Capacity": slots,
+            "State": state,
+            "WarmupLeftMs": 0,
+            "CallSeq": 1,
+        }
+    )
+
+
 def configuration(version: int, routes: Sequence[dict[str, Any]], services: Iterable[str]) -> str:
     """Write a configuration.
 
--- a/src/lineworks/platform/standins/http_target.py
+++ b/src/lineworks/platform/standins/http_target.py
@@ -7,12 +7,13 @@
 
 import dataclasses
 import hashlib
-import json
 from typing import TYPE_CHECKING, Any
 
 import httptools
 from twisted.internet import protocol
 
+from lineworks.platform.standins import documents
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -114,18 +115,8 @@
 
     def entry(self, state: str = "ready") -> str:
         """Write its entry for the platform's store."""
-        return json.dumps(
-            {
-                "Service": self.service,
-                "Address": f"{self.host.address}:{self.port}",
-                "Zone": self.hall,
-                "ConfigVersion": "v1",
-                "Capacity": self.slots,
-                "State": state,
-                "WarmupLeftMs": 0,
-                "CallSeq": 1,
-            }
-        )
+        address = f"{self.host.address}:{self.port}"
+        return documents.target_entry(self.service, address, self.hall, self.slots, state)
 
     def records(self, attempt: str) -> bytes:
         """Make the records of an answer; no two targets give the same ones."""
