Sight: the fingerprint of what was asked, and the targets that broke off under a try

Cause: the logs can't tell the incident's hypotheses apart. Nothing says whether two tries are the same request, and of targets asked through gatherers it isn't known which broke off. Change: the request line tells a fingerprint; gatherers name targets whose connections ended before an answer; one line a try names them all, and says whether any target answered.

--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -5,7 +5,15 @@
 import functools
 from typing import TYPE_CHECKING
 
-from lineworks.decisions import answer_time, deadlines, estimators, mechanisms, routes, verdict
+from lineworks.decisions import (
+    answer_time,
+    deadlines,
+    estimators,
+    fingerprints,
+    mechanisms,
+    routes,
+    verdict,
+)
 from lineworks.forwarding import outcome, search, single, target_calls
 from lineworks.http1 import fields as http_fields
 from lineworks.http1 import server_connection
@@ -169,12 +177,14 @@
     ) -> Callable[[], None]:
         budget = headers.read_budget(request.header(headers.BUDGET))
         allowed = min(route.timeout, budget if budget is not None else route.timeout)
+        content = _content(request)
         call = target_calls.TargetCall(
             head=_head(request),
             body=request.body,
             attempt=attempt,
             deadline=deadlines.for_answer(request.arrived, allowed),
             is_repeatable=route.is_repeatable,
+            content=content,
         )
         self._open += 1
 
@@ -182,7 +192,9 @@
             self._open -= 1
             is_refused = found.verdict.reason is verdict.Reason.NO_REPLICA
             self._refused.record(1.0 if is_refused else 0.0)
-            self._log.on_end(request, attempt, route, table.version, found, self.view_age())
+            self._log.on_end(
+                request, attempt, route, table.version, found, self.view_age(), content
+            )
             answer(found.answer)
 
         work: search.Search | single.SingleRequest
@@ -222,6 +234,17 @@
     return outcome.Outcome(server_connection.Answer(status), verdict.not_run(reason))
 
 
+def _content(request: server_connection.Request) -> str:
+    """Make the fingerprint of what a request asks."""
+    return fingerprints.fingerprint(
+        request.method,
+        request.header(b"host") or b"",
+        request.target,
+        headers.read_caller(request.fields),
+        request.body,
+    )
+
+
 def _head(request: server_connection.Request) -> bytes:
     """Write the part of a request's head that all targets get."""
     lines = [request.method + b" " + request.target + b" HTTP/1.1"]
--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -53,6 +53,7 @@
     look: Any = None
     ready: list[parts.Part] = dataclasses.field(default_factory=list)
     failed: dict[int, node_frames.Failure] = dataclasses.field(default_factory=dict)
+    broken: dict[int, str] = dataclasses.field(default_factory=dict)
     is_merging: bool = True
     flush: Any = None
     timeout: Any = None
@@ -138,7 +139,7 @@
         service = job.query.services[shard]
         state = self._book.choose_in(self._hall, service, now, not job.is_merging)
         if state is not None:
-            on_end = functools.partial(self._on_end, key, shard)
+            on_end = functools.partial(self._on_end, key, shard, state.id)
             job.running[shard] = self._calls.send(state, job.call, on_end)
         elif now + ROOM_PAUSE < job.query.flush_at and self._book.is_full_in(
             self._hall, service, now
@@ -198,7 +199,9 @@
         for key in [key for key in self._jobs if key[0] == origin]:
             self._give_up(key)
 
-    def _on_end(self, key: tuple[str, int], shard: int, end: target_calls.CallEnd) -> None:
+    def _on_end(
+        self, key: tuple[str, int], shard: int, target: str, end: target_calls.CallEnd
+    ) -> None:
         job = self._jobs.get(key)
         if job is None or job.running.pop(shard, None) is None:
             return
@@ -210,6 +213,8 @@
             is_sent = answers.was_sent(end.verdict)
             failure = _FAILURES[end.verdict.certainty] if is_sent else node_frames.Failure.NOT_SENT
             job.failed[shard] = failure
+            if end.broke_off:
+                job.broken[shard] = target
             self._note_failure(job.query, job.query.services[shard], end.verdict)
         if not job.is_open:
             self._finish(key)
@@ -256,6 +261,7 @@
             if is_merged:
                 job.first = tuple(found[0])
         failed, job.failed = job.failed, {}
+        broken, job.broken = job.broken, {}
         job.reply(
             node_frames.GatherParts(
                 job.query.number,
@@ -265,6 +271,7 @@
                 tuple(failed),
                 tuple(failed.values()),
                 () if is_merged else tuple(len(records) for records in found),
+                tuple(broken.get(shard, "") for shard in failed) if broken else (),
             )
         )
 
--- a/src/lineworks/forwarding/outcome.py
+++ b/src/lineworks/forwarding/outcome.py
@@ -47,6 +47,12 @@
     over_limit: tuple[str, ...] = ()
     """What more targets may have run than the route allows: each service with its attempts."""
 
+    broken: tuple[str, ...] = ()
+    """Targets whose connections ended before any byte of an answer."""
+
+    is_answered: bool = False
+    """Whether any target ran the request and answered."""
+
     target: str = ""
     """The target that answered, or the last one tried."""
 
--- a/src/lineworks/forwarding/request_log.py
+++ b/src/lineworks/forwarding/request_log.py
@@ -28,6 +28,10 @@
 so they have a rate of their own: other lines must not crowd them out."""
 
 
+BROKE_OFF_PER_SECOND = 20.0
+"""Lines a second for requests under which targets broke off; also when a host takes all with it."""
+
+
 class RequestLog:
     """Logs and counts the requests of one front."""
 
@@ -43,11 +47,12 @@
         self._bad = bounded_log.BoundedLog(reactor, "front", BAD_PER_SECOND)
         self._good = bounded_log.BoundedLog(reactor, "front", GOOD_PER_SECOND)
         self._over_limit = bounded_log.BoundedLog(reactor, "front", OVER_LIMIT_PER_SECOND)
+        self._broke_off = bounded_log.BoundedLog(reactor, "front", BROKE_OFF_PER_SECOND)
 
     @property
     def left_out(self) -> int:
         """Lines left out since the start."""
-        logs = (self._bad, self._good, self._over_limit)
+        logs = (self._bad, self._good, self._over_limit, self._broke_off)
         return sum(log.left_out_in_all for log in logs)
 
     def on_end(
@@ -58,6 +63,7 @@
         version: int,
         found: outcome.Outcome,
         view_age: float,
+        content: str = "",
     ) -> None:
         """Note the end of a request.
 
@@ -68,6 +74,7 @@
             version: Version of the configuration that it ran under; 0 for none.
             found: How it ended.
             view_age: Age of what is known of the targets, in seconds.
+            content: Fingerprint of what was asked.
         """
         seconds = self._reactor.seconds() - request.arrived
         is_late = route is not None and seconds > route.aim
@@ -78,6 +85,7 @@
         log.info(
             "request",
             id=attempt.decode("latin-1"),
+            content=content,
             route=route.name if route is not None else None,
             version=version,
             status=found.answer.status,
@@ -102,6 +110,15 @@
                 limit=route.max_attempts if route is not None else None,
                 attempts=found.over_limit[:MOST_NAMED],
             )
+        if found.broken:
+            self._broke_off.info(
+                "targets_broke_off",
+                id=attempt.decode("latin-1"),
+                content=content,
+                count=len(found.broken),
+                is_answered=found.is_answered,
+                targets=found.broken[:MOST_NAMED],
+            )
 
     def on_caller_gone(
         self, request: server_connection.Request, attempt: bytes, route: routes.Route
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -338,6 +338,7 @@
     def _end(self, found: outcome.Outcome) -> None:
         on_end = self._on_end
         self._on_end = None
+        made = [attempt for shard in self._shards for attempt in shard.made]
         described = dataclasses.replace(
             found,
             covered=len(self._parts.covered),
@@ -350,6 +351,8 @@
             ),
             failures=tuple(self._failures),
             over_limit=search_state.over_limit(self._shards, self._route.max_attempts),
+            broken=attempts.broken_targets(made),
+            is_answered=attempts.is_answered(made),
         )
         self._stop()
         if on_end is not None:
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -191,6 +191,8 @@
         shard = self._shards[attempt.shard]
         shard.running.remove(attempt)
         attempt.end = end.verdict
+        if end.broke_off:
+            attempt.broke_at = attempt.state.id
         if not end.verdict.is_ok or end.response is None:
             if not answers.was_sent(end.verdict):
                 self._note_unsent(shard)
@@ -219,10 +221,12 @@
         self._close_query_if_over(number)
         for part, done in found:
             self._use(number, part, done, is_merged=not frame.counts)
-        for position, failure in zip(frame.failed, frame.failures, strict=True):
+        broken = frame.broken or ("",) * len(frame.failed)
+        for position, failure, target in zip(frame.failed, frame.failures, broken, strict=True):
             if self._is_over:
                 return
             if position < len(tries):
+                tries[position].broke_at = target
                 self._on_remote_failure(tries[position], failure, now)
 
     def _use(
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -132,6 +132,8 @@
     def _on_call_end(self, attempt: attempts.Attempt, end: target_calls.CallEnd) -> None:
         self._running.remove(attempt)
         attempt.end = end.verdict
+        if end.broke_off:
+            attempt.broke_at = attempt.state.id
         if self._on_end is None:
             return
         if end.verdict.is_ok and end.response is not None:
@@ -257,6 +259,8 @@
                 target=self._target,
                 failures=tuple(self._failures),
                 over_limit=self._over_limit(),
+                broken=attempts.broken_targets(self._made),
+                is_answered=attempts.is_answered(self._made),
             )
             on_end(described)
 
--- a/src/lineworks/forwarding/target_calls.py
+++ b/src/lineworks/forwarding/target_calls.py
@@ -66,6 +66,9 @@
     is_repeatable: bool
     """Whether the request may run more than once."""
 
+    content: str = ""
+    """Fingerprint of what is asked, which other tries may share; empty where it isn't needed."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallEnd:
@@ -77,6 +80,10 @@
     response: client_connection.Response | None = None
     """The target's answer, if a whole one came."""
 
+    broke_off: bool = False
+    """Whether the connection ended after the request was sent and before any byte of an answer:
+    the target may have ended, or only the connection."""
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Exchange:
@@ -268,7 +275,7 @@
             self._heard_from = max(self._heard_from, exchange.started)
         if isinstance(end, client_connection.Broken):
             found = verdict.may_have_run(verdict.Reason.LINK_LOST, end.detail)
-            self._end(exchange, CallEnd(found), is_progress=False)
+            self._end(exchange, CallEnd(found, broke_off=end.is_unanswered), is_progress=False)
             return
         if connection is not None:
             self._keep(exchange, connection)
--- a/src/lineworks/http1/client_connection.py
+++ b/src/lineworks/http1/client_connection.py
@@ -56,6 +56,14 @@
     saw_bytes: bool
     """Whether any byte of an answer came."""
 
+    is_closed: bool = False
+    """Whether the connection ended; otherwise its bytes were no answer."""
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether the connection ended before any byte of an answer came."""
+        return self.is_closed and not self.saw_bytes
+
 
 class ClientConnection(protocol.Protocol):
     """One connection. It also receives the parser's callbacks, whose names httptools sets."""
@@ -169,7 +177,7 @@
             self._finish(self._response())
         else:
             detail = "closed by the server" if is_clean else "connection lost"
-            self._finish(Broken(detail, bool(self._fields or self._body)))
+            self._finish(Broken(detail, bool(self._fields or self._body), is_closed=True))
         self._parser = None
         self._on_closed(self)
 
--- a/src/lineworks/platform/headers.py
+++ b/src/lineworks/platform/headers.py
@@ -28,6 +28,9 @@
 _PROMISES = frozenset((408, 421, 429, 503))
 _MOST_BUDGET = 600_000
 
+_CALLER = b"authorization"
+"""The platform's pages name no header of their own that says who asks."""
+
 READINESS_PATH = b"/lineworks/readiness"
 """Path that the balancer asks."""
 
@@ -57,6 +60,18 @@
     return min(int(value), _MOST_BUDGET) / 1000
 
 
+def read_caller(fields: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """Read who asks, as far as a request says.
+
+    Args:
+        fields: Header fields of the request, names in lower case.
+
+    Returns:
+        The caller's credentials, or nothing where the request has none.
+    """
+    return b",".join(value for name, value in fields if name == _CALLER)
+
+
 def write_target_fields(target: str, seconds: float) -> bytes:
     """Write the headers that differ from target to target.
 
--- a/src/lineworks/wire/_gather_codec.py
+++ b/src/lineworks/wire/_gather_codec.py
@@ -51,16 +51,20 @@
     body.failed = list(frame.failed)
     body.failures = [int(failure) for failure in frame.failures]
     body.counts = list(frame.counts)
+    body.broken = list(frame.broken)
 
 
 def _read_parts(body: Any, now: float) -> node_frames.GatherParts:
     shards, stamps = tuple(body.shards), tuple(body.stamps)
     failed, failures = tuple(body.failed), tuple(body.failures)
     counts = tuple(body.counts)
+    broken = tuple(body.broken)
     if len(shards) != len(stamps) or len(failed) != len(failures):
         raise _base.MalformedFrameError("columns of different lengths")
     if counts and len(counts) != len(shards):
         raise _base.MalformedFrameError("columns of different lengths")
+    if broken and len(broken) != len(failed):
+        raise _base.MalformedFrameError("columns of different lengths")
     return node_frames.GatherParts(
         body.number,
         shards,
@@ -69,6 +73,7 @@
         failed,
         tuple(_FAILURES[number] for number in failures),
         counts,
+        broken,
     )
 
 
--- a/src/lineworks/wire/node_frames.py
+++ b/src/lineworks/wire/node_frames.py
@@ -86,6 +86,10 @@
     """Records of each shard, in the order of `shards`, where the shards are not merged: `records`
     then holds theirs one shard after the other. Empty when they are merged."""
 
+    broken: tuple[str, ...] = ()
+    """For each failure the identity of the target whose connection ended before its answer, or an
+    empty text. Left out when none did."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatherCancel:
--- a/src/lineworks/wire/peer.capnp
+++ b/src/lineworks/wire/peer.capnp
@@ -112,6 +112,7 @@
   failed @4 :List(UInt16);
   failures @5 :List(UInt8);
   counts @6 :List(UInt16);
+  broken @7 :List(Text);
 }
 
 struct GatherCancel { number @0 :UInt64; shards @1 :List(UInt16); }
