--- a/src/lineworks/platform/standins/http_target.py
+++ b/src/lineworks/platform/standins/http_target.py
@@ -19,6 +19,9 @@
 
 RECORD_BYTES = 16
 
+CRASH_SECONDS = 0.045
+"""Seconds after which a target ends under a request that crashes it."""
+
 RECORDS = 8
 """Records of one answer."""
 
@@ -104,6 +107,10 @@
         self.faults = TargetFaults()
         self.on_arrival: Callable[[float], None] = lambda at: None
         """Called with the time of each request that arrives, refused or not."""
+        self.is_fatal: Callable[[Run], bool] = lambda run: False
+        """Says whether a request ends the target that runs it."""
+        self.on_crash: Callable[[Run], None] = lambda run: None
+        """Called with such a request when it is time to end."""
         self.on_refused: Callable[[str], None] = lambda attempt: None
         """Called with the identity of each try that it refuses."""
         self.cancelled = 0
@@ -181,8 +188,12 @@
             self._answer(503, attempt, b"", "X-Not-Executed: 1\r\n")
             return
         now = target.host.seconds()
-        target.book.append(Run(target.name, attempt, method, path, body, now))
+        run = Run(target.name, attempt, method, path, body, now)
+        target.book.append(run)
         self._is_working = True
+        if target.is_fatal(run):
+            target.host.callLater(CRASH_SECONDS, target.on_crash, run)
+            return
         target.host.callLater(target.work(), self._finish, attempt)
 
     def _finish(self, attempt: str) -> None:
--- a/src/lineworks/standins/deployment.py
+++ b/src/lineworks/standins/deployment.py
@@ -29,6 +29,8 @@
 STORE_PORT = 8102
 CALLER_PORT = 8104
 READY_PORT = 8108
+LAPSE_SECONDS = 3.6
+"""Seconds after which the entry of a target that ended goes: three of its check-ins."""
 NEAR = 0.0005
 FAR = 0.008
 CALLER_DELAY = 0.001
@@ -80,6 +82,8 @@
         """Extra attempts that the instances may spend together."""
         self.without: frozenset[mechanisms.Mechanism] = frozenset()
         """Mechanisms that instances which start from now on do without."""
+        self.on_start: Callable[[http_target.HttpTarget], None] = lambda target: None
+        """Called with each target that starts again."""
         self._halls: dict[str, str] = {}
         self._attempts = 0
 
@@ -120,6 +124,34 @@
         """Remove a target's entry."""
         self.store.remove(documents.target_key(target.name))
 
+    def crash(self, target: http_target.HttpTarget, seconds: float) -> None:
+        """End a target; it starts again later as another process at the same address.
+
+        Args:
+            target: The target.
+            seconds: Until it is back.
+        """
+        target.host.kill()
+        self.clock.callLater(LAPSE_SECONDS, self.withdraw, target)
+        self.clock.callLater(seconds, self._start_again, target)
+
+    def _start_again(self, ended: http_target.HttpTarget) -> None:
+        target = http_target.HttpTarget(
+            ended.host,
+            f"i-{len(self.targets) + 1}",
+            ended.service,
+            ended.hall,
+            ended.work,
+            self.runs,
+        )
+        target.is_fatal = ended.is_fatal
+        target.on_refused = ended.on_refused
+        target.on_arrival = ended.on_arrival
+        self.targets[target.name] = target
+        self.on_start(target)
+        target.listen()
+        self.announce(target)
+
     def configure(self, routes: Sequence[dict[str, Any]], version: int | None = None) -> None:
         """Put a configuration into the store.
 
