Requests under which targets end are remembered by what they ask, on all instances

Cause: limits counted within one try of a caller, and nothing was known from one try to the next. A fatal search went to one target of every shard, its repeats and hedges to the other copies, and the caller's next try began anew at any instance. Class: a bound kept per identity of a try, where the fault belongs to the content. Ruled out as a cause of its own: ends for another reason (the same fingerprint under every wave, no answer to it, ever). Change: a request under which targets broke off while none answered is a suspect: its repeats and hedges wait, its next try runs on one target, an answer clears it, and after a proven end in such a trial it is refused with the time to come back. All peers are told at once, the store after 0.3 s, new links and new instances get what is known. Ends are proven by a refused connection, so resets and spoilt answers accuse nobody. Weighed: counting ends alone refuses innocent searches that began beside a fatal one (4 of 12 shards lost, unanswered); refusing without a trial does the same; a trial for every new content would cost each search a round.

--- a/src/lineworks/decisions/verdict.py
+++ b/src/lineworks/decisions/verdict.py
@@ -102,6 +102,9 @@
     INVALID = "invalid"
     """The request breaks the rules of the interface."""
 
+    CRASHES_TARGETS = "crashes_targets"
+    """The request ends the targets that run it."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Verdict:
@@ -121,6 +124,11 @@
         """Whether it is certain that no target ran the request."""
         return self.certainty is Certainty.NOT_RUN
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether a target ran the request and answered, with success or not."""
+        return self.certainty is Certainty.RAN
+
     @property
     def is_ok(self) -> bool:
         """Whether the request ran and was answered."""
--- a/src/lineworks/forwarding/attempts.py
+++ b/src/lineworks/forwarding/attempts.py
@@ -156,7 +156,7 @@
     Returns:
         Whether one did.
     """
-    return any(one.end is not None and one.end.certainty is verdict.Certainty.RAN for one in made)
+    return any(one.end is not None and one.end.is_answered for one in made)
 
 
 def describe(service: str, made: Sequence[Attempt]) -> str:
--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -12,9 +12,10 @@
     fingerprints,
     mechanisms,
     routes,
+    suspects,
     verdict,
 )
-from lineworks.forwarding import outcome, search, single, target_calls
+from lineworks.forwarding import caution, outcome, search, single, target_calls
 from lineworks.http1 import fields as http_fields
 from lineworks.http1 import server_connection
 from lineworks.platform import headers
@@ -174,10 +175,14 @@
         table: routes.RouteTable,
         route: routes.Route,
         attempt: bytes,
-    ) -> Callable[[], None]:
+    ) -> Callable[[], None] | None:
         budget = headers.read_budget(request.header(headers.BUDGET))
         allowed = min(route.timeout, budget if budget is not None else route.timeout)
         content = _content(request)
+        judgement = self._shared.suspects.judge(content)
+        if judgement is suspects.Judgement.REFUSE:
+            self._refuse_suspect(request, answer, route, attempt, content)
+            return None
         call = target_calls.TargetCall(
             head=_head(request),
             body=request.body,
@@ -197,17 +202,36 @@
             )
             answer(found.answer)
 
+        is_trial = judgement is suspects.Judgement.TRIAL
+        care = caution.Caution(self._shared.suspects, content, is_trial)
         work: search.Search | single.SingleRequest
         if route.is_search:
             lag = answer_time.answer_lag(self._shared.lags)
             due = answer_time.answer_due(request.arrived, route.aim, request.caller_way, lag)
-            work = search.Search(self._shared, route, call, due, request.arrived, on_end)
+            work = search.Search(self._shared, route, call, care, due, request.arrived, on_end)
         else:
             service = self._turns.choose(route)
-            work = single.SingleRequest(self._shared, route, service, call, request.arrived, on_end)
+            work = single.SingleRequest(
+                self._shared, route, service, call, care, request.arrived, on_end
+            )
         work.start()
         return functools.partial(self._cancel, work, request, attempt, route)
 
+    def _refuse_suspect(
+        self,
+        request: server_connection.Request,
+        answer: Callable[[server_connection.Answer], None],
+        route: routes.Route,
+        attempt: bytes,
+        content: str,
+    ) -> None:
+        """Refuse a request that ends its targets, and tell when it may be tried again."""
+        left = self._shared.suspects.note_refused(content, attempt.decode("latin-1"))
+        found = verdict.not_run(verdict.Reason.CRASHES_TARGETS, "ends the targets that run it")
+        refused = outcome.refuse(found, retry_after=left)
+        self._log.on_end(request, attempt, route, 0, refused, self.view_age(), content)
+        answer(refused.answer)
+
     def _cancel(
         self,
         work: search.Search | single.SingleRequest,
--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -58,8 +58,15 @@
     flush: Any = None
     timeout: Any = None
     is_flushed: bool = False
+    has_broken: bool = False
+    has_answer: bool = False
     first: tuple[bytes, ...] | None = None
 
+    @property
+    def holds(self) -> bool:
+        """Whether targets broke off and none has answered: the query may be what ends them."""
+        return self.has_broken and not self.has_answer
+
     @property
     def is_open(self) -> bool:
         """Whether a shard is still at work, or waits for room."""
@@ -137,7 +144,9 @@
     def _place(self, key: tuple[str, int], job: _Job, shard: int, now: float) -> None:
         """Ask a target of a shard; wait for room until the front looks at what is late."""
         service = job.query.services[shard]
-        state = self._book.choose_in(self._hall, service, now, not job.is_merging)
+        state = None
+        if not job.holds:
+            state = self._book.choose_in(self._hall, service, now, not job.is_merging)
         if state is not None:
             on_end = functools.partial(self._on_end, key, shard, state.id)
             job.running[shard] = self._calls.send(state, job.call, on_end)
@@ -209,12 +218,15 @@
             top = parts.greatest(parts.split_records(end.response.body), job.query.top)
             stamp = headers.read_stamp(end.response.headers)
             job.ready.append(parts.Part(frozenset((shard,)), (stamp,), top))
+            job.has_answer = True
         else:
             is_sent = answers.was_sent(end.verdict)
             failure = _FAILURES[end.verdict.certainty] if is_sent else node_frames.Failure.NOT_SENT
             job.failed[shard] = failure
             if end.broke_off:
                 job.broken[shard] = target
+                job.has_broken = True
+            job.has_answer |= end.verdict.is_answered
             self._note_failure(job.query, job.query.services[shard], end.verdict)
         if not job.is_open:
             self._finish(key)
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -21,6 +21,7 @@
     metrics,
     registration,
     request_log,
+    suspect_exchange,
     target_book,
     target_calls,
     target_learning,
@@ -35,7 +36,7 @@
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
 HEARTBEAT_SECONDS = 2.0
 """Seconds between heartbeats on a link: a silent link counts as lost after twice that."""
@@ -124,6 +125,9 @@
             self._keeper,
             self._book.sightings,
         )
+        self._suspects = suspect_exchange.SuspectExchange(
+            reactor, self._links, self._store, self._book
+        )
         self._gatherer = gathering.Gatherer(
             reactor, settings.hall, self._book, self._calls, without
         )
@@ -141,6 +145,7 @@
             self._gatherers,
             self._extra,
             self._keeper,
+            self._suspects,
             tools.HedgeTimes(),
             self._counters,
             bounded_log.BoundedLog(reactor, "hedges", tools.HEDGE_LINES_PER_SECOND),
@@ -206,7 +211,7 @@
         self._front.view_age = lambda: self._directory.age
         self._directory.on_table = self._on_table
         self._directory.on_targets = self._on_targets
-        self._directory.on_instances = self._registration.on_changes
+        self._directory.on_instances = self._on_other_keys
         self._registration.on_listed = self._count_instances
         self._calls.on_silence = self._gatherers.distrust_all
         links = self._links
@@ -220,6 +225,7 @@
         self._kernel.register("store", self._store)
         self._kernel.register("target_calls", self._calls)
         self._kernel.register("peer_links", self._links)
+        self._kernel.register("suspects", self._suspects)
         self._kernel.register("directory", self._directory)
         self._kernel.register("registration", self._registration)
 
@@ -258,6 +264,7 @@
         change = self._book.update(self._directory.entries, services)
         for state in change.gone:
             self._calls.forget(state.id)
+        self._suspects.note_gone(state.id for state in change.gone)
         age = round(self._directory.age, 3)
         for kind, states in (
             ("target_added", change.added),
@@ -269,6 +276,10 @@
                 _log.info(kind, count=len(named), targets=named[:MOST_NAMED], view_age=age)
         self._go_on_if_complete()
 
+    def _on_other_keys(self, changes: Sequence[store.Change]) -> None:
+        self._registration.on_changes(changes)
+        self._suspects.on_changes(changes)
+
     def _on_query(self, link: Any, query: node_frames.GatherQuery) -> None:
         self._gatherer.on_query(link.hello.incarnation, query, link.send)
 
@@ -327,6 +338,7 @@
             "lineworks_target_reports": {
                 kind: float(count) for kind, count in self._evidence.counts.items()
             },
+            "lineworks_suspects": self._suspects.gauges,
             "lineworks_event_loop_delay_seconds": {
                 "last": self._loop_delay.last,
                 "greatest": self._loop_delay.greatest,
--- a/src/lineworks/forwarding/outcome.py
+++ b/src/lineworks/forwarding/outcome.py
@@ -57,13 +57,14 @@
     """The target that answered, or the last one tried."""
 
 
-def refuse(found: verdict.Verdict, attempts: int = 0) -> Outcome:
+def refuse(found: verdict.Verdict, attempts: int = 0, retry_after: float | None = None) -> Outcome:
     """Make the outcome of a request that ends without a target's answer.
 
     Args:
         found: What is known of it. Only one that has not run becomes a refusal that callers take
             as a promise.
         attempts: Attempts that were made.
+        retry_after: Seconds after which the caller may ask again, where they are known.
 
     Returns:
         503 for a request that has not run, 504 at the deadline, 502 otherwise.
@@ -76,5 +77,7 @@
         status = 502
     is_blind = found.reason is verdict.Reason.NOT_READY
     pause = BLIND_RETRY_AFTER if is_blind else RETRY_AFTER
+    if retry_after is not None:
+        pause = retry_after
     fields = [(b"Retry-After", b"%.2f" % pause)] if status != 504 else []
     return Outcome(server_connection.Answer(status, fields), found, attempts)
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -28,7 +28,7 @@
     from collections.abc import Callable, Iterable, Mapping
 
     from lineworks.decisions import routes
-    from lineworks.forwarding import target_calls, target_state, tools
+    from lineworks.forwarding import caution, target_calls, target_state, tools
 
 WAIT_SHARE = 0.2
 """Share of the aim that a search waits for targets with room before it is refused: a refusal within
@@ -57,6 +57,7 @@
         shared: tools.Tools,
         route: routes.Route,
         call: target_calls.TargetCall,
+        care: caution.Caution,
         due: float,
         arrived: float,
         on_end: Callable[[outcome.Outcome], None],
@@ -67,6 +68,7 @@
             shared: What the front's requests share.
             route: The route, with one version's set of shards.
             call: The request as every target gets it.
+            care: How carefully it goes on.
             due: When its answer must leave to be in time, in seconds.
             arrived: When the request's first byte was read, in seconds.
             on_end: Called once with the outcome, unless the search is cancelled.
@@ -74,6 +76,7 @@
         self._shared = shared
         self._route = route
         self._call = call
+        self._care = care
         self._due = due
         self._arrived = arrived
         self._on_end: Callable[[outcome.Outcome], None] | None = on_end
@@ -84,6 +87,7 @@
             shared,
             route,
             call,
+            care,
             self._shards,
             self._parts.floor,
             self._take,
@@ -94,6 +98,7 @@
         self._hedges = search_hedges.SearchHedges(shared, route, self._shards, self._parts)
         self._certainties: list[verdict.Verdict] = []
         self._failures: list[str] = []
+        self._held: list[int] = []
 
     def start(self) -> None:
         """Send the first attempts."""
@@ -110,11 +115,18 @@
             return
         shared = self._shared
         now = shared.reactor.seconds()
-        chosen = {index: self._choose(shard, now) for index, shard in enumerate(self._shards)}
+        chosen = {
+            index: self._choose(shard, now)
+            for index, shard in enumerate(self._shards)
+            if index not in self._parts.covered
+        }
         open_shards = sum(1 for state in chosen.values() if state is not None)
-        if open_shards < self._needed:
+        if open_shards + len(self._parts.covered) < self._needed:
             self._wait_or_refuse(open_shards, now)
             return
+        if self._care.is_trial:
+            self._begin_trial(chosen, now)
+            return
         self._hedges.begin(now, self._due)
         self._sent.hedge_at = now + self._hedges.remote_delay
         if mechanisms.Mechanism.EARLY_ANSWER not in shared.without:
@@ -127,6 +139,25 @@
             self._set_timer(self._hedges.remote_delay, self._on_hedge)
         self._check()
 
+    def _begin_trial(
+        self, chosen: Mapping[int, target_state.TargetState | None], now: float
+    ) -> None:
+        """Send a suspect to one target; the rest follows when that one has answered.
+
+        Without it each try of such a search ended a target of every shard.
+        """
+        for index, state in chosen.items():
+            if state is not None:
+                self._sent.ask_target(index, state, now, is_hedge=False)
+                return
+
+    def _on_trial_end(self, found: verdict.Verdict) -> None:
+        """Go on after the target of a trial failed: elsewhere if it didn't run, else not at all."""
+        if self._care.holds or not found.is_not_run:
+            self._finish_without(self._what_is_known())
+        else:
+            self._set_timer(ROOM_PAUSE, self._begin)
+
     def _wait_or_refuse(self, open_shards: int, now: float) -> None:
         """Wait a little for targets with room; a search that can't succeed loads no target."""
         reachable = sum(1 for shard in self._shards if self._shared.book.has_any(shard.service))
@@ -141,6 +172,7 @@
     def cancel(self) -> None:
         """Give the search up, because its caller has gone."""
         self._on_end = None
+        self._care.finish()
         self._stop()
 
     def _set_timer(self, delay: float, call: Callable[[], None]) -> None:
@@ -191,6 +223,7 @@
         """
         if self._on_end is None:
             return False
+        was_trial = not self._hedges.is_begun
         is_used = self._parts.add(part)
         if not is_used:
             self._shared.counters.parts_dropped += 1
@@ -199,6 +232,9 @@
                 self._sent.stop_shard(self._shards[attempt.shard])
             else:
                 self._on_failure(attempt.shard, _OVERLAP)
+        if was_trial:
+            self._begin()
+        self._release()
         self._check()
         return is_used
 
@@ -209,7 +245,19 @@
         self._certainties.append(found)
         shard = self._shards[index]
         self._failures.append(f"{shard.service} {found.reason.value}: {found.detail}")
+        if self._care.is_trial:
+            self._on_trial_end(found)
+            return
+        if not self._hedges.is_begun:
+            # The target of a trial answered with a failure, so the request is no suspect.
+            self._begin()
+            return
+        self._release()
         if index in self._parts.covered or shard.running or shard.is_waiting:
+            self._check_held()
+            return
+        if self._care.holds:
+            self._hold(index)
             return
         # The targets that had it failed just now, so they are not asked again.
         is_left = attempts.has_target_left(shard.made, self._route.max_attempts)
@@ -220,6 +268,29 @@
             self._dispatch({index: self._choose_now(shard)}, is_hedge=False)
         self._check()
 
+    def _hold(self, index: int) -> None:
+        """Put a shard off until a target has answered: the request may be what ends its targets.
+
+        Repeats and hedges ended the other copy of the shards that a fatal search had lost.
+        """
+        self._shards[index].is_waiting = True
+        self._held.append(index)
+        self._check_held()
+
+    def _check_held(self) -> None:
+        """End a search whose targets broke off when none is left that could still answer."""
+        is_running = any(shard.running for shard in self._shards)
+        if self._on_end is not None and self._held and self._care.holds and not is_running:
+            self._finish_without(self._what_is_known())
+
+    def _release(self) -> None:
+        """Try again the shards that were put off, because a target has answered."""
+        if not self._held or self._care.holds:
+            return
+        held, self._held = self._held, []
+        for index in held:
+            self._on_retry(index)
+
     def _on_unreachable(self, index: int) -> None:
         """Deal with a shard that no target is left for: begin anew after a pause, or give up."""
         shard = self._shards[index]
@@ -240,6 +311,9 @@
         shard.is_waiting = False
         if self._on_end is None or index in self._parts.covered or shard.running:
             return
+        if self._care.holds:
+            self._hold(index)
+            return
         self._dispatch({index: self._choose_now(shard)}, is_hedge=False)
         self._check()
 
@@ -261,7 +335,8 @@
         if self._on_end is None:
             return
         now = self._shared.reactor.seconds()
-        self._send_hedges(now)
+        if not self._care.holds:
+            self._send_hedges(now)
         self._hedges.ask_for_more(self._on_more_extras)
         pause = self._hedges.next_look(now)
         if pause is not None:
@@ -270,7 +345,7 @@
 
     def _on_more_extras(self) -> None:
         """Choose again, because extra attempts that were lacking may have come."""
-        if self._on_end is None:
+        if self._on_end is None or self._care.holds:
             return
         self._send_hedges(self._shared.reactor.seconds())
         self._check()
@@ -338,6 +413,7 @@
     def _end(self, found: outcome.Outcome) -> None:
         on_end = self._on_end
         self._on_end = None
+        self._care.finish()
         made = [attempt for shard in self._shards for attempt in shard.made]
         described = dataclasses.replace(
             found,
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -24,7 +24,7 @@
     from collections.abc import Callable, Iterable, Sequence
 
     from lineworks.decisions import routes
-    from lineworks.forwarding import tools
+    from lineworks.forwarding import caution, tools
 
 FLUSH_LEAD = 0.004
 """Seconds that a gatherer's first parts should be here before the hedges are decided."""
@@ -46,6 +46,7 @@
         shared: tools.Tools,
         route: routes.Route,
         call: target_calls.TargetCall,
+        care: caution.Caution,
         shards: Sequence[search_state.Shard],
         floor: Callable[[], bytes],
         take: Callable[[parts.Part, Iterable[search_state.Try]], bool],
@@ -57,6 +58,7 @@
             shared: What the front's requests share.
             route: The route.
             call: The request as every target gets it.
+            care: Takes note of answers and of targets that break off.
             shards: The search's shards.
             floor: Tells the least record that can still change the answer.
             take: Takes a part with the attempts that brought it, and says whether it is in.
@@ -65,6 +67,7 @@
         self._shared = shared
         self._route = route
         self._call = call
+        self._care = care
         self._shards = shards
         self._floor = floor
         self._take = take
@@ -193,6 +196,7 @@
         attempt.end = end.verdict
         if end.broke_off:
             attempt.broke_at = attempt.state.id
+        self._care.note_end(attempt.state.id, end.broke_off, end.verdict)
         if not end.verdict.is_ok or end.response is None:
             if not answers.was_sent(end.verdict):
                 self._note_unsent(shard)
@@ -218,6 +222,8 @@
                 attempt.end = verdict.OK
                 self._note_remote(attempt, now)
             found.append((part, done))
+        if found:
+            self._care.note_answer()
         self._close_query_if_over(number)
         for part, done in found:
             self._use(number, part, done, is_merged=not frame.counts)
@@ -265,6 +271,7 @@
             )
         self._shared.book.note_failure(attempt.state, now)
         attempt.end = search_state.remote_verdict(failure)
+        self._care.note_end(attempt.broke_at, bool(attempt.broke_at), attempt.end)
         self._on_failure(attempt.shard, attempt.end)
 
     def _note_unsent(self, shard: search_state.Shard) -> None:
--- a/src/lineworks/forwarding/search_hedges.py
+++ b/src/lineworks/forwarding/search_hedges.py
@@ -72,6 +72,8 @@
         """Seconds after which an attempt in another hall is late."""
         self.count = 0
         """Hedges chosen so far."""
+        self.is_begun = False
+        """Whether the shards have been asked."""
 
     def begin(self, now: float, aim_at: float) -> None:
         """Decide when attempts that are sent now are late.
@@ -80,6 +82,7 @@
             now: The present, in seconds.
             aim_at: When the answer is due.
         """
+        self.is_begun = True
         self._began = now
         self._aim_at = aim_at
         self.local_delay = self._delay(False)
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable
 
     from lineworks.decisions import routes
-    from lineworks.forwarding import target_state, tools
+    from lineworks.forwarding import caution, target_state, tools
     from lineworks.http1 import client_connection
 
 ROOM_PAUSE = 0.02
@@ -43,6 +43,7 @@
         route: routes.Route,
         service: str,
         call: target_calls.TargetCall,
+        care: caution.Caution,
         arrived: float,
         on_end: Callable[[outcome.Outcome], None],
     ) -> None:
@@ -53,6 +54,7 @@
             route: The route.
             service: Service that gets it.
             call: The request as a target gets it.
+            care: How carefully it goes on.
             arrived: When its first byte was read, in seconds.
             on_end: Called once with the outcome, unless the request is cancelled.
         """
@@ -60,6 +62,7 @@
         self._route = route
         self._service = service
         self._call = call
+        self._care = care
         self._arrived = arrived
         self._on_end: Callable[[outcome.Outcome], None] | None = on_end
         self._made: list[attempts.Attempt] = []
@@ -90,6 +93,7 @@
         One that may run only once goes on at its target, so that it ends there in order.
         """
         self._on_end = None
+        self._care.finish()
         self._stop(cancels_attempts=self._call.is_repeatable)
 
     def _set_timer(self, delay: float, call: Callable[[], None]) -> None:
@@ -134,6 +138,7 @@
         attempt.end = end.verdict
         if end.broke_off:
             attempt.broke_at = attempt.state.id
+        self._care.note_end(attempt.state.id, end.broke_off, end.verdict)
         if self._on_end is None:
             return
         if end.verdict.is_ok and end.response is not None:
@@ -171,6 +176,9 @@
         now = shared.reactor.seconds()
         if not last.is_not_run and not self._call.is_repeatable:
             return False
+        if self._care.is_enough:
+            # The request itself may be what ends its targets.
+            return False
         if not attempts.has_target_left(self._made, self._route.max_attempts):
             # Its targets failed just now; the caller learns so at once instead of a repeat there.
             return False
@@ -209,6 +217,8 @@
         """Ask a second target while the first is slow."""
         if self._on_end is None or len(self._running) != 1:
             return
+        if self._care.is_trial or self._care.holds:
+            return
         shared = self._shared
         now = shared.reactor.seconds()
         state = self._choose(now)
@@ -252,6 +262,7 @@
     def _end(self, found: outcome.Outcome) -> None:
         on_end = self._on_end
         self._on_end = None
+        self._care.finish()
         self._stop(cancels_attempts=True)
         if on_end is not None:
             described = dataclasses.replace(
--- /dev/null
+++ b/src/lineworks/forwarding/suspect_exchange.py
@@ -0,0 +1,355 @@
+"""What all instances know of requests under which targets ended.
+
+Whoever finds something tells all peers at once, so that the caller's next try is known wherever it
+comes, and soon after the platform's store, for instances that start or are cut off from their
+peers. An instance that reads news from the store tells its peers; a new link begins with all
+records. Nothing is sent while no target ends. What is made of it is decided in
+`lineworks.decisions.suspects`.
+"""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer
+
+from lineworks.decisions import suspects
+from lineworks.forwarding import suspect_documents, target_probe
+from lineworks.kernel import bounded_log
+from lineworks.platform import store
+from lineworks.wire import node_frames
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from lineworks.forwarding import target_book
+    from lineworks.services import peer_links
+    from lineworks.wire import frames
+
+WRITE_SECONDS = 0.3
+"""Seconds for which news is gathered before it goes to the store: most suspects are cleared by
+their caller's next try before that."""
+
+RETRY_SECONDS = 1.0
+"""Seconds between writes while the store fails."""
+
+MOST_WRITES = 32
+"""Records of one write, as the store allows."""
+
+KEPT_SECONDS = 600.0
+"""Seconds after which the store drops a record: the longest lease that there is."""
+
+REFRESH_SECONDS = 300.0
+"""Seconds after which a record that is still in use is written again."""
+
+LOOK_SECONDS = 1.0
+"""Seconds between looks for records whose time has passed."""
+
+PROBED = 4
+"""Targets of one report that are asked whether they have ended: one more than it takes."""
+
+PROBE_SECONDS = 1.0
+"""Seconds to wait for a connection to such a target; a host that is dark refuses none."""
+
+LINES_PER_SECOND = 20.0
+"""Log lines a second of each kind: suspects, and requests that are refused."""
+
+MOST_NAMED = 4
+"""Ends that a log line names at most."""
+
+
+class SuspectExchange:
+    """The suspects as one instance knows them."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        links: peer_links.PeerLinks,
+        client: store.Store,
+        book: target_book.TargetBook,
+    ) -> None:
+        """Start without suspects.
+
+        Args:
+            reactor: Twisted's reactor.
+            links: Links to the other instances.
+            client: The platform's store.
+            book: Tells where targets listen.
+        """
+        self._reactor = reactor
+        self._links = links
+        self._store = client
+        self._book = book
+        self._suspects = suspects.Suspects()
+        self._unwritten: dict[str, suspects.Record] = {}
+        self._written_at: dict[str, float] = {}
+        self._is_writing = False
+        self._look: Any = None
+        self._is_stopped = False
+        self._log = bounded_log.BoundedLog(reactor, "suspects", LINES_PER_SECOND)
+        self._refused_log = bounded_log.BoundedLog(reactor, "suspects", LINES_PER_SECOND)
+        self.counts: collections.Counter[str] = collections.Counter()
+        """Requests refused and tried on one target, reports told and taken in, suspects cleared."""
+        links.handle(node_frames.SuspectReports, self._on_reports)
+        links.on_up.append(self._on_up)
+
+    @property
+    def records(self) -> tuple[suspects.Record, ...]:
+        """All records."""
+        return tuple(self._suspects.records.values())
+
+    @property
+    def gauges(self) -> dict[str, float]:
+        """Counts for metrics."""
+        now = self._reactor.seconds()
+        judged = collections.Counter(record.judge(now) for record in self.records)
+        return {
+            "suspects": float(judged[suspects.Judgement.TRIAL]),
+            "refused": float(judged[suspects.Judgement.REFUSE]),
+            "forgotten": float(self._suspects.forgotten),
+            **{kind: float(count) for kind, count in self.counts.items()},
+        }
+
+    def start(self) -> None:
+        """Do nothing; the first suspect starts what there is to do."""
+
+    def stop(self) -> None:
+        """Stop writing and looking."""
+        self._is_stopped = True
+        if self._look is not None and self._look.active():
+            self._look.cancel()
+
+    def judge(self, content: str) -> suspects.Judgement:
+        """Say what is to be done with a request.
+
+        Args:
+            content: Its fingerprint.
+
+        Returns:
+            The judgement.
+        """
+        if not self._suspects.records:
+            return suspects.Judgement.CLEAR
+        found = self._suspects.judge(content, self._reactor.seconds())
+        if found is suspects.Judgement.TRIAL:
+            self.counts["trials"] += 1
+        return found
+
+    def note_refused(self, content: str, attempt: str) -> float:
+        """Note that a request is refused.
+
+        Args:
+            content: Its fingerprint.
+            attempt: Identity of the caller's try.
+
+        Returns:
+            Seconds for which it will be.
+        """
+        now = self._reactor.seconds()
+        record = self._suspects.records[content]
+        self.counts["refusals"] += 1
+        left = max(0.0, record.refused_until - now)
+        self._refused_log.info(
+            "suspect_refused", id=attempt, content=content, seconds=round(left, 1)
+        )
+        if now - self._written_at.get(content, now) >= REFRESH_SECONDS:
+            self._write_soon(record)
+        return left
+
+    def note_broken(self, content: str, targets: Sequence[str], is_trial: bool) -> None:
+        """Note that targets broke off under a try, and no target answered it.
+
+        Args:
+            content: Fingerprint of the request.
+            targets: Identities of the targets.
+            is_trial: Whether it ran as a suspect.
+        """
+        now = self._reactor.seconds()
+        record = self._suspects.note_ends(content, targets, is_trial, now)
+        if record is None:
+            return
+        self._tell(record, "an own request")
+        for target in targets[-PROBED:]:
+            self._probe(content, target)
+
+    def note_answer(self, content: str) -> None:
+        """Note that a target answered a request.
+
+        Args:
+            content: Its fingerprint.
+        """
+        if not self._suspects.records:
+            return
+        record = self._suspects.note_answer(content, self._reactor.seconds())
+        if record is not None:
+            self.counts["cleared"] += 1
+            self._tell(record, "an answer")
+
+    def note_gone(self, targets: Iterable[str]) -> None:
+        """Note that targets are gone, by their entries: those that broke off have ended.
+
+        Args:
+            targets: Their identities.
+        """
+        if not self._suspects.records:
+            return
+        gone = frozenset(targets)
+        for record in self.records:
+            for end in record.ends:
+                if end.target in gone and not end.is_proven:
+                    self._on_proven(record.content, end.target)
+
+    def lift(self, content: str) -> bool:
+        """Let a refused request have a trial at once; operators ask for it.
+
+        Args:
+            content: Its fingerprint.
+
+        Returns:
+            Whether it was refused.
+        """
+        record = self._suspects.lift(content, self._reactor.seconds())
+        if record is None:
+            return False
+        self._tell(record, "an operator")
+        return True
+
+    def on_changes(self, changes: Iterable[store.Change]) -> None:
+        """Take in what the platform's store holds.
+
+        Args:
+            changes: Keys that were written or removed. A key that is gone proves nothing, since
+                its lease may have ended.
+        """
+        for change in changes:
+            content = change.key.removeprefix(suspect_documents.PREFIX)
+            if content == change.key or change.value is None:
+                continue
+            now = self._reactor.seconds()
+            try:
+                found = suspect_documents.decode(content, change.value, now)
+            except suspect_documents.SuspectDocumentError as error:
+                self._log.info("suspect_document_refused", error=str(error))
+                continue
+            record = self._suspects.merge(found, now)
+            if record is not None:
+                self._note_news(record, "the store")
+                self._broadcast((record,))
+
+    def _on_up(self, hello: frames.Hello) -> None:
+        """Tell a peer all there is: it may have started or been cut off."""
+        if self._suspects.records:
+            self._links.send(hello.name, node_frames.SuspectReports(self.records))
+
+    def _on_reports(self, link: Any, frame: node_frames.SuspectReports) -> None:
+        now = self._reactor.seconds()
+        for found in frame.records:
+            record = self._suspects.merge(found, now)
+            if record is not None:
+                self.counts["reports_taken_in"] += 1
+                self._note_news(record, link.hello.name)
+
+    def _tell(self, record: suspects.Record, origin: str) -> None:
+        """Tell the peers at once and the store soon."""
+        self._note_news(record, origin)
+        self._broadcast((record,))
+        self._write_soon(record)
+
+    def _broadcast(self, records: Sequence[suspects.Record]) -> None:
+        self.counts["reports_told"] += len(records)
+        self._links.broadcast(node_frames.SuspectReports(tuple(records)))
+
+    def _note_news(self, record: suspects.Record, origin: str) -> None:
+        now = self._reactor.seconds()
+        self._written_at.setdefault(record.content, now)
+        if self._look is None and not self._is_stopped:
+            self._look = self._reactor.callLater(LOOK_SECONDS, self._expire)
+        is_cleared = record.cleared_at is not None
+        self._log.info(
+            "suspect_cleared" if is_cleared else "suspect",
+            content=record.content,
+            told_by=origin,
+            judgement=record.judge(now).value,
+            ends=[_describe(end, now) for end in record.ends[-MOST_NAMED:]],
+            count=len(record.ends),
+            proven=record.proven,
+            trials=record.trials,
+            refused_for=round(max(0.0, record.refused_until - now), 1),
+        )
+
+    def _expire(self) -> None:
+        self._look = None
+        now = self._reactor.seconds()
+        for record in self._suspects.expire(now):
+            self._log.info("suspect_forgotten", content=record.content)
+        held = self._suspects.records
+        self._written_at = {key: at for key, at in self._written_at.items() if key in held}
+        if held:
+            self._look = self._reactor.callLater(LOOK_SECONDS, self._expire)
+
+    def _probe(self, content: str, target: str) -> None:
+        """Find out whether a target has ended, or only its connection."""
+        state = self._book.find(target)
+        if state is None:
+            self._on_proven(content, target)
+            return
+
+        def on_result(is_listening: bool) -> None:
+            if not is_listening:
+                self._on_proven(content, target)
+
+        found = state.replica.target
+        target_probe.probe(self._reactor, found.host, found.port, PROBE_SECONDS, on_result)
+
+    def _on_proven(self, content: str, target: str) -> None:
+        record = self._suspects.note_proven(content, target, self._reactor.seconds())
+        if record is not None:
+            self._tell(record, "a target that ended")
+
+    def _write_soon(self, record: suspects.Record) -> None:
+        self._unwritten[record.content] = record
+        if not self._is_writing and not self._is_stopped:
+            self._is_writing = True
+            self._reactor.callLater(WRITE_SECONDS, self._begin_write)
+
+    def _begin_write(self) -> None:
+        defer.ensureDeferred(self._write())
+
+    async def _write(self) -> None:
+        """Write what is new to the store; what fails is written later."""
+        now = self._reactor.seconds()
+        held = self._suspects.records
+        wanted = [content for content in self._unwritten if content in held][:MOST_WRITES]
+        batch = {content: held[content] for content in wanted}
+        pause = WRITE_SECONDS
+        try:
+            if batch:
+                lease = await self._store.grant_lease(KEPT_SECONDS)
+                await self._store.transact(
+                    store.Write(
+                        suspect_documents.PREFIX + content, suspect_documents.encode(record), lease
+                    )
+                    for content, record in batch.items()
+                )
+        except store.StoreError as error:
+            self._log.info("suspects_unwritten", count=len(batch), error=str(error))
+            pause = RETRY_SECONDS
+        else:
+            self._written_at.update(dict.fromkeys(batch, now))
+            held = self._suspects.records
+            self._unwritten = {
+                content: record
+                for content, record in self._unwritten.items()
+                if content in held and held[content] != batch.get(content)
+            }
+        self._is_writing = bool(self._unwritten) and not self._is_stopped
+        if self._is_writing:
+            self._reactor.callLater(pause, self._begin_write)
+
+
+def _describe(end: suspects.End, now: float) -> str:
+    """Tell people of one end."""
+    kind = " in a trial" if end.is_trial else ""
+    proof = "ended" if end.is_proven else "broke off"
+    return f"{end.target} {proof}{kind} {now - end.at:.1f} s ago"
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -198,6 +198,17 @@
             for state in self._by_service.get(service, ())
         )
 
+    def find(self, target: str) -> target_state.TargetState | None:
+        """Find a target.
+
+        Args:
+            target: Identity of its process.
+
+        Returns:
+            Its state, or None where it is not known, or not any more.
+        """
+        return self._states.get(target)
+
     def has_any(self, service: str) -> bool:
         """Say whether a service has a target that is not leaving."""
         return any(not state.replica.is_leaving for state in self._by_service.get(service, ()))
--- a/src/lineworks/forwarding/tools.py
+++ b/src/lineworks/forwarding/tools.py
@@ -14,6 +14,7 @@
     from lineworks.forwarding import (
         extra_keeper,
         gatherers,
+        suspect_exchange,
         target_book,
         target_calls,
         target_state,
@@ -128,6 +129,9 @@
     keeper: extra_keeper.ExtraKeeper
     """Asks for more of them."""
 
+    suspects: suspect_exchange.SuspectExchange
+    """Knows the requests under which targets ended."""
+
     hedges: HedgeTimes
     """When a sub-query counts as late."""
 
--- /dev/null
+++ b/src/lineworks/wire/_suspect_codec.py
@@ -0,0 +1,64 @@
+"""Encodes and decodes the frame by which instances tell each other of suspects."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from lineworks.decisions import suspects
+from lineworks.wire import _base, node_frames
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_IS_TRIAL = 1
+
+_IS_PROVEN = 2
+
+
+def _write_reports(builder: Any, frame: node_frames.SuspectReports, now: float) -> None:
+    body = builder.init("suspectReports")
+    rows = frame.records
+    body.contents = [row.content for row in rows]
+    body.epochs = [row.epoch for row in rows]
+    body.cleared = [row.cleared_at is not None for row in rows]
+    body.clearedAges = [_age(row.cleared_at or now, now) for row in rows]
+    body.counts = [len(row.ends) for row in rows]
+    ends = [end for row in rows for end in row.ends]
+    body.targets = [end.target for end in ends]
+    body.ages = [_age(end.at, now) for end in ends]
+    body.flags = [_IS_TRIAL * end.is_trial + _IS_PROVEN * end.is_proven for end in ends]
+
+
+def _age(at: float, now: float) -> int:
+    return int(max(0.0, now - at) * _base.MICROSECONDS)
+
+
+def _read_reports(body: Any, now: float) -> node_frames.SuspectReports:
+    counts = list(body.counts)
+    columns = [list(body.contents), list(body.epochs), list(body.cleared), list(body.clearedAges)]
+    ends = [list(body.targets), list(body.ages), list(body.flags)]
+    if {len(column) for column in columns} != {len(counts)}:
+        raise _base.MalformedFrameError("columns of different lengths")
+    if {len(column) for column in ends} != {sum(counts)}:
+        raise _base.MalformedFrameError("columns of different lengths")
+    read = [
+        suspects.End(
+            target, now - age / _base.MICROSECONDS, bool(flag & _IS_TRIAL), bool(flag & _IS_PROVEN)
+        )
+        for target, age, flag in zip(*ends, strict=True)
+    ]
+    records = []
+    for content, epoch, is_cleared, age, count in zip(*columns, counts, strict=True):
+        own, read = tuple(read[:count]), read[count:]
+        cleared_at = now - age / _base.MICROSECONDS if is_cleared else None
+        records.append(suspects.Record(content, epoch, own, cleared_at))
+    return node_frames.SuspectReports(tuple(records))
+
+
+ENCODERS: dict[type, Callable[[Any, Any, float], None]] = {
+    node_frames.SuspectReports: _write_reports,
+}
+"""Writers by message class: (builder of a frame, message, present)."""
+
+DECODERS: dict[str, Callable[[Any, float], Any]] = {"suspectReports": _read_reports}
+"""Readers by the frame's kind: (body, present)."""
--- a/src/lineworks/wire/codec.py
+++ b/src/lineworks/wire/codec.py
@@ -12,7 +12,7 @@
 
 from lineworks.decisions import catalog, verdict
 from lineworks.engine import messages
-from lineworks.wire import _base, _gather_codec, _sharing_codec, frames
+from lineworks.wire import _base, _gather_codec, _sharing_codec, _suspect_codec, frames
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -295,6 +295,7 @@
     frames.RelayReply: _write_relay_reply,
     **_gather_codec.ENCODERS,
     **_sharing_codec.ENCODERS,
+    **_suspect_codec.ENCODERS,
 }
 
 _DECODERS: dict[str, Callable[[Any, float], frames.Frame]] = {
@@ -311,4 +312,5 @@
     "relayReply": _read_relay_reply,
     **_gather_codec.DECODERS,
     **_sharing_codec.DECODERS,
+    **_suspect_codec.DECODERS,
 }
--- a/src/lineworks/wire/frames.py
+++ b/src/lineworks/wire/frames.py
@@ -142,5 +142,6 @@
     | node_frames.CreditPull
     | node_frames.CreditShare
     | node_frames.TargetReports
+    | node_frames.SuspectReports
 )
 """Everything that travels on a peer link."""
--- a/src/lineworks/wire/node_frames.py
+++ b/src/lineworks/wire/node_frames.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from lineworks.decisions import target_evidence
+    from lineworks.decisions import suspects, target_evidence
 
 
 class Failure(enum.IntEnum):
@@ -157,6 +157,14 @@
     """Whether the keeper says so, by the reports of several instances."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectReports:
+    """Tells the peers of requests under which targets ended."""
+
+    records: tuple[suspects.Record, ...]
+    """One for each request, with times on the receiver's clock."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetUpdate:
     """Tells the peers of a data hall what the platform's store said of the targets."""
--- a/src/lineworks/wire/peer.capnp
+++ b/src/lineworks/wire/peer.capnp
@@ -26,6 +26,7 @@
     creditPull @19 :CreditPull;
     creditShare @20 :CreditShare;
     targetReports @21 :TargetReports;
+    suspectReports @22 :SuspectReports;
   }
 }
 
@@ -144,3 +145,16 @@
 
 # Millionths of an extra attempt.
 struct CreditShare { number @0 :UInt64; amount @1 :UInt32; }
+
+# Records one after the other, the ends of all in one list: `counts` says how many belong to each.
+# Ages in microseconds; flags: 1 for a trial, 2 for a proven end.
+struct SuspectReports {
+  contents @0 :List(Text);
+  epochs @1 :List(UInt32);
+  cleared @2 :List(Bool);
+  clearedAges @3 :List(UInt64);
+  counts @4 :List(UInt16);
+  targets @5 :List(Text);
+  ages @6 :List(UInt64);
+  flags @7 :List(UInt8);
+}
