--- a/src/lineworks/platform/standins/documents.py
+++ b/src/lineworks/platform/standins/documents.py
@@ -32,7 +32,9 @@
     return f"servers/{name}"
 
 
-def target_entry(service: str, address: str, hall: str, slots: int, state: str) -> str:
+def target_entry(
+    service: str, address: str, hall: str, slots: int, state: str, born: int | None = None
+) -> str:
     """Write a target's entry.
 
     Args:
@@ -41,6 +43,7 @@
         hall: Its data hall.
         slots: Requests that it works on at a time.
         state: `ready` or `draining`.
+        born: Unix millisecond of its start; older targets do not tell it.
 
     Returns:
         The entry's JSON, not yet encoded for the store.
@@ -55,6 +58,7 @@
             "State": state,
             "WarmupLeftMs": 0,
             "CallSeq": 1,
+            **({} if born is None else {"born": born}),
         }
     )
 
--- a/src/lineworks/platform/standins/http_target.py
+++ b/src/lineworks/platform/standins/http_target.py
@@ -104,6 +104,8 @@
         self.book = book
         self.port = 8000
         self.slots = 2
+        self.born: int | None = None
+        """Unix millisecond of its start, as its entry tells it."""
         self.faults = TargetFaults()
         self.on_arrival: Callable[[float], None] = lambda at: None
         """Called with the time of each request that arrives, refused or not."""
@@ -123,7 +125,9 @@
     def entry(self, state: str = "ready") -> str:
         """Write its entry for the platform's store."""
         address = f"{self.host.address}:{self.port}"
-        return documents.target_entry(self.service, address, self.hall, self.slots, state)
+        return documents.target_entry(
+            self.service, address, self.hall, self.slots, state, self.born
+        )
 
     def records(self, attempt: str) -> bytes:
         """Make the records of an answer; no two targets give the same ones."""
--- a/src/lineworks/standins/deployment.py
+++ b/src/lineworks/standins/deployment.py
@@ -31,6 +31,8 @@
 READY_PORT = 8108
 LAPSE_SECONDS = 3.6
 """Seconds after which the entry of a target that ended goes: three of its check-ins."""
+FIRST_BORN = 1_700_000_000_000
+"""Unix millisecond at which the clock of a deployment starts."""
 NEAR = 0.0005
 FAR = 0.008
 CALLER_DELAY = 0.001
@@ -84,6 +86,8 @@
         """Mechanisms that instances which start from now on do without."""
         self.on_start: Callable[[http_target.HttpTarget], None] = lambda target: None
         """Called with each target that starts again."""
+        self.keeps_identities = False
+        """Whether targets that start again do so under the identity that they had."""
         self._halls: dict[str, str] = {}
         self._attempts = 0
 
@@ -132,25 +136,38 @@
             seconds: Until it is back.
         """
         target.host.kill()
-        self.clock.callLater(LAPSE_SECONDS, self.withdraw, target)
+        self.clock.callLater(LAPSE_SECONDS, self._withdraw_ended, target)
         self.clock.callLater(seconds, self._start_again, target)
 
+    def _withdraw_ended(self, ended: http_target.HttpTarget) -> None:
+        if self.targets[ended.name] is ended:
+            self.withdraw(ended)
+
     def _start_again(self, ended: http_target.HttpTarget) -> None:
+        self.restart(ended, "" if self.keeps_identities else f"i-{len(self.targets) + 1}")
+
+    def restart(self, ended: http_target.HttpTarget, name: str = "") -> http_target.HttpTarget:
+        """Start a target again, at its address, and announce it.
+
+        Args:
+            ended: The target as it was.
+            name: Its new identity; the one that it had when not given.
+
+        Returns:
+            The target as it is.
+        """
         target = http_target.HttpTarget(
-            ended.host,
-            f"i-{len(self.targets) + 1}",
-            ended.service,
-            ended.hall,
-            ended.work,
-            self.runs,
+            ended.host, name or ended.name, ended.service, ended.hall, ended.work, self.runs
         )
         target.is_fatal = ended.is_fatal
         target.on_refused = ended.on_refused
         target.on_arrival = ended.on_arrival
+        target.born = FIRST_BORN + int(self.clock.seconds() * 1000)
         self.targets[target.name] = target
         self.on_start(target)
         target.listen()
         self.announce(target)
+        return target
 
     def configure(self, routes: Sequence[dict[str, Any]], version: int | None = None) -> None:
         """Put a configuration into the store.
--- a/tests/test_steady_reactor.py
+++ b/tests/test_steady_reactor.py
@@ -33,3 +33,22 @@
     steady[0] += 0.25
     reactor.runUntilCurrent()
     assert called == ["due"]
+
+
+def test_time_that_the_machine_was_suspended_counts():
+    # A suspended machine's monotonic clock stands, while the others go on: credit, beliefs and
+    # deadlines that end by everyone's time would live on here by as long as it slept.
+    reactor = steady_reactor.SteadyReactor()
+    assert reactor.seconds() == pytest.approx(time.clock_gettime(time.CLOCK_BOOTTIME), abs=1)
+
+
+def test_a_timer_that_came_due_while_suspended_is_made_at_once_after_it(monkeypatch):
+    monotonic, boot = [5000.0], [7000.0]
+    monkeypatch.setattr(time, "monotonic", lambda: monotonic[0])
+    monkeypatch.setattr(time, "clock_gettime", lambda kind: boot[0])
+    reactor = steady_reactor.SteadyReactor()
+    called = []
+    reactor.callLater(3.0, called.append, "due")
+    boot[0] += 5.0
+    reactor.runUntilCurrent()
+    assert called == ["due"]
