Another life of a target is another target; entries of other writers; suspensions count

Cause: identity stood for a process, so what was held of one (leaving for good, removals that wait, kept connections, learned times, beliefs, attempts under way, ends under a request) was held against the next process of the same identity. Entries were half checked, and RecursionError and OverflowError passed their handler, so that the whole look at the store was lost. The clock stood while a machine was suspended. Change: an entry tells when its process was born; all that is held is held by identity and birth together, so a later process begins anew by itself, and an earlier one's entry that comes late is passed over. Calls to a process that is known to have ended end at once. One strict decoder for entries, with bounded lines and a count; an entry that can't be used takes the place of the one before. The reactor runs on the clock that counts suspensions, so one is to all code what a freeze of the same length is. A test that set the steady clock by time.monotonic sets the other clock now; an entry in a test names its software's version, which is required now. Ruled out for the clock: a second clock beside the steady one for some uses only; every use would have to choose, and each of them is safe with the one that counts.

--- a/src/lineworks/decisions/target_view.py
+++ b/src/lineworks/decisions/target_view.py
@@ -24,7 +24,7 @@
     """What a target says of itself on the platform."""
 
     id: str
-    """Identity of the target's process."""
+    """Identity of the target, which its next process may have again."""
 
     service: str
     """Service that it serves."""
@@ -47,6 +47,15 @@
     is_cold: bool
     """Whether it has just started and is slow."""
 
+    born: int = 0
+    """Unix millisecond of the start of the process: with it, two processes of the same identity are
+    told apart. 0 where it isn't told."""
+
+    @property
+    def life(self) -> str:
+        """Identity of this process among all that had or will have its identity."""
+        return f"{self.id}@{self.born}" if self.born else self.id
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetChange:
@@ -90,6 +99,8 @@
         self._revisions: dict[str, int] = {}
         self._removals: dict[str, float] = {}
         self._leaving: set[str] = set()
+        # By identity, when the latest process known to have it was born.
+        self._born: dict[str, int] = {}
         self.revision = 0
         """Revision of the platform up to which every change is known."""
 
@@ -170,6 +181,14 @@
         ]
 
     def _put(self, entry: TargetEntry) -> bool:
+        born = self._born.get(entry.id, 0)
+        if entry.born < born:
+            # Told late of an earlier process: the later one has its identity.
+            return False
+        if entry.born > born:
+            # Another process, which nothing holds of that was known of the one before.
+            self._born[entry.id] = entry.born
+            self._leaving.discard(entry.id)
         self._removals.pop(entry.id, None)
         if entry.is_leaving:
             self._leaving.add(entry.id)
--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -13,7 +13,7 @@
 
 from lineworks.decisions import ownership, routes, target_view
 from lineworks.forwarding import target_documents
-from lineworks.kernel import task
+from lineworks.kernel import bounded_log, task
 from lineworks.platform import configuration, store, target_entries
 from lineworks.wire import node_frames
 
@@ -54,6 +54,9 @@
 """Seconds that a peer may be known to have a newer configuration before it is asked for it: the
 store or the hall's reader usually bring it by then, without bytes between regions."""
 
+REFUSED_PER_SECOND = 5.0
+"""Log lines a second for entries that name no target to use: anybody may write any number."""
+
 _ANY = ""
 _log = structlog.get_logger(component="directory")
 
@@ -99,6 +102,9 @@
         self._ahead_since = 0.0
         self._spread = rng.random() * FALLBACK_SPREAD
         self._task = task.Task("directory", self._run)
+        self._refused_log = bounded_log.BoundedLog(reactor, "directory", REFUSED_PER_SECOND)
+        self.refused_entries = 0
+        """Entries read that name no target to use."""
         self.on_table: Callable[[routes.RouteTable], None] = lambda table: None
         self.on_targets: Callable[[], None] = lambda: None
         self.on_instances: Callable[[Sequence[store.Change]], None] = lambda rows: None
@@ -235,14 +241,21 @@
             name = row.key.removeprefix(target_entries.PREFIX)
             if name == row.key:
                 continue
-            try:
-                entry = None if row.value is None else target_entries.decode(row.key, row.value)
-            except target_entries.EntryError as error:
-                _log.warning("entry_refused", error=str(error))
-                continue
+            entry = None
+            if row.value is not None:
+                entry = self._decode_entry(row.key, row.value)
+            # An entry that can't be used takes the place of the one that was there before.
             changes.append(target_view.TargetChange(name, row.revision, entry))
         return changes
 
+    def _decode_entry(self, key: str, value: bytes) -> target_view.TargetEntry | None:
+        try:
+            return target_entries.decode(key, value)
+        except target_entries.EntryError as error:
+            self.refused_entries += 1
+            self._refused_log.info("entry_refused", error=str(error))
+            return None
+
     def _take_others(self, rows: Sequence[store.Change]) -> None:
         """Take in what is no target's entry: the configuration and the instances' keys."""
         for row in rows:
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -265,6 +265,8 @@
         for state in change.gone:
             self._calls.forget(state.id)
         self._suspects.note_gone(state.id for state in change.gone)
+        for state in change.ended:
+            self._calls.on_ended(state)
         age = round(self._directory.age, 3)
         for kind, states in (
             ("target_added", change.added),
@@ -338,6 +340,7 @@
             "lineworks_target_reports": {
                 kind: float(count) for kind, count in self._evidence.counts.items()
             },
+            "lineworks_entries": {"refused": float(self._directory.refused_entries)},
             "lineworks_suspects": self._suspects.gauges,
             "lineworks_event_loop_delay_seconds": {
                 "last": self._loop_delay.last,
--- a/src/lineworks/forwarding/registration.py
+++ b/src/lineworks/forwarding/registration.py
@@ -141,7 +141,7 @@
     try:
         found = json.loads(value)
         host, port, hall = str(found["host"]), int(found["port"]), str(found["hall"])
-    except (ValueError, KeyError, TypeError) as error:
-        _log.warning("node_key_refused", name=name, error=repr(error))
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as error:
+        _log.warning("node_key_refused", name=ascii(name), error=repr(error))
         return None
     return member.Member(name, hall, host, port, "", False)
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -69,6 +69,9 @@
     gone: list[target_state.TargetState]
     """Targets that are gone."""
 
+    ended: list[target_state.TargetState]
+    """Of those, the ones whose identity another process has now: all their work ended with them."""
+
 
 class TargetBook:
     """All targets by service."""
@@ -113,7 +116,7 @@
             services: The configured services.
 
         Returns:
-            Targets that came, that are leaving since now, and that are gone.
+            Targets that came, that are leaving since now, that are gone, and that have ended.
         """
         added: list[target_state.TargetState] = []
         leaving: list[target_state.TargetState] = []
@@ -122,27 +125,31 @@
         for entry in entries:
             spec = services.get(entry.service)
             connections = spec.connections if spec is not None else 1
-            state = self._states.get(entry.id)
+            state = self._states.get(entry.life)
             target = _target(entry, connections)
             if state is None:
                 replica = replicas.make_replica(target)
                 average = estimators.Average(LATENCY_WEIGHT)
-                state = target_state.TargetState(replica, average, estimators.Average(ERROR_WEIGHT))
+                state = target_state.TargetState(
+                    replica, average, estimators.Average(ERROR_WEIGHT), identity=entry.id
+                )
                 added.append(state)
             state.replica.target = target
             if entry.is_leaving and not state.replica.is_leaving:
                 state.replica.is_leaving = True
                 leaving.append(state)
             state.is_cold = entry.is_cold
-            present[entry.id] = state
+            present[entry.life] = state
             by_service.setdefault(entry.service, []).append(state)
         gone = [state for name, state in self._states.items() if name not in present]
+        again = {state.identity for state in added}
+        ended = [state for state in gone if state.identity in again]
         for state in gone:
             state.replica.is_leaving = True
         self.sightings.evidence.forget_absent(set(present))
         self._states = present
         self._by_service = by_service
-        return BookChange(added, leaving, gone)
+        return BookChange(added, leaving, gone, ended)
 
     def usable(
         self, service: str, now: float, excluded: Collection[str]
@@ -404,7 +411,7 @@
 
 def _target(entry: target_view.TargetEntry, connections: int) -> catalog.Target:
     return catalog.Target(
-        name=entry.id,
+        name=entry.life,
         service=entry.service,
         hall=entry.hall,
         host=entry.host,
--- a/src/lineworks/forwarding/target_calls.py
+++ b/src/lineworks/forwarding/target_calls.py
@@ -111,6 +111,7 @@
         self._learning = learning
         self._pools: dict[str, _connection_pool.ConnectionPool] = {}
         self._timer: Any = None
+        self._under_way: dict[_Exchange, None] = {}
         # Calls under way over kept connections, the oldest first.
         self._kept: dict[_Exchange, None] = {}
         # Start of the latest call that a kept connection brought an answer, or an end, to.
@@ -142,6 +143,25 @@
         if pool is not None:
             pool.close_idle()
 
+    def on_ended(self, state: target_state.TargetState) -> None:
+        """End all calls to a target whose process is known to have ended.
+
+        Without it callers wait until their deadline where no connection tells of the end.
+
+        Args:
+            state: The target.
+        """
+        for exchange in [one for one in self._under_way if one.state is state]:
+            connection = exchange.connection
+            exchange.connection = None
+            self._kept.pop(exchange, None)
+            if connection is not None:
+                connection.abort()
+                found = verdict.may_have_run(verdict.Reason.LINK_LOST, "the target has ended")
+            else:
+                found = verdict.not_run(verdict.Reason.UNREACHABLE, "the target has ended")
+            self._end(exchange, CallEnd(found, broke_off=connection is not None), False)
+
     def send(
         self,
         state: target_state.TargetState,
@@ -162,6 +182,7 @@
         if self._are_kept_silent(now):
             self._drop_kept(now)
         exchange = _Exchange(state, call, on_end, now)
+        self._under_way[exchange] = None
         state.replica.on_started(now)
         pool = self._pool(state)
         share = 1.0 if call.is_repeatable else UNREPEATABLE_IDLE_SHARE
@@ -251,7 +272,7 @@
         data = b"".join(
             (
                 call.head,
-                headers.write_target_fields(exchange.state.id, remaining),
+                headers.write_target_fields(exchange.state.identity, remaining),
                 b"\r\n",
                 call.body,
             )
@@ -295,6 +316,7 @@
         exchange.on_end = None
         if on_end is None:
             return
+        self._under_way.pop(exchange, None)
         now = self._reactor.seconds()
         exchange.state.replica.on_ended(now, is_progress)
         seconds = now - exchange.started
@@ -306,6 +328,7 @@
         if exchange.on_end is None:
             return
         exchange.on_end = None
+        self._under_way.pop(exchange, None)
         self._kept.pop(exchange, None)
         now = self._reactor.seconds()
         exchange.state.replica.on_ended(now, is_progress=False)
--- a/src/lineworks/forwarding/target_state.py
+++ b/src/lineworks/forwarding/target_state.py
@@ -29,12 +29,16 @@
     is_cold: bool = False
     """Whether it has just started."""
 
+    identity: str = ""
+    """Identity that a request names so that no other target runs it; its next process may have the
+    same."""
+
     is_avoided: bool = False
     """Whether it was passed over for failures or slowness since it last answered."""
 
     @property
     def id(self) -> str:
-        """Identity of the target's process."""
+        """Identity of the target's process, among all that had or will have its identity."""
         return self.replica.target.name
 
     @property
--- a/src/lineworks/kernel/steady_reactor.py
+++ b/src/lineworks/kernel/steady_reactor.py
@@ -1,7 +1,9 @@
-"""A Twisted reactor whose timers follow the steady clock.
+"""A Twisted reactor whose timers follow the steady clock that counts suspensions.
 
 Twisted's default reactor counts by the time of day. Where that jumps, every timer fires early or
 late by as much, so deadlines, heartbeats and leases would be wrong for as long as the jump lasts.
+The monotonic clock stands while a machine is suspended: whatever ends by the time of others, such
+as credit that was handed over, would live on by as much.
 """
 
 from __future__ import annotations
@@ -13,7 +15,7 @@
 
 
 class SteadyReactor(epollreactor.EPollReactor):
-    """The epoll reactor on `time.monotonic`."""
+    """The epoll reactor on the time since the system's start, suspensions included."""
 
     def seconds(self) -> float:  # type: ignore[override]
         """Tell the present.
@@ -21,7 +23,7 @@
         Returns:
             Seconds on a clock that never jumps; only differences have a meaning.
         """
-        return time.monotonic()
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def install() -> Any:
--- a/src/lineworks/platform/_fields.py
+++ b/src/lineworks/platform/_fields.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
+MOST_NUMBER = 2**63 - 1
+"""Greatest number that a document may hold, as other languages can read it."""
+
+MOST_SHOWN = 80
+"""Characters of a wrong value that an error names."""
+
 
 class DocumentError(ValueError):
     """A document lacks a field or a field has a value of another kind."""
@@ -38,7 +45,7 @@
     def text(self, name: str, default: str | None = None) -> str:
         """Read a text that is not empty."""
         value = self._get(name, default)
-        if not isinstance(value, str) or not value:
+        if not isinstance(value, str) or not value or not is_writable(value):
             raise self._wrong(name, "a text")
         return value
 
@@ -52,15 +59,20 @@
     def number(self, name: str, default: float | None = None, least: float = 0.0) -> float:
         """Read a number of at least `least`."""
         value = self._get(name, default)
-        if isinstance(value, bool) or not isinstance(value, int | float) or value < least:
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise self._wrong(name, f"a number of at least {least:g}")
+        # Not a number and infinity compare as false.
+        if not least <= value <= MOST_NUMBER:
             raise self._wrong(name, f"a number of at least {least:g}")
         return float(value)
 
     def integer(self, name: str, default: int | None = None, least: int = 0) -> int:
         """Read a whole number of at least `least`."""
         value = self._get(name, default)
-        if isinstance(value, bool) or not isinstance(value, int) or value < least:
+        if isinstance(value, bool) or not isinstance(value, int):
             raise self._wrong(name, f"a whole number of at least {least}")
+        if not least <= value <= MOST_NUMBER:
+            raise self._wrong(name, f"a whole number from {least} to {MOST_NUMBER}")
         return value
 
     def table(self, name: str) -> Fields:
@@ -104,8 +116,8 @@
         return f"{self._path}.{name}" if self._path else name
 
     def _wrong(self, name: str, expected: str) -> DocumentError:
-        found = self._table.get(name)
-        return DocumentError(f"{self._at(name)}: expected {expected}, found {str(found)[:80]!r}")
+        found = _shown(self._table.get(name))
+        return DocumentError(f"{self._at(name)}: expected {expected}, found {found}")
 
 
 def parse_address(text: str, path: str) -> tuple[str, int]:
@@ -125,3 +137,40 @@
     if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
         raise DocumentError(f"{path}: expected IP:PORT, found {text[:80]!r}")
     return host, int(port)
+
+
+def is_writable(text: str) -> bool:
+    """Say whether a text can be written as UTF-8.
+
+    Args:
+        text: The text.
+
+    Returns:
+        False for one with half of a pair of surrogates, which JSON lets through.
+    """
+    return not any("\ud800" <= character <= "\udfff" for character in text)
+
+
+def parse_json(data: bytes) -> Any:
+    """Read a document that anybody may have written.
+
+    Args:
+        data: The bytes.
+
+    Returns:
+        The decoded value.
+
+    Raises:
+        DocumentError: It is no JSON, or nested too deeply to be read.
+    """
+    try:
+        return json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise DocumentError(f"(document): {error}") from error
+
+
+def _shown(value: Any) -> str:
+    """Show a value of any type in an error, shortly and without what no log can write."""
+    if isinstance(value, int) and abs(value) > MOST_NUMBER:
+        return "a longer number"
+    return ascii(value)[:MOST_SHOWN]
--- a/src/lineworks/platform/configuration.py
+++ b/src/lineworks/platform/configuration.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import json
-
 from lineworks.decisions import routes
 from lineworks.platform import _fields
 
@@ -31,8 +29,8 @@
         ConfigurationError: It is no JSON, or a field is missing or wrong.
     """
     try:
-        return _decode(_fields.Fields(json.loads(data)))
-    except (ValueError, _fields.DocumentError) as error:
+        return _decode(_fields.Fields(_fields.parse_json(data)))
+    except _fields.DocumentError as error:
         raise ConfigurationError(str(error)) from error
 
 
--- a/src/lineworks/platform/target_entries.py
+++ b/src/lineworks/platform/target_entries.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import json
+import ipaddress
 
 from lineworks.decisions import target_view
 from lineworks.platform import _fields
@@ -10,7 +10,14 @@
 PREFIX = "servers/"
 """Prefix of the keys; what follows is the identity of the target's process."""
 
+_READY = "ready"
 _LEAVING = "draining"
+_STATES = (_READY, _LEAVING)
+_BORN = "born"
+
+
+MOST_KEY = 120
+"""Characters of a key that an error names."""
 
 
 class EntryError(Exception):
@@ -28,22 +35,51 @@
         The entry.
 
     Raises:
-        EntryError: It is no JSON, or a field is missing or wrong.
+        EntryError: It is no JSON, or a field is missing or wrong. Anybody may write such a key, so
+            an entry with any field amiss names no target to use.
     """
+    identity = key.removeprefix(PREFIX)
+    try:
+        return _decode(identity, _fields.Fields(_fields.parse_json(data)))
+    except _fields.DocumentError as error:
+        raise EntryError(f"{ascii(key)[1:-1][:MOST_KEY]}: {error}") from error
+
+
+def _decode(identity: str, found: _fields.Fields) -> target_view.TargetEntry:
+    if not _is_token(identity):
+        raise _fields.DocumentError("the key names no identity that a header can carry")
+    state = found.text("State")
+    if state not in _STATES:
+        raise _fields.DocumentError(f"State: expected one of {_STATES}")
+    # Not used here; an entry that lacks them was not written by a target.
+    found.text("ConfigVersion")
+    found.integer("CallSeq")
+    host, port = found.address("Address")
+    if not _is_ip(host):
+        raise _fields.DocumentError("Address: expected an IP address")
+    return target_view.TargetEntry(
+        id=identity,
+        service=found.text("Service"),
+        hall=found.text("Zone"),
+        host=host,
+        port=port,
+        # Requests worked on at a time; a short queue comes on top.
+        slots=found.integer("Capacity", least=1),
+        is_leaving=state == _LEAVING,
+        # Time still left of the slow phase after a start.
+        is_cold=found.number("WarmupLeftMs") > 0,
+        # Older targets don't tell when they started; 0 then.
+        born=found.integer(_BORN) if _BORN in found.names else 0,
+    )
+
+
+def _is_token(text: str) -> bool:
+    return bool(text) and text.isascii() and text.isprintable() and " " not in text
+
+
+def _is_ip(text: str) -> bool:
     try:
-        found = _fields.Fields(json.loads(data))
-        host, port = found.address("Address")
-        return target_view.TargetEntry(
-            id=key.removeprefix(PREFIX),
-            service=found.text("Service"),
-            hall=found.text("Zone"),
-            host=host,
-            port=port,
-            # Requests worked on at a time; a short queue comes on top.
-            slots=found.integer("Capacity", 1, least=1),
-            is_leaving=found.text("State") == _LEAVING,
-            # Time still left of the slow phase after a start.
-            is_cold=found.number("WarmupLeftMs", 0.0) > 0,
-        )
-    except (ValueError, _fields.DocumentError) as error:
-        raise EntryError(f"{key}: {error}") from error
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -130,6 +130,7 @@
         "Service": "s",
         "Address": "10.1.2.3:80",
         "Zone": "hall-a",
+        "ConfigVersion": "v1",
         "Capacity": 2,
         "State": "draining",
         "WarmupLeftMs": 10,
--- a/tests/test_steady_reactor.py
+++ b/tests/test_steady_reactor.py
@@ -20,7 +20,7 @@
 @pytest.mark.parametrize("jump", [-30.0, 30.0])
 def test_a_jump_of_the_time_of_day_moves_no_timer(jump, monkeypatch):
     steady, of_day = [5000.0], [1_000_000.0]
-    monkeypatch.setattr(time, "monotonic", lambda: steady[0])
+    monkeypatch.setattr(time, "clock_gettime", lambda kind: steady[0])
     monkeypatch.setattr(time, "time", lambda: of_day[0])
     reactor = steady_reactor.SteadyReactor()
     called = []
