--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -22,6 +22,7 @@
     registration,
     request_log,
     suspect_exchange,
+    suspect_view,
     target_book,
     target_calls,
     target_learning,
@@ -246,6 +247,8 @@
         return server_connection.Answer(200 if self.is_ready else 503)
 
     def _on_metrics(self, request: server_connection.Request) -> server_connection.Answer:
+        if suspect_view.is_wanted(request):
+            return suspect_view.answer(request, self._suspects, self._reactor.seconds())
         kind = (b"Content-Type", b"text/plain; version=0.0.4")
         return server_connection.Answer(200, [kind], self._metrics.export())
 
--- a/src/lineworks/programs/ctl.py
+++ b/src/lineworks/programs/ctl.py
@@ -23,6 +23,9 @@
                    lineworks-ctl timeline 9c41d07be2a35f68 akl-1.log wlg-1.log
     losses FILE... tell from the logs of instances which requests went badly, where, when and why
     drain          let an instance finish its requests and stop
+    suspects       list the requests under which targets ended, and which are refused; give the
+                   metrics address of an instance on the users' platform by --node
+    lift CONTENT   let a refused request have one careful trial, on all instances
 
 Exit codes: 0 done; 1 failed; 2 the arguments or a file cannot be used; 3 refused, and so not
 done; 4 not known whether it was done (see `settle`).
@@ -36,6 +39,7 @@
 import secrets
 import sys
 import time
+import urllib.parse
 from typing import TYPE_CHECKING, Any
 
 import absl.app
@@ -56,6 +60,9 @@
     "entry", "http://127.0.0.1:8201", "Operator endpoint of an instance."
 )
 _SECRET_FILE = absl.flags.DEFINE_string("secret_file", None, "File with the shared secret.")
+_NODE = absl.flags.DEFINE_string(
+    "node", "http://127.0.0.1:7381", "Metrics address of an instance on the users' platform."
+)
 _JSON = absl.flags.DEFINE_bool("json", False, "Print the whole reply as JSON.")
 _BASE = absl.flags.DEFINE_integer(
     "base", None, "Version that the change was made against; the one in force when not given."
@@ -263,6 +270,8 @@
 
 _TIMELINE = "timeline"
 _LOSSES = "losses"
+_SUSPECTS = "suspects"
+_LIFT = "lift"
 
 
 def _show_timeline(identity: str, paths: list[str]) -> int:
@@ -294,6 +303,38 @@
     return _common.EXIT_OK
 
 
+async def _ask_node(reactor: Any, arguments: list[str]) -> int:
+    """Ask an instance on the users' platform for its suspects, or to lift a refusal."""
+    client = Client(reactor, _NODE.value, b"")
+    is_list = arguments[0] == _SUSPECTS
+    try:
+        if is_list:
+            status, reply = await client.call("GET", "/suspects")
+        else:
+            wanted = urllib.parse.quote(arguments[1])
+            status, reply = await client.call("POST", f"/suspects/lift?content={wanted}")
+    except net_error.ConnectError as error:
+        return _common.fail(f"{_NODE.value}: {error}", _common.EXIT_FAILED)
+    if status != 200:
+        return _print_failure(status, reply)
+    text = _suspect_lines(reply["suspects"]) if is_list else f"lifted {arguments[1]}"
+    _print(reply, text)
+    return _common.EXIT_OK
+
+
+def _suspect_lines(rows: list[dict[str, Any]]) -> str:
+    lines = []
+    for row in rows:
+        lines.append(
+            f"{row['content']}  {row['judgement']}, for {row['refused_for_seconds']} s more"
+        )
+        for end in row["ends"]:
+            kind = "in a trial" if end["in_trial"] else "under a usual try"
+            proof = "ended" if end["proven"] else "broke off"
+            lines.append(f"  {end['target']} {proof} {kind} {end['seconds_ago']} s ago")
+    return "\n".join(lines) or "no suspects"
+
+
 async def _execute(reactor: Any, arguments: list[str], secret: bytes) -> int:
     client = Client(reactor, _ENTRY.value, secret)
     command = arguments[0]
@@ -309,14 +350,14 @@
 
 def _check_arguments(arguments: list[str]) -> str | None:
     """Say what is wrong with the arguments, or None."""
-    known = sorted((*_PLAIN, *_WITH_ARGUMENT, _TIMELINE, _LOSSES))
+    known = sorted((*_PLAIN, *_WITH_ARGUMENT, _TIMELINE, _LOSSES, _SUSPECTS, _LIFT))
     if not arguments or arguments[0] not in known:
         return f"give a command: {', '.join(known)} (see --help)"
     if arguments[0] == _TIMELINE:
         return None if len(arguments) > 2 else "timeline takes an identity and at least one file"
     if arguments[0] == _LOSSES:
         return None if len(arguments) > 1 else "losses takes at least one file"
-    wanted = 1 if arguments[0] in _PLAIN else 2
+    wanted = 1 if arguments[0] in (*_PLAIN, _SUSPECTS) else 2
     if len(arguments) != wanted:
         return f"{arguments[0]} takes {wanted - 1} argument{'' if wanted == 2 else 's'}"
     return None
@@ -338,6 +379,8 @@
         return _show_timeline(argv[2], argv[3:])
     if argv[1] == _LOSSES:
         return _show_losses(argv[2:])
+    if argv[1] in (_SUSPECTS, _LIFT):
+        return _start(lambda reactor: _ask_node(reactor, argv[1:]))
     secret = b""
     if argv[1] != "validate":
         if _SECRET_FILE.value is None:
@@ -346,10 +389,14 @@
             secret = pathlib.Path(_SECRET_FILE.value).read_bytes().strip()
         except OSError as error:
             return _common.fail(f"--secret_file: {error.strerror}")
+    return _start(lambda reactor: _execute(reactor, argv[1:], secret))
+
+
+def _start(work: Callable[[Any], Awaitable[int]]) -> int:
     _common.set_up_logs("warning")
     from twisted.internet import reactor
 
-    return _common.run_reactor(reactor, lambda: _execute(reactor, argv[1:], secret))
+    return _common.run_reactor(reactor, lambda: work(reactor))
 
 
 def run() -> None:
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -16,6 +16,8 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 
 from bench import fatal
@@ -211,3 +213,33 @@
         play.world.run(0.3)
     assert ends(play)[0] == before + 1
     assert not exchanges(play)[0].lift("00")
+
+
+def ask_metrics(play, name, method, path):
+    data = f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+    reply = play.world.send(name, data, 7381)
+    play.world.run(0.1)
+    return reply.status, json.loads(reply.body or b"{}")
+
+
+def test_operators_list_and_lift_through_the_metrics_port():
+    play = start(SEARCH)
+    status, found = ask_metrics(play, "wlg-1", "GET", "/suspects")
+    assert status == 200
+    (row,) = (row for row in found["suspects"] if row["judgement"] == "refuse")
+    assert row["refused_for_seconds"] > 500
+    assert sum(end["proven"] for end in row["ends"]) >= 3
+    path = f"/suspects/lift?content={row['content']}"
+    assert ask_metrics(play, "wlg-1", "GET", path)[0] == 405
+    assert ask_metrics(play, "wlg-1", "POST", path)[0] == 200
+    assert ask_metrics(play, "wlg-1", "POST", path)[0] == 404
+    assert ask_metrics(play, "chc-2", "GET", "/suspects")[1]["suspects"][0]["judgement"] == "trial"
+
+
+@pytest.mark.parametrize("asked", [SEARCH, READ])
+def test_targets_that_start_again_under_their_identities_are_told_apart(asked):
+    play = fatal.FatalLoad([asked])
+    play.world.keeps_identities = True
+    play.load(12.0)
+    assert_bounded(play)
+    assert ends(play)[0] <= fatal.SHARDS + fatal.ENDS_KNOWN
