Suspects: what a try lost is told by its caution alone; writes are a task

The evidence of a try was kept twice, at its attempts and in its caution; it is kept in the caution now, and read from there for the log. An unexpected error of a write would have gone unlogged. The fingerprint is made of one buffer.

--- a/src/lineworks/decisions/fingerprints.py
+++ b/src/lineworks/decisions/fingerprints.py
@@ -24,9 +24,7 @@
     Returns:
         Hexadecimal digits, the same for requests that ask for the same.
     """
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (method, host, path, caller, body):
-        # Lengths keep parts apart that would read the same one after the other.
-        digest.update(b"%d:" % len(part))
-        digest.update(part)
-    return digest.hexdigest()
+    # Lengths keep parts apart that would read the same one after the other.
+    lengths = b"%d:%d:%d:%d:" % (len(method), len(host), len(path), len(caller))
+    data = b"".join((lengths, method, host, path, caller, body))
+    return hashlib.blake2b(data, digest_size=FINGERPRINT_BYTES).hexdigest()
--- a/src/lineworks/forwarding/attempts.py
+++ b/src/lineworks/forwarding/attempts.py
@@ -40,9 +40,6 @@
     end: verdict.Verdict | None = None
     """How it ended, or None while it is under way."""
 
-    broke_at: str = ""
-    """Identity of the target whose connection ended before any byte of its answer, if one did."""
-
     @property
     def may_have_run(self) -> bool:
         """Whether its target ran the request, or may run it yet."""
@@ -135,30 +132,6 @@
     return book.choose_among(service, now, known_targets(made).difference(excluded))
 
 
-def broken_targets(made: Iterable[Attempt]) -> tuple[str, ...]:
-    """Name the targets whose connections ended before any byte of an answer.
-
-    Args:
-        made: All attempts so far.
-
-    Returns:
-        Their identities, each once, in the order of the attempts.
-    """
-    return tuple(dict.fromkeys(one.broke_at for one in made if one.broke_at))
-
-
-def is_answered(made: Iterable[Attempt]) -> bool:
-    """Say whether a target ran the request and answered, with success or not.
-
-    Args:
-        made: All attempts so far.
-
-    Returns:
-        Whether one did.
-    """
-    return any(one.end is not None and one.end.is_answered for one in made)
-
-
 def describe(service: str, made: Sequence[Attempt]) -> str:
     """Tell people what became of each attempt.
 
--- a/src/lineworks/forwarding/caution.py
+++ b/src/lineworks/forwarding/caution.py
@@ -43,6 +43,16 @@
         self._is_told = False
         self._is_over = False
 
+    @property
+    def broken(self) -> tuple[str, ...]:
+        """Targets that broke off, each once."""
+        return tuple(self._broken)
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether a target ran the request and answered."""
+        return self._is_answered
+
     @property
     def is_trial(self) -> bool:
         """Whether it may run on one target at a time only."""
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -414,7 +414,6 @@
         on_end = self._on_end
         self._on_end = None
         self._care.finish()
-        made = [attempt for shard in self._shards for attempt in shard.made]
         described = dataclasses.replace(
             found,
             covered=len(self._parts.covered),
@@ -427,8 +426,8 @@
             ),
             failures=tuple(self._failures),
             over_limit=search_state.over_limit(self._shards, self._route.max_attempts),
-            broken=attempts.broken_targets(made),
-            is_answered=attempts.is_answered(made),
+            broken=self._care.broken,
+            is_answered=self._care.is_answered,
         )
         self._stop()
         if on_end is not None:
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -194,8 +194,6 @@
         shard = self._shards[attempt.shard]
         shard.running.remove(attempt)
         attempt.end = end.verdict
-        if end.broke_off:
-            attempt.broke_at = attempt.state.id
         self._care.note_end(attempt.state.id, end.broke_off, end.verdict)
         if not end.verdict.is_ok or end.response is None:
             if not answers.was_sent(end.verdict):
@@ -232,8 +230,7 @@
             if self._is_over:
                 return
             if position < len(tries):
-                tries[position].broke_at = target
-                self._on_remote_failure(tries[position], failure, now)
+                self._on_remote_failure(tries[position], failure, target, now)
 
     def _use(
         self, number: int, part: parts.Part, done: Sequence[search_state.Try], is_merged: bool
@@ -257,8 +254,13 @@
         self._record(attempt)
 
     def _on_remote_failure(
-        self, attempt: search_state.Try, failure: node_frames.Failure, now: float
+        self,
+        attempt: search_state.Try,
+        failure: node_frames.Failure,
+        broken: str,
+        now: float,
     ) -> None:
+        """Take in a failure at a gatherer, with the target that broke off if one did."""
         shard = self._shards[attempt.shard]
         if attempt not in shard.running:
             return
@@ -271,7 +273,7 @@
             )
         self._shared.book.note_failure(attempt.state, now)
         attempt.end = search_state.remote_verdict(failure)
-        self._care.note_end(attempt.broke_at, bool(attempt.broke_at), attempt.end)
+        self._care.note_end(broken, bool(broken), attempt.end)
         self._on_failure(attempt.shard, attempt.end)
 
     def _note_unsent(self, shard: search_state.Shard) -> None:
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -136,8 +136,6 @@
     def _on_call_end(self, attempt: attempts.Attempt, end: target_calls.CallEnd) -> None:
         self._running.remove(attempt)
         attempt.end = end.verdict
-        if end.broke_off:
-            attempt.broke_at = attempt.state.id
         self._care.note_end(attempt.state.id, end.broke_off, end.verdict)
         if self._on_end is None:
             return
@@ -270,8 +268,8 @@
                 target=self._target,
                 failures=tuple(self._failures),
                 over_limit=self._over_limit(),
-                broken=attempts.broken_targets(self._made),
-                is_answered=attempts.is_answered(self._made),
+                broken=self._care.broken,
+                is_answered=self._care.is_answered,
             )
             on_end(described)
 
--- a/src/lineworks/forwarding/suspect_exchange.py
+++ b/src/lineworks/forwarding/suspect_exchange.py
@@ -12,16 +12,14 @@
 import collections
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet import defer
-
 from lineworks.decisions import suspects
 from lineworks.forwarding import suspect_documents, target_probe
-from lineworks.kernel import bounded_log
+from lineworks.kernel import bounded_log, task
 from lineworks.platform import store
 from lineworks.wire import node_frames
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
     from lineworks.forwarding import target_book
     from lineworks.services import peer_links
@@ -85,6 +83,7 @@
         self._unwritten: dict[str, suspects.Record] = {}
         self._written_at: dict[str, float] = {}
         self._is_writing = False
+        self._writer = task.Task("suspects", self._write)
         self._look: Any = None
         self._is_stopped = False
         self._log = bounded_log.BoundedLog(reactor, "suspects", LINES_PER_SECOND)
@@ -117,6 +116,7 @@
     def stop(self) -> None:
         """Stop writing and looking."""
         self._is_stopped = True
+        self._writer.stop()
         if self._look is not None and self._look.active():
             self._look.cancel()
 
@@ -309,43 +309,49 @@
 
     def _write_soon(self, record: suspects.Record) -> None:
         self._unwritten[record.content] = record
+        self._plan_write(WRITE_SECONDS)
+
+    def _plan_write(self, pause: float) -> None:
         if not self._is_writing and not self._is_stopped:
             self._is_writing = True
-            self._reactor.callLater(WRITE_SECONDS, self._begin_write)
-
-    def _begin_write(self) -> None:
-        defer.ensureDeferred(self._write())
+            self._reactor.callLater(pause, self._writer.start)
 
     async def _write(self) -> None:
         """Write what is new to the store; what fails is written later."""
-        now = self._reactor.seconds()
         held = self._suspects.records
         wanted = [content for content in self._unwritten if content in held][:MOST_WRITES]
         batch = {content: held[content] for content in wanted}
         pause = WRITE_SECONDS
         try:
-            if batch:
-                lease = await self._store.grant_lease(KEPT_SECONDS)
-                await self._store.transact(
-                    store.Write(
-                        suspect_documents.PREFIX + content, suspect_documents.encode(record), lease
-                    )
-                    for content, record in batch.items()
-                )
+            await self._put(batch)
         except store.StoreError as error:
             self._log.info("suspects_unwritten", count=len(batch), error=str(error))
             pause = RETRY_SECONDS
         else:
-            self._written_at.update(dict.fromkeys(batch, now))
-            held = self._suspects.records
-            self._unwritten = {
-                content: record
-                for content, record in self._unwritten.items()
-                if content in held and held[content] != batch.get(content)
-            }
-        self._is_writing = bool(self._unwritten) and not self._is_stopped
-        if self._is_writing:
-            self._reactor.callLater(pause, self._begin_write)
+            self._note_written(batch)
+        finally:
+            self._is_writing = False
+        if self._unwritten:
+            self._plan_write(pause)
+
+    async def _put(self, batch: Mapping[str, suspects.Record]) -> None:
+        if not batch:
+            return
+        lease = await self._store.grant_lease(KEPT_SECONDS)
+        await self._store.transact(
+            store.Write(suspect_documents.PREFIX + content, suspect_documents.encode(record), lease)
+            for content, record in batch.items()
+        )
+
+    def _note_written(self, batch: Mapping[str, suspects.Record]) -> None:
+        """Take out what was written, unless it changed meanwhile, and what is forgotten."""
+        self._written_at.update(dict.fromkeys(batch, self._reactor.seconds()))
+        held = self._suspects.records
+        self._unwritten = {
+            content: record
+            for content, record in self._unwritten.items()
+            if content in held and held[content] != batch.get(content)
+        }
 
 
 def _describe(end: suspects.End, now: float) -> str:
