--- a/tests/test_steady_reactor.py
+++ b/tests/test_steady_reactor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 
 import pytest
@@ -52,3 +53,45 @@
     boot[0] += 5.0
     reactor.runUntilCurrent()
     assert called == ["due"]
+
+
+class Reader:
+    """Reads one end of a pair of sockets."""
+
+    def __init__(self, end, order):
+        self._end = end
+        self._order = order
+
+    def fileno(self):
+        return self._end.fileno()
+
+    def doRead(self):  # noqa: N802
+        self._order.append(self._end.recv(10).decode())
+
+    def connectionLost(self, reason):  # noqa: N802
+        self._order.append("lost")
+
+    def logPrefix(self):  # noqa: N802
+        return "reader"
+
+
+@pytest.mark.parametrize("seconds", [1.0, 5.0, 60.0])
+def test_what_arrived_while_the_process_stood_still_is_read_before_timers_are_made(
+    seconds, monkeypatch
+):
+    # Timers were made first: after five seconds all hedges and deadlines of the requests under way
+    # came due at once, though the answers had arrived long before.
+    now = [5000.0]
+    monkeypatch.setattr(time, "clock_gettime", lambda kind: now[0])
+    reactor = steady_reactor.SteadyReactor()
+    here, there = socket.socketpair()
+    order = []
+    reactor.addReader(Reader(here, order))
+    reactor.callLater(0.5, order.append, "timer")
+    reactor.runUntilCurrent()
+    there.send(b"answer")
+    now[0] += seconds
+    reactor.runUntilCurrent()
+    assert order == ["answer", "timer"]
+    here.close()
+    there.close()
