Soak: requests that end the targets that run them, and a checker of their bound

A caller asks again every 0.5 s from some second on; targets end behind their links and are back under their identity after 1.5 s.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -27,6 +27,9 @@
 CONNECT_SECONDS = 1.0
 """Seconds that a connection may take to open."""
 
+ASK_AGAIN_SECONDS = 0.5
+"""Seconds after which a caller asks again for what ends its targets."""
+
 ROUTES = (("search", 0.6), ("read", 0.25), ("bill", 0.15))
 """Routes with their shares of the requests."""
 
@@ -39,6 +42,7 @@
     route: str
     front: str
     sent_at: float
+    is_fatal: bool = False
     timer: Any = None
     connection: client_connection.ClientConnection | None = None
 
@@ -93,10 +97,25 @@
         if now < self._ends_at:
             self._reactor.callLater(max(0.0, self._due - now), self._send_due)
 
+    def ask_again(self, route: str, until: float, rng: random.Random) -> None:
+        """Ask for what ends its targets, again and again, at any instance.
+
+        Args:
+            route: Its route.
+            until: When to stop, in seconds.
+            rng: Draws instances.
+        """
+        if self._reactor.seconds() < until:
+            self._start_try(route, rng.choice(sorted(self._fronts)), is_fatal=True)
+            self._reactor.callLater(ASK_AGAIN_SECONDS, self.ask_again, route, until, rng)
+
     def _send(self) -> None:
         route = self._rng.choices([name for name, _ in ROUTES], [share for _, share in ROUTES])[0]
-        front = self._rng.choice(sorted(self._fronts))
-        one = _Try(f"t{next(self._numbers):06d}", route, front, self._reactor.seconds())
+        self._start_try(route, self._rng.choice(sorted(self._fronts)))
+
+    def _start_try(self, route: str, front: str, is_fatal: bool = False) -> None:
+        attempt = f"t{next(self._numbers):06d}"
+        one = _Try(attempt, route, front, self._reactor.seconds(), is_fatal)
         self.under_way += 1
         one.timer = self._reactor.callLater(BUDGET + PATIENCE, self._give_up, one)
         while self._idle.get(front):
@@ -111,7 +130,8 @@
     def on_open(self, one: _Try, connection: client_connection.ClientConnection) -> None:
         """Send a try on a connection."""
         one.connection = connection
-        data = documents.caller_request("GET", f"/{one.route}/q", one.attempt, BUDGET, b"")
+        name = history.FATAL if one.is_fatal else "q"
+        data = documents.caller_request("GET", f"/{one.route}/{name}", one.attempt, BUDGET, b"")
         connection.send(data, False, lambda end: self._on_end(one, end))
 
     def on_no_connection(self, one: _Try, detail: str) -> None:
@@ -150,7 +170,15 @@
         self.under_way -= 1
         now = self._reactor.seconds()
         call = history.Call(
-            one.attempt, one.route, one.front, one.sent_at, BUDGET, now, status, **more
+            one.attempt,
+            one.route,
+            one.front,
+            one.sent_at,
+            BUDGET,
+            now,
+            status,
+            is_fatal=one.is_fatal,
+            **more,
         )
         self._file.write(json.dumps(dataclasses.asdict(call)) + "\n")
 
--- a/bench/soak/checkers.py
+++ b/bench/soak/checkers.py
@@ -23,6 +23,15 @@
 LATE_SECONDS = 0.5
 """Seconds after its deadline at which a caller must have its answer."""
 
+CONTACT_SECONDS = 4.0
+"""Seconds after which every undisturbed instance knows what happened."""
+
+ENDS_KNOWN = 3
+"""Ends of targets after which a request is known to end them."""
+
+MOST_LATE_TRIES = 3
+"""Tries of such a request that may reach targets later than that."""
+
 ONCE = frozenset(("bill",))
 """Routes whose requests may run once."""
 
@@ -235,6 +244,34 @@
     )
 
 
+def fatal_requests(found: history.History) -> Iterable[Broken]:
+    """Find requests that ended targets and whose tries went on to reach others.
+
+    Tries of an instance that was disturbed shortly before are passed over: it may not know yet.
+    """
+    calls = {call.attempt: call for call in found.calls if call.is_fatal}
+    fatal = [arrival for arrival in found.arrivals if arrival.attempt in calls]
+    ends = [arrival.at for arrival in fatal if arrival.is_end]
+    if len(ends) < ENDS_KNOWN:
+        return
+    since = sorted(ends)[ENDS_KNOWN - 1] + CONTACT_SECONDS
+    late = {arrival.attempt for arrival in fatal if not arrival.is_end and arrival.at > since}
+    counted = sorted(one for one in late if not _is_unaware(found, calls[one]))
+    if len(counted) > MOST_LATE_TRIES:
+        detail = f"{len(counted)} tries reached targets; {MOST_LATE_TRIES} allowed"
+        yield Broken("requests that end their targets", counted[-1], detail)
+
+
+def _is_unaware(found: history.History, call: history.Call) -> bool:
+    """Say whether the instance of a try was disturbed so shortly before that it may lack news."""
+    return any(
+        span.front == call.front
+        and span.begin <= call.ended_at
+        and call.sent_at <= span.end + CONTACT_SECONDS
+        for span in found.disturbed
+    )
+
+
 CHECKERS: tuple[Callable[[history.History], Iterable[Broken]], ...] = (
     attempts_a_shard,
     extra_attempts,
@@ -244,7 +281,7 @@
     answered_in_time,
     answered_at_all,
 )
-"""All checkers."""
+"""All checkers of what arrived; `fatal_requests` reads the ends of targets as well."""
 
 
 def check(found: history.History) -> list[Broken]:
@@ -256,4 +293,7 @@
     Returns:
         What was broken; empty when all was kept.
     """
-    return [broken for checker in CHECKERS for broken in checker(found)]
+    arrivals = tuple(arrival for arrival in found.arrivals if not arrival.is_end)
+    usual = dataclasses.replace(found, arrivals=arrivals)
+    broken = [one for checker in CHECKERS for one in checker(usual)]
+    return [*broken, *fatal_requests(found)]
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -15,6 +15,9 @@
 
     from lineworks.decisions import extra_attempts
 
+FATAL = "fatal"
+"""End of the path of a request that ends each target that runs it."""
+
 CALLS = "calls.jsonl"
 """File with what callers sent and got."""
 
@@ -59,6 +62,9 @@
     detail: str = ""
     """Why there was no answer."""
 
+    is_fatal: bool = False
+    """Whether it asks for what ends each target that runs it."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
@@ -79,6 +85,9 @@
     has_run: bool
     """Whether the target began to work on it; otherwise it refused."""
 
+    is_end: bool = False
+    """Whether it tells of the end of the target under this try, and not of an arrival."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configured:
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -22,6 +22,9 @@
 MOST_SHARE = 0.25
 """Share of the targets, or of the links, that one fault strikes at most."""
 
+FATAL_ROUTES = ("search", "read")
+"""Routes of requests that end the targets that run them."""
+
 ATTEMPT_LIMITS = (1, 2, 3)
 """Limits of attempts that configurations deal."""
 
@@ -104,6 +107,12 @@
     RESHARDED = "resharded"
     """A configuration with the other set of shards."""
 
+    FATAL_ASKED = "fatal_asked"
+    """A caller asks again and again for what ends each target that runs it."""
+
+
+_STRIKING = [kind for kind in Kind if kind is not Kind.FATAL_ASKED]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Step:
@@ -119,7 +128,7 @@
     """How long it lasts, where it lasts."""
 
     subjects: tuple[str, ...] = ()
-    """Names of targets, of links, of an instance, or of a hall."""
+    """Names of targets, of links, of an instance, of a hall, or of a route."""
 
     value: int = 0
     """Limit of attempts, of a configuration."""
@@ -157,13 +166,24 @@
     steps = []
     at = CALM_SECONDS + rng.expovariate(1 / MEAN_PAUSE)
     while at < seconds - CALM_SECONDS:
-        kind = rng.choice(list(Kind))
+        kind = rng.choice(_STRIKING)
         lasts = rng.uniform(0.2, LONGEST)
         struck = _struck(kind, rng, subjects)
         value = rng.choice(ATTEMPT_LIMITS) if kind is Kind.CONFIGURED else 0
         steps.append(Step(round(at, 3), kind, round(lasts, 3), struck, value))
         at += rng.expovariate(1 / MEAN_PAUSE)
-    return steps
+    return sorted([*steps, *_fatal(seed, seconds)], key=lambda step: step.at)
+
+
+def _fatal(seed: int, seconds: float) -> list[Step]:
+    """Deal one request that ends its targets, from a source of its own: the other steps of a seed
+    stay what they were before this kind."""
+    rng = random.Random(f"{seed}-fatal")
+    last = seconds - CALM_SECONDS
+    at = rng.uniform(CALM_SECONDS, max(CALM_SECONDS, seconds / 2))
+    if at >= last:
+        return []
+    return [Step(round(at, 3), Kind.FATAL_ASKED, last - at, (rng.choice(FATAL_ROUTES),))]
 
 
 def _struck(kind: Kind, rng: random.Random, subjects: Subjects) -> tuple[str, ...]:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -276,6 +276,9 @@
         elif step.kind is plan.Kind.TARGETS_DRAIN:
             self._announce(step.subjects, "draining")
             self._later(step, self._announce, step.subjects, "ready")
+        elif step.kind is plan.Kind.FATAL_ASKED:
+            until = self._reactor.seconds() + step.seconds
+            self._callers.ask_again(step.subjects[0], until, random.Random(step.at))
         elif step.kind is plan.Kind.HALL_RESTARTS:
             self._halls[step.subjects[0]].kill()
             self._later(step, self._halls[step.subjects[0]].start)
--- a/bench/soak/target_process.py
+++ b/bench/soak/target_process.py
@@ -19,6 +19,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+BACK_SECONDS = 1.5
+"""Seconds after which a target that ended is back under its identity."""
+
 USUAL_SECONDS = (0.01, 0.04)
 """Least and most seconds that a request usually takes."""
 
@@ -46,9 +49,15 @@
         self._reactor = reactor
         self._file = path.open("a", buffering=1)
 
-    def note(self, target: http_target.HttpTarget, attempt: str, has_run: bool) -> None:
+    def note(
+        self,
+        target: http_target.HttpTarget,
+        attempt: str,
+        has_run: bool,
+        is_end: bool = False,
+    ) -> None:
         at = self._reactor.seconds()
-        arrival = history.Arrival(attempt, target.name, target.service, at, has_run)
+        arrival = history.Arrival(attempt, target.name, target.service, at, has_run, is_end)
         self._file.write(json.dumps(dataclasses.asdict(arrival)) + "\n")
 
 
@@ -71,7 +80,17 @@
         _Loopback(reactor), place["name"], place["service"], hall, work, runs
     )
     target.on_refused = lambda attempt: book.note(target, attempt, False)
+    target.is_fatal = lambda run: run.path.endswith(history.FATAL)
+    target.on_crash = lambda run: crash(run)
     target.port = place["port"]
+
+    def crash(run: http_target.Run) -> None:
+        """End the target, as far as its callers see, and start it again."""
+        if target.is_listening:
+            book.note(target, run.attempt, True, is_end=True)
+            target.close()
+            reactor.callLater(BACK_SECONDS, target.listen)
+
     target.listen()
     return target
 
--- a/src/lineworks/platform/standins/http_target.py
+++ b/src/lineworks/platform/standins/http_target.py
@@ -115,12 +115,27 @@
         """Called with such a request when it is time to end."""
         self.on_refused: Callable[[str], None] = lambda attempt: None
         """Called with the identity of each try that it refuses."""
+        self.connections: set[_TargetProtocol] = set()
+        """Open connections."""
+        self._listening: Any = None
         self.cancelled = 0
         """Requests whose connection was closed while they ran."""
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether it accepts connections."""
+        return self._listening is not None
+
     def listen(self) -> None:
         """Accept connections."""
-        self.host.listenTCP(self.port, self)
+        self._listening = self.host.listenTCP(self.port, self)
+
+    def close(self) -> None:
+        """Accept no connection any more, and reset those that are open."""
+        self._listening.stopListening()
+        self._listening = None
+        for connection in list(self.connections):
+            connection.transport.abortConnection()
 
     def entry(self, state: str = "ready") -> str:
         """Write its entry for the platform's store."""
@@ -153,12 +168,17 @@
         self._body = b""
         self._is_working = False
 
+    def connectionMade(self) -> None:  # noqa: N802
+        """Note that the connection is open."""
+        self._target.connections.add(self)
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Feed the parser."""
         self._parser.feed_data(data)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Drop the request."""
+        self._target.connections.discard(self)
         if self._is_working:
             self._target.cancelled += 1
             self._is_working = False
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -115,6 +115,32 @@
     assert promises(found([], [arrival("a", "x", "s0")])) == ["targets run only what callers sent"]
 
 
+def fatal_history(late, ends=3, **more):
+    """Make a history of a fatal read: its ends at 1 s, and tries that reach targets long after."""
+    tries = [call(f"f{number}", "read", 502, 9.0, 9.1, is_fatal=True) for number in range(late)]
+    first = call("f", "read", 502, 1.0, 1.1, is_fatal=True)
+    arrivals = [arrival("f", f"x{number}", "shelf", 1.0) for number in range(1)]
+    arrivals += [
+        dataclasses.replace(arrival("f", f"x{number}", "shelf", 1.05), is_end=True)
+        for number in range(ends)
+    ]
+    arrivals += [arrival(one.attempt, "y", "shelf", 9.05) for one in tries]
+    return found([first, *tries], arrivals, **more)
+
+
+def test_a_request_that_goes_on_to_reach_targets_after_it_ended_three_is_seen():
+    assert promises(fatal_history(3)) == []
+    assert promises(fatal_history(4)) == ["requests that end their targets"]
+    assert promises(fatal_history(9, ends=2)) == []
+
+
+def test_an_instance_that_was_disturbed_shortly_before_may_not_know_of_it():
+    recent = (history.Span("n1", 4.0, 6.0),)
+    assert promises(fatal_history(9, disturbed=recent)) == []
+    long_ago = (history.Span("n1", 1.0, 2.0),)
+    assert promises(fatal_history(9, disturbed=long_ago)) == ["requests that end their targets"]
+
+
 def test_too_many_extra_arrivals_in_a_window_are_seen():
     # One request allows half an attempt, the fixed number two more: the third one is too many.
     arrivals = [arrival("a", "x", "s0", 1.0 + 0.1 * number) for number in range(4)]
