--- a/src/lineworks/standins/deployment.py
+++ b/src/lineworks/standins/deployment.py
@@ -88,6 +88,8 @@
         """Called with each target that starts again."""
         self.keeps_identities = False
         """Whether targets that start again do so under the identity that they had."""
+        self.tells_births = True
+        """Whether the entries of targets that start again tell when that was."""
         self._halls: dict[str, str] = {}
         self._attempts = 0
 
@@ -162,7 +164,8 @@
         target.is_fatal = ended.is_fatal
         target.on_refused = ended.on_refused
         target.on_arrival = ended.on_arrival
-        target.born = FIRST_BORN + int(self.clock.seconds() * 1000)
+        if self.tells_births:
+            target.born = FIRST_BORN + int(self.clock.seconds() * 1000)
         self.targets[target.name] = target
         self.on_start(target)
         target.listen()
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -236,10 +236,29 @@
     assert ask_metrics(play, "chc-2", "GET", "/suspects")[1]["suspects"][0]["judgement"] == "trial"
 
 
+@pytest.mark.parametrize("tells_births", [True, False])
 @pytest.mark.parametrize("asked", [SEARCH, READ])
-def test_targets_that_start_again_under_their_identities_are_told_apart(asked):
+def test_targets_that_start_again_under_their_identities_are_told_apart(asked, tells_births):
+    # Where no entry tells of the start, or not yet, the next end of a target was taken for its
+    # first one: three targets' ends in trials were never counted, and trials went on.
     play = fatal.FatalLoad([asked])
     play.world.keeps_identities = True
+    play.world.tells_births = tells_births
     play.load(12.0)
     assert_bounded(play)
     assert ends(play)[0] <= fatal.SHARDS + fatal.ENDS_KNOWN
+
+
+def test_a_service_of_two_targets_that_are_back_under_their_identities_is_protected():
+    play = fatal.FatalLoad([READ])
+    play.world.keeps_identities = True
+    play.world.tells_births = False
+    spare = next(one for one in play.world.targets.values() if one.service == "shelf")
+    play.world.withdraw(spare)
+    spare.host.kill()
+    play.world.run(3.0)
+    for _ in range(8):
+        play.ask(READ)
+        play.world.run(4.0)
+    assert ends(play) == [3]
+    assert_bounded(play)
