An end is known by its target and the try under which it came

Cause: ends were kept by target. A target that is back under its identity before its entry tells of it, or whose entry doesn't, ends again as the same one; its end in a trial was dropped, so the request stayed on trial, one target a try. Class: a key that outlives what it stands for, as with the lives of targets. Change: ends are kept by target and try; those of one target within 0.5 s count once, so that several tries that saw one end don't accuse more.

--- a/src/lineworks/decisions/suspects.py
+++ b/src/lineworks/decisions/suspects.py
@@ -39,6 +39,10 @@
 """Seconds for which a suspect that was cleared is remembered: reports that are still on their way,
 or held up by a cut or an outage, must not accuse it again."""
 
+APART_SECONDS = 0.5
+"""Seconds between two ends of a target under the same identity: no process is back sooner, and what
+ended with it is noticed within a round trip."""
+
 MOST_RECORDS = 256
 """Requests remembered at most: some 100 KB. Requests that are fatal come from few callers."""
 
@@ -64,7 +68,10 @@
     """The end of a target while it ran a request."""
 
     target: str
-    """Identity of the target's process."""
+    """Identity of the target's process. One that is back under it may not be told apart yet."""
+
+    attempt: str
+    """Identity of the try under which it ended."""
 
     at: float
     """When it was noticed, in seconds."""
@@ -95,12 +102,12 @@
     @property
     def trials(self) -> int:
         """Proven ends of trials."""
-        return sum(1 for end in self.ends if end.is_trial and end.is_proven)
+        return _count(end for end in self.ends if end.is_trial and end.is_proven)
 
     @property
     def proven(self) -> int:
         """Proven ends."""
-        return sum(1 for end in self.ends if end.is_proven)
+        return _count(end for end in self.ends if end.is_proven)
 
     @property
     def last_at(self) -> float:
@@ -174,13 +181,14 @@
         return found.judge(now) if found is not None else Judgement.CLEAR
 
     def note_ends(
-        self, content: str, targets: Iterable[str], is_trial: bool, now: float
+        self, content: str, targets: Iterable[str], attempt: str, is_trial: bool, now: float
     ) -> Record | None:
         """Note that targets broke off while no target had answered.
 
         Args:
             content: Fingerprint of the request.
             targets: Identities of the targets.
+            attempt: Identity of the try.
             is_trial: Whether it ran as a suspect.
             now: The present, in seconds.
 
@@ -189,15 +197,16 @@
         """
         known = self._records.get(content)
         epoch = known.epoch if known is not None else 0
-        ends = tuple(End(target, now, is_trial) for target in targets)
+        ends = tuple(End(target, attempt, now, is_trial) for target in targets)
         return self.merge(Record(content, epoch, ends), now)
 
-    def note_proven(self, content: str, target: str, now: float) -> Record | None:
+    def note_proven(self, content: str, target: str, attempt: str, now: float) -> Record | None:
         """Note that a target has really ended.
 
         Args:
             content: Fingerprint of a request that it broke off.
             target: Identity of the target.
+            attempt: Identity of the try under which it broke off.
             now: The present, in seconds.
 
         Returns:
@@ -207,7 +216,9 @@
         if known is None or known.cleared_at is not None:
             return None
         ends = tuple(
-            dataclasses.replace(end, is_proven=True) for end in known.ends if end.target == target
+            dataclasses.replace(end, is_proven=True)
+            for end in known.ends
+            if (end.target, end.attempt) == (target, attempt)
         )
         return self.merge(Record(content, known.epoch, ends), now)
 
@@ -298,14 +309,26 @@
             self.forgotten += 1
 
 
+def _count(ends: Iterable[End]) -> int:
+    """Count ends; those of one target that several tries saw at one moment count once."""
+    count = 0
+    last: dict[str, float] = {}
+    for end in sorted(ends, key=lambda end: end.at):
+        if end.at - last.get(end.target, float("-inf")) > APART_SECONDS:
+            count += 1
+        last[end.target] = end.at
+    return count
+
+
 def _union(known: Iterable[End], found: Iterable[End]) -> tuple[End, ...]:
-    """Put ends together: each target once, the earliest report, proven if any says so."""
-    ends = {end.target: end for end in known}
+    """Put ends together: each target once a try, the earliest report, proven if any says so."""
+    ends = {(end.target, end.attempt): end for end in known}
     for end in found:
-        other = ends.get(end.target)
+        key = (end.target, end.attempt)
+        other = ends.get(key)
         if other is None:
-            ends[end.target] = end
+            ends[key] = end
         elif end.is_proven and not other.is_proven:
-            ends[end.target] = dataclasses.replace(other, is_proven=True)
+            ends[key] = dataclasses.replace(other, is_proven=True)
     kept = sorted(ends.values(), key=lambda end: (not end.is_trial, not end.is_proven, -end.at))
-    return tuple(sorted(kept[:MOST_ENDS], key=lambda end: (end.at, end.target)))
+    return tuple(sorted(kept[:MOST_ENDS], key=lambda end: (end.at, end.target, end.attempt)))
--- a/src/lineworks/forwarding/caution.py
+++ b/src/lineworks/forwarding/caution.py
@@ -26,17 +26,23 @@
     """What one try has shown of its request."""
 
     def __init__(
-        self, exchange: suspect_exchange.SuspectExchange, content: str, is_trial: bool
+        self,
+        exchange: suspect_exchange.SuspectExchange,
+        content: str,
+        attempt: str,
+        is_trial: bool,
     ) -> None:
         """Start without evidence.
 
         Args:
             exchange: Takes what is found.
             content: Fingerprint of the request.
+            attempt: Identity of the try.
             is_trial: Whether the request is a suspect.
         """
         self._exchange = exchange
         self._content = content
+        self._attempt = attempt
         self._was_trial = is_trial
         self._broken: dict[str, None] = {}
         self._is_answered = False
@@ -108,4 +114,4 @@
     def _tell(self) -> None:
         if self.holds:
             self._is_told = True
-            self._exchange.note_broken(self._content, tuple(self._broken), self._was_trial)
+            self._exchange.note_broken(self._content, self.broken, self._attempt, self._was_trial)
--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -203,7 +203,7 @@
             answer(found.answer)
 
         is_trial = judgement is suspects.Judgement.TRIAL
-        care = caution.Caution(self._shared.suspects, content, is_trial)
+        care = caution.Caution(self._shared.suspects, content, attempt.decode("latin-1"), is_trial)
         work: search.Search | single.SingleRequest
         if route.is_search:
             lag = answer_time.answer_lag(self._shared.lags)
--- a/src/lineworks/forwarding/suspect_documents.py
+++ b/src/lineworks/forwarding/suspect_documents.py
@@ -23,7 +23,7 @@
     Returns:
         JSON.
     """
-    ends = [[end.target, end.is_trial, end.is_proven] for end in record.ends]
+    ends = [[end.target, end.attempt, end.is_trial, end.is_proven] for end in record.ends]
     document = {
         "epoch": record.epoch,
         "cleared": record.cleared_at is not None,
@@ -50,8 +50,8 @@
         found = json.loads(data)
         epoch, is_cleared = int(found["epoch"]), bool(found["cleared"])
         ends = tuple(
-            suspects.End(str(target), now, bool(is_trial), bool(is_proven))
-            for target, is_trial, is_proven in found["ends"]
+            suspects.End(str(target), str(attempt), now, bool(is_trial), bool(is_proven))
+            for target, attempt, is_trial, is_proven in found["ends"]
         )
     except (ValueError, TypeError, KeyError, OverflowError, RecursionError) as error:
         raise SuspectDocumentError(f"{content}: {error!r}") from error
--- a/src/lineworks/forwarding/suspect_exchange.py
+++ b/src/lineworks/forwarding/suspect_exchange.py
@@ -163,21 +163,24 @@
             self._write_soon(record)
         return left
 
-    def note_broken(self, content: str, targets: Sequence[str], is_trial: bool) -> None:
+    def note_broken(
+        self, content: str, targets: Sequence[str], attempt: str, is_trial: bool
+    ) -> None:
         """Note that targets broke off under a try, and no target answered it.
 
         Args:
             content: Fingerprint of the request.
             targets: Identities of the targets.
+            attempt: Identity of the try.
             is_trial: Whether it ran as a suspect.
         """
         now = self._reactor.seconds()
-        record = self._suspects.note_ends(content, targets, is_trial, now)
+        record = self._suspects.note_ends(content, targets, attempt, is_trial, now)
         if record is None:
             return
         self._tell(record, "an own request")
         for target in targets[-PROBED:]:
-            self._probe(content, target)
+            self._probe(content, target, attempt)
 
     def note_answer(self, content: str) -> None:
         """Note that a target answered a request.
@@ -204,7 +207,7 @@
         for record in self.records:
             for end in record.ends:
                 if end.target in gone and not end.is_proven:
-                    self._on_proven(record.content, end.target)
+                    self._on_proven(record.content, end.target, end.attempt)
 
     def lift(self, content: str) -> bool:
         """Let a refused request have a trial at once; operators ask for it.
@@ -316,22 +319,23 @@
         if held:
             self._look = self._reactor.callLater(LOOK_SECONDS, self._expire)
 
-    def _probe(self, content: str, target: str) -> None:
+    def _probe(self, content: str, target: str, attempt: str) -> None:
         """Find out whether a target has ended, or only its connection."""
         state = self._book.find(target)
         if state is None:
-            self._on_proven(content, target)
+            self._on_proven(content, target, attempt)
             return
 
         def on_result(is_listening: bool) -> None:
             if not is_listening:
-                self._on_proven(content, target)
+                self._on_proven(content, target, attempt)
 
         found = state.replica.target
         target_probe.probe(self._reactor, found.host, found.port, PROBE_SECONDS, on_result)
 
-    def _on_proven(self, content: str, target: str) -> None:
-        record = self._suspects.note_proven(content, target, self._reactor.seconds())
+    def _on_proven(self, content: str, target: str, attempt: str) -> None:
+        now = self._reactor.seconds()
+        record = self._suspects.note_proven(content, target, attempt, now)
         if record is not None:
             self._tell(record, "a target that ended")
 
--- a/src/lineworks/wire/_suspect_codec.py
+++ b/src/lineworks/wire/_suspect_codec.py
@@ -25,6 +25,7 @@
     body.counts = [len(row.ends) for row in rows]
     ends = [end for row in rows for end in row.ends]
     body.targets = [end.target for end in ends]
+    body.attempts = [end.attempt for end in ends]
     body.ages = [_age(end.at, now) for end in ends]
     body.flags = [_IS_TRIAL * end.is_trial + _IS_PROVEN * end.is_proven for end in ends]
 
@@ -36,16 +37,20 @@
 def _read_reports(body: Any, now: float) -> node_frames.SuspectReports:
     counts = list(body.counts)
     columns = [list(body.contents), list(body.epochs), list(body.cleared), list(body.clearedAges)]
-    ends = [list(body.targets), list(body.ages), list(body.flags)]
+    ends = [list(body.targets), list(body.attempts), list(body.ages), list(body.flags)]
     if {len(column) for column in columns} != {len(counts)}:
         raise _base.MalformedFrameError("columns of different lengths")
     if {len(column) for column in ends} != {sum(counts)}:
         raise _base.MalformedFrameError("columns of different lengths")
     read = [
         suspects.End(
-            target, now - age / _base.MICROSECONDS, bool(flag & _IS_TRIAL), bool(flag & _IS_PROVEN)
+            target,
+            attempt,
+            now - age / _base.MICROSECONDS,
+            bool(flag & _IS_TRIAL),
+            bool(flag & _IS_PROVEN),
         )
-        for target, age, flag in zip(*ends, strict=True)
+        for target, attempt, age, flag in zip(*ends, strict=True)
     ]
     records = []
     for content, epoch, is_cleared, age, count in zip(*columns, counts, strict=True):
--- a/src/lineworks/wire/peer.capnp
+++ b/src/lineworks/wire/peer.capnp
@@ -157,4 +157,5 @@
   targets @5 :List(Text);
   ages @6 :List(UInt64);
   flags @7 :List(UInt8);
+  attempts @8 :List(Text);
 }
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -19,16 +19,16 @@
 def wave(held, count=4, now=0.0, is_proven=True):
     """Let targets end under an ordinary try."""
     names = [f"i-{number}" for number in range(count)]
-    held.note_ends(A, names, False, now)
+    held.note_ends(A, names, "w", False, now)
     if is_proven:
         for name in names:
-            held.note_proven(A, name, now)
+            held.note_proven(A, name, "w", now)
 
 
 def trial(held, name, now):
     """Let the target of a trial end."""
-    held.note_ends(A, [name], True, now)
-    held.note_proven(A, name, now)
+    held.note_ends(A, [name], "t", True, now)
+    held.note_proven(A, name, "t", now)
 
 
 def make_refused(now=0.0):
@@ -59,7 +59,7 @@
 def test_connections_that_ended_alone_refuse_nothing_and_are_forgotten_soon():
     held = suspects.Suspects()
     wave(held, 4, is_proven=False)
-    held.note_ends(A, ["i-t"], True, 1.0)
+    held.note_ends(A, ["i-t"], "t", True, 1.0)
     assert held.judge(A, 1.0) is TRIAL
     held.expire(1.0 + suspects.UNPROVEN_SECONDS)
     assert held.judge(A, 12.0) is CLEAR
@@ -101,7 +101,7 @@
 def test_a_full_memory_forgets_the_least_dangerous_and_counts_it():
     held = make_refused()
     for number in range(suspects.MOST_RECORDS):
-        held.note_ends(f"{number:024d}", ["i-1"], False, 1.0 + number)
+        held.note_ends(f"{number:024d}", ["i-1"], "w", False, 1.0 + number)
     assert len(held.records) == suspects.MOST_RECORDS
     assert held.forgotten == 1
     assert held.judge(A, 1.0) is REFUSE
@@ -113,8 +113,8 @@
     wave(held, 40, is_proven=False)
     trial(held, "i-t", 1.0)
     for name in ("i-39", "i-38", "i-37"):
-        held.note_ends(A, [name], False, 2.0)
-        held.note_proven(A, name, 2.0)
+        held.note_ends(A, [name], "v", False, 2.0)
+        held.note_proven(A, name, "v", 2.0)
     record = held.records[A]
     assert len(record.ends) <= suspects.MOST_ENDS
     assert held.judge(A, 2.0) is REFUSE
@@ -123,6 +123,7 @@
 ENDS = strategies.builds(
     suspects.End,
     target=strategies.sampled_from([f"i-{number}" for number in range(12)]),
+    attempt=strategies.sampled_from(["t1", "t2"]),
     at=strategies.integers(0, 5).map(float),
     is_trial=strategies.booleans(),
     is_proven=strategies.booleans(),
@@ -131,7 +132,9 @@
     suspects.Record,
     content=strategies.sampled_from(["a" * 24, "b" * 24]),
     epoch=strategies.integers(0, 2),
-    ends=strategies.lists(ENDS, max_size=4, unique_by=lambda end: end.target).map(tuple),
+    ends=strategies.lists(ENDS, max_size=4, unique_by=lambda end: (end.target, end.attempt)).map(
+        tuple
+    ),
     cleared_at=strategies.none() | strategies.integers(0, 5).map(float),
 )
 
@@ -147,17 +150,18 @@
         dataclasses.replace(record, ends=()) if record.cleared_at is not None else record
         for record in records
     ]
-    # One target ended once, so all reports of it agree but for its proof.
+    # All reports of one end agree but for its proof.
     known = {}
     for record in records:
         for end in record.ends:
-            known.setdefault((record.content, record.epoch, end.target), end)
+            known.setdefault((record.content, record.epoch, end.target, end.attempt), end)
     records = [
         dataclasses.replace(
             record,
             ends=tuple(
                 dataclasses.replace(
-                    known[(record.content, record.epoch, end.target)], is_proven=end.is_proven
+                    known[(record.content, record.epoch, end.target, end.attempt)],
+                    is_proven=end.is_proven,
                 )
                 for end in record.ends
             ),
@@ -199,3 +203,25 @@
 def test_a_damaged_document_is_refused(data):
     with pytest.raises(suspect_documents.SuspectDocumentError):
         suspect_documents.decode(A, data, 0.0)
+
+
+def test_a_target_that_is_back_and_ends_again_under_its_identity_counts_again():
+    # A target was back under the identity that it had before its entry told of it: its next end,
+    # in a trial, was taken for the first one, and the request stayed on trial for good.
+    held = suspects.Suspects()
+    for name in ("i-1", "i-2", "i-3"):
+        held.note_ends(A, [name], "t1", False, 0.0)
+        held.note_proven(A, name, "t1", 0.0)
+    held.note_ends(A, ["i-1"], "t2", True, 2.0)
+    held.note_proven(A, "i-1", "t2", 2.0)
+    assert held.judge(A, 2.0) is REFUSE
+
+
+def test_one_end_that_several_tries_saw_counts_once():
+    held = suspects.Suspects()
+    for number in range(4):
+        held.note_ends(A, ["i-1"], f"t{number}", False, 0.01 * number)
+        held.note_proven(A, "i-1", f"t{number}", 0.1)
+    trial(held, "i-t", 1.0)
+    assert held.records[A].proven == 2
+    assert held.judge(A, 1.0) is TRIAL
