Instances of the soak are linked: the links' secret leaves the store's port out

Cause: the secret of the links was made of the store's address as an instance has it. In the soak each reaches the store through a link of its own, so every instance refused all others (505 lines 'the signature is wrong' in a run of 20 s), and no soak so far had links between instances. Change: the store's host and the halls make the secret. The short run asserts links now; it fails on the code before.

--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -365,7 +365,9 @@
 def _link_secret(settings: node_settings.NodeSettings) -> bytes:
     """Derive what the links of one deployment share.
 
-    The platform gives no secret; this keeps the instances of two deployments apart, no more.
+    The platform gives no secret; this keeps the instances of two deployments apart, no more. The
+    store's port is left out: instances that reached it through forwarders of their own, each with
+    another port, refused all links to each other.
     """
-    text = f"{settings.store.host}:{settings.store.port}|{sorted(settings.regions.items())}"
+    text = f"{settings.store.host}|{sorted(settings.regions.items())}"
     return hashlib.sha256(text.encode()).digest()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -264,6 +264,9 @@
     assert "0 broken" in done.stdout
     calls = history.read_calls(tmp_path / "seed-1")
     assert sum(call.status == 200 for call in calls) > len(calls) / 2
+    # All instances are linked. They refused each other while each had a store's port of its own.
+    for log in (tmp_path / "seed-1").glob("*-[12].log"):
+        assert '"link_up"' in log.read_text(), log.name
 
 
 class _World:
