--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 import json
+import random
 
 import pytest
 
@@ -262,3 +263,60 @@
         play.world.run(4.0)
     assert ends(play) == [3]
     assert_bounded(play)
+
+
+@pytest.mark.parametrize("asked", [SEARCH, READ])
+@pytest.mark.parametrize("seed", range(4))
+def test_any_order_of_restarts_freezes_and_cuts_keeps_the_bound(seed, asked):
+    # Instances that were disturbed shortly before may lack news, so the caller asks others.
+    play = fatal.FatalLoad([asked], seed)
+    rng = random.Random(f"{seed}-{asked.path}")
+    calm_from = dict.fromkeys(play.names, 0.0)
+    frozen = {}
+    for _ in range(24):
+        for name, until in list(frozen.items()):
+            if until <= play.now:
+                play.world.host_of(name).wake()
+                del frozen[name]
+        name = rng.choice([one for one in play.names if one not in frozen])
+        trouble = rng.choice(["kill", "freeze", "cut", "heal", "nothing"])
+        if trouble == "kill":
+            play.world.host_of(name).kill()
+            play.world.add_node(name, name.partition("-")[0])
+        elif trouble == "freeze":
+            play.world.host_of(name).freeze()
+            frozen[name] = play.now + rng.uniform(0.5, 3.0)
+        elif trouble == "cut":
+            cut_halls(play)
+        elif trouble == "heal":
+            play.world.network.heal()
+        if trouble in ("kill", "freeze"):
+            calm_from[name] = frozen.get(name, play.now) + fatal.CONTACT_SECONDS
+        calm = [one for one in play.names if calm_from[one] <= play.now]
+        if calm:
+            play.ask(asked, rng.choice(calm))
+        play.ask_ordinary()
+        play.world.run(rng.uniform(0.3, 0.9))
+    assert_bounded(play)
+
+
+@pytest.mark.parametrize(
+    ("kind", "seed", "pause"), [("read", 2, 0.03), ("read", 3, 0.1), ("search", 0, 0.03)]
+)
+def test_what_many_callers_ask_is_not_accused_by_its_neighbour(kind, seed, pause):
+    # The same innocent read came many times a second. It ran on two targets when a fatal one ended
+    # them, and on the third, as a suspect, when that one's trial ended it: 115 callers of a run of
+    # the soak were refused for the rest of it, though the read had been answered all the time.
+    popular = fatal.Asked(f"/{kind}/popular")
+    play = fatal.FatalLoad([fatal.Asked(f"/{kind}/fatal")], seed)
+    again, end = play.now + 1.0, play.now + 6.0
+    while play.now < end:
+        play.ask_ordinary(popular)
+        if play.now >= again:
+            play.ask(play.fatal[0])
+            again = play.now + fatal.ASK_AGAIN_SECONDS
+        play.world.run(pause)
+    play.settle()
+    late = [one for one in play.ordinary if one.reply.sent_at > play.now - 4.0]
+    assert fatal.served(late) == 1.0
+    assert_bounded(play)
