Soak: two runs at a time never have the same ports

Change: a run holds a block of ports by binding its first one. The test that ports in use are passed over looks through 30 claims in place of one.

--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -29,6 +29,9 @@
 HALLS = ("akl", "wlg", "chc")
 """Data halls, each a region of its own."""
 
+BLOCK = 200
+"""Ports that one run claims, the first one as a lock."""
+
 PORTS = (15000, 32000)
 """First port that may be used, and the one after the last: below those that Linux gives to outgoing
 connections, which would take a port while its process restarts."""
@@ -315,28 +318,55 @@
         self._child = Child([str(NODE_PROGRAM)], self._log, **environment)
 
 
-def free_ports(count: int) -> list[int]:
-    """Find neighbouring TCP ports on loopback that nobody listens on.
+class PortClaim:
+    """Neighbouring TCP ports on loopback that no other run takes while it is held.
+
+    Runs that looked for free ports at the same moment found the same ones: each had the other's
+    callers, and its processes found their ports in use.
+    """
+
+    def __init__(self, lock: socket.socket, ports: Sequence[int]) -> None:
+        """Hold ports.
+
+        Args:
+            lock: Holds the block that they lie in.
+            ports: The ports, rising.
+        """
+        self._lock = lock
+        self.ports = tuple(ports)
+        """The ports, rising."""
+
+    def release(self) -> None:
+        """Let others have them."""
+        self._lock.close()
+
+
+def claim_ports(count: int) -> PortClaim:
+    """Find neighbouring ports that nobody listens on, and keep other runs from them.
 
     Args:
-        count: How many.
+        count: How many; fewer than `BLOCK`.
 
     Returns:
-        The ports, rising.
+        The claim.
+
+    Raises:
+        OSError: There is no free block.
     """
-    # Another run on the machine most likely begins elsewhere.
-    port = random.SystemRandom().randrange(*PORTS)
-    found: list[int] = []
-    while len(found) < count:
-        if port >= PORTS[1]:
-            port = PORTS[0]
-            found.clear()
-        if _is_free(port):
-            found.append(port)
-        else:
-            found.clear()
-        port += 1
-    return found
+    blocks = list(range(PORTS[0], PORTS[1] - BLOCK + 1, BLOCK))
+    random.SystemRandom().shuffle(blocks)
+    for first in blocks:
+        lock = socket.socket()
+        try:
+            lock.bind(("127.0.0.1", first))
+        except OSError:
+            lock.close()
+            continue
+        ports = range(first + 1, first + 1 + count)
+        if all(_is_free(port) for port in ports):
+            return PortClaim(lock, ports)
+        lock.close()
+    raise OSError(f"no block of {BLOCK} free ports between {PORTS[0]} and {PORTS[1]}")
 
 
 def _is_free(port: int) -> bool:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -113,7 +113,8 @@
         self._folder = folder
         nodes = len(processes.HALLS) * NODES_A_HALL
         places = len(processes.HALLS) * (len(SERVICES) + 1)
-        self._ports = iter(processes.free_ports(1 + 5 * nodes + 2 * places))
+        self._claim = processes.claim_ports(1 + 5 * nodes + 2 * places)
+        self._ports = iter(self._claim.ports)
         store_port = next(self._ports)
         self._store = processes.Store(store_port, folder)
         self._link_rows: list[dict[str, Any]] = []
@@ -220,6 +221,7 @@
             hall.kill()
         self._links.child.end()
         self._store.child.end()
+        self._claim.release()
 
     def _write_timeline(self, begin: float) -> None:
         rows = [
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -238,11 +238,26 @@
 
 
 def test_ports_in_use_are_passed_over():
-    ports = processes.free_ports(20)
-    assert ports == list(range(ports[0], ports[0] + 20))
+    claim = processes.claim_ports(20)
+    ports = claim.ports
+    assert ports == tuple(range(ports[0], ports[0] + 20))
+    claim.release()
     with socket.socket() as taken:
         taken.bind(("127.0.0.1", ports[0]))
-        assert ports[0] not in processes.free_ports(20)
+        others = [processes.claim_ports(20) for _ in range(30)]
+        assert all(ports[0] not in other.ports for other in others)
+    for other in others:
+        other.release()
+
+
+def test_no_two_runs_have_the_same_ports():
+    # Two runs at a time had the same 115 ports: 122 and 145 promises seemed broken, and all six
+    # instances of one ended because their ports were in use.
+    claims = [processes.claim_ports(180) for _ in range(12)]
+    ports = [port for claim in claims for port in claim.ports]
+    assert len(set(ports)) == len(ports)
+    for claim in claims:
+        claim.release()
 
 
 def test_books_are_read_back_and_half_a_line_at_the_end_is_passed_over(tmp_path):
