--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,6 +15,10 @@
 
 _DAY = 86_400.0
 
+_SUSPECT_REPORTS = 2
+"""Reports to each node by each of the two that find a search to end its targets, as counted in six
+instances in memory."""
+
 _HEARTBEAT_SECONDS = 2.0
 """Seconds between heartbeats on the users' platform (`forwarding/node.py`)."""
 
@@ -225,6 +229,8 @@
     reads = size.halls / _POLL_SECONDS + size.nodes / _RENEW_SECONDS * _RENEWAL_PRICE
     collections = (size.hall_nodes - 1) / extra_keeper.PULL_SECONDS
     collection = found["collection"]
+    report = found["suspect"]
+    reports = _SUSPECT_REPORTS * links
     return [
         (
             "extra attempts, the keeper of a hall while targets fail; nothing while all is well",
@@ -234,6 +240,14 @@
             "one keeper a hall, asked at most 4 times a second to collect; collections of a part of"
             " the hall: not built",
         ),
+        (
+            "a search that ends the targets that run it, for each of the two nodes that find it so;"
+            " nothing while no target ends",
+            f"{reports * report['bytes'] / 1e6:.2f} MB once,"
+            f" {reports * report['us'] / 1e3:,.0f} ms",
+            "-",
+            "whoever finds something tells all nodes; by halls: not built",
+        ),
         (
             "heartbeats",
             f"{bytes_per_second:,.0f} bytes/s, {processor:.2%} of a core",
--- a/bench/platform_slopes.py
+++ b/bench/platform_slopes.py
@@ -10,7 +10,7 @@
 import tracemalloc
 from typing import TYPE_CHECKING, Any
 
-from lineworks.decisions import routes, target_view
+from lineworks.decisions import routes, suspects, target_view
 from lineworks.forwarding import target_book
 from lineworks.wire import codec, deflate, frames, node_frames
 
@@ -91,6 +91,34 @@
     return {kind: asked[kind] + answered[kind] for kind in asked}
 
 
+def measure_suspect() -> dict[str, float]:
+    """Measure reports of requests that end their targets, on one link.
+
+    Returns:
+        Bytes of one on the wire, with as many ends as a record holds, and microseconds for its two
+        ends.
+    """
+    return _measure_frames(
+        [
+            node_frames.SuspectReports(
+                (
+                    suspects.Record(
+                        f"{number:024x}",
+                        0,
+                        tuple(
+                            suspects.End(
+                                f"i-{number * 16 + end:010x}", f"{number:016x}", 0.0, False
+                            )
+                            for end in range(suspects.MOST_ENDS)
+                        ),
+                    ),
+                )
+            )
+            for number in range(HEARTBEATS)
+        ]
+    )
+
+
 def _measure_frames(sent: Sequence[frames.Frame]) -> dict[str, float]:
     """Measure frames of one kind on one link: bytes of one, and microseconds for its two ends."""
     deflater = deflate.Deflater()
@@ -111,6 +139,7 @@
         "target": measure_book(),
         "heartbeat": measure_heartbeat(),
         "collection": measure_collection(),
+        "suspect": measure_suspect(),
     }
     OUT.write_text(json.dumps(found, indent=1) + "\n")
 
