--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -56,11 +56,19 @@
     assert named in lines(output)[0]["error"]
 
 
-def test_a_port_in_use_ends_the_process(tmp_path):
+@pytest.fixture
+def ports():
+    """Ports that no other run takes meanwhile."""
+    claim = processes.claim_ports(4)
+    yield claim.ports
+    claim.release()
+
+
+def test_a_port_in_use_ends_the_process(tmp_path, ports):
     with socket.socket() as taken:
         taken.bind(("127.0.0.1", 0))
         taken.listen()
-        ready, inner, _ = processes.free_ports(3)
+        ready, inner = ports[:2]
         path = write_settings(tmp_path / "s.yaml", taken.getsockname()[1], ready, inner)
         process = start(path)
         output, _ = process.communicate(timeout=LIMIT)
@@ -68,8 +76,8 @@
     assert lines(output)[-1]["event"] == "port_in_use"
 
 
-def test_a_planned_stop_ends_with_success(tmp_path):
-    front, ready, inner, _ = processes.free_ports(4)
+def test_a_planned_stop_ends_with_success(tmp_path, ports):
+    front, ready, inner, _ = ports
     process = start(write_settings(tmp_path / "s.yaml", front, ready, inner))
     assert process.stdout is not None
     seen = ""
