A stopping process refuses what it can't finish, as not run

Change: a request that usually takes longer than the time that is left, or whose route has not been learned and allows longer, is refused at once with a Retry-After of 0: another instance takes its next connection. Its targets run nothing.

--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 from typing import TYPE_CHECKING
 
 from lineworks.decisions import (
@@ -35,6 +36,10 @@
 MOSTLY = 0.5
 """Share of requests without a target above which most are."""
 
+STOP_RETRY_AFTER = 0.0
+"""Seconds after which a caller may ask again when this process ends first: another instance takes
+its next connection."""
+
 _BODY_METHODS = frozenset((b"POST", b"PUT", b"PATCH"))
 _DROPPED = frozenset((headers.BUDGET, headers.EXPECT))
 
@@ -59,6 +64,8 @@
         """Says whether configuration and targets are known."""
         self.view_age: Callable[[], float] = lambda: 0.0
         """Tells the age of what is known of the targets, in seconds."""
+        self.ends_at: Callable[[], float] = lambda: math.inf
+        """Tells when the process ends whatever is under way, in seconds."""
         self._refused = estimators.Average(REFUSAL_WEIGHT)
 
     @property
@@ -181,7 +188,15 @@
         content = _content(request)
         judgement = self._shared.suspects.judge(content)
         if judgement is suspects.Judgement.REFUSE:
-            self._refuse_suspect(request, answer, table, route, attempt, content)
+            left = self._shared.suspects.note_refused(content, attempt.decode("latin-1"))
+            found = verdict.not_run(verdict.Reason.CRASHES_TARGETS, "ends the targets that run it")
+            refused = outcome.refuse(found, retry_after=left)
+            self._refuse(request, answer, table, route, attempt, content, refused)
+            return None
+        if not self._has_time(route):
+            found = verdict.not_run(verdict.Reason.LEAVING, "the process would end first")
+            refused = outcome.refuse(found, retry_after=STOP_RETRY_AFTER)
+            self._refuse(request, answer, table, route, attempt, content, refused)
             return None
         call = target_calls.TargetCall(
             head=_head(request),
@@ -217,7 +232,22 @@
         work.start()
         return functools.partial(self._cancel, work, request, attempt, route)
 
-    def _refuse_suspect(
+    def _has_time(self, route: routes.Route) -> bool:
+        """Say whether a request that comes now usually ends before the process does.
+
+        Without it a stopping process took requests until its very end and closed the connections
+        of those that it could not finish, among them unrepeatable ones that were running.
+        """
+        ends_at = self.ends_at()
+        if math.isinf(ends_at):
+            return True
+        book = self._shared.book
+        services = route.shards or tuple(part.service for part in route.split)
+        is_known = any(book.service_time(service) for service in services)
+        usual = max(route.aim, book.usual_answer(services)) if is_known else route.timeout
+        return self._shared.reactor.seconds() + usual <= ends_at
+
+    def _refuse(
         self,
         request: server_connection.Request,
         answer: Callable[[server_connection.Answer], None],
@@ -225,11 +255,9 @@
         route: routes.Route,
         attempt: bytes,
         content: str,
+        refused: outcome.Outcome,
     ) -> None:
-        """Refuse a request that ends its targets, and tell when it may be tried again."""
-        left = self._shared.suspects.note_refused(content, attempt.decode("latin-1"))
-        found = verdict.not_run(verdict.Reason.CRASHES_TARGETS, "ends the targets that run it")
-        refused = outcome.refuse(found, retry_after=left)
+        """Answer a request of a route that nothing is sent for."""
         age = self.view_age()
         self._log.on_end(request, attempt, route, table.version, refused, age, content)
         answer(refused.answer)
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import hashlib
+import math
 import random
 import secrets
 from typing import TYPE_CHECKING, Any
@@ -85,7 +86,7 @@
         self._callers_port = callers_port
         self._rng = rng or random.Random(secrets.randbits(64))
         self._is_stopping = False
-        self._stop_by = 0.0
+        self._stop_by = math.inf
         self._hand_over_until = 0.0
         self._counters = tools.Counters()
         self._metrics = metrics.RequestMetrics()
@@ -210,6 +211,7 @@
         """Tie the services together."""
         self._front.is_complete = lambda: self._directory.is_complete
         self._front.view_age = lambda: self._directory.age
+        self._front.ends_at = lambda: self._stop_by
         self._directory.on_table = self._on_table
         self._directory.on_targets = self._on_targets
         self._directory.on_instances = self._on_other_keys
