Requests of routes with home regions stay there: targets, gatherers, hedges, repeats, trials

Change: the adapter decodes it into Route.homes; TargetBook._open is the one place that says which targets may get a request at all, and all choices, looks for room and refusals go through it. A gatherer only asks its own hall's targets, so it stands at home as well. Without a target at home a request is refused at once, as not run, with the reason no_home_target and the regions. Ruled out: a check where requests are sent, which would find out too late and hold the request meanwhile.

--- a/src/lineworks/decisions/hall_ways.py
+++ b/src/lineworks/decisions/hall_ways.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
 SAME_HALL_SECONDS = 0.0005
 """Way there and back within a data hall, in seconds: under a millisecond on the users' sheets."""
@@ -60,6 +60,18 @@
         """Way to the farthest hall and back, in seconds."""
         return max((self.round_trip(hall) for hall in self._regions), default=SAME_HALL_SECONDS)
 
+    def is_home(self, hall: str, homes: Collection[str]) -> bool:
+        """Say whether requests with home regions may be served in a hall.
+
+        Args:
+            hall: The hall.
+            homes: The regions; empty for any.
+
+        Returns:
+            Whether its region is one of them. A hall of no known region is nobody's home.
+        """
+        return not homes or self._regions.get(hall) in homes
+
     def cost(self, hall: str) -> float:
         """Tell what the way to a hall costs.
 
--- a/src/lineworks/decisions/routes.py
+++ b/src/lineworks/decisions/routes.py
@@ -12,6 +12,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
+ANYWHERE: frozenset[str] = frozenset()
+"""Home regions of what may be served in any region."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceSpec:
@@ -76,6 +79,9 @@
     least_share: float = 1.0
     """Share of the shards (0 to 1) that a search's answer needs."""
 
+    homes: frozenset[str] = ANYWHERE
+    """Home regions: the only ones in which its requests are served."""
+
     @property
     def is_search(self) -> bool:
         """Whether its requests reach every shard."""
--- a/src/lineworks/decisions/verdict.py
+++ b/src/lineworks/decisions/verdict.py
@@ -102,6 +102,9 @@
     INVALID = "invalid"
     """The request breaks the rules of the interface."""
 
+    NO_HOME_TARGET = "no_home_target"
+    """No target in the route's home regions can be asked, and no other one may be."""
+
     CRASHES_TARGETS = "crashes_targets"
     """The request ends the targets that run it."""
 
--- a/src/lineworks/forwarding/attempts.py
+++ b/src/lineworks/forwarding/attempts.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable, Sequence
 
+    from lineworks.decisions import routes
     from lineworks.forwarding import target_book, target_state
 
 GIVEN_UP = verdict.may_have_run(verdict.Reason.CANCELLED, "given up")
@@ -104,10 +105,10 @@
 
 def choose_target(
     book: target_book.TargetBook,
+    route: routes.Route,
     service: str,
     now: float,
     made: Sequence[Attempt],
-    most: int,
     excluded: Collection[str],
 ) -> target_state.TargetState | None:
     """Choose the target of another attempt within the route's limit.
@@ -117,19 +118,20 @@
 
     Args:
         book: The targets.
+        route: The route, which limits targets and regions.
         service: The service.
         now: The present, in seconds.
         made: All attempts so far.
-        most: Targets that the route allows.
         excluded: Identities of targets that are not to be asked.
 
     Returns:
         Any target that is best now or, once as many as allowed may have run the request, one of
         those that are known; None when there is none.
     """
-    if has_target_left(made, most):
-        return book.choose(service, now, excluded)
-    return book.choose_among(service, now, known_targets(made).difference(excluded))
+    if has_target_left(made, route.max_attempts):
+        return book.choose(service, now, excluded, route.homes)
+    known = known_targets(made).difference(excluded)
+    return book.choose_among(service, now, known, route.homes)
 
 
 def describe(service: str, made: Sequence[Attempt]) -> str:
--- a/src/lineworks/forwarding/outcome.py
+++ b/src/lineworks/forwarding/outcome.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
 
 from lineworks.decisions import verdict
 from lineworks.http1 import server_connection
 
+if TYPE_CHECKING:
+    from lineworks.decisions import routes
+
 RETRY_AFTER = 0.25
 """Seconds after which a caller may ask again: a replica's pause is over, or a restart is known."""
 
@@ -57,6 +61,22 @@
     """The target that answered, or the last one tried."""
 
 
+def no_target(route: routes.Route, detail: str) -> verdict.Verdict:
+    """Say that no target can be asked for a request.
+
+    Args:
+        route: Its route.
+        detail: What keeps the targets from being asked.
+
+    Returns:
+        The verdict, which names the home regions where they are the reason or a part of it.
+    """
+    if not route.homes:
+        return verdict.not_run(verdict.Reason.NO_REPLICA, detail)
+    homes = ", ".join(sorted(route.homes))
+    return verdict.not_run(verdict.Reason.NO_HOME_TARGET, f"in its home regions {homes}: {detail}")
+
+
 def refuse(found: verdict.Verdict, attempts: int = 0, retry_after: float | None = None) -> Outcome:
     """Make the outcome of a request that ends without a target's answer.
 
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -160,14 +160,17 @@
 
     def _wait_or_refuse(self, open_shards: int, now: float) -> None:
         """Wait a little for targets with room; a search that can't succeed loads no target."""
-        reachable = sum(1 for shard in self._shards if self._shared.book.has_any(shard.service))
+        reachable = sum(1 for shard in self._shards if self._has_any(shard))
         may_wait = mechanisms.Mechanism.ROOM_WAIT not in self._shared.without
         last = self._arrived + WAIT_SHARE * self._route.aim - ROOM_PAUSE
         if may_wait and reachable >= self._needed and now < min(last, self._call.deadline):
             self._set_timer(ROOM_PAUSE, self._begin)
             return
         detail = f"{open_shards} of {len(self._shards)} shards have a target with room"
-        self._finish_without(verdict.not_run(verdict.Reason.NO_REPLICA, detail))
+        self._finish_without(outcome.no_target(self._route, detail))
+
+    def _has_any(self, shard: search_state.Shard) -> bool:
+        return self._shared.book.has_any(shard.service, self._route.homes)
 
     def cancel(self) -> None:
         """Give the search up, because its caller has gone."""
@@ -206,7 +209,7 @@
             self._sent.ask_halls(remote, now, is_hedge)
 
     def _choose(self, shard: search_state.Shard, now: float) -> target_state.TargetState | None:
-        return shard.choose(self._shared.book, now, self._route.max_attempts)
+        return shard.choose(self._shared.book, self._route, now)
 
     def _choose_now(self, shard: search_state.Shard) -> target_state.TargetState | None:
         return self._choose(shard, self._shared.reactor.seconds())
@@ -298,7 +301,7 @@
             return
         now = self._shared.reactor.seconds()
         pause = min(MOST_RETRY_PAUSE, RETRY_PAUSE * 2**shard.pauses)
-        if now + pause < self._call.deadline and self._shared.book.has_any(shard.service):
+        if now + pause < self._call.deadline and self._has_any(shard):
             shard.is_waiting = True
             shard.pauses += 1
             shard.tried.clear()
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -93,7 +93,9 @@
         left: dict[int, list[target_state.TargetState]] = {}
         for index in wanted:
             shard = self._shards[index]
-            left[index] = self._shared.book.good(shard.service, now, shard.tried, slack)
+            left[index] = self._shared.book.good(
+                shard.service, now, shard.tried, slack, self._route.homes
+            )
         while left:
             by_hall: dict[str, list[tuple[int, target_state.TargetState]]] = {}
             for index, states in left.items():
--- a/src/lineworks/forwarding/search_hedges.py
+++ b/src/lineworks/forwarding/search_hedges.py
@@ -170,11 +170,11 @@
         """Choose the target of a hedge, if it could be in time and an attempt is left for it."""
         book = self._shared.book
         most = self._route.max_attempts
-        state = shard.choose(book, now, most)
+        state = shard.choose(book, self._route, now)
         if state is None:
             # A target that failed, or had no room, may do by now.
             shard.tried = {attempt.state.id for attempt in shard.running}
-            state = shard.choose(book, now, most)
+            state = shard.choose(book, self._route, now)
         if state is None:
             is_left = attempts.has_target_left(shard.made, most)
             reason = search_state.NotHedged
--- a/src/lineworks/forwarding/search_state.py
+++ b/src/lineworks/forwarding/search_state.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
+    from lineworks.decisions import routes
     from lineworks.forwarding import target_book, target_state
 
 
@@ -92,19 +93,19 @@
     """Whether nothing more is tried."""
 
     def choose(
-        self, book: target_book.TargetBook, now: float, most: int
+        self, book: target_book.TargetBook, route: routes.Route, now: float
     ) -> target_state.TargetState | None:
         """Choose the target of another attempt, among those not tried lately.
 
         Args:
             book: The targets.
+            route: The search's route.
             now: The present, in seconds.
-            most: Targets that the route allows.
 
         Returns:
             The target, or None when none may be asked now.
         """
-        return attempts.choose_target(book, self.service, now, self.made, most, self.tried)
+        return attempts.choose_target(book, route, self.service, now, self.made, self.tried)
 
     def was_sent_to(self, target: str) -> bool:
         """Say whether a target was asked directly.
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -114,12 +114,13 @@
             self._set_timer(ROOM_PAUSE, self._place)
         else:
             detail = f"no target has room: {self._shared.book.describe(self._service, now)}"
-            self._finish_without(verdict.Reason.NO_REPLICA, detail)
+            found = outcome.no_target(self._route, detail)
+            self._finish_without(found.reason, found.detail)
 
     def _may_wait(self, now: float) -> bool:
         if mechanisms.Mechanism.ROOM_WAIT in self._shared.without:
             return False
-        if not self._shared.book.has_any(self._service):
+        if not self._has_any():
             return False
         last = self._arrived + WAIT_SHARE * self._route.aim - ROOM_PAUSE
         return now < min(last, self._call.deadline)
@@ -182,13 +183,15 @@
             return False
         if len(self._made) >= MOST_ATTEMPTS or now + ROOM_PAUSE >= self._call.deadline:
             return False
-        return shared.book.has_any(self._service)
+        return self._has_any()
+
+    def _has_any(self) -> bool:
+        return self._shared.book.has_any(self._service, self._route.homes)
 
     def _choose(self, now: float) -> target_state.TargetState | None:
-        shared = self._shared
-        most = self._route.max_attempts
+        book = self._shared.book
         return attempts.choose_target(
-            shared.book, self._service, now, self._made, most, self._tried
+            book, self._route, self._service, now, self._made, self._tried
         )
 
     def _has_extra(self, last: verdict.Verdict) -> bool:
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -15,14 +15,15 @@
     hall_ways,
     mechanisms,
     replicas,
+    routes,
 )
 from lineworks.forwarding import target_sightings, target_state
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection, Iterable, Mapping, Sequence
+    from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
 
-    from lineworks.decisions import routes, target_view
+    from lineworks.decisions import target_view
 
 GOOD_SECONDS = 0.015
 """Seconds that a target may always be slower than the best when that saves asking another hall."""
@@ -152,7 +153,11 @@
         return BookChange(added, leaving, gone, ended)
 
     def usable(
-        self, service: str, now: float, excluded: Collection[str]
+        self,
+        service: str,
+        now: float,
+        excluded: Collection[str],
+        homes: Collection[str] = routes.ANYWHERE,
     ) -> list[target_state.TargetState]:
         """List the targets of a service that may be asked now.
 
@@ -160,27 +165,38 @@
             service: The service.
             now: The present, in seconds.
             excluded: Identities of targets that were tried.
+            homes: Home regions of the request.
 
         Returns:
             Targets with room that are neither leaving nor resting; stalled ones only if there is
             no other.
         """
-        able = self._able(service, now, excluded)
+        able = self._able(service, now, excluded, homes)
         if not self._avoids_slow:
             return able
         patience = self.patience(service)
         lively = [state for state in able if not state.replica.is_stalled(now, patience)]
         return lively or able
 
+    def _open(
+        self, service: str, homes: Collection[str] = routes.ANYWHERE
+    ) -> Iterator[target_state.TargetState]:
+        """List the targets that may get a request at all, now or when they have room.
+
+        The one place that says so: requests with home regions left them wherever it was forgotten.
+        """
+        for state in self._by_service.get(service, ()):
+            if not state.replica.is_leaving and self.ways.is_home(state.hall, homes):
+                yield state
+
     def _able(
-        self, service: str, now: float, excluded: Collection[str]
+        self, service: str, now: float, excluded: Collection[str], homes: Collection[str]
     ) -> list[target_state.TargetState]:
-        """List the targets with room that are neither leaving nor resting, stalled or not."""
+        """List the targets with room that are not resting, stalled or not."""
         return [
             state
-            for state in self._by_service.get(service, ())
+            for state in self._open(service, homes)
             if state.id not in excluded
-            and not state.replica.is_leaving
             and state.replica.rest_until <= now
             and state.replica.in_flight < state.replica.limit.value
         ]
@@ -199,10 +215,9 @@
         patience = self.patience(service)
         return any(
             state.hall == hall
-            and not state.replica.is_leaving
             and state.replica.rest_until <= now
             and not state.replica.is_stalled(now, patience)
-            for state in self._by_service.get(service, ())
+            for state in self._open(service)
         )
 
     def find(self, target: str) -> target_state.TargetState | None:
@@ -216,9 +231,9 @@
         """
         return self._states.get(target)
 
-    def has_any(self, service: str) -> bool:
-        """Say whether a service has a target that is not leaving."""
-        return any(not state.replica.is_leaving for state in self._by_service.get(service, ()))
+    def has_any(self, service: str, homes: Collection[str] = routes.ANYWHERE) -> bool:
+        """Say whether a service has a target, in some home regions, that is not leaving."""
+        return any(True for _ in self._open(service, homes))
 
     def describe(self, service: str, now: float) -> str:
         """Tell, for logs, what keeps the targets of a service from being asked.
@@ -240,6 +255,7 @@
         service: str,
         now: float,
         excluded: Collection[str],
+        homes: Collection[str] = routes.ANYWHERE,
     ) -> target_state.TargetState | None:
         """Choose the target of a service that should answer first.
 
@@ -247,14 +263,19 @@
             service: The service.
             now: The present, in seconds.
             excluded: Identities of targets that were tried.
+            homes: Home regions of the request.
 
         Returns:
             The target, or None when none may be asked.
         """
-        return self._soonest(self.usable(service, now, excluded), now)
+        return self._soonest(self.usable(service, now, excluded, homes), now)
 
     def choose_among(
-        self, service: str, now: float, wanted: Collection[str]
+        self,
+        service: str,
+        now: float,
+        wanted: Collection[str],
+        homes: Collection[str] = routes.ANYWHERE,
     ) -> target_state.TargetState | None:
         """Choose one of some targets of a service.
 
@@ -262,11 +283,12 @@
             service: The service.
             now: The present, in seconds.
             wanted: Identities of the targets.
+            homes: Home regions of the request.
 
         Returns:
             The one that should answer first, or None when none of them may be asked.
         """
-        able = [state for state in self.usable(service, now, ()) if state.id in wanted]
+        able = [state for state in self.usable(service, now, (), homes) if state.id in wanted]
         return self._soonest(able, now)
 
     def choose_in(
@@ -284,7 +306,12 @@
         Returns:
             The target, or None when none of the hall may be asked.
         """
-        found = self._able(service, now, ()) if takes_stalled else self.usable(service, now, ())
+        anywhere = routes.ANYWHERE
+        found = (
+            self._able(service, now, (), anywhere)
+            if takes_stalled
+            else self.usable(service, now, ())
+        )
         here = [state for state in found if state.hall == hall]
         patience = self.patience(service)
         lively = [state for state in here if not state.replica.is_stalled(now, patience)]
@@ -300,7 +327,12 @@
         return min(able, key=lambda state: (self.expected(state, now), self._rng.random()))
 
     def good(
-        self, service: str, now: float, excluded: Collection[str], slack: float = GOOD_SECONDS
+        self,
+        service: str,
+        now: float,
+        excluded: Collection[str],
+        slack: float = GOOD_SECONDS,
+        homes: Collection[str] = routes.ANYWHERE,
     ) -> list[target_state.TargetState]:
         """List the targets of a service that should answer about as fast as the best.
 
@@ -309,11 +341,13 @@
             now: The present, in seconds.
             excluded: Identities of targets that were tried.
             slack: Seconds that a target may be slower than the best one.
+            homes: Home regions of the request.
 
         Returns:
             Targets within the slack of the best one.
         """
-        able = [(self.expected(state, now), state) for state in self.usable(service, now, excluded)]
+        usable = self.usable(service, now, excluded, homes)
+        able = [(self.expected(state, now), state) for state in usable]
         best = min((seconds for seconds, _ in able), default=0.0)
         return [state for seconds, state in able if seconds <= best + slack]
 
--- a/src/lineworks/platform/configuration.py
+++ b/src/lineworks/platform/configuration.py
@@ -74,6 +74,7 @@
         top=item.integer("TopK", 0),
         # Despite its name the field holds a share: that of the shards that an answer needs.
         least_share=item.number("OldestVersion", 1.0),
+        homes=frozenset(item.texts("AllowedRegions")),
     )
 
 
