--- a/src/lineworks/platform/standins/documents.py
+++ b/src/lineworks/platform/standins/documents.py
@@ -32,6 +32,11 @@
     return f"servers/{name}"
 
 
+def evacuation_key(hall: str) -> str:
+    """Name the key by which operators ask to leave a data hall alone."""
+    return f"op/evacuate/{hall}"
+
+
 def target_entry(
     service: str, address: str, hall: str, slots: int, state: str, born: int | None = None
 ) -> str:
--- a/src/lineworks/standins/deployment.py
+++ b/src/lineworks/standins/deployment.py
@@ -189,6 +189,14 @@
         document = documents.configuration(self.version, routes, services)
         self.store.write(documents.CONFIGURATION_KEY, document)
 
+    def evacuate(self, hall: str) -> None:
+        """Ask, as the operators do, to send nothing more to the targets of a data hall."""
+        self.store.write(documents.evacuation_key(hall), documents.encoded("{}"))
+
+    def end_evacuation(self, hall: str) -> None:
+        """Take such a request back."""
+        self.store.remove(documents.evacuation_key(hall))
+
     def add_node(self, name: str, hall: str) -> node.Node:
         """Start an instance.
 
--- /dev/null
+++ b/tests/test_evacuations.py
@@ -0,0 +1,201 @@
+"""The targets of an evacuated data hall get nothing new until the operators take that back."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from lineworks.decisions import evacuations
+from lineworks.standins import deployment
+from tests import test_forwarding
+
+BOUND = 5.0
+"""Seconds after the store's answer from which nothing more may arrive."""
+
+
+def ask_all(world, seconds=1.0, path="/search/q"):
+    """Ask every instance, and return the replies with the halls of the targets that ran them."""
+    began = len(world.runs)
+    replies = {name: world.ask(name, path) for name in world.nodes}
+    world.run(seconds)
+    halls = {world.targets[run.target].hall for run in world.runs[began:]}
+    return replies, halls
+
+
+def assert_spared(world, *halls):
+    for path in ("/search/q", "/read/q"):
+        replies, reached = ask_all(world, path=path)
+        assert {reply.status for reply in replies.values()} == {200}, path
+        assert reached.isdisjoint(halls), path
+
+
+def test_nothing_new_goes_to_an_evacuated_hall_after_the_bound_from_any_instance():
+    world = test_forwarding.build()
+    world.evacuate("akl")
+    world.run(BOUND)
+    assert_spared(world, "akl")
+    world.run(20.0)
+    assert_spared(world, "akl")
+
+
+def test_the_hall_is_used_again_once_that_is_taken_back():
+    world = test_forwarding.build()
+    world.evacuate("akl")
+    world.run(BOUND)
+    world.end_evacuation("akl")
+    world.run(BOUND)
+    _, halls = ask_all(world)
+    assert "akl" in halls
+
+
+def test_two_halls_at_once_and_one_back():
+    world = test_forwarding.build()
+    world.evacuate("akl")
+    world.evacuate("wlg")
+    world.run(BOUND)
+    _, halls = ask_all(world, path="/read/q")
+    assert halls == {"chc"}
+    world.end_evacuation("wlg")
+    world.run(BOUND)
+    assert_spared(world, "akl")
+
+
+def test_without_enough_shards_elsewhere_a_search_is_refused_at_once_as_not_run():
+    # Half of the shards have copies in these two halls only, and an answer needs three quarters.
+    world = test_forwarding.build()
+    world.evacuate("akl")
+    world.evacuate("wlg")
+    world.run(BOUND)
+    replies, halls = ask_all(world)
+    assert not halls
+    assert {reply.status for reply in replies.values()} == {503}
+    assert all(reply.seconds < 0.01 for reply in replies.values())
+
+
+@pytest.mark.parametrize("is_store_down", [False, True])
+def test_an_instance_that_starts_obeys_before_it_serves(is_store_down):
+    world = test_forwarding.build()
+    world.evacuate("akl")
+    world.run(BOUND)
+    world.server.faults.is_down = is_store_down
+    for name in list(world.nodes)[::2]:
+        world.host_of(name).kill()
+        world.add_node(name, name.partition("-")[0])
+    for _ in range(20):
+        replies, halls = ask_all(world, 0.2)
+        assert "akl" not in halls
+    assert {reply.status for reply in replies.values()} == {200}
+
+
+def test_an_instance_that_was_cut_off_obeys_once_it_is_back():
+    world = test_forwarding.build()
+    alone = world.address_of("wlg-1")
+    others = [world.address_of(name) for name in world.nodes if name != "wlg-1"]
+    for other in [deployment.STORE_ADDRESS, *others]:
+        world.network.cut(alone, other)
+        world.network.cut(other, alone)
+    world.evacuate("akl")
+    world.run(8.0)
+    world.network.heal()
+    world.run(BOUND)
+    assert_spared(world, "akl")
+
+
+def test_a_frozen_instance_obeys_once_it_is_awake():
+    world = test_forwarding.build()
+    world.host_of("wlg-1").freeze()
+    world.evacuate("akl")
+    world.run(6.0)
+    world.host_of("wlg-1").wake()
+    world.run(BOUND)
+    assert_spared(world, "akl")
+
+
+def test_it_holds_through_an_outage_of_the_store():
+    world = test_forwarding.build()
+    world.evacuate("akl")
+    world.run(BOUND)
+    world.server.faults.is_down = True
+    world.run(15.0)
+    assert_spared(world, "akl")
+
+
+@pytest.mark.parametrize("is_end_lost", [False, True])
+def test_a_lost_history_hides_neither_its_beginning_nor_its_end(is_end_lost):
+    world = test_forwarding.build()
+    if is_end_lost:
+        world.evacuate("akl")
+        world.run(BOUND)
+        world.end_evacuation("akl")
+    else:
+        world.evacuate("akl")
+    world.store.forget_history()
+    world.run(BOUND)
+    _, halls = ask_all(world)
+    assert ("akl" in halls) is is_end_lost
+
+
+def test_attempts_under_way_go_on_and_hedges_go_elsewhere():
+    world = test_forwarding.build(work=lambda: 6.0)
+    world.configure(
+        [{**test_forwarding.READ, "TimeoutMs": 9000, "SloMs": 9000, "AllowedRegions": ["akl"]}]
+    )
+    world.run(2.0)
+    reply = world.ask("wlg-1", "/read/q", budget=9.0, attempt="q")
+    world.run(0.5)
+    world.evacuate("akl")
+    world.run(8.0)
+    assert reply.status == 200
+    assert len(world.runs_of("q")) == 1
+
+
+def test_it_holds_while_targets_come_and_go_and_the_configuration_changes():
+    world = test_forwarding.build()
+    world.evacuate("akl")
+    world.run(1.0)
+    for shard in test_forwarding.SHARDS[:6]:
+        world.add_target(shard, "akl")
+        world.add_target(shard, "chc")
+    for target in test_forwarding.targets_of(world, test_forwarding.SHARDS[1])[:1]:
+        world.announce(target, "draining")
+    world.configure([test_forwarding.SEARCH, test_forwarding.READ])
+    world.run(BOUND)
+    assert_spared(world, "akl")
+
+
+def test_a_hall_that_does_not_exist_changes_nothing():
+    world = test_forwarding.build()
+    world.evacuate("nowhere")
+    world.evacuate("")
+    world.run(BOUND)
+    replies, halls = ask_all(world)
+    assert {reply.status for reply in replies.values()} == {200}
+    assert halls == set(deployment.HALLS)
+
+
+ORDERED = [
+    evacuations.EvacuationChange("a", 3, True),
+    evacuations.EvacuationChange("a", 5, False),
+    evacuations.EvacuationChange("a", 9, True),
+    evacuations.EvacuationChange("b", 4, True),
+]
+
+
+@pytest.mark.parametrize("order", itertools.permutations(ORDERED))
+def test_the_latest_change_decides_in_whatever_order_they_come(order):
+    found = evacuations.Evacuations()
+    for change in order:
+        found.apply([change, change])
+    assert found.halls == {"a", "b"}
+
+
+def test_a_listing_takes_back_only_what_it_is_newer_than():
+    found = evacuations.Evacuations()
+    found.apply(ORDERED)
+    assert not found.replace([], 3)
+    assert found.replace([], 4)
+    assert found.halls == {"a"}
+    assert found.replace([evacuations.EvacuationChange("b", 10, True)], 10)
+    assert found.halls == {"b"}
+    assert not found.apply(ORDERED)
