Evacuated halls get nothing new: learned, spread and obeyed like the targets

Change: the directory reads these keys with the same listing and changes as the targets' entries, and hands them to the hall's peers in the same frame, so that no revision is known without them; TargetBook._open leaves such targets out of first attempts, hedges, retries and trials, here and at gatherers. A key has no lease, so a listing without it takes it back. Attempts under way go on. Ruled out: entries marked as leaving, from which no target comes back; a frame of its own, which could be lost while the revision goes on. The store's own answer is the operators' acknowledgement on this platform, so nothing is written back.

--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -11,10 +11,11 @@
 
 import structlog
 
-from lineworks.decisions import ownership, routes, target_view
+from lineworks.decisions import evacuations, ownership, routes, target_view
 from lineworks.forwarding import target_documents
 from lineworks.kernel import bounded_log, task
 from lineworks.platform import configuration, store, target_entries
+from lineworks.platform import evacuations as evacuation_keys
 from lineworks.wire import node_frames
 
 if TYPE_CHECKING:
@@ -90,6 +91,7 @@
         self._store = client
         self._links = links
         self._view = target_view.TargetView()
+        self._evacuations = evacuations.Evacuations()
         self._table: routes.RouteTable | None = None
         self._document = b""
         self._has_targets = False
@@ -133,6 +135,11 @@
         """Entries of all targets."""
         return self._view.entries.values()
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Data halls whose targets get no new work."""
+        return self._evacuations.halls
+
     def start(self) -> None:
         """Begin to ask the store."""
         self._task.start()
@@ -207,13 +214,15 @@
         listing = await self._store.list_items(_ANY)
         rows = [store.Change(item.key, item.revision, item.value) for item in listing.items]
         entries = self._decode(rows)
-        is_changed = self._view.replace(entries, listing.revision, self._hold())
+        # Before the targets are known, so that a hall that is to be left alone gets nothing.
+        is_changed = self._evacuations.replace(_asked(rows), listing.revision)
+        is_changed |= self._view.replace(entries, listing.revision, self._hold())
         self._has_targets = True
         self._fresh_at = max(self._fresh_at, asked_at)
         self._take_others(rows)
         if is_changed:
             self.on_targets()
-        self._tell_peers(0, self._view.all_changes())
+        self._tell_peers(0, self._view.all_changes(), self._evacuations.all_changes())
 
     async def _read_changes(self, asked_at: float) -> None:
         """Read what changed since the last time."""
@@ -227,13 +236,15 @@
         # An entry that came back while its removal was held up is news to the peers as well.
         known = self._view.certain()
         entries = self._decode(found.changes)
-        is_changed = self._view.apply(entries, self._hold())
+        asked = _asked(found.changes)
+        is_changed = self._evacuations.apply(asked)
+        is_changed |= self._view.apply(entries, self._hold())
         self._view.revision = max(self._view.revision, found.revision)
         self._fresh_at = max(self._fresh_at, asked_at)
         self._take_others(found.changes)
         if is_changed:
             self.on_targets()
-        self._tell_peers(before, target_view.news(known, entries))
+        self._tell_peers(before, target_view.news(known, entries), asked)
 
     def _decode(self, rows: Iterable[store.Change]) -> list[target_view.TargetChange]:
         changes = []
@@ -287,9 +298,15 @@
             if link.hello is not None and link.hello.hall == self._hall
         ]
 
-    def _tell_peers(self, before: int, news: list[target_view.TargetChange]) -> None:
+    def _tell_peers(
+        self,
+        before: int,
+        news: list[target_view.TargetChange],
+        asked: tuple[evacuations.EvacuationChange, ...],
+    ) -> None:
+        document = target_documents.encode(news)
         update = node_frames.TargetUpdate(
-            before, self._view.revision, max(0.0, self.age), target_documents.encode(news)
+            before, self._view.revision, max(0.0, self.age), document, asked
         )
         for name in self._hall_peers():
             self._links.send(name, update)
@@ -305,9 +322,11 @@
             return
         self._note_return()
         if frame.from_revision == 0:
-            is_changed = self._view.replace(changes, frame.to_revision, self._hold())
+            is_changed = self._evacuations.replace(frame.evacuations, frame.to_revision)
+            is_changed |= self._view.replace(changes, frame.to_revision, self._hold())
         else:
-            is_changed = self._view.apply(changes, self._hold())
+            is_changed = self._evacuations.apply(frame.evacuations)
+            is_changed |= self._view.apply(changes, self._hold())
         self._view.revision = max(self._view.revision, frame.to_revision)
         self._has_targets = True
         self._fresh_at = max(self._fresh_at, self._reactor.seconds() - frame.age)
@@ -324,9 +343,9 @@
             link.send(node_frames.TableUpdate(self.version, self._document))
         if frame.version == 0 and self._has_targets:
             document = target_documents.encode(self._view.all_changes())
-            link.send(
-                node_frames.TargetUpdate(0, self._view.revision, max(0.0, self.age), document)
-            )
+            asked = self._evacuations.all_changes()
+            age = max(0.0, self.age)
+            link.send(node_frames.TargetUpdate(0, self._view.revision, age, document, asked))
 
     def _on_up(self, hello: frames.Hello) -> None:
         """Ask a peer for everything while nothing is known and the store does not answer."""
@@ -369,3 +388,14 @@
         _log.info("store_regained", seconds=round(now - self._outage_since, 3))
         self._outage_since = None
         self._hold_until = now + target_view.LAPSE_GRACE
+
+
+def _asked(rows: Iterable[store.Change]) -> tuple[evacuations.EvacuationChange, ...]:
+    """Pick out what the operators ask of whole halls."""
+    found = []
+    for row in rows:
+        hall = evacuation_keys.hall_of(row.key)
+        if hall is not None:
+            is_asked = row.value is not None
+            found.append(evacuations.EvacuationChange(hall, row.revision, is_asked))
+    return tuple(found)
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -88,6 +88,7 @@
         self._is_stopping = False
         self._stop_by = math.inf
         self._hand_over_until = 0.0
+        self._evacuated: frozenset[str] = frozenset()
         self._counters = tools.Counters()
         self._metrics = metrics.RequestMetrics()
         self._extra = extra_attempts.ExtraAttempts(settings.allowance, reactor.seconds())
@@ -266,7 +267,9 @@
     def _on_targets(self) -> None:
         table = self._front.table
         services = table.services if table is not None else {}
-        change = self._book.update(self._directory.entries, services)
+        evacuated = self._directory.evacuated
+        self._note_evacuated(evacuated)
+        change = self._book.update(self._directory.entries, services, evacuated)
         for state in change.gone:
             self._calls.forget(state.id)
         self._suspects.note_gone(state.id for state in change.gone)
@@ -283,6 +286,16 @@
                 _log.info(kind, count=len(named), targets=named[:MOST_NAMED], view_age=age)
         self._go_on_if_complete()
 
+    def _note_evacuated(self, halls: frozenset[str]) -> None:
+        """Say which halls get no new work from now on, and which do again."""
+        age = round(self._directory.age, 3)
+        for hall in sorted(halls - self._evacuated):
+            is_known = hall in self._settings.regions
+            _log.info("hall_evacuated", hall=hall, is_known=is_known, view_age=age)
+        for hall in sorted(self._evacuated - halls):
+            _log.info("hall_takes_work", hall=hall, view_age=age)
+        self._evacuated = halls
+
     def _on_other_keys(self, changes: Sequence[store.Change]) -> None:
         self._registration.on_changes(changes)
         self._suspects.on_changes(changes)
@@ -346,6 +359,7 @@
                 kind: float(count) for kind, count in self._evidence.counts.items()
             },
             "lineworks_entries": {"refused": float(self._directory.refused_entries)},
+            "lineworks_evacuated_halls": dict.fromkeys(sorted(self._evacuated), 1.0),
             "lineworks_suspects": self._suspects.gauges,
             "lineworks_event_loop_delay_seconds": {
                 "last": self._loop_delay.last,
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -109,12 +109,14 @@
         self,
         entries: Iterable[target_view.TargetEntry],
         services: Mapping[str, routes.ServiceSpec],
+        evacuated: Collection[str] = (),
     ) -> BookChange:
         """Replace the set of targets; what is known of those that stay is kept.
 
         Args:
             entries: The targets' entries.
             services: The configured services.
+            evacuated: Data halls whose targets get no new work.
 
         Returns:
             Targets that came, that are leaving since now, that are gone, and that have ended.
@@ -140,6 +142,7 @@
                 state.replica.is_leaving = True
                 leaving.append(state)
             state.is_cold = entry.is_cold
+            state.is_evacuated = entry.hall in evacuated
             present[entry.life] = state
             by_service.setdefault(entry.service, []).append(state)
         gone = [state for name, state in self._states.items() if name not in present]
@@ -186,7 +189,8 @@
         The one place that says so: requests with home regions left them wherever it was forgotten.
         """
         for state in self._by_service.get(service, ()):
-            if not state.replica.is_leaving and self.ways.is_home(state.hall, homes):
+            is_taking = not (state.replica.is_leaving or state.is_evacuated)
+            if is_taking and self.ways.is_home(state.hall, homes):
                 yield state
 
     def _able(
--- a/src/lineworks/forwarding/target_state.py
+++ b/src/lineworks/forwarding/target_state.py
@@ -29,6 +29,9 @@
     is_cold: bool = False
     """Whether it has just started."""
 
+    is_evacuated: bool = False
+    """Whether the operators ask to send nothing more to its data hall."""
+
     identity: str = ""
     """Identity that a request names so that no other target runs it; its next process may have the
     same."""
@@ -60,6 +63,8 @@
     replica = state.replica
     if replica.is_leaving:
         return "leaving"
+    if state.is_evacuated:
+        return f"evacuated with {state.hall}"
     if replica.rest_until > now:
         left = round((replica.rest_until - now) * 1000)
         return f"left alone for {left} ms after {replica.failures} failures"
--- a/src/lineworks/wire/_gather_codec.py
+++ b/src/lineworks/wire/_gather_codec.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from lineworks.decisions import evacuations
 from lineworks.wire import _base, node_frames
 
 if TYPE_CHECKING:
@@ -93,11 +94,21 @@
     body.toRevision = frame.to_revision
     body.age = min(_base.MAX_REMAINING, int(frame.age * _base.MICROSECONDS))
     body.document = frame.document
+    rows = body.init("evacuations", len(frame.evacuations))
+    for row, change in zip(rows, frame.evacuations, strict=True):
+        row.hall = change.hall
+        row.revision = change.revision
+        row.isAsked = change.is_asked
 
 
 def _read_targets(body: Any, now: float) -> node_frames.TargetUpdate:
     age = body.age / _base.MICROSECONDS
-    return node_frames.TargetUpdate(body.fromRevision, body.toRevision, age, bytes(body.document))
+    changes = tuple(
+        evacuations.EvacuationChange(row.hall, row.revision, row.isAsked)
+        for row in body.evacuations
+    )
+    document = bytes(body.document)
+    return node_frames.TargetUpdate(body.fromRevision, body.toRevision, age, document, changes)
 
 
 def _write_table(builder: Any, frame: node_frames.TableUpdate, now: float) -> None:
--- a/src/lineworks/wire/node_frames.py
+++ b/src/lineworks/wire/node_frames.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from lineworks.decisions import suspects, target_evidence
+    from lineworks.decisions import evacuations, suspects, target_evidence
 
 
 class Failure(enum.IntEnum):
@@ -181,6 +181,9 @@
     document: bytes
     """The changes, as `target_documents` writes them."""
 
+    evacuations: tuple[evacuations.EvacuationChange, ...] = ()
+    """Changes of the halls that get no new work, of the same revisions."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableUpdate:
--- a/src/lineworks/wire/peer.capnp
+++ b/src/lineworks/wire/peer.capnp
@@ -123,6 +123,13 @@
   toRevision @1 :UInt64;
   age @2 :UInt32;
   document @3 :Data;
+  evacuations @4 :List(Evacuation);
+}
+
+struct Evacuation {
+  hall @0 :Text;
+  revision @1 :UInt64;
+  isAsked @2 :Bool;
 }
 
 struct TableUpdate { version @0 :UInt64; document @1 :Data; }
