Cold targets: what all instances send one a second is bounded; told pace and coldness are read

Cause: a cold target was only counted as 30 ms slower; nothing bounded what all instances together send it, and a hall that returns from an evacuation is cold at one moment while its entries may still say it is warm. Change: decisions/cold_targets.py holds each instance's part of WarmupPerS x WarmupExcess + WarmupSlack: by the number of instances that may live (the count that extra attempts use); where there are more instances than requests, the ones that rank first for the target send one a second, and those not heard of count as ranking before. Warm copies are asked first; without a share the request waits for room or is refused at once. The targets of a hall count as cold for WarmupS after its evacuation. X-Warmup-Left of answers and the fourth figure of X-Server-Load are read, checked and kept with their time. Services that tell no rate are not bounded. Ruled out: equal parts by a rate (60 instances with a third of a request a second each may all send in the same second); owners by the links at the moment, which differ behind a cut. The line tells of counts, so a heartbeat costs no work that grows with the fleet.

--- a/src/lineworks/decisions/routes.py
+++ b/src/lineworks/decisions/routes.py
@@ -26,6 +26,13 @@
     connections: int
     """Connections that each of its targets accepts, from all instances together."""
 
+    cold_seconds: float = 0.0
+    """Seconds that its targets are cold after a start."""
+
+    cold_rate: float = 0.0
+    """Requests a second that one of them can handle while cold; 0 where none is told, and then
+    nothing bounds them."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WeightedService:
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -11,7 +11,7 @@
 
 import structlog
 
-from lineworks.decisions import extra_attempts, mechanisms, routes
+from lineworks.decisions import cold_targets, extra_attempts, mechanisms, routes
 from lineworks.forwarding import (
     directory,
     evidence_exchange,
@@ -106,7 +106,10 @@
         self._links.compresses = mechanisms.Mechanism.LINK_COMPRESSION not in without
         repeats = mechanisms.Mechanism.STORE_REPEATS not in without
         self._store = store.Store(reactor, settings.store, repeats=repeats)
-        self._book = target_book.TargetBook(settings.hall, settings.regions, self._rng, without)
+        cold = cold_targets.ColdAllowance(settings.name, settings.cold_bound)
+        self._book = target_book.TargetBook(
+            settings.hall, settings.regions, self._rng, without, cold
+        )
         self._learning = target_learning.TargetLearning(reactor, self._book, self._rng)
         self._calls = target_calls.TargetCalls(reactor, self._learning)
         self._gatherers = gatherers.Gatherers(reactor, self._links, self._rng)
@@ -269,7 +272,8 @@
         services = table.services if table is not None else {}
         evacuated = self._directory.evacuated
         self._note_evacuated(evacuated)
-        change = self._book.update(self._directory.entries, services, evacuated)
+        now = self._reactor.seconds()
+        change = self._book.update(self._directory.entries, services, evacuated, now)
         for state in change.gone:
             self._calls.forget(state.id)
         self._suspects.note_gone(state.id for state in change.gone)
@@ -314,7 +318,9 @@
     def _on_heartbeat(self, link: Any, frame: frames.Heartbeat) -> None:
         self._gatherers.set_leaving(link.hello.name, frame.is_leaving)
         self._directory.on_peer_version(link.hello.name, frame.config_version)
-        self._extra.instances.note_told(frame.instances, self._reactor.seconds())
+        now = self._reactor.seconds()
+        self._extra.instances.note_told(frame.instances, now)
+        self._book.cold.note_count(self._extra.instances.value(now))
 
     @property
     def _seen_instances(self) -> int:
@@ -323,7 +329,11 @@
         return max(linked, self._registration.known)
 
     def _count_instances(self) -> None:
-        self._extra.instances.note(self._seen_instances, self._reactor.seconds())
+        now = self._reactor.seconds()
+        self._extra.instances.note(self._seen_instances, now)
+        self._book.cold.note_count(self._extra.instances.value(now))
+        names = {self._settings.name, *self._links.up, *self._registration.names}
+        self._book.cold.note_names(names, now)
 
     def _check_stopped(self) -> None:
         """End when the balancer has let go and no request is under way, or time is up."""
--- a/src/lineworks/forwarding/registration.py
+++ b/src/lineworks/forwarding/registration.py
@@ -19,7 +19,7 @@
 from lineworks.platform import store
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from lineworks.models import node_settings
     from lineworks.services import peer_links
@@ -79,6 +79,11 @@
         """Instances listed, this one included once its key is; 0 while no list was read."""
         return len(self._members)
 
+    @property
+    def names(self) -> Collection[str]:
+        """Names of the instances that are listed."""
+        return self._members.keys()
+
     def start(self) -> None:
         """Begin to register."""
         self._task.start()
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -11,6 +11,7 @@
 
 from lineworks.decisions import (
     catalog,
+    cold_targets,
     estimators,
     hall_ways,
     mechanisms,
@@ -83,6 +84,7 @@
         regions: Mapping[str, str],
         rng: random.Random,
         without: Collection[mechanisms.Mechanism] = (),
+        cold: cold_targets.ColdAllowance | None = None,
     ) -> None:
         """Start without targets.
 
@@ -91,7 +93,10 @@
             regions: For each hall, its region.
             rng: Breaks ties.
             without: Mechanisms that are switched off.
+            cold: What this instance may send to cold targets; nothing where none is given.
         """
+        self.cold = cold or cold_targets.ColdAllowance("", cold_targets.ColdBound())
+        """What this instance may send to cold targets."""
         self._knows_load = mechanisms.Mechanism.LOAD_REPORTS not in without
         self._avoids_slow = mechanisms.Mechanism.SLOW_AVOIDANCE not in without
         self.ways = hall_ways.HallWays(hall, regions)
@@ -110,6 +115,7 @@
         entries: Iterable[target_view.TargetEntry],
         services: Mapping[str, routes.ServiceSpec],
         evacuated: Collection[str] = (),
+        now: float = 0.0,
     ) -> BookChange:
         """Replace the set of targets; what is known of those that stay is kept.
 
@@ -117,6 +123,7 @@
             entries: The targets' entries.
             services: The configured services.
             evacuated: Data halls whose targets get no new work.
+            now: The present, in seconds.
 
         Returns:
             Targets that came, that are leaving since now, that are gone, and that have ended.
@@ -142,6 +149,11 @@
                 state.replica.is_leaving = True
                 leaving.append(state)
             state.is_cold = entry.is_cold
+            state.cold_rate = spec.cold_rate if spec is not None else 0.0
+            if state.is_evacuated and spec is not None and entry.hall not in evacuated:
+                # The entries of a hall that turned cold meanwhile may say so only later, and all
+                # instances turn to it at once.
+                state.assumed_cold_until = now + spec.cold_seconds
             state.is_evacuated = entry.hall in evacuated
             present[entry.life] = state
             by_service.setdefault(entry.service, []).append(state)
@@ -150,6 +162,7 @@
         ended = [state for state in gone if state.identity in again]
         for state in gone:
             state.replica.is_leaving = True
+            self.cold.forget(state.id)
         self.sightings.evidence.forget_absent(set(present))
         self._states = present
         self._by_service = by_service
@@ -175,6 +188,8 @@
             no other.
         """
         able = self._able(service, now, excluded, homes)
+        if any(state.is_bounded(now) for state in able):
+            able = [state for state in able if not state.is_bounded(now)] or able
         if not self._avoids_slow:
             return able
         patience = self.patience(service)
@@ -203,8 +218,12 @@
             if state.id not in excluded
             and state.replica.rest_until <= now
             and state.replica.in_flight < state.replica.limit.value
+            and (not state.is_bounded(now) or self._has_cold_share(state, now))
         ]
 
+    def _has_cold_share(self, state: target_state.TargetState, now: float) -> bool:
+        return self.cold.may_send(state.id, state.cold_rate, now)
+
     def is_full_in(self, hall: str, service: str, now: float) -> bool:
         """Say whether a target of one hall could be asked but for the requests under way there.
 
@@ -221,6 +240,7 @@
             state.hall == hall
             and state.replica.rest_until <= now
             and not state.replica.is_stalled(now, patience)
+            and not state.is_bounded(now)
             for state in self._open(service)
         )
 
--- a/src/lineworks/forwarding/target_calls.py
+++ b/src/lineworks/forwarding/target_calls.py
@@ -184,6 +184,7 @@
         exchange = _Exchange(state, call, on_end, now)
         self._under_way[exchange] = None
         state.replica.on_started(now)
+        self._learning.on_sent(state, now)
         pool = self._pool(state)
         share = 1.0 if call.is_repeatable else UNREPEATABLE_IDLE_SHARE
         connection = pool.take(now, share)
--- a/src/lineworks/forwarding/target_learning.py
+++ b/src/lineworks/forwarding/target_learning.py
@@ -55,6 +55,16 @@
         """Tell how long to wait for a connection to a target, in seconds."""
         return hall_ways.connect_seconds(self._book.ways.round_trip(state.hall))
 
+    def on_sent(self, state: target_state.TargetState, now: float) -> None:
+        """Count a call that is about to be sent.
+
+        Args:
+            state: The target.
+            now: The present, in seconds.
+        """
+        if state.cold_rate > 0:
+            self._book.cold.note_sent(state.id, now)
+
     def on_end(
         self,
         state: target_state.TargetState,
@@ -81,10 +91,26 @@
         else:
             self._book.note_failure(state, now)
             self._on_failure(state, found, now)
-        load = headers.read_load(response.headers) if response is not None else None
+        if response is not None:
+            self._note_told(state, response, now)
+
+    def _note_told(
+        self,
+        state: target_state.TargetState,
+        response: client_connection.Response,
+        now: float,
+    ) -> None:
+        """Take in what a target says of itself in an answer."""
+        load = headers.read_load(response.headers)
         if load is not None:
             report = replicas.Report(state.id, frozenset(), load.running, load.waiting)
             state.replica.on_report(now, report)
+            if load.pace is not None:
+                state.pace = load.pace
+                state.pace_at = now
+        left = headers.read_cold_seconds(response.headers)
+        if left:
+            state.assumed_cold_until = max(state.assumed_cold_until, now + left)
 
     def on_given_up(self, state: target_state.TargetState, now: float, seconds: float) -> None:
         """Learn from a call that was no longer waited for.
--- a/src/lineworks/forwarding/target_state.py
+++ b/src/lineworks/forwarding/target_state.py
@@ -29,6 +29,18 @@
     is_cold: bool = False
     """Whether it has just started."""
 
+    cold_rate: float = 0.0
+    """Requests a second that it can handle while cold; 0 where nothing bounds them."""
+
+    assumed_cold_until: float = -math.inf
+    """Until when it counts as cold though its entry doesn't say so, in seconds."""
+
+    pace: float = 1.0
+    """How long work takes there, as a multiple of what is usual, as it last said."""
+
+    pace_at: float = -math.inf
+    """When it said so, in seconds."""
+
     is_evacuated: bool = False
     """Whether the operators ask to send nothing more to its data hall."""
 
@@ -44,6 +56,17 @@
         """Identity of the target's process, among all that had or will have its identity."""
         return self.replica.target.name
 
+    def is_bounded(self, now: float) -> bool:
+        """Say whether it is cold, and what it may get is bounded.
+
+        Args:
+            now: The present, in seconds.
+
+        Returns:
+            Whether all instances together may send it no more than some requests a second.
+        """
+        return self.cold_rate > 0 and (self.is_cold or now < self.assumed_cold_until)
+
     @property
     def hall(self) -> str:
         """Data hall that it stands in."""
@@ -70,4 +93,6 @@
         return f"left alone for {left} ms after {replica.failures} failures"
     if replica.in_flight >= replica.limit.value:
         return f"full with {replica.in_flight}"
+    if state.is_bounded(now):
+        return "cold, and the share of this instance is used up"
     return "not asked: stalled, in another hall, or asked already"
--- a/src/lineworks/models/node_settings.py
+++ b/src/lineworks/models/node_settings.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from lineworks.decisions import extra_attempts
+from lineworks.decisions import cold_targets, extra_attempts
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -61,5 +61,8 @@
     stop_seconds: float
     """Seconds from SIGTERM until the platform kills the process."""
 
+    cold_bound: cold_targets.ColdBound = cold_targets.ColdBound()
+    """What cold targets may get from all instances together."""
+
     without: frozenset[mechanisms.Mechanism] = frozenset()
     """Mechanisms that are switched off, to measure what they are worth."""
--- a/src/lineworks/platform/configuration.py
+++ b/src/lineworks/platform/configuration.py
@@ -36,7 +36,12 @@
 
 def _decode(found: _fields.Fields) -> routes.RouteTable:
     services = [
-        routes.ServiceSpec(item.text("Name"), item.integer("MaxConns", 25, least=1))
+        routes.ServiceSpec(
+            item.text("Name"),
+            item.integer("MaxConns", 25, least=1),
+            item.number("WarmupS", 0.0),
+            item.number("WarmupPerS", 0.0),
+        )
         for item in found.tables("Services")
     ]
     listed = [_route(item) for item in found.tables("Routing")]
--- a/src/lineworks/platform/headers.py
+++ b/src/lineworks/platform/headers.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable, Mapping, Sequence
 
 ATTEMPT = b"x-attempt-id"
 """Identity of one try of a caller; a target repeats it in its answer."""
@@ -23,8 +23,12 @@
 _EXPECT = "X-Expect-Instance"
 _STAMP = b"x-response-stamp"
 _LOAD = b"x-server-load"
+_COLD = b"x-warmup-left"
+_MOST_PACE = 100_000
+_USUAL_PACE = 100
 _NOT_RUN = b"x-not-executed"
 _WRONG_INSTANCE = 421
+_MOST_DIGITS = 9
 _PROMISES = frozenset((408, 421, 429, 503))
 _MOST_BUDGET = 600_000
 
@@ -45,6 +49,10 @@
     waiting: int
     """Requests in its queue."""
 
+    pace: float | None = None
+    """How long work takes there at this moment, as a multiple of what is usual. None where the
+    target does not tell, or no number that makes sense."""
+
 
 def read_budget(value: bytes | None) -> float | None:
     """Read a caller's time budget.
@@ -130,9 +138,34 @@
         The report, or None where there is none that can be read.
     """
     parts = found.get(_LOAD, b"").split(b",")
-    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts[:2]):
+    running, waiting = _whole(parts, 0), _whole(parts, 1)
+    if running is None or waiting is None:
+        return None
+    # The third figure, its slots, stands in the target's entry as well.
+    pace = _whole(parts, 3)
+    is_sound = pace is not None and 0 < pace <= _MOST_PACE
+    return LoadReport(running, waiting, pace / _USUAL_PACE if pace and is_sound else None)
+
+
+def read_cold_seconds(found: Mapping[bytes, bytes]) -> float | None:
+    """Read how long a target will still be cold.
+
+    Args:
+        found: Headers of its answer.
+
+    Returns:
+        Seconds, 0 for a warm one; None where the answer does not tell, or no whole number.
+    """
+    left = _whole([found.get(_COLD, b"")], 0)
+    return None if left is None else min(left, _MOST_BUDGET) / 1000
+
+
+def _whole(parts: Sequence[bytes], position: int) -> int | None:
+    """Read one of several whole numbers that anybody may have written."""
+    if position >= len(parts):
         return None
-    return LoadReport(int(parts[0]), int(parts[1]))
+    text = parts[position].strip()
+    return int(text) if text.isdigit() and len(text) <= _MOST_DIGITS else None
 
 
 def write_coverage(stamps: Iterable[str], missing: int) -> list[tuple[bytes, bytes]]:
--- a/src/lineworks/platform/settings.py
+++ b/src/lineworks/platform/settings.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from lineworks.decisions import extra_attempts
+from lineworks.decisions import cold_targets, extra_attempts
 from lineworks.models import node_settings
 from lineworks.platform import _fields
 
@@ -99,6 +99,9 @@
         bounds.number("RetrySlack", 0.0),
         bounds.number("RetryWindowS", 10.0, least=0.1),
     )
+    cold_bound = cold_targets.ColdBound(
+        bounds.number("WarmupExcess", 1.0), bounds.number("WarmupSlack", 0.0)
+    )
     hall = found.text("Zone")
     halls = found.table("Zones")
     regions = {name: halls.text(name) for name in halls.names}
@@ -113,5 +116,6 @@
         metrics=node_settings.Address(host, ports[0] + METRICS_PORT),
         store=node_settings.Address(*found.table("platform").address("Address")),
         allowance=allowance,
+        cold_bound=cold_bound,
         stop_seconds=bounds.number("GraceS", 6.0, least=1.0),
     )
--- a/src/lineworks/platform/standins/documents.py
+++ b/src/lineworks/platform/standins/documents.py
@@ -68,13 +68,21 @@
     )
 
 
-def configuration(version: int, routes: Sequence[dict[str, Any]], services: Iterable[str]) -> str:
+def configuration(
+    version: int,
+    routes: Sequence[dict[str, Any]],
+    services: Iterable[str],
+    cold_seconds: float = 0.0,
+    cold_rate: float = 0.0,
+) -> str:
     """Write a configuration.
 
     Args:
         version: Its version.
         routes: Routes in the platform's form; what is usual may be left out.
         services: Names of the services.
+        cold_seconds: Seconds that their targets are cold after a start.
+        cold_rate: Requests a second that one handles while cold; 0 for no bound.
 
     Returns:
         The document as the store holds it.
@@ -82,7 +90,15 @@
     document = {
         "ConfigVersion": version,
         "Routing": [{**_USUAL_ROUTE, **route} for route in routes],
-        "Services": [{"Name": name, "MaxConns": _CONNECTIONS} for name in sorted(services)],
+        "Services": [
+            {
+                "Name": name,
+                "MaxConns": _CONNECTIONS,
+                "WarmupS": cold_seconds,
+                "WarmupPerS": cold_rate,
+            }
+            for name in sorted(services)
+        ],
         "Limits": _LIMITS,
     }
     return encoded(json.dumps(document))
--- a/src/lineworks/standins/deployment.py
+++ b/src/lineworks/standins/deployment.py
@@ -12,7 +12,7 @@
 
 from twisted.internet import defer, protocol
 
-from lineworks.decisions import extra_attempts, mechanisms
+from lineworks.decisions import cold_targets, extra_attempts, mechanisms
 from lineworks.forwarding import node
 from lineworks.http1 import client_connection
 from lineworks.models import node_settings
@@ -86,6 +86,12 @@
         """Mechanisms that instances which start from now on do without."""
         self.on_start: Callable[[http_target.HttpTarget], None] = lambda target: None
         """Called with each target that starts again."""
+        self.cold_seconds = 0.0
+        """Seconds that targets are cold after a start."""
+        self.cold_rate = 0.0
+        """Requests a second that a cold target handles; 0 for no bound."""
+        self.cold_bound = cold_targets.ColdBound(1.5, 5.0)
+        """What cold targets may get from all instances together."""
         self.keeps_identities = False
         """Whether targets that start again do so under the identity that they had."""
         self.has_proxies = False
@@ -186,7 +192,9 @@
         """
         self.version = self.version + 1 if version is None else version
         services = {target.service for target in self.targets.values()}
-        document = documents.configuration(self.version, routes, services)
+        document = documents.configuration(
+            self.version, routes, services, self.cold_seconds, self.cold_rate
+        )
         self.store.write(documents.CONFIGURATION_KEY, document)
 
     def evacuate(self, hall: str) -> None:
@@ -222,6 +230,7 @@
             store=node_settings.Address(STORE_ADDRESS, STORE_PORT),
             allowance=self.allowance,
             stop_seconds=6.0,
+            cold_bound=self.cold_bound,
             without=self.without,
         )
         started = node.Node(host, settings, rng=random.Random(self.rng.getrandbits(64)))
