Operators see home regions, evacuations and cold targets: a view, ctl placement, log lines

lineworks-ctl placement asks an instance which routes have home regions and lack targets there, which halls are evacuated and what cold targets get.

--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -20,6 +20,7 @@
     gatherers,
     gathering,
     metrics,
+    placement_view,
     registration,
     request_log,
     suspect_exchange,
@@ -255,14 +256,26 @@
     def _on_metrics(self, request: server_connection.Request) -> server_connection.Answer:
         if suspect_view.is_wanted(request):
             return suspect_view.answer(request, self._suspects, self._reactor.seconds())
+        if placement_view.is_wanted(request):
+            age, now = self._directory.age, self._reactor.seconds()
+            return placement_view.answer(self._front.table, self._book, self._evacuated, age, now)
         kind = (b"Content-Type", b"text/plain; version=0.0.4")
         return server_connection.Answer(200, [kind], self._metrics.export())
 
     def _on_table(self, table: routes.RouteTable) -> None:
         self._front.set_table(table)
+        self._warn_of_unknown_homes(table)
         self._on_targets()
         self._links.broadcast(self._heartbeat())
 
+    def _warn_of_unknown_homes(self, table: routes.RouteTable) -> None:
+        """Say which routes name home regions that the deployment does not have."""
+        known = set(self._settings.regions.values())
+        for route in table.routes:
+            unknown = sorted(route.homes - known)
+            if unknown:
+                _log.warning("unknown_home_regions", route=route.name, regions=unknown)
+
     def _go_on_if_complete(self) -> None:
         if self._directory.is_complete:
             self._front.go_on()
--- a/src/lineworks/forwarding/suspect_exchange.py
+++ b/src/lineworks/forwarding/suspect_exchange.py
@@ -2,9 +2,9 @@
 
 Whoever finds that a target has ended tells all peers at once, so that the caller's next try is
 known wherever it comes, and soon after the platform's store, for instances that start or are cut
-off from their peers. An instance that reads news from the store tells its hall; a new link begins with all
-records, between halls from one instance of each. Nothing is sent while no target ends: a connection
-alone that broke off is known to nobody else. What is made of it is decided in
+off from their peers. An instance that reads news from the store tells its hall; a new link begins
+with all records, between halls from one instance of each. Nothing is sent while no target ends: a
+connection alone that broke off is known to nobody else. What is made of it is decided in
 `lineworks.decisions.suspects`.
 """
 
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
+    from collections.abc import Collection, Iterable, Mapping, Sequence
 
     from lineworks.decisions import target_view
 
@@ -103,6 +103,8 @@
         """The ways to the targets' halls."""
         self._rng = rng
         self._states: dict[str, target_state.TargetState] = {}
+        # Whether any service tells what its cold targets can handle.
+        self._bounds_cold = False
         self._by_service: dict[str, list[target_state.TargetState]] = {}
         self._service_times: dict[str, estimators.Average] = {}
         self.sightings = target_sightings.TargetSightings(
@@ -128,6 +130,7 @@
         Returns:
             Targets that came, that are leaving since now, that are gone, and that have ended.
         """
+        self._bounds_cold = any(spec.cold_rate > 0 for spec in services.values())
         added: list[target_state.TargetState] = []
         leaving: list[target_state.TargetState] = []
         present: dict[str, target_state.TargetState] = {}
@@ -168,6 +171,11 @@
         self._by_service = by_service
         return BookChange(added, leaving, gone, ended)
 
+    @property
+    def states(self) -> Collection[target_state.TargetState]:
+        """All targets."""
+        return self._states.values()
+
     def usable(
         self,
         service: str,
@@ -188,7 +196,7 @@
             no other.
         """
         able = self._able(service, now, excluded, homes)
-        if any(state.is_bounded(now) for state in able):
+        if self._bounds_cold:
             able = [state for state in able if not state.is_bounded(now)] or able
         if not self._avoids_slow:
             return able
@@ -198,31 +206,38 @@
 
     def _open(
         self, service: str, homes: Collection[str] = routes.ANYWHERE
-    ) -> Iterator[target_state.TargetState]:
+    ) -> list[target_state.TargetState]:
         """List the targets that may get a request at all, now or when they have room.
 
         The one place that says so: requests with home regions left them wherever it was forgotten.
         """
-        for state in self._by_service.get(service, ()):
-            is_taking = not (state.replica.is_leaving or state.is_evacuated)
-            if is_taking and self.ways.is_home(state.hall, homes):
-                yield state
+        taking = [
+            state
+            for state in self._by_service.get(service, ())
+            if not (state.replica.is_leaving or state.is_evacuated)
+        ]
+        if homes:
+            return [state for state in taking if self.ways.is_home(state.hall, homes)]
+        return taking
 
     def _able(
         self, service: str, now: float, excluded: Collection[str], homes: Collection[str]
     ) -> list[target_state.TargetState]:
         """List the targets with room that are not resting, stalled or not."""
-        return [
+        able = [
             state
             for state in self._open(service, homes)
             if state.id not in excluded
             and state.replica.rest_until <= now
             and state.replica.in_flight < state.replica.limit.value
-            and (not state.is_bounded(now) or self._has_cold_share(state, now))
         ]
+        if self._bounds_cold:
+            return [state for state in able if self._has_cold_share(state, now)]
+        return able
 
     def _has_cold_share(self, state: target_state.TargetState, now: float) -> bool:
-        return self.cold.may_send(state.id, state.cold_rate, now)
+        is_bounded = state.is_bounded(now)
+        return not is_bounded or self.cold.may_send(state.id, state.cold_rate, now)
 
     def is_full_in(self, hall: str, service: str, now: float) -> bool:
         """Say whether a target of one hall could be asked but for the requests under way there.
@@ -256,8 +271,8 @@
         return self._states.get(target)
 
     def has_any(self, service: str, homes: Collection[str] = routes.ANYWHERE) -> bool:
-        """Say whether a service has a target, in some home regions, that is not leaving."""
-        return any(True for _ in self._open(service, homes))
+        """Say whether a service has a target, in some home regions, that takes new work."""
+        return bool(self._open(service, homes))
 
     def describe(self, service: str, now: float) -> str:
         """Tell, for logs, what keeps the targets of a service from being asked.
--- /dev/null
+++ b/src/lineworks/programs/_node_commands.py
@@ -0,0 +1,81 @@
+"""What `lineworks-ctl` asks of an instance on the users' platform, and how it is printed."""
+
+from __future__ import annotations
+
+import urllib.parse
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SUSPECTS = "suspects"
+LIFT = "lift"
+PLACEMENT = "placement"
+
+COMMANDS = (SUSPECTS, LIFT, PLACEMENT)
+"""All of them; they need no secret."""
+
+
+def call_of(arguments: list[str]) -> tuple[str, str]:
+    """Tell which call carries a command out.
+
+    Args:
+        arguments: The command with its argument.
+
+    Returns:
+        Method and path.
+    """
+    if arguments[0] == LIFT:
+        return "POST", f"/suspects/lift?content={urllib.parse.quote(arguments[1])}"
+    return "GET", f"/{arguments[0]}"
+
+
+def text_of(arguments: list[str], reply: dict[str, Any]) -> str:
+    """Write what people read.
+
+    Args:
+        arguments: The command with its argument.
+        reply: What the instance answered.
+
+    Returns:
+        Some lines.
+    """
+    writers: dict[str, Callable[[], str]] = {
+        SUSPECTS: lambda: _suspect_lines(reply["suspects"]),
+        LIFT: lambda: f"lifted {arguments[1]}",
+        PLACEMENT: lambda: _placement_lines(reply),
+    }
+    return writers[arguments[0]]()
+
+
+def _suspect_lines(rows: list[dict[str, Any]]) -> str:
+    lines = []
+    for row in rows:
+        lines.append(
+            f"{row['content']}  {row['judgement']}, for {row['refused_for_seconds']} s more"
+        )
+        for end in row["ends"]:
+            kind = "in a trial" if end["in_trial"] else "under a usual try"
+            proof = "ended" if end["proven"] else "broke off"
+            lines.append(f"  {end['target']} {proof} {kind} {end['seconds_ago']} s ago")
+    return "\n".join(lines) or "no suspects"
+
+
+def _placement_lines(reply: dict[str, Any]) -> str:
+    halls = ", ".join(reply["evacuated"]) or "none"
+    lines = [
+        f"configuration {reply['version']}, targets known {reply['view_age_seconds']} s ago",
+        f"evacuated halls: {halls}",
+    ]
+    for row in reply["homes"]:
+        lines.append(f"route {row['route']}: only in {', '.join(row['regions'])}")
+        if row["without_target"]:
+            lacking = ", ".join(row["without_target"])
+            count = f"{len(row['without_target'])} of {row['services']}"
+            lines.append(f"  {count} services have no target there: {lacking}")
+    for row in reply["cold"]:
+        lines.append(
+            f"cold: {row['service']}/{row['target']} in {row['hall']}, "
+            f"{row['share_a_second']} requests a second from here"
+        )
+    return "\n".join(lines)
--- a/src/lineworks/programs/ctl.py
+++ b/src/lineworks/programs/ctl.py
@@ -26,6 +26,8 @@
     suspects       list the requests under which targets ended, and which are refused; give the
                    metrics address of an instance on the users' platform by --node
     lift CONTENT   let a refused request have one careful trial, on all instances
+    placement      print which routes have home regions and lack targets there, which halls are
+                   evacuated, and what cold targets get, as the instance at --node knows it
 
 Exit codes: 0 done; 1 failed; 2 the arguments or a file cannot be used; 3 refused, and so not
 done; 4 not known whether it was done (see `settle`).
@@ -39,7 +41,6 @@
 import secrets
 import sys
 import time
-import urllib.parse
 from typing import TYPE_CHECKING, Any
 
 import absl.app
@@ -50,7 +51,7 @@
 from twisted.web import http_headers
 
 from lineworks.models import configuration
-from lineworks.programs import _common, _losses, _timeline
+from lineworks.programs import _common, _losses, _node_commands, _timeline
 from lineworks.services import auth
 
 if TYPE_CHECKING:
@@ -270,8 +271,6 @@
 
 _TIMELINE = "timeline"
 _LOSSES = "losses"
-_SUSPECTS = "suspects"
-_LIFT = "lift"
 
 
 def _show_timeline(identity: str, paths: list[str]) -> int:
@@ -304,37 +303,18 @@
 
 
 async def _ask_node(reactor: Any, arguments: list[str]) -> int:
-    """Ask an instance on the users' platform for its suspects, or to lift a refusal."""
+    """Ask an instance on the users' platform."""
     client = Client(reactor, _NODE.value, b"")
-    is_list = arguments[0] == _SUSPECTS
     try:
-        if is_list:
-            status, reply = await client.call("GET", "/suspects")
-        else:
-            wanted = urllib.parse.quote(arguments[1])
-            status, reply = await client.call("POST", f"/suspects/lift?content={wanted}")
+        status, reply = await client.call(*_node_commands.call_of(arguments))
     except net_error.ConnectError as error:
         return _common.fail(f"{_NODE.value}: {error}", _common.EXIT_FAILED)
     if status != 200:
         return _print_failure(status, reply)
-    text = _suspect_lines(reply["suspects"]) if is_list else f"lifted {arguments[1]}"
-    _print(reply, text)
+    _print(reply, _node_commands.text_of(arguments, reply))
     return _common.EXIT_OK
 
 
-def _suspect_lines(rows: list[dict[str, Any]]) -> str:
-    lines = []
-    for row in rows:
-        lines.append(
-            f"{row['content']}  {row['judgement']}, for {row['refused_for_seconds']} s more"
-        )
-        for end in row["ends"]:
-            kind = "in a trial" if end["in_trial"] else "under a usual try"
-            proof = "ended" if end["proven"] else "broke off"
-            lines.append(f"  {end['target']} {proof} {kind} {end['seconds_ago']} s ago")
-    return "\n".join(lines) or "no suspects"
-
-
 async def _execute(reactor: Any, arguments: list[str], secret: bytes) -> int:
     client = Client(reactor, _ENTRY.value, secret)
     command = arguments[0]
@@ -350,14 +330,15 @@
 
 def _check_arguments(arguments: list[str]) -> str | None:
     """Say what is wrong with the arguments, or None."""
-    known = sorted((*_PLAIN, *_WITH_ARGUMENT, _TIMELINE, _LOSSES, _SUSPECTS, _LIFT))
+    known = sorted((*_PLAIN, *_WITH_ARGUMENT, _TIMELINE, _LOSSES, *_node_commands.COMMANDS))
     if not arguments or arguments[0] not in known:
         return f"give a command: {', '.join(known)} (see --help)"
     if arguments[0] == _TIMELINE:
         return None if len(arguments) > 2 else "timeline takes an identity and at least one file"
     if arguments[0] == _LOSSES:
         return None if len(arguments) > 1 else "losses takes at least one file"
-    wanted = 1 if arguments[0] in (*_PLAIN, _SUSPECTS) else 2
+    without_argument = (*_PLAIN, _node_commands.SUSPECTS, _node_commands.PLACEMENT)
+    wanted = 1 if arguments[0] in without_argument else 2
     if len(arguments) != wanted:
         return f"{arguments[0]} takes {wanted - 1} argument{'' if wanted == 2 else 's'}"
     return None
@@ -379,7 +360,7 @@
         return _show_timeline(argv[2], argv[3:])
     if argv[1] == _LOSSES:
         return _show_losses(argv[2:])
-    if argv[1] in (_SUSPECTS, _LIFT):
+    if argv[1] in _node_commands.COMMANDS:
         return _start(lambda reactor: _ask_node(reactor, argv[1:]))
     secret = b""
     if argv[1] != "validate":
