--- a/tests/test_deploy_days.py
+++ b/tests/test_deploy_days.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-DAYS = sorted((pathlib.Path(__file__).parents[1] / "deploy" / "days").glob("*.toml"))
+DEPLOY = pathlib.Path(__file__).parents[1] / "deploy"
+DAYS = sorted([*DEPLOY.glob("days/*.toml"), *DEPLOY.glob("days-of-places/*.toml")])
 STANDS_FOR = re.compile(r"@[csz]0")
 NAMED = ("service", "class", "zone", "to_zone")
 
