--- a/src/lineworks/decisions/hall_ways.py
+++ b/src/lineworks/decisions/hall_ways.py
@@ -54,6 +54,8 @@
         """
         self._hall = hall
         self._regions = regions
+        # Looked up some hundred times for a large search.
+        self._costs: dict[str, float] = {}
 
     @property
     def farthest(self) -> float:
@@ -81,9 +83,11 @@
         Returns:
             Seconds there and back, with the reluctance to leave the own hall.
         """
-        if hall == self._hall:
-            return SAME_HALL_SECONDS
-        return self.round_trip(hall) + REMOTE_RELUCTANCE
+        known = self._costs.get(hall)
+        if known is None:
+            reluctance = REMOTE_RELUCTANCE if hall != self._hall else 0.0
+            known = self._costs[hall] = self.round_trip(hall) + reluctance
+        return known
 
     def round_trip(self, hall: str) -> float:
         """Tell how long the way to a hall and back takes.
--- a/src/lineworks/decisions/target_evidence.py
+++ b/src/lineworks/decisions/target_evidence.py
@@ -115,6 +115,11 @@
         self.targets = 0
         """Targets known, of which an instance may call a part slow."""
 
+    @property
+    def has_beliefs(self) -> bool:
+        """Whether anything is believed of any target."""
+        return bool(self._beliefs)
+
     def note(self, sighting: Sighting, origin: str, at: float) -> bool:
         """Take in what an instance saw of a target.
 
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -363,7 +363,9 @@
             return None
         if len(able) == 1:
             return able[0]
-        return min(able, key=lambda state: (self.expected(state, now), self._rng.random()))
+        usual = self.service_time(able[0].replica.target.service)
+        draw = self._rng.random
+        return min(able, key=lambda state: (self._expected(state, now, usual), draw()))
 
     def good(
         self,
@@ -385,10 +387,33 @@
         Returns:
             Targets within the slack of the best one.
         """
+        return [state for _, state in self.rated(service, now, excluded, slack, homes)]
+
+    def rated(
+        self,
+        service: str,
+        now: float,
+        excluded: Collection[str],
+        slack: float,
+        homes: Collection[str] = routes.ANYWHERE,
+    ) -> list[tuple[float, target_state.TargetState]]:
+        """List the targets of a service that should answer about as fast as the best.
+
+        Args:
+            service: The service.
+            now: The present, in seconds.
+            excluded: Identities of targets that were tried.
+            slack: Seconds that a target may be slower than the best one.
+            homes: Home regions of the request.
+
+        Returns:
+            Targets within the slack of the best one, each with the seconds expected of it.
+        """
+        usual = self.service_time(service)
         usable = self.usable(service, now, excluded, homes)
-        able = [(self.expected(state, now), state) for state in usable]
+        able = [(self._expected(state, now, usual), state) for state in usable]
         best = min((seconds for seconds, _ in able), default=0.0)
-        return [state for seconds, state in able if seconds <= best + slack]
+        return [(seconds, state) for seconds, state in able if seconds <= best + slack]
 
     def least(self, state: target_state.TargetState) -> float:
         """Tell how long a target takes at least, with the way there and back, in seconds."""
@@ -405,16 +430,32 @@
         Returns:
             Seconds.
         """
-        usual = self.service_time(state.replica.target.service)
+        return self._expected(state, now, self.service_time(state.replica.target.service))
+
+    def _expected(self, state: target_state.TargetState, now: float, usual: float) -> float:
+        """Estimate it with the usual time of the service at hand.
+
+        A search over 135 shards asks 405 to 1,215 times before anything is sent.
+        """
+        replica = state.replica
+        target = replica.target
         weight = 0.5 ** ((now - state.noted_at) / target_sightings.MEMORY_HALF_LIFE)
-        own = usual + (state.latency.value - usual) * weight if self._avoids_slow else usual
-        own = max(own, self.sightings.told_seconds(state.id, state.noted_at, now, usual))
-        slots = max(1, state.replica.target.slots)
-        load = state.replica.load(now) if self._knows_load else 0.0
-        queued = max(0.0, load + 1 - slots) / slots
-        failing = state.errors.value * weight * ERROR_SECONDS
-        cold = COLD_SECONDS if state.is_cold else 0.0
-        return own + queued * usual + failing + cold + self.ways.cost(state.hall)
+        expected = usual
+        if self._avoids_slow:
+            expected += (state.latency.value - usual) * weight
+        if self.sightings.has_told:
+            told = self.sightings.told_seconds(target.name, state.noted_at, now, usual)
+            expected = max(expected, told)
+        load = replica.load(now) if self._knows_load else 0.0
+        slots = target.slots
+        if load + 1 > slots:
+            expected += (load + 1 - slots) / slots * usual
+        errors = state.errors.value
+        if errors:
+            expected += errors * weight * ERROR_SECONDS
+        if state.is_cold:
+            expected += COLD_SECONDS
+        return expected + self.ways.cost(target.hall)
 
     def service_time(self, service: str) -> float:
         """Tell how long the targets of a service usually take, in seconds; 0 when unknown."""
--- a/src/lineworks/forwarding/target_sightings.py
+++ b/src/lineworks/forwarding/target_sightings.py
@@ -28,6 +28,11 @@
         self.on_sighting: Callable[[target_evidence.Sighting], None] = lambda sighting: None
         """Takes what this instance saw."""
 
+    @property
+    def has_told(self) -> bool:
+        """Whether anything is believed of any target."""
+        return self._is_shared and self.evidence.has_beliefs
+
     def told_seconds(self, target: str, noted_at: float, now: float, usual: float) -> float:
         """Tell how long a target takes by what was said of it.
 
