Soak: home regions and evacuations, with checkers that made-up histories break

What may run once has two of three halls as its homes; one evacuation of 7 to 10 s a run, dealt from a source of its own.

--- a/bench/soak/checkers.py
+++ b/bench/soak/checkers.py
@@ -272,6 +272,43 @@
     )
 
 
+def home_regions(found: history.History) -> Iterable[Broken]:
+    """Find requests that reached a target outside the home regions of their route."""
+    routes = {call.attempt: call.route for call in found.calls}
+    for arrival in found.arrivals:
+        homes = found.homes.get(routes.get(arrival.attempt, ""))
+        if homes and arrival.hall not in homes:
+            detail = f"{arrival.target} in {arrival.hall}; home is {', '.join(sorted(homes))}"
+            yield Broken("home regions", arrival.attempt, detail)
+
+
+def evacuated_halls(found: history.History) -> Iterable[Broken]:
+    """Find requests that reached an evacuated hall after all instances must know of it.
+
+    Those of an instance that was disturbed shortly before are passed over, and those that one of
+    the hall's own may have asked for: it may not know yet.
+    """
+    calls = {call.attempt: call for call in found.calls}
+    for span in found.evacuated:
+        due = _due_by(found, span.begin)
+        for arrival in found.arrivals:
+            call = calls.get(arrival.attempt)
+            is_there = arrival.hall == span.hall and due < arrival.at < span.end
+            if call is not None and is_there and not _may_lack(found, call, span.hall):
+                detail = f"{arrival.target} in {span.hall}, {arrival.at - span.begin:.2f} s after"
+                yield Broken("evacuated halls", arrival.attempt, detail)
+
+
+def _may_lack(found: history.History, call: history.Call, hall: str) -> bool:
+    """Say whether a try's instance, or a gatherer of a hall, may lack news at its time."""
+    return any(
+        (span.front == call.front or span.front.startswith(f"{hall}-"))
+        and span.begin <= call.ended_at
+        and call.sent_at <= span.end + CONTACT_SECONDS
+        for span in found.disturbed
+    )
+
+
 CHECKERS: tuple[Callable[[history.History], Iterable[Broken]], ...] = (
     attempts_a_shard,
     extra_attempts,
@@ -280,6 +317,8 @@
     answers_are_exact,
     answered_in_time,
     answered_at_all,
+    home_regions,
+    evacuated_halls,
 )
 """All checkers of what arrived; `fatal_requests` reads the ends of targets as well."""
 
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -85,6 +85,9 @@
     has_run: bool
     """Whether the target began to work on it; otherwise it refused."""
 
+    hall: str = ""
+    """Data hall of the target."""
+
     is_end: bool = False
     """Whether it tells of the end of the target under this try, and not of an arrival."""
 
@@ -120,6 +123,20 @@
     """Whether the instance was asked to stop."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuated:
+    """A time in which the operators asked to send nothing to a hall's targets."""
+
+    hall: str
+    """The hall."""
+
+    begin: float
+    """When they asked."""
+
+    end: float
+    """When they took it back."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class History:
     """One run."""
@@ -142,6 +159,12 @@
     disturbed: tuple[Span, ...] = ()
     """When instances could not answer in time."""
 
+    homes: Mapping[str, frozenset[str]] = dataclasses.field(default_factory=dict)
+    """For each route with home regions, the data halls in them."""
+
+    evacuated: tuple[Evacuated, ...] = ()
+    """When halls were evacuated."""
+
     store_faults: tuple[tuple[float, float], ...] = ()
     """Beginning and end of each time in which the store, or a link to it, had a fault."""
 
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -22,6 +22,9 @@
 MOST_SHARE = 0.25
 """Share of the targets, or of the links, that one fault strikes at most."""
 
+EVACUATED_SECONDS = (7.0, 10.0)
+"""Least and most seconds of an evacuation: it must be in force everywhere after five."""
+
 FATAL_ROUTES = ("search", "read")
 """Routes of requests that end the targets that run them."""
 
@@ -110,8 +113,15 @@
     FATAL_ASKED = "fatal_asked"
     """A caller asks again and again for what ends each target that runs it."""
 
+    HALL_EVACUATED = "hall_evacuated"
+    """The operators ask to send nothing more to the targets of a hall, and take that back."""
+
+
+_APART = (Kind.FATAL_ASKED, Kind.HALL_EVACUATED)
+"""Kinds that are dealt from sources of their own: the other steps of a seed stay what they were
+before these."""
 
-_STRIKING = [kind for kind in Kind if kind is not Kind.FATAL_ASKED]
+_STRIKING = [kind for kind in Kind if kind not in _APART]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,12 +182,12 @@
         value = rng.choice(ATTEMPT_LIMITS) if kind is Kind.CONFIGURED else 0
         steps.append(Step(round(at, 3), kind, round(lasts, 3), struck, value))
         at += rng.expovariate(1 / MEAN_PAUSE)
-    return sorted([*steps, *_fatal(seed, seconds)], key=lambda step: step.at)
+    apart = [*_fatal(seed, seconds), *_evacuation(seed, seconds, subjects.halls)]
+    return sorted([*steps, *apart], key=lambda step: step.at)
 
 
 def _fatal(seed: int, seconds: float) -> list[Step]:
-    """Deal one request that ends its targets, from a source of its own: the other steps of a seed
-    stay what they were before this kind."""
+    """Deal one request that ends its targets."""
     rng = random.Random(f"{seed}-fatal")
     last = seconds - CALM_SECONDS
     at = rng.uniform(CALM_SECONDS, max(CALM_SECONDS, seconds / 2))
@@ -186,6 +196,16 @@
     return [Step(round(at, 3), Kind.FATAL_ASKED, last - at, (rng.choice(FATAL_ROUTES),))]
 
 
+def _evacuation(seed: int, seconds: float, halls: Sequence[str]) -> list[Step]:
+    """Deal one evacuation, long enough to be in force for a while."""
+    rng = random.Random(f"{seed}-evacuation")
+    at = rng.uniform(CALM_SECONDS, max(CALM_SECONDS, seconds / 3))
+    lasts = rng.uniform(*EVACUATED_SECONDS)
+    if at + lasts > seconds:
+        return []
+    return [Step(round(at, 3), Kind.HALL_EVACUATED, round(lasts, 3), (rng.choice(halls),))]
+
+
 def _struck(kind: Kind, rng: random.Random, subjects: Subjects) -> tuple[str, ...]:
     """Choose whom a step strikes; the first word of its kind tells what they are."""
     choices: dict[str, Callable[[], tuple[str, ...]]] = {
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -78,6 +78,9 @@
 }
 """For each fault of targets the seconds that a request takes (0: as usual), and what else."""
 
+HOMES = processes.HALLS[:2]
+"""Home regions of what may run once; in the soak each hall is a region."""
+
 STORE_FAULTS: dict[plan.Kind, tuple[str, Any, Any]] = {
     plan.Kind.STORE_DOWN: ("is_down", True, False),
     plan.Kind.STORE_BUSY: ("is_busy", True, False),
@@ -141,6 +144,7 @@
         )
         self._configured: list[history.Configured] = []
         self._disturbed: list[history.Span] = []
+        self._evacuated: list[history.Evacuated] = []
         self._store_faults: list[tuple[float, float]] = []
         self._exits: list[str] = []
         self._taken_down: set[str] = set()
@@ -234,7 +238,11 @@
     def _configure(self, most: int, shards: tuple[str, ...]) -> None:
         shape = {"MaxAttempts": most}
         search = {"Fanout": list(shards), "TopK": checkers.TOP, "OldestVersion": 0.5}
-        once = {"RouteType": "non_idempotent", "MaxAttempts": 1}
+        once = {
+            "RouteType": "non_idempotent",
+            "MaxAttempts": 1,
+            "AllowedRegions": list(HOMES),
+        }
         routes = [
             {"Name": "search", "PathPrefix": "/search/", **search, **shape},
             {"Name": "read", "PathPrefix": "/read/", "Service": SHELF, "SloMs": 600, **shape},
@@ -281,12 +289,23 @@
         elif step.kind is plan.Kind.FATAL_ASKED:
             until = self._reactor.seconds() + step.seconds
             self._callers.ask_again(step.subjects[0], until, random.Random(step.at))
+        elif step.kind is plan.Kind.HALL_EVACUATED:
+            self._evacuate(step)
         elif step.kind is plan.Kind.HALL_RESTARTS:
             self._halls[step.subjects[0]].kill()
             self._later(step, self._halls[step.subjects[0]].start)
         else:
             self._do_to_node(step, self._nodes[step.subjects[0]])
 
+    def _evacuate(self, step: plan.Step) -> None:
+        """Ask for an evacuation, and take it back later."""
+        (hall,) = step.subjects
+        key = documents.evacuation_key(hall)
+        now = self._reactor.seconds()
+        self._store.write(key, documents.encoded("{}"))
+        self._evacuated.append(history.Evacuated(hall, now, now + step.seconds))
+        self._later(step, self._store.remove, key)
+
     def _reshard(self) -> None:
         """Put the other set of shards in force; the targets of both stay."""
         last = self._configured[-1]
@@ -359,6 +378,8 @@
             {"read": SHELF, "bill": SHELF},
             ALLOWANCE,
             tuple(self._disturbed),
+            {"bill": frozenset(HOMES)},
+            tuple(self._evacuated),
             tuple(self._store_faults),
         )
 
--- a/bench/soak/target_process.py
+++ b/bench/soak/target_process.py
@@ -57,7 +57,9 @@
         is_end: bool = False,
     ) -> None:
         at = self._reactor.seconds()
-        arrival = history.Arrival(attempt, target.name, target.service, at, has_run, is_end)
+        arrival = history.Arrival(
+            attempt, target.name, target.service, at, has_run, target.hall, is_end
+        )
         self._file.write(json.dumps(dataclasses.asdict(arrival)) + "\n")
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -141,6 +141,43 @@
     assert promises(fatal_history(9, disturbed=long_ago)) == ["requests that end their targets"]
 
 
+def in_hall(one, hall):
+    return dataclasses.replace(one, hall=hall)
+
+
+def test_a_request_that_leaves_its_home_regions_is_seen():
+    homes = {"bill": frozenset(("a", "b"))}
+    for hall, is_broken in (("a", False), ("b", False), ("c", True)):
+        arrivals = [in_hall(arrival("b", "z", "shelf"), hall)]
+        one = found([call("b", "bill")], arrivals, homes=homes)
+        assert promises(one) == (["home regions"] if is_broken else [])
+    refused = [in_hall(arrival("b", "z", "shelf", has_run=False), "c")]
+    assert promises(found([call("b", "bill", 503)], refused, homes=homes)) == ["home regions"]
+
+
+@pytest.mark.parametrize(
+    ("at", "hall", "more", "is_broken"),
+    [
+        (7.0, "a", {}, True),
+        (5.9, "a", {}, False),
+        (7.0, "b", {}, False),
+        (12.0, "a", {}, False),
+        # The store fails before the news can spread.
+        (7.0, "a", {"store_faults": ((1.5, 4.0),)}, False),
+        # The front, or a gatherer of the hall, was disturbed shortly before.
+        (7.0, "a", {"disturbed": (history.Span("n1", 1.0, 5.0),)}, False),
+        (7.0, "a", {"disturbed": (history.Span("a-2", 1.0, 5.0),)}, False),
+        (7.0, "a", {"disturbed": (history.Span("b-2", 1.0, 5.0),)}, True),
+    ],
+)
+def test_a_request_that_reaches_an_evacuated_hall_is_seen(at, hall, more, is_broken):
+    arrivals = [in_hall(arrival("r", "z", "shelf", at), hall)]
+    calls = [call("r", "read", sent_at=at - 0.1, ended_at=at + 0.1)]
+    spans = (history.Evacuated("a", 1.0, 10.0),)
+    one = found(calls, arrivals, evacuated=spans, **more)
+    assert promises(one) == (["evacuated halls"] if is_broken else [])
+
+
 def test_too_many_extra_arrivals_in_a_window_are_seen():
     # One request allows half an attempt, the fixed number two more: the third one is too many.
     arrivals = [arrival("a", "x", "s0", 1.0 + 0.1 * number) for number in range(4)]
