--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -367,28 +367,6 @@
         draw = self._rng.random
         return min(able, key=lambda state: (self._expected(state, now, usual), draw()))
 
-    def good(
-        self,
-        service: str,
-        now: float,
-        excluded: Collection[str],
-        slack: float = GOOD_SECONDS,
-        homes: Collection[str] = routes.ANYWHERE,
-    ) -> list[target_state.TargetState]:
-        """List the targets of a service that should answer about as fast as the best.
-
-        Args:
-            service: The service.
-            now: The present, in seconds.
-            excluded: Identities of targets that were tried.
-            slack: Seconds that a target may be slower than the best one.
-            homes: Home regions of the request.
-
-        Returns:
-            Targets within the slack of the best one.
-        """
-        return [state for _, state in self.rated(service, now, excluded, slack, homes)]
-
     def rated(
         self,
         service: str,
