Targets of the own hall are asked directly, also when they come with those of others

Found in the last read of the change: since large searches are divided, the own hall, where it covered most of the shards to be asked elsewhere, was asked through a peer.

--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -118,6 +118,9 @@
         now: float,
         is_hedge: bool,
     ) -> None:
+        if hall == self._shared.hall:
+            self.ask_own_hall(chosen, now, is_hedge)
+            return
         peers = self._shared.gatherers.ranked(hall)
         count = self._pieces(len(chosen), len(peers), is_hedge)
         for number, piece in enumerate(work_split.divide(list(chosen.items()), count)):
@@ -135,8 +138,8 @@
             is_hedge: Whether they are second attempts beside slow ones.
         """
         hall = self._shared.hall
-        most = len(chosen) > work_split.MOST_TOGETHER
-        peers: list[str | None] = [*self._shared.gatherers.ranked(hall)] if most else []
+        is_large = len(chosen) > work_split.MOST_TOGETHER
+        peers: list[str | None] = [*self._shared.gatherers.ranked(hall)] if is_large else []
         count = self._pieces(len(chosen), len(peers) + 1, is_hedge)
         # Its own piece last: the messages leave before the processor is busy with calls.
         helpers = [*peers[: count - 1], None]
--- a/tests/test_work_split.py
+++ b/tests/test_work_split.py
@@ -129,3 +129,22 @@
     sizes = [len(piece) for piece in found]
     assert max(sizes) - min(sizes) <= 1
     assert len(items) > work_split.MOST_TOGETHER or count == 1
+
+
+def test_shards_that_are_only_somewhat_slower_at_home_are_asked_directly_there():
+    # Asked with those of other halls, the own hall may save asking one more of them; its targets
+    # were then asked through a peer, one more message there and back.
+    world = build(shards=30)
+    for target in list(world.targets.values()):
+        if target.hall == ("wlg" if target.service < "s010" else "chc"):
+            world.withdraw(target)
+    world.run(3.0)
+    calls = note_calls(world)
+    front = world.nodes["akl-0"]
+    now = world.clock.seconds()
+    for state in front._book.states:
+        is_slower = state.hall == "akl" and state.replica.target.service < "s020"
+        for _ in range(30):
+            front._book.note_answer(state, now, 0.07 if is_slower else 0.01)
+    check(world, ask(world, "akl-0", "q"), "q", 30)
+    assert dict(calls["q"]) == {"akl-0": 30}
