--- a/tests/test_forwarding_changes.py
+++ b/tests/test_forwarding_changes.py
@@ -396,9 +396,9 @@
 
 @pytest.mark.parametrize("path", ["/bill/q", "/read/q", "/search/q"])
 def test_a_request_that_turns_slow_at_the_end_of_a_stop_is_answered_and_not_cut(path):
-    # Found by the soak, seeds 23 and 30 of 20 s: a read that came 0.9 of 3.6 s before the end of a
+    # Found by the soak, seeds 23 and 30 of 20 s: a read that came 0.94 of 3.6 s before the end of a
     # stop, and would usually have been answered, met slow targets; its connection was closed at the
-    # end, 0.05 s before its deadline.
+    # end, 0.06 s before its deadline.
     world = test_forwarding.build()
     method = "POST" if path == "/bill/q" else "GET"
     for _ in range(3):
