The log tells what the end of a process cut, and which answers did not leave it

The front's only line of such a read was `caller_gone`; of a search it was `request`, 502, written at the moment of the stop. The caller was still there and got nothing, so whoever read the logs could not find the cause.

Cause: when the reactor stops it closes all connections in no order. A caller's connection that is closed looked like one that the caller closed; a target's connection that is closed first made an answer, which was logged and never sent.

Change: `cut_at_end` (what is known of the request, its attempts) where the process itself closes; `answer_not_delivered` where the last answer of a connection had not left the process; `stopped` counts open connections and requests under way; `lineworks-ctl losses` names both. A search that only waits is MAY_HAVE_RUN in its verdict and not RAN: nobody had answered. The network in memory tells protocols of a stop as Twisted does, so the logs can be tested there.

Conclusion: sight only; what callers get is unchanged.

--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -66,6 +66,8 @@
         """Tells the age of what is known of the targets, in seconds."""
         self.ends_at: Callable[[], float] = lambda: math.inf
         """Tells when the process ends whatever is under way, in seconds."""
+        self.is_over: Callable[[], bool] = lambda: False
+        """Says whether the process itself closes its connections now."""
         self._refused = estimators.Average(REFUSAL_WEIGHT)
 
     @property
@@ -270,7 +272,11 @@
         route: routes.Route,
     ) -> None:
         self._open -= 1
-        self._log.on_caller_gone(request, attempt, route)
+        if self.is_over():
+            # Callers did not leave: whoever looks for the cause must not be sent to them.
+            self._log.on_cut(request, attempt, route, work.known())
+        else:
+            self._log.on_caller_gone(request, attempt, route)
         work.cancel()
 
     def _answer_at_once(
--- a/src/lineworks/forwarding/metrics.py
+++ b/src/lineworks/forwarding/metrics.py
@@ -88,6 +88,14 @@
         """
         self._ends[(self._label(route), "0", "cancelled")] += 1
 
+    def on_cut(self, route: routes.Route) -> None:
+        """Count a request that the end of this process cut.
+
+        Args:
+            route: Its route.
+        """
+        self._ends[(self._label(route), "0", "cut")] += 1
+
     def collect_from(self, read: Callable[[], Mapping[str, Mapping[str, float]]]) -> None:
         """Export counts that others keep.
 
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -87,6 +87,7 @@
         self._callers_port = callers_port
         self._rng = rng or random.Random(secrets.randbits(64))
         self._is_stopping = False
+        self._is_over = False
         self._stop_by = math.inf
         self._hand_over_until = 0.0
         self._evacuated: frozenset[str] = frozenset()
@@ -165,7 +166,11 @@
         self.lines_dropped: Callable[[], int] = lambda: 0
         """Tells how many log lines a slow reader made the process drop."""
         self._callers = server_connection.Server(
-            reactor, self._front.limits, self._front.on_request, self._is_closing
+            reactor,
+            self._front.limits,
+            self._front.on_request,
+            self._is_closing,
+            on_undelivered=self._request_log.on_undelivered,
         )
         self._kernel = registry.Kernel()
         self._connect()
@@ -217,6 +222,7 @@
         self._front.is_complete = lambda: self._directory.is_complete
         self._front.view_age = lambda: self._directory.age
         self._front.ends_at = lambda: self._stop_by
+        self._front.is_over = lambda: self._is_over
         self._directory.on_table = self._on_table
         self._directory.on_targets = self._on_targets
         self._directory.on_instances = self._on_other_keys
@@ -357,7 +363,15 @@
         is_idle = self._front.is_idle and self._gatherer.is_idle
         is_handed_over = now >= self._hand_over_until and not self._callers.connections
         if now >= self._stop_by or (is_handed_over and is_idle):
-            _log.info("stopped", name=self._settings.name, is_idle=is_idle)
+            under_way = sum(one.is_busy for one in self._callers.connections)
+            _log.info(
+                "stopped",
+                name=self._settings.name,
+                is_idle=is_idle,
+                connections=len(self._callers.connections),
+                under_way=under_way,
+            )
+            self._is_over = True
             self._reactor.callLater(0, self._reactor.stop)
             return
         self._reactor.callLater(STOP_CHECK, self._check_stopped)
--- a/src/lineworks/forwarding/request_log.py
+++ b/src/lineworks/forwarding/request_log.py
@@ -8,9 +8,10 @@
 from typing import TYPE_CHECKING, Any
 
 from lineworks.kernel import bounded_log
+from lineworks.platform import headers
 
 if TYPE_CHECKING:
-    from lineworks.decisions import routes
+    from lineworks.decisions import routes, verdict
     from lineworks.forwarding import metrics, outcome
     from lineworks.http1 import server_connection
 
@@ -28,6 +29,10 @@
 so they have a rate of their own: other lines must not crowd them out."""
 
 
+CUT_PER_SECOND = 100.0
+"""Lines a second for requests that the end of the process cut, and for answers that did not leave
+it. None is due, and all come at one moment: the burst holds what a process has under way."""
+
 BROKE_OFF_PER_SECOND = 20.0
 """Lines a second for requests under which targets broke off; also when a host takes all with it."""
 
@@ -48,11 +53,12 @@
         self._good = bounded_log.BoundedLog(reactor, "front", GOOD_PER_SECOND)
         self._over_limit = bounded_log.BoundedLog(reactor, "front", OVER_LIMIT_PER_SECOND)
         self._broke_off = bounded_log.BoundedLog(reactor, "front", BROKE_OFF_PER_SECOND)
+        self._cut = bounded_log.BoundedLog(reactor, "front", CUT_PER_SECOND)
 
     @property
     def left_out(self) -> int:
         """Lines left out since the start."""
-        logs = (self._bad, self._good, self._over_limit, self._broke_off)
+        logs = (self._bad, self._good, self._over_limit, self._broke_off, self._cut)
         return sum(log.left_out_in_all for log in logs)
 
     def on_end(
@@ -120,6 +126,44 @@
                 targets=found.broken[:MOST_NAMED],
             )
 
+    def on_cut(
+        self,
+        request: server_connection.Request,
+        attempt: bytes,
+        route: routes.Route,
+        known: verdict.Verdict,
+    ) -> None:
+        """Note that this process ended with a request under way; its caller got no answer.
+
+        Args:
+            request: The request.
+            attempt: Identity of the caller's try.
+            route: The route.
+            known: What is known of it.
+        """
+        self._counts.on_cut(route)
+        seconds = self._reactor.seconds() - request.arrived
+        self._cut.info(
+            "cut_at_end",
+            id=attempt.decode("latin-1"),
+            route=route.name,
+            certainty=known.certainty.value,
+            detail=known.detail,
+            ms=round(seconds * 1000, 1),
+        )
+
+    def on_undelivered(self, request: server_connection.Request) -> None:
+        """Note that a connection was lost before its answer had left this process.
+
+        Args:
+            request: The request.
+        """
+        seconds = self._reactor.seconds() - request.arrived
+        attempt = request.header(headers.ATTEMPT) or b""
+        self._cut.info(
+            "answer_not_delivered", id=attempt.decode("latin-1"), ms=round(seconds * 1000, 1)
+        )
+
     def on_caller_gone(
         self, request: server_connection.Request, attempt: bytes, route: routes.Route
     ) -> None:
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -173,6 +173,11 @@
     def _has_any(self, shard: search_state.Shard) -> bool:
         return self._shared.book.has_any(shard.service, self._route.homes)
 
+    def known(self) -> verdict.Verdict:
+        """Tell what is known of the search while it is under way."""
+        found = self._what_is_known()
+        return dataclasses.replace(found, reason=verdict.Reason.LEAVING)
+
     def cancel(self) -> None:
         """Give the search up, because its caller has gone."""
         self._on_end = None
@@ -410,8 +415,10 @@
         detail = f"{len(self._parts.covered)} of {len(self._shards)} shards answered"
         certainty = verdict.combine(self._certainties)
         is_running = any(shard.running for shard in self._shards)
-        if self._parts.covered or is_running:
+        if self._parts.covered:
             certainty = verdict.Certainty.RAN
+        elif is_running and certainty is verdict.Certainty.NOT_RUN:
+            certainty = verdict.Certainty.MAY_HAVE_RUN
         return verdict.Verdict(certainty, verdict.Reason.COVERAGE, detail)
 
     def _finish(self) -> None:
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -87,6 +87,14 @@
             delay = shared.hedges.delay(self._route.name, False, self._route.aim)
             self._set_timer(delay, self._on_hedge)
 
+    def known(self) -> verdict.Verdict:
+        """Tell what is known of the request while it is under way."""
+        count = len(self._made)
+        detail = f"{count} attempts, {len(self._running)} of them not answered"
+        if self._running:
+            return verdict.may_have_run(verdict.Reason.LEAVING, detail)
+        return verdict.Verdict(verdict.combine(self._known), verdict.Reason.LEAVING, detail)
+
     def cancel(self) -> None:
         """Give the request up, because its caller has gone.
 
--- a/src/lineworks/http1/server_connection.py
+++ b/src/lineworks/http1/server_connection.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 import httptools
-from twisted.internet import protocol
+from twisted.internet import error, protocol
 
 from lineworks.http1 import fields as http_fields
 from lineworks.kernel import round_trip
@@ -120,6 +120,7 @@
         self._cancel: Callable[[], None] | None = None
         self._round_trip: float | None = None
         self._is_first = True
+        self._leaving: Request | None = None
         self.is_busy = False
         """Whether a request waits for its answer or is partly read."""
 
@@ -141,6 +142,10 @@
         self.is_busy = False
         if cancel is not None:
             cancel()
+        leaving, self._leaving = self._leaving, None
+        is_clean = reason is not None and reason.check(error.ConnectionDone)
+        if leaving is not None and not is_clean:
+            self._server.on_undelivered(leaving)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Feed the parser."""
@@ -264,6 +269,7 @@
         self.is_busy = False
         if is_last:
             self._is_broken = True
+            self._leaving = request
             self._waiting.clear()
             self.transport.loseConnection()
             return
@@ -318,6 +324,7 @@
         on_request: Callable[[Request, Callable[[Answer], None]], Callable[[], None] | None],
         is_closing: Callable[[], bool] = lambda: False,
         on_refused: Callable[[int], None] = lambda status: None,
+        on_undelivered: Callable[[Request], None] = lambda request: None,
     ) -> None:
         """Start without connections.
 
@@ -328,12 +335,16 @@
                 cancels it when its caller leaves.
             is_closing: Says whether answers end their connections.
             on_refused: Takes the status of each request that could not be read.
+            on_undelivered: Takes each request whose answer was the last one of its connection and
+                had not left this process when the connection was lost. An answer that is written
+                is not one that its caller got: the log must be able to tell them apart.
         """
         self._clock = clock
         self.limits = limits
         self.on_request = on_request
         self.is_closing = is_closing
         self.on_refused = on_refused
+        self.on_undelivered = on_undelivered
         self.connections: set[ServerConnection] = set()
         """Open connections."""
 
--- a/src/lineworks/programs/_losses.py
+++ b/src/lineworks/programs/_losses.py
@@ -32,6 +32,8 @@
 _PREFIX = re.compile(r"^\s*(-?\d+\.\d+)\s+(\S+)\s+\{")
 _UNKNOWN = "?"
 
+_CUT = "cut by the end of the process"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Loss:
@@ -62,6 +64,7 @@
     def __init__(self) -> None:
         """Start with nothing read."""
         self._halls: dict[str, str] = {}
+        self._failed: set[str] = set()
         self.left_out = 0
         """Lines on requests that the instances left out for their number."""
 
@@ -95,6 +98,11 @@
             self.left_out += int(_log_lines.number(fields.get("count")))
         elif event == "caller_gone":
             return self._loss(instance, at, fields, "the caller left", 1.0)
+        elif event in ("cut_at_end", "answer_not_delivered"):
+            # A failure is lost once, also when its caller did not get it.
+            if fields.get("id") in self._failed:
+                return None
+            return self._loss(instance, at, fields, _CUT, 1.0)
         elif event == "request":
             return self._judge(instance, at, fields)
         return None
@@ -104,6 +112,7 @@
         if fields.get("status") == 404:
             return None
         if fields.get("status") != 200:
+            self._failed.add(str(fields.get("id")))
             return self._loss(instance, at, fields, _why_failed(fields), 1.0)
         aim = _log_lines.number(fields.get("aim_ms"))
         if aim and _log_lines.number(fields.get("ms")) > aim:
--- a/src/lineworks/standins/memory_network.py
+++ b/src/lineworks/standins/memory_network.py
@@ -130,7 +130,8 @@
         self.network = network
         self.address = address
         self._ports: dict[int, _Listening] = {}
-        self._open: set[memory_transport.MemoryTransport] = set()
+        # A table keeps its order, unlike a set: plays of one seed must not differ.
+        self._open: dict[memory_transport.MemoryTransport, None] = {}
         self._life = 0
         self._is_dark = False
         self._next_port = FIRST_PORT
@@ -191,8 +192,10 @@
         return attempt
 
     def stop(self) -> None:
-        """Stop the code on this host."""
+        """Stop the code on this host: as in Twisted, its protocols hear that they lost all."""
         self.is_stopped = True
+        for transport in list(self._open):
+            transport.lose()
         self.kill()
 
     def kill(self) -> None:
@@ -241,11 +244,11 @@
 
     def note(self, transport: memory_transport.MemoryTransport) -> None:
         """Note an open socket."""
-        self._open.add(transport)
+        self._open[transport] = None
 
     def forget(self, transport: memory_transport.MemoryTransport) -> None:
         """Note that a socket is closed."""
-        self._open.discard(transport)
+        self._open.pop(transport, None)
 
 
 class _Listening:
--- a/src/lineworks/standins/memory_transport.py
+++ b/src/lineworks/standins/memory_transport.py
@@ -119,6 +119,11 @@
             self._protocol = None
             self._host.forget(self)
 
+    def lose(self) -> None:
+        """Reset the connection, and tell the own protocol at once."""
+        self._send(lambda peer: peer._on_end(net_error.ConnectionLost()))
+        self._on_end(net_error.ConnectionLost())
+
     def _send(self, deliver: Callable[[MemoryTransport], None]) -> None:
         peer = self.peer
         assert peer is not None
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -4,6 +4,8 @@
 
 import json
 
+import pytest
+
 from lineworks.programs import _losses, ctl
 
 STARTED = {"event": "started", "name": "a1", "hall": "akl", "t": 1.0}
@@ -86,3 +88,15 @@
 def test_the_command_needs_files_that_exist():
     assert ctl.main(["ctl", "losses"]) == 2
     assert ctl.main(["ctl", "losses", "nowhere.log"]) == 2
+
+
+@pytest.mark.parametrize("event", ["cut_at_end", "answer_not_delivered"])
+def test_what_the_end_of_a_process_cut_is_a_loss_of_its_own(event):
+    found, _ = read({"event": event, "id": "q1", "route": "sweep", "ms": 400.0, "t": 7.0})
+    assert [one.reason for one in found] == ["cut by the end of the process"]
+
+
+def test_a_failure_that_its_caller_did_not_get_is_one_loss():
+    failed = request("q1", status=502, reason="link_lost", detail="x")
+    found, _ = read(failed, {"event": "answer_not_delivered", "id": "q1", "ms": 400.0, "t": 7.0})
+    assert len(found) == 1
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -47,8 +47,14 @@
         self.answers = []
         self.cancelled = []
         self.refused = []
+        self.undelivered = []
         self.server = server_connection.Server(
-            self.clock, lambda: LIMITS, self.take, lambda: is_closing, self.refused.append
+            self.clock,
+            lambda: LIMITS,
+            self.take,
+            lambda: is_closing,
+            self.refused.append,
+            lambda request: self.undelivered.append(request),
         )
         self.connection = self.server.buildProtocol(None)
         self.transport = Transport(round_trip)
@@ -163,6 +169,14 @@
     assert caller.transport.disconnecting
 
 
+@pytest.mark.parametrize(("end", "count"), [(error.ConnectionDone, 0), (error.ConnectionLost, 1)])
+def test_an_answer_that_did_not_leave_is_told_of(end, count):
+    caller = Caller(is_closing=True).send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    caller.answers[0](server_connection.Answer(200))
+    caller.connection.connectionLost(failure.Failure(end()))
+    assert len(caller.undelivered) == count
+
+
 def test_connection_close_of_the_caller_is_obeyed():
     caller = Caller().send(b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
     caller.answers[0](server_connection.Answer(200))
