The callers' port is closed before a stop ends, and what waits on it is served

Cause: the process stopped with its port open; connections that the system had established and the process had not accepted were reset.

Change: before an early end, and when what is under way is answered, the port is closed after accepting all that waits. The stop goes on while one of these is there; later callers are refused by the system, which tells them that nothing ran.

Ruled out: closing the port at the hand-over, which would turn away what is still served.

--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -75,6 +75,7 @@
         self._reactor = reactor
         self._settings = settings
         self._callers_port = callers_port
+        self._port: Any = None
         self._rng = rng or random.Random(secrets.randbits(64))
         self._evacuated: frozenset[str] = frozenset()
         self._counters = tools.Counters()
@@ -165,6 +166,7 @@
             self._callers,
             self._front,
             self._gatherer,
+            self._stop_listening,
         )
         self._kernel = registry.Kernel()
         self._connect()
@@ -189,9 +191,9 @@
         """
         settings = self._settings
         if self._callers_port is None:
-            self._listen(settings.callers, self._callers)
+            self._port = self._listen(settings.callers, self._callers)
         else:
-            listening.adopt(self._reactor, self._callers_port, self._callers)
+            self._port = listening.adopt(self._reactor, self._callers_port, self._callers)
         self._listen(settings.readiness, self._server(self._on_readiness))
         self._listen(settings.metrics, self._server(self._on_metrics))
         self._links.listen(settings.peers.host, settings.peers.port)
@@ -238,11 +240,15 @@
 
         return server_connection.Server(self._reactor, server_connection.Limits, on_request)
 
-    def _listen(self, address: node_settings.Address, factory: Any) -> None:
-        self._reactor.listenTCP(
+    def _listen(self, address: node_settings.Address, factory: Any) -> Any:
+        return self._reactor.listenTCP(
             address.port, factory, interface=address.host, backlog=listening.BACKLOG
         )
 
+    def _stop_listening(self) -> None:
+        if self._port is not None:
+            listening.close(self._port)
+
     def _on_readiness(self, request: server_connection.Request) -> server_connection.Answer:
         if request.target.partition(b"?")[0] != headers.READINESS_PATH:
             return server_connection.Answer(404)
--- a/src/lineworks/forwarding/planned_stop.py
+++ b/src/lineworks/forwarding/planned_stop.py
@@ -14,6 +14,8 @@
 from lineworks.decisions import stop_times
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lineworks.forwarding import front, gathering
     from lineworks.http1 import server_connection
 
@@ -34,6 +36,7 @@
         callers: server_connection.Server,
         requests: front.Front,
         queries: gathering.Gatherer,
+        stop_listening: Callable[[], None],
     ) -> None:
         """Prepare the stop.
 
@@ -44,6 +47,7 @@
             callers: Connections of callers.
             requests: Their requests.
             queries: What other instances asked this one to gather.
+            stop_listening: Accepts the connections that wait, and closes the callers' port.
         """
         self._reactor = reactor
         self._name = name
@@ -51,6 +55,8 @@
         self._callers = callers
         self._requests = requests
         self._queries = queries
+        self._stop_listening = stop_listening
+        self._is_port_closed = False
         self._times: stop_times.StopTimes | None = None
         self._answered: int | None = None
         self.is_over = False
@@ -78,9 +84,12 @@
         if now >= times.hand_over_until:
             self._close_idle(stop_times.REST_SECONDS)
         if self._may_end(times, now):
-            self._end()
-            return
+            if self._is_port_closed:
+                self._end()
+                return
+            self._close_port()
         if now >= times.answer_by:
+            self._close_port()
             self._answer_all()
         self._reactor.callLater(LOOK_SECONDS, self._look, times)
 
@@ -100,6 +109,16 @@
         for connection in list(self._callers.connections):
             connection.close_if_idle(rest)
 
+    def _close_port(self) -> None:
+        """Take no new connections, but serve those that had connected by then.
+
+        Whoever comes later is refused by the system and knows that nothing ran; a connection that
+        came with the end of the process was closed unanswered.
+        """
+        if not self._is_port_closed:
+            self._is_port_closed = True
+            self._stop_listening()
+
     @property
     def _is_idle(self) -> bool:
         return self._requests.is_idle and self._queries.is_idle
--- a/src/lineworks/kernel/listening.py
+++ b/src/lineworks/kernel/listening.py
@@ -53,3 +53,18 @@
     port = reactor.adoptStreamPort(opened.fileno(), socket.AF_INET, factory)
     opened.close()
     return port
+
+
+def close(port: Any) -> None:
+    """Close a listening port after accepting what waits on it.
+
+    The system resets connections that are established and not accepted yet; their callers have
+    sent requests by then and could not know that nothing read them.
+
+    Args:
+        port: Twisted's port.
+    """
+    # Twisted adapts this number to how many waited lately.
+    port.numberAccepts = BACKLOG
+    port.doRead()
+    port.stopListening()
--- a/src/lineworks/standins/memory_network.py
+++ b/src/lineworks/standins/memory_network.py
@@ -257,6 +257,9 @@
         self.port = port
         self.factory = factory
 
+    def doRead(self) -> None:  # noqa: N802
+        """Do nothing: connections are accepted as they come."""
+
     def stopListening(self) -> None:  # noqa: N802
         """Stop accepting connections."""
         self._host.forget_port(self.port)
