Requests that were sent ahead are answered in a stop, too

Cause: while the process stops, each answer closes its connection, also with requests behind it.

Change: only the last answer of those that were read closes the connection; the ones before it go on. Without a stop the same holds for a caller that asked for `Connection: close` already.

Also tested now, passing before the change: a gatherer that stops hands back what is in; a request that is held at a start is refused when its process stops.

--- a/src/lineworks/http1/server_connection.py
+++ b/src/lineworks/http1/server_connection.py
@@ -270,13 +270,13 @@
     def _write(self, request: Request, answer: Answer) -> None:
         if self._is_broken:
             return
-        is_last = (self._must_close and not self._waiting) or self._server.is_closing()
+        # Requests that were sent ahead and read are answered, too, before the connection closes.
+        is_last = not self._waiting and (self._must_close or self._server.is_closing())
         self.transport.write(_encode(answer, is_last, request.method == b"HEAD"))
         self.is_busy = False
         if is_last:
             self._is_broken = True
             self._leaving = request
-            self._waiting.clear()
             self.transport.loseConnection()
             return
         if self._waiting:
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -4,14 +4,32 @@
 
 import pytest
 from structlog.testing import capture_logs
+from twisted.internet import protocol
 
 from bench import stops
+from lineworks.platform.standins import documents
+from lineworks.standins import deployment
+from lineworks.wire import node_frames
 from tests import test_forwarding
 
 SEEDS = (43, 59)
 """Seeds of stops with many requests under way at the end, and of targets that stall late."""
 
 
+class SentAhead(protocol.Protocol):
+    """A caller that sends several requests at once."""
+
+    def __init__(self, data, seen):
+        self._data = data
+        self._seen = seen
+
+    def connectionMade(self):  # noqa: N802
+        self.transport.write(self._data)
+
+    def dataReceived(self, data):  # noqa: N802
+        self._seen.append(data)
+
+
 def events(lines, *names):
     return [line for line in lines if line["event"] in names]
 
@@ -57,3 +75,66 @@
     stop = stops.play(seed, event)
     assert stop.broken == []
     assert stop.lasted < stops.GRACE_SECONDS
+
+
+def test_requests_that_were_sent_ahead_are_answered_in_a_stop():
+    # The first answer in a stop closed its connection, and with it two requests that had been read.
+    world = test_forwarding.build(work=lambda: 0.2)
+    requests = [
+        documents.caller_request("GET", "/read/x", f"r{number}", 2.0, b"") for number in range(3)
+    ]
+    seen = []
+    caller = world.network.host("10.250.0.1")
+    factory = protocol.ClientFactory.forProtocol(lambda: SentAhead(b"".join(requests), seen))
+    caller.connectTCP(world.address_of("akl-1"), deployment.CALLER_PORT, factory)
+    world.run(0.1)
+    world.nodes["akl-1"].stop()
+    world.run(2.0)
+    answers = b"".join(seen)
+    assert answers.count(b"HTTP/1.1 200") == 3
+    assert answers.count(b"Connection: close") == 1
+    assert answers.rindex(b"HTTP/1.1 200") < answers.index(b"Connection: close")
+
+
+def test_a_gatherer_that_stops_hands_back_what_is_in():
+    # Otherwise the front loses it with the link, and learns nothing of what else was sent.
+    world = test_forwarding.build()
+    gatherer = world.nodes["wlg-1"]
+    replies = []
+    for target in test_forwarding.targets_of(world, "s02"):
+        target.work = lambda: 60.0
+    query = node_frames.GatherQuery(
+        number=1,
+        services=("s00", "s02"),
+        head=b"GET /search/q HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: q1\r\n",
+        body=b"",
+        attempt=b"q1",
+        top=20,
+        floor=b"",
+        deadline=world.clock.seconds() + 30.0,
+        flush_at=world.clock.seconds() + 30.0,
+    )
+    gatherer._gatherer.on_query("origin", query, replies.append)
+    gatherer.stop()
+    world.run(6.0)
+    assert world.host_of("wlg-1").is_stopped
+    assert [shard for frame in replies for shard in frame.shards] == [0]
+    assert [failed for frame in replies for failed in frame.failed] == [1]
+    assert [one for frame in replies for one in frame.failures] == [
+        node_frames.Failure.MAY_HAVE_RUN
+    ]
+
+
+def test_a_request_that_is_held_at_a_start_is_refused_when_its_process_stops():
+    world = test_forwarding.build()
+    world.server.faults.is_silent = True
+    for name in list(world.nodes):
+        world.host_of(name).kill()
+    world.run(0.5)
+    world.add_node("akl-1", "akl")
+    world.run(0.01)
+    world.nodes["akl-1"].stop()
+    reply = world.ask("akl-1", "/read/x")
+    world.run(6.0)
+    assert reply.status == 503
+    assert world.host_of("akl-1").is_stopped
