A request that is still coming at the end of a stop is refused as not run

Cause: the end asked the front for requests, and the front does not know of those that are partly read.

Change: when what is under way is answered, connections with a partly read request get 503 with Retry-After 0 (no target has seen any of it, so it is true), those at rest are closed, those without any request stay until the process must end.

--- a/src/lineworks/forwarding/planned_stop.py
+++ b/src/lineworks/forwarding/planned_stop.py
@@ -129,6 +129,8 @@
         Without it such requests were cut: 203 of them in 60 stops under callers that go on until
         the process is gone, while targets turned slow (count of tries without an answer).
         """
+        for connection in list(self._callers.connections):
+            connection.end()
         count = self._requests.end_all() + self._queries.end_all()
         self._answered = count + (self._answered or 0)
 
--- a/src/lineworks/http1/server_connection.py
+++ b/src/lineworks/http1/server_connection.py
@@ -17,11 +17,15 @@
 from lineworks.kernel import round_trip
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
 LINGER = 0.5
 """Seconds that a refused caller gets to read the answer before the connection is closed."""
 
+END_FIELDS = ((b"Retry-After", b"0"),)
+"""What is told besides when this process ends before it has read a request: nothing ran, and
+another one takes the next connection at once."""
+
 MAX_WAITING = 16
 """Requests that a caller may send ahead of answers."""
 
@@ -176,6 +180,18 @@
             self._is_broken = True
             self.transport.loseConnection()
 
+    def end(self) -> None:
+        """Refuse a request that is partly read, because the process ends; close when at rest.
+
+        A connection without any request stays open: its first one may be on its way.
+        """
+        if self.is_busy or self._is_broken:
+            return
+        if self._began_at is not None:
+            self._refuse(503, END_FIELDS)
+        elif not self._is_first:
+            self.close_if_idle()
+
     def on_message_begin(self) -> None:
         """Start to collect a request."""
         if self._began_at is None:
@@ -288,7 +304,7 @@
         is_idle = self._began_at is None
         self._set_timer(limits.idle_seconds if is_idle else limits.header_seconds)
 
-    def _refuse(self, status: int) -> None:
+    def _refuse(self, status: int, fields: Sequence[tuple[bytes, bytes]] = ()) -> None:
         """Answer a request that can't be read, and close once the caller could read that."""
         if self._is_broken:
             return
@@ -296,7 +312,7 @@
         self._stop_timer()
         self._server.on_refused(status)
         if self._cancel is None:
-            self.transport.write(_encode(Answer(status), True, False))
+            self.transport.write(_encode(Answer(status, list(fields)), True, False))
         self._server.call_later(LINGER, self.transport.loseConnection)
 
     def _on_timer(self) -> None:
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -77,6 +77,21 @@
     assert stop.lasted < stops.GRACE_SECONDS
 
 
+@pytest.mark.parametrize("share", [0.3, 0.9], ids=["in its head", "in its body"])
+def test_a_request_that_is_still_coming_at_the_end_of_a_stop_is_refused_as_not_run(share):
+    # Its connection was closed without a byte: `stopped` told of an open connection and of no
+    # request under way. Its caller has sent most of it and could not know that nothing ran.
+    world = test_forwarding.build()
+    whole = documents.caller_request("POST", "/bill/x", "b1", 2.0, b"x" * 400)
+    world.nodes["akl-1"].stop()
+    world.run(2.5)
+    reply = world.send("akl-1", whole[: int(share * len(whole))])
+    world.run(4.0)
+    assert reply.status == 503
+    assert float(reply.headers["retry-after"]) == 0
+    assert world.runs_of("b1") == []
+
+
 def test_requests_that_were_sent_ahead_are_answered_in_a_stop():
     # The first answer in a stop closed its connection, and with it two requests that had been read.
     world = test_forwarding.build(work=lambda: 0.2)
