A signal to stop during the imports cuts no caller

Symptom: SIGTERM in the first tenths of a second ended the process on the spot (status -15, no log line); callers that had connected to its port, which is open by then, had their connections reset with requests in them. The new test fails so on (`Connection reset by peer`).

Change: the signal is noted before the imports, and the stop begins when the reactor runs, with its time counted from the signal. What waits on the port is read and answered.

--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -201,11 +201,15 @@
         without = sorted(mechanism.value for mechanism in settings.without)
         _log.info("started", name=settings.name, hall=settings.hall, without=without)
 
-    def stop(self) -> None:
-        """Begin a planned stop: no new connections, then the end when all work is done."""
+    def stop(self, asked_at: float | None = None) -> None:
+        """Begin a planned stop: no new connections, then the end when all work is done.
+
+        Args:
+            asked_at: When the signal came, in seconds; now when not given.
+        """
         if self._stop.is_begun:
             return
-        self._stop.begin()
+        self._stop.begin(self._reactor.seconds() if asked_at is None else asked_at)
         self._links.broadcast(self._heartbeat())
 
     def _connect(self) -> None:
--- a/src/lineworks/forwarding/planned_stop.py
+++ b/src/lineworks/forwarding/planned_stop.py
@@ -72,9 +72,13 @@
         """When whatever is under way is answered, in seconds; infinite before the stop."""
         return math.inf if self._times is None else self._times.answer_by
 
-    def begin(self) -> None:
-        """Stop the process: it ends when all work is done, or when the time is up."""
-        self._times = stop_times.plan(self._reactor.seconds(), self._grace)
+    def begin(self, asked_at: float) -> None:
+        """Stop the process: it ends when all work is done, or when the time is up.
+
+        Args:
+            asked_at: When the signal came, in seconds.
+        """
+        self._times = stop_times.plan(asked_at, self._grace)
         _log.info("stopping", name=self._name)
         self._look(self._times)
 
--- a/src/lineworks/programs/node.py
+++ b/src/lineworks/programs/node.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import mechanisms
-from lineworks.kernel import lean_imports, listening
+from lineworks.kernel import early_signals, lean_imports, listening
 from lineworks.platform import settings as platform_settings
 
 if TYPE_CHECKING:
@@ -104,6 +104,10 @@
     # Before anything else, or an early signal would end the process on the spot.
     _handle_signals(reactor, process, logs)
     defer.ensureDeferred(process.start()).addErrback(_on_start_failed, reactor, logs)
+    stop_asked_at = early_signals.stop_asked_at()
+    if stop_asked_at is not None:
+        # The platform counts its time from the signal.
+        reactor.callWhenRunning(process.stop, stop_asked_at)
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     gc.enable()
--- a/src/lineworks_node.py
+++ b/src/lineworks_node.py
@@ -4,12 +4,12 @@
 folder `platform` would hide the standard library's module of that name.
 """
 
-import signal
 import sys
 
-# The settings are read after the imports, so a signal that they changed has nothing to say yet; by
-# default it would end the process.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+from lineworks.kernel import early_signals
+
+# Before the rest is imported, which takes some tenths of a second.
+early_signals.hold()
 
 from lineworks.programs import node  # noqa: E402
 
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -9,10 +9,12 @@
 import socket
 import subprocess
 import sys
+import time
 
 import pytest
 
 from bench.soak import processes
+from lineworks.platform.standins import documents
 
 PROGRAM = pathlib.Path(__file__).parent.parent / "src" / "lineworks_node.py"
 LIMIT = 60
@@ -96,3 +98,30 @@
     events = [line["event"] for line in lines(rest)]
     assert "stopping" in events
     assert events[-1] == "stopped"
+
+
+def test_a_signal_to_stop_during_the_imports_cuts_no_caller(tmp_path, ports):
+    # The callers' port is open before the imports. SIGTERM ended the process on the spot then, with
+    # status -15 and no log line, and the caller's connection was reset with its request in it.
+    front, ready, inner, _ = ports
+    process = start(write_settings(tmp_path / "s.yaml", front, ready, inner))
+    caller = connect(front)
+    caller.sendall(documents.caller_request("GET", "/read/x", "r1", 2.0, b""))
+    process.send_signal(signal.SIGTERM)
+    answer = caller.recv(4096)
+    caller.close()
+    output, _ = process.communicate(timeout=LIMIT)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert process.returncode == 0
+    assert [line["event"] for line in lines(output)][-1] == "stopped"
+
+
+def connect(port):
+    """Connect as soon as a process listens."""
+    until = time.monotonic() + LIMIT
+    while True:
+        try:
+            return socket.create_connection(("127.0.0.1", port), timeout=LIMIT)
+        except ConnectionRefusedError:
+            assert time.monotonic() < until
+            time.sleep(0.002)
