Soak: SIGTERM before the callers' port is open may end an instance on the spot

Traced: the process had written nothing and its port was closed; the signal came while the interpreter was loading, where no program can have a handler. Nobody can have connected, so no caller is cut.

--- a/bench/soak/instances.py
+++ b/bench/soak/instances.py
@@ -126,11 +126,15 @@
         if not node.child.is_running:
             return
         child = node.child
+        codes = {0, -signal.SIGKILL, None}
+        if not node.is_listening:
+            # The interpreter itself still starts: nobody can have connected, and the default holds.
+            codes.add(-signal.SIGTERM)
         self._note(node, 0.0, is_planned=True)
         self._taken_down.add(node.name)
         child.signal(signal.SIGTERM)
         self._later(processes.GRACE_SECONDS, self._end_in_time, node, child)
-        defer.ensureDeferred(self._restart_when_gone(node, child))
+        defer.ensureDeferred(self._restart_when_gone(node, child, codes))
 
     def _end_in_time(self, node: processes.Node, child: processes.Child) -> None:
         """End an instance whose time to stop is over."""
@@ -138,10 +142,12 @@
             self.exits.append(f"{node.name} was still there at the end of its time to stop")
             child.signal(signal.SIGKILL)
 
-    async def _restart_when_gone(self, node: processes.Node, child: processes.Child) -> None:
+    async def _restart_when_gone(
+        self, node: processes.Node, child: processes.Child, codes: Collection[int | None]
+    ) -> None:
         while child.is_running and not self._is_over:
             await task.sleep(self._reactor, POLL_SECONDS)
-        if child.exit_code not in (0, -signal.SIGKILL, None):
+        if child.exit_code not in codes:
             self.exits.append(f"{node.name} stopped with {child.exit_code}")
         self._start(node)
 
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -312,6 +312,12 @@
         assert self._child is not None
         return self._child
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether callers can connect."""
+        with socket.socket() as one:
+            return one.connect_ex(("127.0.0.1", self.port)) == 0
+
     def start(self) -> None:
         """Start a life of it."""
         environment = {"LINEWORKS_SETTINGS": str(self._settings)}
