--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -141,8 +141,8 @@
 
 def test_a_caller_that_comes_during_slow_imports_is_answered_by_its_deadline(tmp_path, ports):
     # Found by the soak, seeds 30 and 32 of 20 s on a busy machine: 3 and 14 callers of the first
-    # second waited past their deadline. By the logs `started` came up to 1.85 and 2.65 s after their
-    # requests: the port is opened before the imports, and nobody reads from it until they are done.
+    # second waited past their deadline. By the logs `started` came up to 1.85 and 2.65 s after
+    # their requests: the port is opened before the imports, and nobody reads until they are done.
     (tmp_path / "sitecustomize.py").write_text(SLOW_IMPORTS)
     front, ready, inner, _ = ports
     settings = write_settings(tmp_path / "s.yaml", front, ready, inner)
