The callers' port closes at once after its last look

Cause: the port's last connections were accepted, then Twisted's stopListening was called, which closes in the next turn of the event loop. What connected between the two was reset.

Change: the port is closed in the same call as its last look. What is left is a connection whose opening is on its way while the port closes (one round trip), which no server can prevent.

--- a/src/lineworks/kernel/listening.py
+++ b/src/lineworks/kernel/listening.py
@@ -2,7 +2,7 @@
 
 A process that starts imports for some tenths of a second. Callers who connect in that time would be
 refused by the operating system and use up their retries; on an open port they wait until the
-reactor takes the port over. The module imports nothing of Twisted for that reason.
+reactor takes the port over. The module imports nothing of Twisted before that for this reason.
 """
 
 from __future__ import annotations
@@ -64,7 +64,11 @@
     Args:
         port: Twisted's port.
     """
+    from twisted.internet import main
+    from twisted.python import failure
+
     # Twisted adapts this number to how many waited lately.
     port.numberAccepts = BACKLOG
     port.doRead()
-    port.stopListening()
+    # At once: `stopListening` closes in the next turn, and what connects until then is reset.
+    port.connectionLost(failure.Failure(main.CONNECTION_DONE))
--- a/src/lineworks/standins/memory_network.py
+++ b/src/lineworks/standins/memory_network.py
@@ -264,6 +264,10 @@
         """Stop accepting connections."""
         self._host.forget_port(self.port)
 
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Stop accepting connections, at once."""
+        self._host.forget_port(self.port)
+
 
 class _Connecting:
     """A connection that is being opened."""
