--- a/bench/soak/instances.py
+++ b/bench/soak/instances.py
@@ -100,7 +100,7 @@
             self._later(step.seconds, self._freeze_same, node, node.child, step.seconds)
 
     def _freeze_same(self, node: processes.Node, child: processes.Child, seconds: float) -> None:
-        """Freeze an instance, unless another life of it has begun, which no step asked to freeze."""
+        """Freeze an instance, unless another life of it has begun: no step asked to freeze that."""
         if node.child is child:
             self._freeze(node, seconds)
 
