--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,9 @@
 SHARDS = ("s0", "s1")
 SUBJECTS = plan.Subjects(("t1", "t2"), ("n1",), ("h",), ("l1", "l2"))
 SERVICES = {"read": "shelf", "bill": "shelf"}
+STOPS_SEED, STOPS_SECONDS = 13, 12
+"""Seed and length of a run with stops of all kinds, some overlapping."""
+
 RUN_SECONDS = 120
 """Seconds after which a short run that hangs is ended."""
 
@@ -305,6 +308,11 @@
         processes.claim_ports(100 * processes.BLOCK)
 
 
+def test_the_short_run_of_stops_deals_all_of_their_kinds():
+    dealt = {step.kind for step in plan.deal(STOPS_SEED, STOPS_SECONDS, SUBJECTS)}
+    assert set(plan.STOPS) <= dealt
+
+
 def test_ports_in_use_are_passed_over():
     claim = processes.claim_ports(20)
     ports = claim.ports
@@ -334,8 +342,9 @@
     assert history.read_arrivals(tmp_path) == (arrival("a", "x", "s0", 1.0),)
 
 
-def test_a_short_run_over_real_processes_keeps_every_promise(tmp_path):
-    arguments = ["--seed", "1", "--seconds", "10", "--folder", str(tmp_path)]
+@pytest.mark.parametrize(("seed", "seconds"), [(1, 10), (STOPS_SEED, STOPS_SECONDS)])
+def test_a_short_run_over_real_processes_keeps_every_promise(tmp_path, seed, seconds):
+    arguments = ["--seed", str(seed), "--seconds", str(seconds), "--folder", str(tmp_path)]
     done = subprocess.run(
         [sys.executable, "-m", "bench.soak", *arguments],
         capture_output=True,
@@ -345,10 +354,10 @@
     )
     assert done.returncode == 0, done.stdout + done.stderr
     assert "0 broken" in done.stdout
-    calls = history.read_calls(tmp_path / "seed-1")
+    calls = history.read_calls(tmp_path / f"seed-{seed}")
     assert sum(call.status == 200 for call in calls) > len(calls) / 2
     # All instances are linked. They refused each other while each had a store's port of its own.
-    for log in (tmp_path / "seed-1").glob("*-[12].log"):
+    for log in (tmp_path / f"seed-{seed}").glob("*-[12].log"):
         assert '"link_up"' in log.read_text(), log.name
 
 
