--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -34,7 +34,10 @@
 """Requests a second: few enough for one core beside the processes."""
 
 START_SECONDS = 4.0
-"""Seconds from the start of the processes to the first request."""
+"""Seconds from the start of the processes to the first request at least."""
+
+START_SECONDS_AN_INSTANCE = 0.6
+"""Seconds of it for each instance: its imports take half a second of one core."""
 
 POLL_SECONDS = 0.05
 """Seconds between looks whether all tries have ended."""
@@ -139,6 +142,7 @@
             )
             for hall in processes.HALLS
         }
+        self._start_seconds = max(START_SECONDS, START_SECONDS_AN_INSTANCE * nodes)
         self._links = processes.Links(self._link_rows, folder)
         links = tuple(row["name"] for row in self._link_rows)
         subjects = plan.Subjects(tuple(self._places), tuple(self._nodes), processes.HALLS, links)
@@ -198,7 +202,7 @@
                 hall.start()
             for node in self._nodes.values():
                 node.start()
-            await task.sleep(self._reactor, START_SECONDS)
+            await task.sleep(self._reactor, self._start_seconds)
             begin = self._reactor.seconds()
             self._write_timeline(begin)
             self._callers.start(self._seconds)
