--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -128,7 +128,7 @@
 def test_signals_after_the_end_of_a_stop_do_not_change_how_it_ended(tmp_path, ports):
     # Found by the soak, seed 60 of 30 s with 8 instances a hall: a second signal to stop came 0.03
     # seconds after `stopped`, and the exit code was -15. While Python ends, its handlers are gone
-    # and the default of the signal holds. No caller lost anything; the platform saw a killed process.
+    # and the default of the signal holds. No caller lost anything; the platform saw a kill.
     front, ready, inner, _ = ports
     process = start(write_settings(tmp_path / "s.yaml", front, ready, inner))
     assert process.stdout is not None
