--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -72,8 +72,8 @@
     for ended in one.exits:
         print(f"  an instance: {ended}")
     if broken or one.exits:
-        more = f" --instances {_NODES.value} --rate {_RATE.value:g}" if _NODES.value != 2 else ""
-        print(f"  again: python -m bench.soak --seed {seed} --seconds {_SECONDS.value:g}{more}")
+        size = f"--seconds {_SECONDS.value:g} --instances {_NODES.value} --rate {_RATE.value:g}"
+        print(f"  again: python -m bench.soak --seed {seed} {size}")
 
 
 def _latencies(found: history.History) -> Iterable[str]:
--- a/bench/stops.py
+++ b/bench/stops.py
@@ -88,7 +88,7 @@
 
 LAST_SECONDS = 0.4
 """Seconds before the platform ends a process at which it answers what is under way: what it needs
-to write answers while it is slow. As `decisions/stop_times.py` has it."""
+to write answers while it is slow. One that answers sooner breaks a promise."""
 
 
 class Event(enum.Enum):
