Sight: which copy the store works with, and its own revision where everything is read again

The logs of the incident named the revision that was asked from, and not the store's own, so a lost history could not be told from a store that came back with less. The client reads Store-Era from each answer, logs store_from_older_copy when it rises, and history_gone names the store's revision, its era and the version in force. lineworks_store tells the era.

The stand-in of the store can go on from a copy: items, history, leases and their identities go back, the era rises by one, a watch from a revision that it lacks gets 410.

--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -95,6 +95,7 @@
         self._table: routes.RouteTable | None = None
         self._document = b""
         self._has_targets = False
+        self._listed_revision = 0
         self._fresh_at = float("-inf")
         self._next_call = 0.0
         self._failures = 0
@@ -211,6 +212,7 @@
     async def _read_all(self, asked_at: float) -> None:
         """Read everything there is."""
         listing = await self._store.list_items(_ANY)
+        self._listed_revision = listing.revision
         rows = [store.Change(item.key, item.revision, item.value) for item in listing.items]
         entries = self._decode(rows)
         # Before the targets are known, so that a hall that is to be left alone gets nothing.
@@ -229,8 +231,14 @@
         try:
             found = await self._store.watch(_ANY, before, 0.0)
         except store.HistoryGoneError:
-            _log.info("history_gone", revision=before)
             await self._read_all(asked_at)
+            _log.info(
+                "history_gone",
+                revision=before,
+                listed=self._listed_revision,
+                era=self._store.era,
+                in_force=self.version,
+            )
             return
         # An entry that came back while its removal was held up is news to the peers as well.
         known = self._view.certain()
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -359,6 +359,7 @@
         return {
             "lineworks_front_events": {name: float(value) for name, value in counters.items()},
             "lineworks_store_calls": dict(self._store.calls),
+            "lineworks_store": {"era": float(self._store.era)},
             "lineworks_configuration": {
                 "version": float(self._directory.version),
                 "age_seconds": self._directory.age,
--- a/src/lineworks/platform/standins/store_model.py
+++ b/src/lineworks/platform/standins/store_model.py
@@ -1,9 +1,12 @@
-"""The platform's store in memory: items with revisions, history, transactions and leases."""
+"""The platform's store in memory: items with revisions, history, transactions and leases.
+
+It may come back from an older copy of itself: what was written since is gone, and revisions and
+identities of leases are given out again.
+"""
 
 from __future__ import annotations
 
 import dataclasses
-import itertools
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
@@ -12,6 +15,8 @@
 PAGE_ITEMS = 500
 """Items that a page of a listing holds at most."""
 
+_FIRST_LEASE = 1001
+
 
 class CompactedError(Exception):
     """The history after a revision is gone."""
@@ -45,6 +50,18 @@
     item: StoredItem | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What the store held at a moment."""
+
+    revision: int
+    items: dict[str, StoredItem]
+    history: list[StoredChange]
+    forgotten: int
+    leases: dict[int, tuple[float, float]]
+    next_lease: int
+
+
 class StoreModel:
     """The store's contents and rules."""
 
@@ -59,10 +76,40 @@
         self._history: list[StoredChange] = []
         self._forgotten = 0
         self._leases: dict[int, tuple[float, float]] = {}
-        self._lease_ids = itertools.count(1001)
+        self._next_lease = _FIRST_LEASE
         self._watchers: list[tuple[str, Callable[[], None]]] = []
         self.revision = 0
         """Revision of the last change."""
+        self.era = 1
+        """How often it came back from a copy, counted from 1."""
+
+    def copy(self) -> StoreCopy:
+        """Copy all that it holds."""
+        return StoreCopy(
+            self.revision,
+            dict(self._items),
+            list(self._history),
+            self._forgotten,
+            dict(self._leases),
+            self._next_lease,
+        )
+
+    def come_back(self, copy: StoreCopy) -> None:
+        """Go on from an older copy; whoever waits for a change is told to ask again.
+
+        Args:
+            copy: The copy.
+        """
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._forgotten = copy.forgotten
+        self._leases = dict(copy.leases)
+        self._next_lease = copy.next_lease
+        self.era += 1
+        waiting, self._watchers = self._watchers, []
+        for _, on_change in waiting:
+            on_change()
 
     def get(self, key: str) -> StoredItem | None:
         """Read a key."""
@@ -95,10 +142,10 @@
             The changes in order.
 
         Raises:
-            CompactedError: Some of them are forgotten.
+            CompactedError: Some of them are forgotten, or it does not have that revision.
         """
         self._expire()
-        if after < self._forgotten:
+        if after < self._forgotten or after > self.revision:
             raise CompactedError
         return [c for c in self._history if c.revision > after and c.key.startswith(prefix)]
 
@@ -147,7 +194,8 @@
 
     def grant(self, seconds: float) -> int:
         """Open a lease."""
-        lease = next(self._lease_ids)
+        lease = self._next_lease
+        self._next_lease += 1
         self._leases[lease] = (self._clock.seconds() + seconds, seconds)
         return lease
 
--- a/src/lineworks/platform/standins/store_server.py
+++ b/src/lineworks/platform/standins/store_server.py
@@ -91,11 +91,12 @@
         self.calls[name] += 1
         if self.faults.is_silent:
             return
+        tell = self._with_era(answer)
         if self.faults.is_down or self.faults.is_busy:
-            answer(server_connection.Answer(503 if self.faults.is_down else 429))
+            tell(server_connection.Answer(503 if self.faults.is_down else 429))
             return
         wanted = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
-        later = self._delayed(answer)
+        later = self._with_era(self._delayed(answer))
         if name == "kv-watch":
             self._watch(wanted, later)
             return
@@ -105,6 +106,15 @@
             return
         later(found)
 
+    def _with_era(self, answer: Answer) -> Answer:
+        """Tell in an answer which copy the store worked with when it was made."""
+
+        def tell(found: server_connection.Answer) -> None:
+            era = (b"Store-Era", b"%d" % self._model.era)
+            answer(dataclasses.replace(found, fields=[*found.fields, era]))
+
+        return tell
+
     def _delayed(self, answer: Answer) -> Answer:
         if not self.faults.delay:
             return answer
--- a/src/lineworks/platform/store.py
+++ b/src/lineworks/platform/store.py
@@ -13,11 +13,13 @@
 import urllib.parse
 from typing import TYPE_CHECKING, Any
 
+import structlog
+
 from lineworks.http1 import client_connection
 from lineworks.platform import _fields, _store_connections
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Iterable, Sequence
+    from collections.abc import Awaitable, Callable, Iterable, Sequence
 
     from lineworks.models import node_settings
 
@@ -25,8 +27,10 @@
 """Seconds to wait for an answer; the store usually takes 4 ms, and 0.4 s when it is slow."""
 
 _KEY = "PrivateKey"  # Any key of the store; nothing about it is private.
+_ERA = b"store-era"  # Rises by one each time that the store comes back from an older copy.
 _JSON = b"Content-Type: application/json\r\n"
 _MAX_PAGES = 100
+_log = structlog.get_logger(component="store")
 
 
 class StoreError(Exception):
@@ -142,8 +146,16 @@
         self._timeout = timeout
         self._address = address
         self._connections = _store_connections.StoreConnections(reactor, address)
+        self._era: int | None = None
         self.calls: collections.Counter[str] = collections.Counter()
         """Calls made so far, by kind."""
+        self.on_era: list[Callable[[], None]] = []
+        """Called when the store is known to have come back from an older copy."""
+
+    @property
+    def era(self) -> int:
+        """Which of its copies the store works with, counted up from one to the next; 0 at first."""
+        return self._era or 0
 
     def start(self) -> None:
         """Do nothing; the first call connects."""
@@ -320,7 +332,7 @@
     ) -> tuple[int, Any]:
         self.calls[kind] += 1
         data = _request(method, path, self._address, document)
-        return await _answer(kind, self._connections.exchange(data, self._timeout + more))
+        return await self._answer(kind, self._connections.exchange(data, self._timeout + more))
 
     async def _read(self, kind: str, path: str) -> tuple[int, Any]:
         """Make a call that changes nothing, and so may be sent again while no answer comes."""
@@ -332,25 +344,45 @@
             self.calls[kind] += 1
 
         data = _request("GET", path, self._address, None)
-        return await _answer(kind, self._connections.read(data, self._timeout, on_sent))
-
-
-async def _answer(kind: str, call: Awaitable[Any]) -> tuple[int, Any]:
-    """Wait for a call and read the status and the document of its answer."""
-    try:
-        end = await call
-    except _store_connections.ConnectError as error:
-        raise StoreError(f"{kind}: {error}") from error
-    if isinstance(end, client_connection.Broken):
-        raise StoreUnsureError(f"{kind}: {end.detail}")
-    if end.status == 429:
-        raise StoreBusyError(f"{kind}: refused with 429")
-    if end.status == 503:
-        raise StoreError(f"{kind}: refused with 503")
+        return await self._answer(kind, self._connections.read(data, self._timeout, on_sent))
+
+    async def _answer(self, kind: str, call: Awaitable[Any]) -> tuple[int, Any]:
+        """Wait for a call and read the status and the document of its answer."""
+        try:
+            end = await call
+        except _store_connections.ConnectError as error:
+            raise StoreError(f"{kind}: {error}") from error
+        if isinstance(end, client_connection.Broken):
+            raise StoreUnsureError(f"{kind}: {end.detail}")
+        self._note_era(_era_of(end))
+        if end.status == 429:
+            raise StoreBusyError(f"{kind}: refused with 429")
+        if end.status == 503:
+            raise StoreError(f"{kind}: refused with 503")
+        try:
+            return end.status, json.loads(end.body) if end.body else {}
+        except ValueError as error:
+            raise StoreUnsureError(f"{kind}: the answer is no JSON") from error
+
+    def _note_era(self, era: int) -> None:
+        before = self._era
+        if before is not None and era <= before:
+            return
+        self._era = era
+        if before is None:
+            return
+        _log.warning("store_from_older_copy", era=era, before=before)
+        for listener in self.on_era:
+            listener()
+
+
+def _era_of(answer: client_connection.Response) -> int:
+    """Read which copy answers; a store that does not tell has one only."""
+    text = answer.headers.get(_ERA, b"0")
     try:
-        return end.status, json.loads(end.body) if end.body else {}
+        return int(text)
     except ValueError as error:
-        raise StoreUnsureError(f"{kind}: the answer is no JSON") from error
+        raise StoreUnsureError(f"the store's era is no number: {text[:80]!r}") from error
 
 
 def _request(method: str, path: str, address: node_settings.Address, document: Any) -> bytes:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -258,3 +258,54 @@
     with pytest.raises(store.StoreBusyError):
         world.do(world.client.get("a/1"))
     assert world.server.calls["kv-key"] == 1
+
+
+def come_back(world, copy):
+    """Let the store go on from a copy of itself."""
+    world.model.come_back(copy)
+
+
+def test_the_stand_in_loses_what_was_written_after_its_copy():
+    world = World()
+    world.write("a/1", b"1")
+    copy = world.model.copy()
+    lost = world.write("a/2", b"2")
+    lease = world.do(world.client.grant_lease(20.0))
+    come_back(world, copy)
+    assert world.do(world.client.get("a/1")).value == b"1"
+    assert world.do(world.client.get("a/2")) is None
+    assert world.model.grant(20.0) == lease
+    assert world.model.write("a/3", "dg==") == lost
+
+
+def test_the_stand_in_does_not_know_a_revision_that_its_copy_lacks():
+    world = World()
+    world.write("a/1")
+    copy = world.model.copy()
+    lost = world.write("a/2")
+    come_back(world, copy)
+    with pytest.raises(store.HistoryGoneError):
+        world.do(world.client.watch("a/", lost, 0.0))
+
+
+def test_who_waits_is_told_that_the_store_came_back_from_a_copy():
+    world = World()
+    copy = world.model.copy()
+    first = world.write("a/1")
+    waiting = world.start(world.client.watch("a/", first, 10.0))
+    world.clock.run_until(world.clock.seconds() + 1.0)
+    come_back(world, copy)
+    world.clock.run_until(world.clock.seconds() + 1.0)
+    assert waiting[0].check(store.HistoryGoneError)
+
+
+def test_the_client_tells_once_that_the_store_came_back_from_a_copy():
+    world = World()
+    told = []
+    world.client.on_era.append(lambda: told.append(world.client.era))
+    world.write("a/1")
+    assert (world.client.era, told) == (1, [])
+    come_back(world, world.model.copy())
+    world.do(world.client.get("a/1"))
+    world.do(world.client.get("a/1"))
+    assert told == [2]
