Tests that fail: the store comes back from an older copy

Symptom: a version that was acknowledged after the return is in force on no instance 3 s later; targets that leave and halls that are evacuated after it stay in use; the key of an instance that started in the time that was lost is not there again; a version with other contents under its old number is not taken.

The deployment in memory lets operators and targets write again what they had written.

--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -179,6 +179,11 @@
         is_blind = self._directory.age > BLIND_SECONDS
         return not (is_blind and self._front.is_mostly_refusing)
 
+    @property
+    def known(self) -> directory.Directory:
+        """What it knows of the configuration and the targets."""
+        return self._directory
+
     def _is_closing(self) -> bool:
         """Say whether callers should open their next connection elsewhere."""
         return self._stop.is_begun or (self._directory.is_complete and not self.is_ready)
--- a/src/lineworks/platform/standins/documents.py
+++ b/src/lineworks/platform/standins/documents.py
@@ -12,6 +12,9 @@
 CONFIGURATION_KEY = "op/config"
 """Key that holds the newest configuration."""
 
+FOREIGN_PREFIXES = ("op/", "servers/")
+"""Prefixes of the keys that operators and targets write."""
+
 READINESS_REQUEST = b"GET /lineworks/readiness HTTP/1.1\r\nHost: x\r\n\r\n"
 """What the balancer sends."""
 
--- a/src/lineworks/standins/deployment.py
+++ b/src/lineworks/standins/deployment.py
@@ -31,6 +31,8 @@
 READY_PORT = 8108
 LAPSE_SECONDS = 3.6
 """Seconds after which the entry of a target that ended goes: three of its check-ins."""
+REWRITTEN_SECONDS = 0.6
+"""Seconds after the store's return from an older copy in which operators and targets write again."""
 FIRST_BORN = 1_700_000_000_000
 """Unix millisecond at which the clock of a deployment starts."""
 _FIRST_NETWORK = 64
@@ -200,6 +202,42 @@
         )
         self.store.write(documents.CONFIGURATION_KEY, document)
 
+    def come_back(
+        self, copy: store_model.StoreCopy, rewritten_after: float = REWRITTEN_SECONDS
+    ) -> None:
+        """Let the store go on from an older copy of itself.
+
+        Operators and targets write again what they had written since; what the instances had
+        written is gone.
+
+        Args:
+            copy: The copy.
+            rewritten_after: Seconds until the operators and the targets have written again.
+        """
+        held = self._foreign_items()
+        self.store.come_back(copy)
+        self.clock.callLater(rewritten_after, self._write_again, held, copy.revision)
+
+    def _foreign_items(self) -> dict[str, str]:
+        """List what others than the instances keep in the store."""
+        return {
+            item.key: item.value
+            for prefix in documents.FOREIGN_PREFIXES
+            for item in self.store.page(prefix, "")[0]
+        }
+
+    def _write_again(self, held: dict[str, str], copied: int) -> None:
+        """Restore keys of others, unless they were written since the store's return."""
+        present = self._foreign_items()
+        for key, value in held.items():
+            item = self.store.get(key)
+            if present.get(key) != value and (item is None or item.revision <= copied):
+                self.store.write(key, value)
+        for key in present.keys() - held.keys():
+            item = self.store.get(key)
+            if item is not None and item.revision <= copied:
+                self.store.remove(key)
+
     def evacuate(self, hall: str) -> None:
         """Ask, as the operators do, to send nothing more to the targets of a data hall."""
         self.store.write(documents.evacuation_key(hall), documents.encoded("{}"))
