--- a/bench/platform.py
+++ b/bench/platform.py
@@ -11,8 +11,9 @@
 
 from twisted.internet import defer
 
+from lineworks.decisions import positions
 from lineworks.kernel import task
-from lineworks.platform import store
+from lineworks.platform import store, store_era
 from lineworks.platform.standins import store_model
 from lineworks.services import platform_client
 
@@ -131,6 +132,7 @@
         """
         self._platform = platform
         self.is_cut = False
+        self.era = store_era.StoreEra()
         self.calls: collections.Counter[str] = collections.Counter()
 
     def stop(self) -> None:
@@ -143,42 +145,52 @@
         if platform.faults.stale_reads > 0 and key in platform.previous:
             platform.faults.stale_reads -= 1
             value, revision = platform.previous[key]
-            return store.Item(key, value.encode(), revision)
+            return store.Item(key, value.encode(), self._position(revision))
         item = platform.model.get(key)
         if item is None:
             return None
         platform.bytes += len(item.value)
-        return _item(item)
+        return self._item(item)
 
     async def list_items(self, prefix: str) -> store.Listing:
         """List items; see `Store.list_items`."""
         await self._travel("list")
         found, _ = self._platform.model.page(prefix, "")
-        return store.Listing([_item(item) for item in found], self._platform.model.revision)
+        items = [self._item(item) for item in found]
+        return store.Listing(items, self._position(self._platform.model.revision))
 
-    async def watch(self, prefix: str, after: int, wait: float) -> store.Changes:
+    async def watch(self, prefix: str, after: positions.Position, wait: float) -> store.Changes:
         """Read changes; see `Store.watch`."""
         await self._travel("watch")
         platform = self._platform
+        if after.era != platform.model.era:
+            raise store.HistoryGoneError("the store came back from an older copy")
         if not self._changes(prefix, after):
             await platform.wait(prefix, wait)
         if self._is_out:
             raise store.StoreError("watch: lost")
+        if after.era != platform.model.era:
+            raise store.HistoryGoneError("the store came back from an older copy")
         changes = self._changes(prefix, after)
         platform.bytes += sum(len(change.value or b"") for change in changes)
-        return store.Changes(changes, platform.model.revision)
+        return store.Changes(changes, self._position(platform.model.revision))
 
     async def transact(
         self,
         writes: Iterable[store.Write],
-        expected: Sequence[tuple[str, int]] = (),
+        expected: Sequence[tuple[str, positions.Position]] = (),
         removed: Sequence[str] = (),
-    ) -> int:
+    ) -> positions.Position:
         """Write keys; see `Store.transact`."""
         await self._travel("write")
         platform = self._platform
         faults = platform.faults
-        rows = [(write.key, write.value.decode(), write.lease) for write in writes]
+        if any(at.era < platform.model.era for _, at in expected if at != positions.ABSENT):
+            raise store.ConflictError("the store came back from an older copy")
+        rows = [
+            (write.key, write.value.decode(), write.lease.number if write.lease else 0)
+            for write in writes
+        ]
         platform.bytes += sum(len(row[1]) for row in rows)
         drawn = platform.rng.random()
         if drawn < faults.lost_request_share:
@@ -186,7 +198,8 @@
         for key, _, _ in rows:
             platform.remember(key)
         try:
-            revision = platform.model.transact(expected, rows, removed)
+            wanted = [(key, position.revision) for key, position in expected]
+            revision: int | None = platform.model.transact(wanted, rows, removed)
         except store_model.MismatchError:
             revision = None
         except store_model.NoLeaseError as error:
@@ -195,31 +208,42 @@
             raise store.StoreUnsureError("the reply was lost")
         if revision is None:
             raise store.ConflictError("another revision")
-        return revision
+        return self._position(revision)
 
-    async def grant_lease(self, seconds: float) -> int:
+    async def grant_lease(self, seconds: float) -> store.Lease:
         """Open a lease; see `Store.grant_lease`."""
         await self._travel("lease")
-        return self._platform.model.grant(seconds)
+        return store.Lease(self._platform.model.grant(seconds), self._platform.model.era)
 
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: store.Lease) -> None:
         """Renew a lease; see `Store.renew_lease`."""
         await self._travel("renew")
         try:
-            self._platform.model.renew(lease)
+            self._platform.model.renew(lease.number)
         except store_model.NoLeaseError as error:
             raise store.LeaseGoneError("no such lease") from error
 
-    def _changes(self, prefix: str, after: int) -> list[store.Change]:
+    def _changes(self, prefix: str, after: positions.Position) -> list[store.Change]:
         try:
-            found = self._platform.model.changes(prefix, after)
+            found = self._platform.model.changes(prefix, after.revision)
         except store_model.CompactedError as error:
             raise store.HistoryGoneError("the history is gone") from error
         return [
-            store.Change(c.key, c.revision, None if c.item is None else c.item.value.encode())
+            store.Change(
+                c.key,
+                self._position(c.revision),
+                None if c.item is None else c.item.value.encode(),
+            )
             for c in found
         ]
 
+    def _position(self, revision: int) -> positions.Position:
+        return positions.Position(self._platform.model.era, revision)
+
+    def _item(self, item: store_model.StoredItem) -> store.Item:
+        position = self._position(item.revision)
+        return store.Item(item.key, item.value.encode(), position, item.lease)
+
     @property
     def _is_out(self) -> bool:
         return self.is_cut or self._platform.faults.is_down
@@ -230,6 +254,7 @@
         await task.sleep(self._platform.clock, self._platform.faults.delay)
         if self._is_out:
             raise store.StoreError(f"{label}: no connection")
+        self.era.learn(self._platform.model.era)
 
 
 class PlatformPort(platform_client.PlatformClient):
@@ -253,7 +278,3 @@
     @is_cut.setter
     def is_cut(self, is_cut: bool) -> None:
         self.fake.is_cut = is_cut
-
-
-def _item(item: store_model.StoredItem) -> store.Item:
-    return store.Item(item.key, item.value.encode(), item.revision, item.lease)
--- a/src/lineworks/decisions/evacuations.py
+++ b/src/lineworks/decisions/evacuations.py
@@ -1,7 +1,8 @@
 """Which data halls get no new work because the operators asked for it.
 
-Fed like the view of the targets: from listings and from changes in any order, the revision of each
-deciding which is newer. An evacuation has no lease, so one that is missing was taken back.
+Fed like the view of the targets: from listings and from changes in any order, the position of each
+deciding which is newer. An evacuation has no lease, so one that is missing was taken back; unless
+the store came back from a copy that is older than it, and the operators have yet to write it again.
 """
 
 from __future__ import annotations
@@ -9,6 +10,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from lineworks.decisions import positions
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -20,8 +23,8 @@
     hall: str
     """The hall."""
 
-    revision: int
-    """Revision of the change."""
+    position: positions.Position
+    """Position of the change."""
 
     is_asked: bool
     """Whether nothing more is to be sent to the hall's targets."""
@@ -32,6 +35,8 @@
 
     def __init__(self) -> None:
         self._latest: dict[str, EvacuationChange] = {}
+        # By hall, when an evacuation ends that the store lacks since it came back.
+        self._held: dict[str, float] = {}
 
     @property
     def halls(self) -> frozenset[str]:
@@ -50,16 +55,20 @@
         before = self.halls
         for change in changes:
             known = self._latest.get(change.hall)
-            if known is None or change.revision > known.revision:
+            if known is None or change.position > known.position:
                 self._latest[change.hall] = change
+                self._held.pop(change.hall, None)
         return self.halls != before
 
-    def replace(self, listed: Iterable[EvacuationChange], revision: int) -> bool:
-        """Take in all evacuations as they were at one revision.
+    def replace(
+        self, listed: Iterable[EvacuationChange], position: positions.Position, hold_until: float
+    ) -> bool:
+        """Take in all evacuations as they were at one position.
 
         Args:
             listed: All that were asked for.
-            revision: The revision.
+            position: The position.
+            hold_until: Time until which an evacuation of an earlier era that is missing is obeyed.
 
         Returns:
             Whether other halls are evacuated than before.
@@ -69,10 +78,32 @@
         self.apply(present)
         names = {change.hall for change in present}
         for hall in self.halls - names:
-            if self._latest[hall].revision <= revision:
-                self._latest[hall] = EvacuationChange(hall, revision, False)
+            known = self._latest[hall].position
+            if known.era < position.era:
+                self._held.setdefault(hall, hold_until)
+            elif known <= position:
+                self._latest[hall] = EvacuationChange(hall, position, False)
         return self.halls != before
 
+    def expire(self, now: float, position: positions.Position) -> bool:
+        """End the evacuations that nobody wrote again after the store's return.
+
+        Args:
+            now: The present, in seconds.
+            position: Position up to which every change is known.
+
+        Returns:
+            Whether other halls are evacuated than before.
+        """
+        due = [hall for hall, until in self._held.items() if until <= now]
+        for hall in due:
+            del self._held[hall]
+            self._latest[hall] = EvacuationChange(hall, position, False)
+        return bool(due)
+
     def all_changes(self) -> tuple[EvacuationChange, ...]:
-        """List what is known, for a peer that knows nothing."""
-        return tuple(self._latest.values())
+        """List what is known, for a peer that knows nothing.
+
+        Left out is what the store lacks since it came back: peers that knew of it hold it as well.
+        """
+        return tuple(found for hall, found in self._latest.items() if hall not in self._held)
--- a/src/lineworks/decisions/target_view.py
+++ b/src/lineworks/decisions/target_view.py
@@ -1,16 +1,21 @@
 """Which targets there are, by the entries that they keep on the platform.
 
-The view is fed from snapshots and from changes, in any order; the revision of each entry decides
+The view is fed from snapshots and from changes, in any order; the position of each entry decides
 which is newer. An entry that is gone means that its target takes no new work. After an outage of
 the platform entries may be missing only because they could not be renewed, so their removal waits
-until their targets had time to come back.
+until their targets had time to come back. After the store's return from an older copy entries of
+targets that had left may be there again; they are doubted until somebody writes them anew, or until
+the entries of targets that have ended would be gone.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import enum
 from typing import TYPE_CHECKING
 
+from lineworks.decisions import positions
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
@@ -18,6 +23,10 @@
 """Seconds after the platform's return in which a missing entry proves nothing: targets that live
 renew theirs within about two seconds, and a call takes some time."""
 
+DOUBT_SECONDS = 5.0
+"""Seconds for which an entry that an older copy brought back is not believed: the entry of a target
+that has ended goes after three missed heartbeats, which come somewhat more than a second apart."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetEntry:
@@ -64,13 +73,45 @@
     id: str
     """Identity of the target's process."""
 
-    revision: int
-    """Revision of the change."""
+    position: positions.Position
+    """Position of the change."""
 
     entry: TargetEntry | None
     """The entry, or None when it is gone."""
 
 
+class Standing(enum.Enum):
+    """Why an entry is not settled."""
+
+    HELD = "held"
+    """It is missing and still used: it may come back."""
+
+    DOUBTED = "doubted"
+    """It was gone, the store's older copy has it again, and it is not used yet."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unsettled:
+    """An entry of which it will be known later whether it holds."""
+
+    change: TargetChange
+    """The entry, with the position that it was read under."""
+
+    standing: Standing
+    """Why it is not settled."""
+
+    seconds: float
+    """Seconds until it is settled, unless something is heard of it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Doubted:
+    """An entry that was gone and that the store's older copy has again."""
+
+    change: TargetChange
+    until: float
+
+
 def news(known: Mapping[str, TargetEntry], changes: Iterable[TargetChange]) -> list[TargetChange]:
     """Leave out changes that bring nothing new after what was known and the changes before them.
 
@@ -79,13 +120,14 @@
         changes: The changes, in their order.
 
     Returns:
-        Those that change an entry. The removal of an entry that came with the same changes is one
-        of them: without it peers kept a target that had left, and sent it requests.
+        Those that change an entry, and all removals: without that of an entry that came with the
+        same changes, or that only peers had, these kept a target that had left, and sent it
+        requests.
     """
     present: dict[str, TargetEntry | None] = dict(known)
     found = []
     for change in changes:
-        if present.get(change.id) != change.entry:
+        if change.entry is None or present.get(change.id) != change.entry:
             found.append(change)
         present[change.id] = change.entry
     return found
@@ -96,13 +138,14 @@
 
     def __init__(self) -> None:
         self._entries: dict[str, TargetEntry] = {}
-        self._revisions: dict[str, int] = {}
+        self._positions: dict[str, positions.Position] = {}
+        self._doubted: dict[str, _Doubted] = {}
         self._removals: dict[str, float] = {}
         self._leaving: set[str] = set()
         # By identity, when the latest process known to have it was born.
         self._born: dict[str, int] = {}
-        self.revision = 0
-        """Revision of the platform up to which every change is known."""
+        self.position = positions.ABSENT
+        """Position up to which every change is known."""
 
     @property
     def entries(self) -> Mapping[str, TargetEntry]:
@@ -125,39 +168,74 @@
             hold_until: Time before which missing entries are kept; 0 for no such time.
 
         Returns:
-            Whether an entry changed in more than its revision.
+            Whether an entry changed in more than its position.
         """
         is_changed = False
         for change in changes:
-            if change.revision <= self._revisions.get(change.id, 0):
+            if change.position <= self._positions.get(change.id, positions.ABSENT):
                 continue
-            self._revisions[change.id] = change.revision
+            self._positions[change.id] = change.position
+            self._doubted.pop(change.id, None)
             if change.entry is None:
                 is_changed |= self._remove(change.id, hold_until)
             else:
                 is_changed |= self._put(change.entry)
         return is_changed
 
-    def replace(self, entries: Iterable[TargetChange], revision: int, hold_until: float) -> bool:
-        """Take in all entries as they were at one revision.
+    def replace(
+        self,
+        entries: Iterable[TargetChange],
+        position: positions.Position,
+        hold_until: float,
+        doubt_until: float = 0.0,
+    ) -> bool:
+        """Take in all entries as they were at one position.
 
         Args:
             entries: All entries.
-            revision: The revision.
+            position: The position.
             hold_until: Time before which missing entries are kept; 0 for no such time.
+            doubt_until: Time before which entries that were gone are not believed if the store came
+                back from an older copy.
 
         Returns:
-            Whether an entry changed in more than its revision.
+            Whether an entry changed in more than its position.
         """
         listed = list(entries)
-        is_changed = self.apply(listed, hold_until)
         present = {change.id for change in listed}
+        for name in self._doubted.keys() - present:
+            del self._doubted[name]
+        listed = self._without_doubted(listed, doubt_until)
+        is_changed = self.apply(listed, hold_until)
         for name in list(self._entries):
-            if name not in present and self._revisions.get(name, 0) <= revision:
+            if name not in present and self._positions.get(name, positions.ABSENT) <= position:
                 is_changed |= self._remove(name, hold_until)
-        self.revision = max(self.revision, revision)
+        self.position = max(self.position, position)
         return is_changed
 
+    def _without_doubted(self, listed: list[TargetChange], until: float) -> list[TargetChange]:
+        """Set the entries aside that were known to be gone before the store's return.
+
+        Requests would go to targets that had left for good: the copy is older than their leaving.
+        """
+        doubted = [
+            change
+            for change in listed
+            if change.entry is not None
+            and self._is_gone_since(change.position.era, change.id)
+            and change.entry.born <= self._born.get(change.id, 0)
+        ]
+        for change in doubted:
+            self._positions[change.id] = change.position
+            self._doubted[change.id] = _Doubted(change, until)
+        names = {change.id for change in doubted}
+        return [change for change in listed if change.id not in names]
+
+    def _is_gone_since(self, era: int, name: str) -> bool:
+        """Say whether an entry was known to be gone before an era began."""
+        known = self._positions.get(name)
+        return known is not None and name not in self._entries and known.era < era
+
     def expire(self, now: float) -> bool:
         """Carry out the removals whose time has come.
 
@@ -173,13 +251,73 @@
             self._entries.pop(name, None)
         return bool(due)
 
+    def believe(self, now: float) -> bool:
+        """Take in the doubted entries that are still there when dead targets' entries have gone.
+
+        Args:
+            now: The present, in seconds.
+
+        Returns:
+            Whether an entry is used from now on.
+        """
+        due = [found.change for found in self._doubted.values() if found.until <= now]
+        for change in due:
+            del self._doubted[change.id]
+            if change.entry is not None:
+                self._put(change.entry)
+        return bool(due)
+
     def all_changes(self) -> list[TargetChange]:
-        """List all entries with their revisions, as changes for a peer that knows nothing."""
+        """List all entries with their positions, as changes for a peer that knows nothing."""
         return [
-            TargetChange(name, self._revisions.get(name, 0), entry)
+            TargetChange(name, self._positions.get(name, positions.ABSENT), entry)
             for name, entry in self._entries.items()
         ]
 
+    def unsettled(self, now: float) -> list[Unsettled]:
+        """List the entries that are not settled, for a peer that is given all entries.
+
+        Args:
+            now: The present, in seconds.
+
+        Returns:
+            The entries.
+        """
+        held = [
+            Unsettled(change, Standing.HELD, self._removals[change.id] - now)
+            for change in self.all_changes()
+            if change.id in self._removals
+        ]
+        doubted = [
+            Unsettled(found.change, Standing.DOUBTED, found.until - now)
+            for found in self._doubted.values()
+        ]
+        return held + doubted
+
+    def take_unsettled(self, found: Iterable[Unsettled], now: float) -> bool:
+        """Hold up and doubt what a peer does, unless more is known here.
+
+        Args:
+            found: What is not settled at the peer.
+            now: The present, in seconds.
+
+        Returns:
+            Whether an entry is used no more.
+        """
+        is_changed = False
+        for one in found:
+            change = one.change
+            if self._positions.get(change.id, positions.ABSENT) > change.position:
+                continue
+            if one.standing is Standing.HELD and change.id in self._entries:
+                self._removals.setdefault(change.id, now + one.seconds)
+            elif one.standing is Standing.DOUBTED:
+                self._positions[change.id] = change.position
+                self._doubted.setdefault(change.id, _Doubted(change, now + one.seconds))
+                self._removals.pop(change.id, None)
+                is_changed |= self._entries.pop(change.id, None) is not None
+        return is_changed
+
     def _put(self, entry: TargetEntry) -> bool:
         born = self._born.get(entry.id, 0)
         if entry.born < born:
--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -11,7 +11,7 @@
 
 import structlog
 
-from lineworks.decisions import evacuations, routes, target_view
+from lineworks.decisions import evacuations, positions, routes, target_view
 from lineworks.forwarding import hall_peers, target_documents
 from lineworks.kernel import bounded_log, task
 from lineworks.platform import configuration, store, target_entries
@@ -55,6 +55,11 @@
 """Seconds that a peer may be known to have a newer configuration before it is asked for it: the
 store or the hall's reader usually bring it by then, without bytes between regions."""
 
+UNSURE_SECONDS = 3.0
+"""Seconds after the start, and after the store's return from an older copy, in which a peer with a
+newer configuration is asked for it at once: what the store shows may be older than what was in
+force."""
+
 REFUSED_PER_SECOND = 5.0
 """Log lines a second for entries that name no target to use: anybody may write any number."""
 
@@ -94,8 +99,10 @@
         self._evacuations = evacuations.Evacuations()
         self._table: routes.RouteTable | None = None
         self._document = b""
+        self._table_era = 0
         self._has_targets = False
-        self._listed_revision = 0
+        self._unsure_since = reactor.seconds()
+        self._doubt_until = 0.0
         self._fresh_at = float("-inf")
         self._next_call = 0.0
         self._failures = 0
@@ -143,12 +150,20 @@
 
     def start(self) -> None:
         """Begin to ask the store."""
+        self._unsure_since = self._reactor.seconds()
         self._task.start()
 
     def stop(self) -> None:
         """Stop asking."""
         self._task.stop()
 
+    def on_store_return(self) -> None:
+        """Note that the store came back from an older copy: others have yet to write again."""
+        now = self._reactor.seconds()
+        self._unsure_since = now
+        self._hold_until = max(self._hold_until, now + target_view.LAPSE_GRACE)
+        self._doubt_until = now + target_view.DOUBT_SECONDS
+
     def on_peer_version(self, peer: str, version: int) -> None:
         """Note the version in force at a peer; if this instance stays behind, it asks for it.
 
@@ -164,8 +179,11 @@
 
     def _pull_if_behind(self) -> None:
         """Ask a peer for what it has, when the store and the own hall did not bring it in time."""
+        if self._ahead is None:
+            return
         now = self._reactor.seconds()
-        if self._ahead is not None and now - self._ahead_since >= BEHIND_SECONDS:
+        is_unsure = self.version > 0 and now - self._unsure_since < UNSURE_SECONDS
+        if is_unsure or now - self._ahead_since >= BEHIND_SECONDS:
             self._links.send(self._ahead, node_frames.TablePull(self.version))
             self._ahead = None
 
@@ -174,10 +192,18 @@
             if self._is_due():
                 await self._ask()
             self._pull_if_behind()
-            if self._view.expire(self._reactor.seconds()):
-                self.on_targets()
+            self._carry_out_due()
             await task.sleep(self._reactor, TICK)
 
+    def _carry_out_due(self) -> None:
+        """Let go of what is missing, and believe what is there again, when its time has come."""
+        now = self._reactor.seconds()
+        is_changed = self._view.expire(now)
+        is_changed |= self._view.believe(now)
+        is_changed |= self._evacuations.expire(now, self._view.position)
+        if is_changed:
+            self.on_targets()
+
     def _is_due(self) -> bool:
         if self._reactor.seconds() < self._next_call:
             return False
@@ -195,7 +221,7 @@
         """Ask the store what is new, or for everything at first."""
         asked_at = self._reactor.seconds()
         try:
-            if self._view.revision:
+            if self._view.position != positions.ABSENT:
                 await self._read_changes(asked_at)
             else:
                 await self._read_all(asked_at)
@@ -212,31 +238,41 @@
     async def _read_all(self, asked_at: float) -> None:
         """Read everything there is."""
         listing = await self._store.list_items(_ANY)
-        self._listed_revision = listing.revision
-        rows = [store.Change(item.key, item.revision, item.value) for item in listing.items]
-        entries = self._decode(rows)
-        # Before the targets are known, so that a hall that is to be left alone gets nothing.
-        is_changed = self._evacuations.replace(_asked(rows), listing.revision)
-        is_changed |= self._view.replace(entries, listing.revision, self._hold())
+        rows = [store.Change(item.key, item.position, item.value) for item in listing.items]
+        is_changed = self._replace(_asked(rows), self._decode(rows), listing.position)
         self._has_targets = True
         self._fresh_at = max(self._fresh_at, asked_at)
         self._take_others(rows)
         if is_changed:
             self.on_targets()
-        self._tell_peers(0, self._view.all_changes(), self._evacuations.all_changes())
+        self._send_all(hall_peers.names(self._links, self._hall))
+
+    def _replace(
+        self,
+        asked: Iterable[evacuations.EvacuationChange],
+        entries: Iterable[target_view.TargetChange],
+        position: positions.Position,
+    ) -> bool:
+        """Take in everything as it was at one position; say whether anything changed."""
+        hold = self._hold()
+        # Before the targets are known, so that a hall that is to be left alone gets nothing.
+        is_changed = self._evacuations.replace(asked, position, hold)
+        is_changed |= self._view.replace(entries, position, hold, self._doubt_until)
+        return is_changed
 
     async def _read_changes(self, asked_at: float) -> None:
         """Read what changed since the last time."""
-        before = self._view.revision
+        before = self._view.position
         try:
             found = await self._store.watch(_ANY, before, 0.0)
         except store.HistoryGoneError:
             await self._read_all(asked_at)
             _log.info(
                 "history_gone",
-                revision=before,
-                listed=self._listed_revision,
-                era=self._store.era,
+                revision=before.revision,
+                era=before.era,
+                listed_revision=self._view.position.revision,
+                listed_era=self._view.position.era,
                 in_force=self.version,
             )
             return
@@ -246,12 +282,13 @@
         asked = _asked(found.changes)
         is_changed = self._evacuations.apply(asked)
         is_changed |= self._view.apply(entries, self._hold())
-        self._view.revision = max(self._view.revision, found.revision)
+        self._view.position = max(self._view.position, found.position)
         self._fresh_at = max(self._fresh_at, asked_at)
         self._take_others(found.changes)
         if is_changed:
             self.on_targets()
-        self._tell_peers(before, target_view.news(known, entries), asked)
+        news = target_view.news(known, entries)
+        self._send_update(hall_peers.names(self._links, self._hall), before, news, asked)
 
     def _decode(self, rows: Iterable[store.Change]) -> list[target_view.TargetChange]:
         changes = []
@@ -263,7 +300,7 @@
             if row.value is not None:
                 entry = self._decode_entry(row.key, row.value)
             # An entry that can't be used takes the place of the one that was there before.
-            changes.append(target_view.TargetChange(name, row.revision, entry))
+            changes.append(target_view.TargetChange(name, row.position, entry))
         return changes
 
     def _decode_entry(self, key: str, value: bytes) -> target_view.TargetEntry | None:
@@ -278,74 +315,98 @@
         """Take in what is no target's entry: the configuration and the instances' keys."""
         for row in rows:
             if row.key == configuration.KEY and row.value is not None:
-                self._take_table(row.value)
+                self._take_table(row.value, row.position.era)
         self.on_instances(rows)
 
-    def _take_table(self, document: bytes) -> None:
+    def _take_table(self, document: bytes, era: int) -> None:
         try:
             table = configuration.decode(document)
         except configuration.ConfigurationError as error:
             _log.error("configuration_refused", error=str(error), in_force=self.version)
             return
-        if table.version <= self.version:
+        is_rewritten = era > self._table_era and document != self._document
+        if table.version < self.version or (table.version == self.version and not is_rewritten):
             return
-        _log.info("configuration", version=table.version, before=self.version)
+        _log.info("configuration", version=table.version, before=self.version, era=era)
         self._table = table
+        self._table_era = era
         self._ahead = None
         self._document = document
         self.on_table(table)
-        update = node_frames.TableUpdate(table.version, document)
+        update = node_frames.TableUpdate(table.version, document, era)
         for name in hall_peers.names(self._links, self._hall):
             self._links.send(name, update)
 
-    def _tell_peers(
+    def _send_all(self, names: Iterable[str]) -> None:
+        """Give peers everything that is known, and how far it is settled."""
+        known = self._view.all_changes()
+        unsettled = self._view.unsettled(self._reactor.seconds())
+        asked = self._evacuations.all_changes()
+        self._send_update(names, positions.ABSENT, known, asked, unsettled)
+
+    def _send_update(
         self,
-        before: int,
+        names: Iterable[str],
+        after: positions.Position,
         news: list[target_view.TargetChange],
-        asked: tuple[evacuations.EvacuationChange, ...],
+        asked: tuple[evacuations.EvacuationChange, ...] = (),
+        unsettled: Sequence[target_view.Unsettled] = (),
     ) -> None:
         document = target_documents.encode(news)
-        update = node_frames.TargetUpdate(
-            before, self._view.revision, max(0.0, self.age), document, asked
-        )
-        for name in hall_peers.names(self._links, self._hall):
+        rest = target_documents.encode_unsettled(unsettled)
+        age = max(0.0, self.age)
+        update = node_frames.TargetUpdate(after, self._view.position, age, document, asked, rest)
+        for name in names:
             self._links.send(name, update)
 
     def _on_target_update(self, link: Any, frame: node_frames.TargetUpdate) -> None:
         """Take in what a peer read from the store."""
-        if frame.from_revision > self._view.revision:
+        self._store.era.learn(frame.position.era)
+        is_outdated = frame.position.era < self._view.position.era
+        if is_outdated or frame.after > self._view.position:
             return
         try:
             changes = target_documents.decode(frame.document)
+            unsettled = target_documents.decode_unsettled(frame.unsettled)
         except target_documents.TargetDocumentError as error:
             link.close(f"malformed frame: {error}")
             return
         self._note_return()
-        if frame.from_revision == 0:
-            is_changed = self._evacuations.replace(frame.evacuations, frame.to_revision)
-            is_changed |= self._view.replace(changes, frame.to_revision, self._hold())
+        if frame.after == positions.ABSENT:
+            is_changed = self._replace(frame.evacuations, changes, frame.position)
         else:
             is_changed = self._evacuations.apply(frame.evacuations)
             is_changed |= self._view.apply(changes, self._hold())
-        self._view.revision = max(self._view.revision, frame.to_revision)
+        is_changed |= self._view.take_unsettled(unsettled, self._reactor.seconds())
+        self._view.position = max(self._view.position, frame.position)
         self._has_targets = True
         self._fresh_at = max(self._fresh_at, self._reactor.seconds() - frame.age)
         if is_changed:
             self.on_targets()
+        self._tell_doubts(link.hello.name, changes)
+
+    def _tell_doubts(self, peer: str, listed: Iterable[target_view.TargetChange]) -> None:
+        """Tell a peer what had gone of what it lists: it may have just started."""
+        names = {change.id for change in listed}
+        unsettled = self._view.unsettled(self._reactor.seconds())
+        doubted = [
+            one
+            for one in unsettled
+            if one.standing is target_view.Standing.DOUBTED and one.change.id in names
+        ]
+        if doubted:
+            self._send_update([peer], self._view.position, [], unsettled=doubted)
 
     def _on_table_update(self, link: Any, frame: node_frames.TableUpdate) -> None:
-        if frame.version > self.version:
-            self._take_table(frame.document)
+        if (frame.version, frame.era) > (self.version, self._table_era):
+            self._take_table(frame.document, frame.era)
 
     def _on_pull(self, link: Any, frame: node_frames.TablePull) -> None:
         """Give a peer what it lacks."""
         if self._table is not None and self.version > frame.version:
-            link.send(node_frames.TableUpdate(self.version, self._document))
+            link.send(node_frames.TableUpdate(self.version, self._document, self._table_era))
         if frame.version == 0 and self._has_targets:
-            document = target_documents.encode(self._view.all_changes())
-            asked = self._evacuations.all_changes()
-            age = max(0.0, self.age)
-            link.send(node_frames.TargetUpdate(0, self._view.revision, age, document, asked))
+            self._send_all([link.hello.name])
 
     def _on_up(self, hello: frames.Hello) -> None:
         """Ask a peer for everything while nothing is known and the store does not answer."""
@@ -397,5 +458,5 @@
         hall = evacuation_keys.hall_of(row.key)
         if hall is not None:
             is_asked = row.value is not None
-            found.append(evacuations.EvacuationChange(hall, row.revision, is_asked))
+            found.append(evacuations.EvacuationChange(hall, row.position, is_asked))
     return tuple(found)
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -223,6 +223,7 @@
         self._front.view_age = lambda: self._directory.age
         self._front.ends_at = lambda: self._stop.answer_by
         self._front.is_over = lambda: self._stop.is_over
+        self._store.era.listeners.append(self._on_store_return)
         self._directory.on_table = self._on_table
         self._directory.on_targets = self._on_targets
         self._directory.on_instances = self._on_other_keys
@@ -278,6 +279,13 @@
         self._on_targets()
         self._links.broadcast(self._heartbeat())
 
+    def _on_store_return(self) -> None:
+        """Have everything written again that the store may lack since it came back."""
+        self._directory.on_store_return()
+        self._registration.on_store_return()
+        self._suspects.on_store_return()
+        self._links.broadcast(self._heartbeat())
+
     def _warn_of_unknown_homes(self, table: routes.RouteTable) -> None:
         """Say which routes name home regions that the deployment does not have."""
         known = set(self._settings.regions.values())
@@ -335,11 +343,16 @@
 
     def _heartbeat(self) -> frames.Heartbeat:
         return frames.Heartbeat(
-            self._stop.is_begun, self._directory.version, "", self._seen_instances
+            self._stop.is_begun,
+            self._directory.version,
+            "",
+            self._seen_instances,
+            self._store.era.value,
         )
 
     def _on_heartbeat(self, link: Any, frame: frames.Heartbeat) -> None:
         self._gatherers.set_leaving(link.hello.name, frame.is_leaving)
+        self._store.era.learn(frame.store_era)
         self._directory.on_peer_version(link.hello.name, frame.config_version)
         now = self._reactor.seconds()
         self._extra.instances.note_told(frame.instances, now)
@@ -364,7 +377,7 @@
         return {
             "lineworks_front_events": {name: float(value) for name, value in counters.items()},
             "lineworks_store_calls": dict(self._store.calls),
-            "lineworks_store": {"era": float(self._store.era)},
+            "lineworks_store": {"era": float(self._store.era.value)},
             "lineworks_configuration": {
                 "version": float(self._directory.version),
                 "age_seconds": self._directory.age,
--- a/src/lineworks/forwarding/registration.py
+++ b/src/lineworks/forwarding/registration.py
@@ -36,6 +36,17 @@
 RETRY_SECONDS = 1.0
 """Seconds between tries while the store fails."""
 
+AGAIN_PER_SECOND = 100.0
+"""Instances that write their keys again each second after the store's return from an older copy:
+two writes each, half of what the store takes."""
+
+AGAIN_SECONDS = 0.5
+"""Seconds over which few instances spread that."""
+
+NEW_SECONDS = 30.0
+"""Seconds after the start in which the list is read again with that: the one that was read may have
+lacked instances that started at the same time, and their keys may have been lost."""
+
 SECOND_LOOK_SECONDS = 0.8
 """Seconds after the registration at which the list is read: instances that start together have
 registered by then."""
@@ -68,7 +79,8 @@
         self._store = client
         self._links = links
         self._jitter = jitter
-        self._lease = 0
+        self._again: Any = None
+        self._started_at = reactor.seconds()
         self.on_listed: Callable[[], None] = lambda: None
         """Called when the instances that are listed have changed."""
         self._members: dict[str, member.Member] = {}
@@ -86,33 +98,55 @@
 
     def start(self) -> None:
         """Begin to register."""
+        self._started_at = self._reactor.seconds()
         self._task.start()
 
     def stop(self) -> None:
         """Stop renewing; the key goes with its lease."""
         self._task.stop()
+        if self._again is not None and self._again.active():
+            self._again.cancel()
+
+    def on_store_return(self) -> None:
+        """Write the key again soon: the store came back from a copy that may lack it.
+
+        The lease is gone for certain, and instances that start lean on the key.
+        """
+        if self._again is not None and self._again.active():
+            return
+        spread = max(AGAIN_SECONDS, self.known / AGAIN_PER_SECOND)
+        self._again = self._reactor.callLater(spread * self._jitter(), self._register_again)
+
+    def _register_again(self) -> None:
+        self._task.stop()
+        self._task.start()
 
     async def _run(self) -> None:
         while True:
             try:
-                await self._register()
-                await task.sleep(self._reactor, SECOND_LOOK_SECONDS)
-                listing = await self._store.list_items(PREFIX)
-                self.on_changes(
-                    [store.Change(item.key, item.revision, item.value) for item in listing.items]
-                )
-                await self._keep()
+                lease = await self._register()
+                if self._reactor.seconds() - self._started_at < NEW_SECONDS:
+                    await self._look()
+                await self._keep(lease)
             except store.StoreError as error:
                 _log.warning("registration_failed", error=str(error))
-                self._lease = 0
                 await task.sleep(self._reactor, RETRY_SECONDS * (1 + self._jitter()))
 
-    async def _register(self) -> None:
+    async def _register(self) -> store.Lease:
         mine = self._settings
         document = {"hall": mine.hall, "host": mine.peers.host, "port": mine.peers.port}
-        self._lease = await self._store.grant_lease(LEASE_SECONDS)
+        lease = await self._store.grant_lease(LEASE_SECONDS)
         value = json.dumps(document).encode()
-        await self._store.transact([store.Write(PREFIX + mine.name, value, self._lease)])
+        await self._store.transact([store.Write(PREFIX + mine.name, value, lease)])
+        return lease
+
+    async def _look(self) -> None:
+        """Read the list once those that started at the same time have written their keys."""
+        await task.sleep(self._reactor, SECOND_LOOK_SECONDS)
+        listing = await self._store.list_items(PREFIX)
+        self.on_changes(
+            [store.Change(item.key, item.position, item.value) for item in listing.items]
+        )
 
     def on_changes(self, changes: Iterable[store.Change]) -> None:
         """Take in keys of instances that were written or removed.
@@ -136,10 +170,10 @@
             self._links.set_wanted(self._members)
             self.on_listed()
 
-    async def _keep(self) -> None:
+    async def _keep(self, lease: store.Lease) -> None:
         while True:
             await task.sleep(self._reactor, RENEW_SECONDS * (0.9 + self._jitter() / 5))
-            await self._store.renew_lease(self._lease)
+            await self._store.renew_lease(lease)
 
 
 def _member(name: str, value: bytes) -> member.Member | None:
--- a/src/lineworks/forwarding/suspect_exchange.py
+++ b/src/lineworks/forwarding/suspect_exchange.py
@@ -154,6 +154,12 @@
             self.counts["trials"] += 1
         return found
 
+    def on_store_return(self) -> None:
+        """Write what all know again: the store came back from a copy that may lack it."""
+        if hall_peers.acts_for_hall(self._links, self._hall, self._name, DUTY):
+            for record in self._shared():
+                self._write_soon(record)
+
     def note_refused(self, content: str, attempt: str) -> float:
         """Note that a request is refused.
 
@@ -282,13 +288,17 @@
 
     def _on_up(self, hello: frames.Hello) -> None:
         """Tell a peer all there is: it may have started or been cut off."""
-        shared = [record for record in self.records if record.content not in self._private]
+        shared = self._shared()
         if not shared:
             return
         is_near = hello.hall == self._hall
         if is_near or hall_peers.acts_for_hall(self._links, self._hall, self._name, DUTY):
             self._send_to([hello.name], shared)
 
+    def _shared(self) -> list[suspects.Record]:
+        """List what others know as well."""
+        return [record for record in self.records if record.content not in self._private]
+
     def _on_reports(self, link: Any, frame: node_frames.SuspectReports) -> None:
         now = self._reactor.seconds()
         for found in frame.records:
--- /dev/null
+++ b/src/lineworks/platform/standins/store_drill.py
@@ -0,0 +1,100 @@
+"""Lets a store in memory come back from an older copy, as in the users' drills."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING, Any
+
+from lineworks.platform.standins import documents
+
+if TYPE_CHECKING:
+    from lineworks.platform.standins import store_model
+
+COPY_SECONDS = 0.2
+"""Seconds between the copies that are kept."""
+
+KEPT_SECONDS = 8.0
+"""Seconds for which a copy is kept."""
+
+REWRITTEN_SECONDS = 0.6
+"""Seconds after the return in which operators and targets write again."""
+
+
+class StoreDrill:
+    """Copies of a store, and what others write again after its return."""
+
+    def __init__(self, clock: Any, model: store_model.StoreModel) -> None:
+        """Start without copies.
+
+        Args:
+            clock: Time and timers.
+            model: The store.
+        """
+        self._clock = clock
+        self._model = model
+        self._copies: collections.deque[tuple[float, store_model.StoreCopy]] = collections.deque()
+        self._to_write_again: dict[str, str] = {}
+
+    def keep_copies(self) -> None:
+        """Copy the store now and then, from now on."""
+        self.take_copy()
+        self._clock.callLater(COPY_SECONDS, self.keep_copies)
+
+    def take_copy(self) -> None:
+        """Copy the store now, and drop copies that are too old."""
+        now = self._clock.seconds()
+        self._copies.append((now, self._model.copy()))
+        while self._copies[0][0] < now - KEPT_SECONDS:
+            self._copies.popleft()
+
+    def copy_of(self, at: float) -> store_model.StoreCopy:
+        """Find the newest copy that is not newer than a time, or else the oldest one.
+
+        Args:
+            at: The time, in seconds.
+
+        Returns:
+            The copy.
+        """
+        older = [copy for taken, copy in self._copies if taken <= at]
+        return older[-1] if older else self._copies[0][1]
+
+    def come_back(
+        self, copy: store_model.StoreCopy, rewritten_after: float = REWRITTEN_SECONDS
+    ) -> None:
+        """Let the store go on from a copy.
+
+        Operators and targets write again what they had written since; what the instances had
+        written is gone.
+
+        Args:
+            copy: The copy.
+            rewritten_after: Seconds until the operators and the targets have written again.
+        """
+        self._to_write_again = self._foreign_items()
+        self._model.come_back(copy)
+        self._clock.callLater(rewritten_after, self._write_again, copy.revision)
+
+    def remove(self, key: str) -> None:
+        """Remove a key, as its writer does; it is not written again."""
+        self._to_write_again.pop(key, None)
+        self._model.remove(key)
+
+    def _foreign_items(self) -> dict[str, str]:
+        """List what others than the instances keep in the store."""
+        return {
+            item.key: item.value
+            for prefix in documents.FOREIGN_PREFIXES
+            for item in self._model.page(prefix, "")[0]
+        }
+
+    def _write_again(self, copied: int) -> None:
+        """Restore keys of others, unless they were written since the store's return."""
+        held, self._to_write_again = self._to_write_again, {}
+        present = self._foreign_items()
+        written = {change.key for change in self._model.changes("", copied)}
+        for key, value in held.items():
+            if key not in written and present.get(key) != value:
+                self._model.write(key, value)
+        for key in present.keys() - held.keys() - written:
+            self._model.remove(key)
--- a/src/lineworks/platform/standins/store_server.py
+++ b/src/lineworks/platform/standins/store_server.py
@@ -59,6 +59,8 @@
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
         """Calls taken so far, by path."""
+        self.tells_era: Callable[[], bytes] = lambda: b"%d" % model.era
+        """Says in which era the store is, as its answers tell it."""
         self.factory = server_connection.Server(
             clock,
             lambda: server_connection.Limits(body_bytes=4 * 1024 * 1024, idle_seconds=120),
@@ -110,7 +112,7 @@
         """Tell in an answer which copy the store worked with when it was made."""
 
         def tell(found: server_connection.Answer) -> None:
-            era = (b"Store-Era", b"%d" % self._model.era)
+            era = (b"Store-Era", self.tells_era())
             answer(dataclasses.replace(found, fields=[*found.fields, era]))
 
         return tell
--- a/src/lineworks/platform/store.py
+++ b/src/lineworks/platform/store.py
@@ -2,6 +2,9 @@
 
 Every call is counted, because every call has a price. A write without an answer is reported as
 unsure, never as failed: it may take effect seconds later.
+
+The store may come back from an older copy of itself. What it gave out before means something else
+then: revisions are only compared together with their era, and leases of an earlier era are over.
 """
 
 from __future__ import annotations
@@ -13,13 +16,12 @@
 import urllib.parse
 from typing import TYPE_CHECKING, Any
 
-import structlog
-
+from lineworks.decisions import positions
 from lineworks.http1 import client_connection
-from lineworks.platform import _fields, _store_connections
+from lineworks.platform import _fields, _store_connections, store_era
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Iterable, Sequence
+    from collections.abc import Awaitable, Iterable, Sequence
 
     from lineworks.models import node_settings
 
@@ -30,7 +32,6 @@
 _ERA = b"store-era"  # Rises by one each time that the store comes back from an older copy.
 _JSON = b"Content-Type: application/json\r\n"
 _MAX_PAGES = 100
-_log = structlog.get_logger(component="store")
 
 
 class StoreError(Exception):
@@ -42,7 +43,7 @@
 
 
 class HistoryGoneError(StoreError):
-    """The changes after the given revision are not known any more."""
+    """The changes after the given position are not known any more."""
 
 
 class StoreBusyError(StoreError):
@@ -57,6 +58,17 @@
     """A key had another revision than expected."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease; the store may give its number out again after it came back from an older copy."""
+
+    number: int
+    """Its number."""
+
+    era: int
+    """Era in which it was given out."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Item:
     """A key with its value."""
@@ -67,11 +79,11 @@
     value: bytes
     """The value."""
 
-    revision: int
-    """Revision of its last change."""
+    position: positions.Position
+    """Position of its last change."""
 
     lease: int = 0
-    """Lease that it ends with; 0 for none."""
+    """Number of the lease that it ends with; 0 for none."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,8 +93,8 @@
     key: str
     """The key."""
 
-    revision: int
-    """Revision of the change."""
+    position: positions.Position
+    """Position of the change."""
 
     value: bytes | None
     """The new value, or None when the key was removed."""
@@ -95,8 +107,8 @@
     items: list[Item]
     """The items."""
 
-    revision: int
-    """Revision that nothing in the listing is older than."""
+    position: positions.Position
+    """Position that nothing in the listing is older than."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,8 +118,8 @@
     changes: list[Change]
     """The changes in order."""
 
-    revision: int
-    """Revision up to which they go."""
+    position: positions.Position
+    """Position up to which they go."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,8 +132,26 @@
     value: bytes
     """The value."""
 
-    lease: int = 0
-    """Lease that it ends with; 0 for none."""
+    lease: Lease | None = None
+    """Lease that it ends with."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """A whole answer of the store."""
+
+    status: int
+    document: Any
+    era: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Page:
+    """A page of a listing."""
+
+    items: list[Item]
+    position: positions.Position
+    has_more: bool
 
 
 class Store:
@@ -146,16 +176,10 @@
         self._timeout = timeout
         self._address = address
         self._connections = _store_connections.StoreConnections(reactor, address)
-        self._era: int | None = None
+        self.era = store_era.StoreEra()
+        """Which era the store is in."""
         self.calls: collections.Counter[str] = collections.Counter()
         """Calls made so far, by kind."""
-        self.on_era: list[Callable[[], None]] = []
-        """Called when the store is known to have come back from an older copy."""
-
-    @property
-    def era(self) -> int:
-        """Which of its copies the store works with, counted up from one to the next; 0 at first."""
-        return self._era or 0
 
     def start(self) -> None:
         """Do nothing; the first call connects."""
@@ -177,11 +201,11 @@
             StoreError: The store cannot be reached or refused.
         """
         path = f"/lineworks/kv-key?{_query({_KEY: key})}"
-        status, found = await self._read("get", path)
-        if status == 404:
+        answer = await self._read("get", path)
+        if answer.status == 404:
             return None
-        _expect_ok("get", status)
-        return _decoded(lambda: _item(_fields.Fields(found)))
+        _expect_ok("get", answer)
+        return _decoded(lambda: _item(_fields.Fields(answer.document), answer.era))
 
     async def list_items(self, prefix: str) -> Listing:
         """Read all items below a prefix, page by page.
@@ -190,137 +214,173 @@
             prefix: The prefix.
 
         Returns:
-            The items. Pages are no snapshot, so the listing's revision is that of the first.
+            The items. Pages are no snapshot, so the listing's position is that of the first.
 
         Raises:
             StoreError: The store cannot be reached or refused.
         """
         items: list[Item] = []
-        revision = 0
-        after = ""
+        first: positions.Position | None = None
         for _ in range(_MAX_PAGES):
-            wanted = {"PathPrefix": prefix, **({"after": after} if after else {})}
-            status, found = await self._read("list", f"/lineworks/kv-range?{_query(wanted)}")
-            _expect_ok("list", status)
-            page = _decoded(lambda found=found: _fields.Fields(found))
-            rows = _decoded(lambda page=page: [_item(row) for row in page.tables("items")])
-            revision = revision or _decoded(lambda page=page: page.integer("AtRev"))
-            items += rows
-            if not rows or found.get("HasMore") is not True:
-                return Listing(items, revision)
-            after = rows[-1].key
+            page = await self._page(prefix, items[-1].key if items else "")
+            if first is not None and page.position.era != first.era:
+                # Pages of two copies make up no listing.
+                items, first = [], None
+                continue
+            first = first or page.position
+            items += page.items
+            if not page.has_more:
+                return Listing(items, first)
         raise StoreError("list: too many pages")
 
-    async def watch(self, prefix: str, after: int, wait: float) -> Changes:
+    async def _page(self, prefix: str, after: str) -> _Page:
+        wanted = {"PathPrefix": prefix, **({"after": after} if after else {})}
+        answer = await self._read("list", f"/lineworks/kv-range?{_query(wanted)}")
+        _expect_ok("list", answer)
+        return _decoded(lambda: _decode_page(answer))
+
+    async def watch(self, prefix: str, after: positions.Position, wait: float) -> Changes:
         """Read what has changed below a prefix; wait for a change if there is none.
 
         Args:
             prefix: The prefix.
-            after: Revision that is known.
+            after: Position that is known.
             wait: Seconds to wait at most.
 
         Returns:
             The changes.
 
         Raises:
-            HistoryGoneError: The changes since that revision are not known any more.
+            HistoryGoneError: The changes since that position are not known any more.
             StoreError: The store cannot be reached or refused.
         """
-        wanted = {"PathPrefix": prefix, "after": after, "WaitMs": int(wait * 1000)}
+        self.era.learn(after.era)
+        if after.era < self.era.value:
+            raise HistoryGoneError("watch: the store came back from an older copy")
+        wanted = {"PathPrefix": prefix, "after": after.revision, "WaitMs": int(wait * 1000)}
         path = f"/lineworks/kv-watch?{_query(wanted)}"
         if wait:
-            status, found = await self._call("watch", "GET", path, more=wait)
+            answer = await self._call("watch", "GET", path, more=wait)
         else:
-            status, found = await self._read("watch", path)
-        if status == 410:
+            answer = await self._read("watch", path)
+        # Not only when it refuses: a store whose new count has passed the old revision answers,
+        # and leaves out what it gave lower numbers to.
+        if answer.era != after.era:
+            raise HistoryGoneError("watch: the store came back from an older copy")
+        if answer.status == 410:
             raise HistoryGoneError("watch: the history is gone")
-        _expect_ok("watch", status)
-        return _decoded(lambda: _changes(_fields.Fields(found)))
+        _expect_ok("watch", answer)
+        return _decoded(lambda: _changes(_fields.Fields(answer.document), answer.era))
 
     async def transact(
         self,
         writes: Iterable[Write],
-        expected: Sequence[tuple[str, int]] = (),
+        expected: Sequence[tuple[str, positions.Position]] = (),
         removed: Sequence[str] = (),
-    ) -> int:
+    ) -> positions.Position:
         """Write and remove keys, all or none.
 
         Args:
             writes: Keys to write.
-            expected: Keys with the revision that each must have; 0 for an absent one.
+            expected: Keys with the position that each must have; `positions.ABSENT` for an absent
+                one.
             removed: Keys to remove.
 
         Returns:
-            Revision of the change.
+            Position of the change.
 
         Raises:
-            ConflictError: A key had another revision.
+            ConflictError: A key had another position.
             LeaseGoneError: There is no such lease.
-            StoreUnsureError: No answer came.
+            StoreUnsureError: No answer came, or the store came back from an older copy meanwhile.
             StoreError: Nothing was written.
         """
+        writes = list(writes)
+        leases = [write.lease for write in writes if write.lease is not None]
+        for lease in leases:
+            self._expect_current(lease)
+        known = [position for _, position in expected if position != positions.ABSENT]
+        if any(position.era < self.era.value for position in known):
+            raise ConflictError("write: the store came back from an older copy")
         document = {
-            "ExpectedRev": [{_KEY: key, "Revision": revision} for key, revision in expected],
+            "ExpectedRev": [{_KEY: key, "Revision": at.revision} for key, at in expected],
             "Write": [
                 {
                     _KEY: write.key,
                     "Value": base64.b64encode(write.value).decode(),
-                    "LeaseId": write.lease,
+                    "LeaseId": write.lease.number if write.lease is not None else 0,
                 }
                 for write in writes
             ],
             "Remove": list(removed),
         }
-        status, found = await self._call("write", "POST", "/lineworks/kv-txn", document)
-        if status == 412:
+        answer = await self._call("write", "POST", "/lineworks/kv-txn", document)
+        if answer.status == 412:
             raise ConflictError("write: another revision")
-        if status == 404:
+        if answer.status == 404:
             raise LeaseGoneError("write: no such lease")
-        _expect_ok("write", status)
-        return _decoded(lambda: _fields.Fields(found).integer("Revision"))
-
-    async def grant_lease(self, seconds: float) -> int:
+        _expect_ok("write", answer)
+        eras = [position.era for position in known] + [lease.era for lease in leases]
+        if any(era != answer.era for era in eras):
+            # It held for what has the same number now, which may be another's.
+            raise StoreUnsureError("write: the store came back from an older copy")
+        revision = _decoded(lambda: _fields.Fields(answer.document).integer("Revision"))
+        return positions.Position(answer.era, revision)
+
+    async def grant_lease(self, seconds: float) -> Lease:
         """Open a lease.
 
         Args:
             seconds: How long it lasts unless it is renewed.
 
         Returns:
-            Its identity.
+            The lease.
 
         Raises:
             StoreError: There is none, or it is not known.
         """
         document = {"TtlMs": int(seconds * 1000)}
-        status, found = await self._call("lease", "POST", "/lineworks/kv-lease", document)
-        _expect_ok("lease", status)
-        return _decoded(lambda: _fields.Fields(found).integer("LeaseId"))
+        answer = await self._call("lease", "POST", "/lineworks/kv-lease", document)
+        _expect_ok("lease", answer)
+        number = _decoded(lambda: _fields.Fields(answer.document).integer("LeaseId"))
+        return Lease(number, answer.era)
 
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: Lease) -> None:
         """Renew a lease.
 
         Args:
-            lease: Its identity.
+            lease: The lease.
 
         Raises:
             LeaseGoneError: It is over.
             StoreError: It is not known whether it was renewed.
         """
-        status, _ = await self._call("renew", "POST", f"/lineworks/kv-keep/{lease}", {})
-        if status == 404:
+        self._expect_current(lease)
+        path = f"/lineworks/kv-keep/{lease.number}"
+        answer = await self._call("renew", "POST", path, {})
+        if answer.status == 404:
             raise LeaseGoneError("renew: the lease is over")
-        _expect_ok("renew", status)
+        _expect_ok("renew", answer)
+        self._expect_current(lease)
 
-    async def end_lease(self, lease: int) -> None:
+    async def end_lease(self, lease: Lease) -> None:
         """End a lease; its keys disappear.
 
         Args:
-            lease: Its identity.
+            lease: The lease.
 
         Raises:
             StoreError: It is not known whether it ended.
         """
-        await self._call("end", "DELETE", f"/lineworks/kv-lease-end/{lease}")
+        if lease.era < self.era.value:
+            # Gone with its era; its number may be another's now.
+            return
+        await self._call("end", "DELETE", f"/lineworks/kv-lease-end/{lease.number}")
+
+    def _expect_current(self, lease: Lease) -> None:
+        """Refuse a lease of an earlier era: its number may have been given to somebody else."""
+        if lease.era < self.era.value:
+            raise LeaseGoneError("the store came back from an older copy without the lease")
 
     async def _call(
         self,
@@ -329,12 +389,12 @@
         path: str,
         document: Any = None,
         more: float = 0.0,
-    ) -> tuple[int, Any]:
+    ) -> _Answer:
         self.calls[kind] += 1
         data = _request(method, path, self._address, document)
         return await self._answer(kind, self._connections.exchange(data, self._timeout + more))
 
-    async def _read(self, kind: str, path: str) -> tuple[int, Any]:
+    async def _read(self, kind: str, path: str) -> _Answer:
         """Make a call that changes nothing, and so may be sent again while no answer comes."""
 
         if not self._repeats:
@@ -346,35 +406,27 @@
         data = _request("GET", path, self._address, None)
         return await self._answer(kind, self._connections.read(data, self._timeout, on_sent))
 
-    async def _answer(self, kind: str, call: Awaitable[Any]) -> tuple[int, Any]:
-        """Wait for a call and read the status and the document of its answer."""
+    async def _answer(self, kind: str, call: Awaitable[Any]) -> _Answer:
+        """Wait for a call and read its answer."""
         try:
             end = await call
         except _store_connections.ConnectError as error:
             raise StoreError(f"{kind}: {error}") from error
         if isinstance(end, client_connection.Broken):
             raise StoreUnsureError(f"{kind}: {end.detail}")
-        self._note_era(_era_of(end))
+        era = _era_of(end)
+        self.era.learn(era)
+        if era < self.era.value:
+            raise StoreUnsureError(f"{kind}: an answer from before the store's return")
         if end.status == 429:
             raise StoreBusyError(f"{kind}: refused with 429")
         if end.status == 503:
             raise StoreError(f"{kind}: refused with 503")
         try:
-            return end.status, json.loads(end.body) if end.body else {}
+            return _Answer(end.status, json.loads(end.body) if end.body else {}, era)
         except ValueError as error:
             raise StoreUnsureError(f"{kind}: the answer is no JSON") from error
 
-    def _note_era(self, era: int) -> None:
-        before = self._era
-        if before is not None and era <= before:
-            return
-        self._era = era
-        if before is None:
-            return
-        _log.warning("store_from_older_copy", era=era, before=before)
-        for listener in self.on_era:
-            listener()
-
 
 def _era_of(answer: client_connection.Response) -> int:
     """Read which copy answers; a store that does not tell has one only."""
@@ -397,9 +449,9 @@
     return urllib.parse.urlencode(wanted, safe="/")
 
 
-def _expect_ok(kind: str, status: int) -> None:
-    if status != 200:
-        raise StoreError(f"{kind}: status {status}")
+def _expect_ok(kind: str, answer: _Answer) -> None:
+    if answer.status != 200:
+        raise StoreError(f"{kind}: status {answer.status}")
 
 
 def _decoded(decode: Any) -> Any:
@@ -409,19 +461,27 @@
         raise StoreError(f"the store's answer: {error}") from error
 
 
-def _item(row: _fields.Fields) -> Item:
-    lease = row.integer("LeaseId", 0)
-    return Item(row.text(_KEY), _value(row), row.integer("Revision"), lease)
+def _item(row: _fields.Fields, era: int) -> Item:
+    position = positions.Position(era, row.integer("Revision"))
+    return Item(row.text(_KEY), _value(row), position, row.integer("LeaseId", 0))
+
+
+def _decode_page(answer: _Answer) -> _Page:
+    page = _fields.Fields(answer.document)
+    items = [_item(row, answer.era) for row in page.tables("items")]
+    position = positions.Position(answer.era, page.integer("AtRev"))
+    return _Page(items, position, bool(items) and answer.document.get("HasMore") is True)
 
 
-def _changes(found: _fields.Fields) -> Changes:
+def _changes(found: _fields.Fields, era: int) -> Changes:
     rows = []
     for row in found.tables("events"):
         # "Compacted" marks a removed key; it says nothing about the history.
         is_gone = "Compacted" in row
         value = None if is_gone else _value(row)
-        rows.append(Change(row.text(_KEY), row.integer("Revision"), value))
-    return Changes(rows, found.integer("AtRev"))
+        position = positions.Position(era, row.integer("Revision"))
+        rows.append(Change(row.text(_KEY), position, value))
+    return Changes(rows, positions.Position(era, found.integer("AtRev")))
 
 
 def _value(row: _fields.Fields) -> bytes:
--- a/src/lineworks/services/config_keeper.py
+++ b/src/lineworks/services/config_keeper.py
@@ -12,7 +12,7 @@
 
 import structlog
 
-from lineworks.decisions import catalog, changes, ownership
+from lineworks.decisions import catalog, changes, ownership, positions
 from lineworks.kernel import task
 from lineworks.models import configuration
 from lineworks.services import config_store, platform_client
@@ -138,17 +138,17 @@
         await self._take_from_platform(head)
 
     async def _follow_platform(self) -> None:
-        revision: int | None = None
+        position: positions.Position | None = None
         pause = RETRY_START
         while True:
             try:
-                if self.is_watcher and revision is not None:
-                    head, seen = await self._store.watch_head(revision)
+                if self.is_watcher and position is not None:
+                    head, seen = await self._store.watch_head(position)
                 else:
                     head, seen = await self._store.read_head()
                 await self._take_from_platform(head)
                 # Only now, so that a head whose items could not be read is asked for again.
-                revision = seen
+                position = seen
                 pause = RETRY_START
                 if not self.is_watcher:
                     await self._sleep(SILENT_POLL)
--- a/src/lineworks/services/config_store.py
+++ b/src/lineworks/services/config_store.py
@@ -10,7 +10,7 @@
 import json
 from typing import TYPE_CHECKING, Any
 
-from lineworks.decisions import changes
+from lineworks.decisions import changes, positions
 from lineworks.kernel import task
 from lineworks.models import configuration
 from lineworks.services import platform_client
@@ -117,11 +117,11 @@
         self._rng = rng
         self._written: set[str] = set()
 
-    async def read_head(self) -> tuple[changes.Head, int]:
+    async def read_head(self) -> tuple[changes.Head, positions.Position]:
         """Read the newest head.
 
         Returns:
-            The head and its revision.
+            The head and its position.
 
         Raises:
             platform_client.PlatformError: The platform cannot be reached.
@@ -129,14 +129,16 @@
         """
         return _parse_head(await self._platform.get(HEAD_KEY))
 
-    async def watch_head(self, after: int) -> tuple[changes.Head, int]:
-        """Wait for a head with a later revision, or for the watch to end.
+    async def watch_head(
+        self, after: positions.Position
+    ) -> tuple[changes.Head, positions.Position]:
+        """Wait for a head with a later position, or for the watch to end.
 
         Args:
-            after: The revision known.
+            after: The position known.
 
         Returns:
-            The head and its revision.
+            The head and its position.
 
         Raises:
             platform_client.PlatformError: The platform cannot be reached.
@@ -237,7 +239,7 @@
         self, items: Mapping[str, str | None], base: int, change_id: str, author: str
     ) -> Outcome | None:
         """Try once; None means that another change came first or that nothing is known yet."""
-        head, revision = await self.read_head()
+        head, position = await self.read_head()
         found = _find(head, change_id)
         if found is not None:
             return Accepted(found)
@@ -265,7 +267,7 @@
         following = changes.extend(
             head, change_id, author, puts, deletes, changes.content_digest(text)
         )
-        if await self._platform.compare_and_swap(HEAD_KEY, head_to_json(following), revision):
+        if await self._platform.compare_and_swap(HEAD_KEY, head_to_json(following), position):
             return Accepted(following.changes[-1])
         return None
 
@@ -301,10 +303,12 @@
         return float(longest * (0.5 + self._rng.random() / 2))
 
 
-def _parse_head(value: platform_client.Value) -> tuple[changes.Head, int]:
+def _parse_head(
+    value: platform_client.Value,
+) -> tuple[changes.Head, positions.Position]:
     if value.data is None:
-        return changes.EMPTY_HEAD, value.revision
-    return head_from_json(value.data), value.revision
+        return changes.EMPTY_HEAD, value.position
+    return head_from_json(value.data), value.position
 
 
 def _find(head: changes.Head, change_id: str) -> changes.Change | None:
--- a/src/lineworks/services/platform_client.py
+++ b/src/lineworks/services/platform_client.py
@@ -12,12 +12,15 @@
 
 import structlog
 
+from lineworks.decisions import positions
 from lineworks.models import member
 from lineworks.platform import store
 
 if TYPE_CHECKING:
     import collections
 
+    from lineworks.platform import store_era
+
 WATCH_SECONDS = 20.0
 """Seconds that one watch waits at the platform at most."""
 
@@ -37,16 +40,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Value:
-    """A value with its revision."""
+    """A value with its position in the store's history."""
 
     data: str | None
     """The value, or None where the key is absent."""
 
-    revision: int
-    """Revision of the key; 0 where it is absent."""
+    position: positions.Position
+    """Position of its last change; `positions.ABSENT` where the key is absent."""
 
 
-_ABSENT = Value(None, 0)
+_ABSENT = Value(None, positions.ABSENT)
 
 
 class PlatformClient:
@@ -59,7 +62,7 @@
             client: The store.
         """
         self._store = client
-        self._lease = 0
+        self._lease: store.Lease | None = None
         self._announced: member.Member | None = None
 
     @property
@@ -67,6 +70,11 @@
         """Calls to the store so far, by kind."""
         return self._store.calls
 
+    @property
+    def era(self) -> store_era.StoreEra:
+        """Which era the store is in."""
+        return self._store.era
+
     def start(self) -> None:
         """Do nothing; the first call connects."""
 
@@ -90,14 +98,14 @@
             item = await self._store.get(key)
         except store.StoreError as error:
             raise PlatformError(str(error)) from error
-        return _ABSENT if item is None else Value(item.value.decode(), item.revision)
+        return _ABSENT if item is None else Value(item.value.decode(), item.position)
 
-    async def watch(self, key: str, after: int) -> Value:
-        """Wait until a key has a revision above a given one, or for `WATCH_SECONDS`.
+    async def watch(self, key: str, after: positions.Position) -> Value:
+        """Wait until a key has a position after a given one, or for `WATCH_SECONDS`.
 
         Args:
             key: The key.
-            after: The revision known.
+            after: The position known.
 
         Returns:
             The value then.
@@ -115,15 +123,15 @@
         if not own:
             return await self.get(key)
         last = own[-1]
-        return _ABSENT if last.value is None else Value(last.value.decode(), last.revision)
+        return _ABSENT if last.value is None else Value(last.value.decode(), last.position)
 
-    async def compare_and_swap(self, key: str, data: str, expect: int) -> bool:
-        """Write a key if its revision is still the one expected.
+    async def compare_and_swap(self, key: str, data: str, expect: positions.Position) -> bool:
+        """Write a key if its position is still the one expected.
 
         Args:
             key: The key.
             data: The new value.
-            expect: Revision expected; 0 for an absent key.
+            expect: Position expected; `positions.ABSENT` for an absent key.
 
         Returns:
             Whether it was written.
@@ -183,15 +191,15 @@
             PlatformError: It was not announced.
             PlatformUnsureError: It is not known whether it was.
         """
-        if self._lease and self._announced == entry:
+        if self._lease is not None and self._announced == entry:
             try:
                 await self._store.renew_lease(self._lease)
                 return
             except store.LeaseGoneError:
-                self._lease = 0
+                self._lease = None
             except store.StoreError as error:
                 raise PlatformUnsureError(str(error)) from error
-        if not self._lease:
+        if self._lease is None:
             try:
                 self._lease = await self._store.grant_lease(lease_seconds)
             except store.StoreError as error:
@@ -200,11 +208,13 @@
         try:
             await self._write(store.Write(MEMBERS + entry.name, data, self._lease), [])
         except store.LeaseGoneError as error:
-            self._lease = 0
+            self._lease = None
             raise PlatformError(str(error)) from error
         self._announced = entry
 
-    async def _write(self, write: store.Write, expected: list[tuple[str, int]]) -> None:
+    async def _write(
+        self, write: store.Write, expected: list[tuple[str, positions.Position]]
+    ) -> None:
         try:
             await self._store.transact([write], expected)
         except (store.ConflictError, store.LeaseGoneError):
--- a/src/lineworks/standins/deployment.py
+++ b/src/lineworks/standins/deployment.py
@@ -16,7 +16,13 @@
 from lineworks.forwarding import node
 from lineworks.http1 import client_connection
 from lineworks.models import node_settings
-from lineworks.platform.standins import documents, http_target, store_model, store_server
+from lineworks.platform.standins import (
+    documents,
+    http_target,
+    store_drill,
+    store_model,
+    store_server,
+)
 from lineworks.standins import memory_network
 
 if TYPE_CHECKING:
@@ -31,8 +37,6 @@
 READY_PORT = 8108
 LAPSE_SECONDS = 3.6
 """Seconds after which the entry of a target that ended goes: three of its check-ins."""
-REWRITTEN_SECONDS = 0.6
-"""Seconds after the store's return from an older copy in which operators and targets write again."""
 FIRST_BORN = 1_700_000_000_000
 """Unix millisecond at which the clock of a deployment starts."""
 _FIRST_NETWORK = 64
@@ -79,6 +83,8 @@
         self.network = memory_network.MemoryNetwork(clock, self._delay)
         self.store = store_model.StoreModel(clock)
         self.server = store_server.StoreServer(clock, self.store)
+        self.drill = store_drill.StoreDrill(clock, self.store)
+        """Lets the store come back from an older copy."""
         self.network.host(STORE_ADDRESS).listenTCP(STORE_PORT, self.server.factory)
         self.runs: list[http_target.Run] = []
         self.targets: dict[str, http_target.HttpTarget] = {}
@@ -141,7 +147,7 @@
 
     def withdraw(self, target: http_target.HttpTarget) -> None:
         """Remove a target's entry."""
-        self.store.remove(documents.target_key(target.name))
+        self.drill.remove(documents.target_key(target.name))
 
     def crash(self, target: http_target.HttpTarget, seconds: float) -> None:
         """End a target; it starts again later as another process at the same address.
@@ -202,49 +208,13 @@
         )
         self.store.write(documents.CONFIGURATION_KEY, document)
 
-    def come_back(
-        self, copy: store_model.StoreCopy, rewritten_after: float = REWRITTEN_SECONDS
-    ) -> None:
-        """Let the store go on from an older copy of itself.
-
-        Operators and targets write again what they had written since; what the instances had
-        written is gone.
-
-        Args:
-            copy: The copy.
-            rewritten_after: Seconds until the operators and the targets have written again.
-        """
-        held = self._foreign_items()
-        self.store.come_back(copy)
-        self.clock.callLater(rewritten_after, self._write_again, held, copy.revision)
-
-    def _foreign_items(self) -> dict[str, str]:
-        """List what others than the instances keep in the store."""
-        return {
-            item.key: item.value
-            for prefix in documents.FOREIGN_PREFIXES
-            for item in self.store.page(prefix, "")[0]
-        }
-
-    def _write_again(self, held: dict[str, str], copied: int) -> None:
-        """Restore keys of others, unless they were written since the store's return."""
-        present = self._foreign_items()
-        for key, value in held.items():
-            item = self.store.get(key)
-            if present.get(key) != value and (item is None or item.revision <= copied):
-                self.store.write(key, value)
-        for key in present.keys() - held.keys():
-            item = self.store.get(key)
-            if item is not None and item.revision <= copied:
-                self.store.remove(key)
-
     def evacuate(self, hall: str) -> None:
         """Ask, as the operators do, to send nothing more to the targets of a data hall."""
         self.store.write(documents.evacuation_key(hall), documents.encoded("{}"))
 
     def end_evacuation(self, hall: str) -> None:
         """Take such a request back."""
-        self.store.remove(documents.evacuation_key(hall))
+        self.drill.remove(documents.evacuation_key(hall))
 
     def add_node(self, name: str, hall: str) -> node.Node:
         """Start an instance.
--- a/src/lineworks/wire/_gather_codec.py
+++ b/src/lineworks/wire/_gather_codec.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from lineworks.decisions import evacuations
+from lineworks.decisions import evacuations, positions
 from lineworks.wire import _base, node_frames
 
 if TYPE_CHECKING:
@@ -90,35 +90,45 @@
 
 def _write_targets(builder: Any, frame: node_frames.TargetUpdate, now: float) -> None:
     body = builder.init("targetUpdate")
-    body.fromRevision = frame.from_revision
-    body.toRevision = frame.to_revision
+    body.fromRevision = frame.after.revision
+    body.fromEra = frame.after.era
+    body.toRevision = frame.position.revision
+    body.toEra = frame.position.era
     body.age = min(_base.MAX_REMAINING, int(frame.age * _base.MICROSECONDS))
     body.document = frame.document
+    body.unsettled = frame.unsettled
     rows = body.init("evacuations", len(frame.evacuations))
     for row, change in zip(rows, frame.evacuations, strict=True):
         row.hall = change.hall
-        row.revision = change.revision
+        row.revision = change.position.revision
+        row.era = change.position.era
         row.isAsked = change.is_asked
 
 
 def _read_targets(body: Any, now: float) -> node_frames.TargetUpdate:
     age = body.age / _base.MICROSECONDS
     changes = tuple(
-        evacuations.EvacuationChange(row.hall, row.revision, row.isAsked)
+        evacuations.EvacuationChange(
+            row.hall, positions.Position(row.era, row.revision), row.isAsked
+        )
         for row in body.evacuations
     )
-    document = bytes(body.document)
-    return node_frames.TargetUpdate(body.fromRevision, body.toRevision, age, document, changes)
+    after = positions.Position(body.fromEra, body.fromRevision)
+    position = positions.Position(body.toEra, body.toRevision)
+    return node_frames.TargetUpdate(
+        after, position, age, bytes(body.document), changes, bytes(body.unsettled)
+    )
 
 
 def _write_table(builder: Any, frame: node_frames.TableUpdate, now: float) -> None:
     body = builder.init("tableUpdate")
     body.version = frame.version
     body.document = frame.document
+    body.era = frame.era
 
 
 def _read_table(body: Any, now: float) -> node_frames.TableUpdate:
-    return node_frames.TableUpdate(body.version, bytes(body.document))
+    return node_frames.TableUpdate(body.version, bytes(body.document), body.era)
 
 
 def _write_pull(builder: Any, frame: node_frames.TablePull, now: float) -> None:
--- a/src/lineworks/wire/codec.py
+++ b/src/lineworks/wire/codec.py
@@ -97,6 +97,7 @@
     body.configVersion = frame.config_version
     body.configDigest = frame.config_digest
     body.instances = frame.instances
+    body.storeEra = frame.store_era
 
 
 def _write_sub_queries(builder: Any, frame: messages.SubQueries, now: float) -> None:
@@ -179,7 +180,9 @@
 
 
 def _read_heartbeat(body: Any, now: float) -> frames.Frame:
-    return frames.Heartbeat(body.isLeaving, body.configVersion, body.configDigest, body.instances)
+    return frames.Heartbeat(
+        body.isLeaving, body.configVersion, body.configDigest, body.instances, body.storeEra
+    )
 
 
 def _read_sub_queries(body: Any, now: float) -> frames.Frame:
--- a/src/lineworks/wire/frames.py
+++ b/src/lineworks/wire/frames.py
@@ -55,6 +55,9 @@
     instances: int = 0
     """Instances that the sender sees, itself included; 0 where that is not known."""
 
+    store_era: int = 0
+    """Greatest era of the platform's store that the sender knows of; 0 where it knows none."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Replies:
--- a/src/lineworks/wire/node_frames.py
+++ b/src/lineworks/wire/node_frames.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from lineworks.decisions import evacuations, suspects, target_evidence
+    from lineworks.decisions import evacuations, positions, suspects, target_evidence
 
 
 class Failure(enum.IntEnum):
@@ -169,11 +169,11 @@
 class TargetUpdate:
     """Tells the peers of a data hall what the platform's store said of the targets."""
 
-    from_revision: int
-    """Revision after which the changes begin; 0 when they list all targets there are."""
+    after: positions.Position
+    """Position after which the changes begin; `positions.ABSENT` when they list all targets."""
 
-    to_revision: int
-    """Revision up to which they go."""
+    position: positions.Position
+    """Position up to which they go."""
 
     age: float
     """Seconds since the store was asked."""
@@ -182,7 +182,10 @@
     """The changes, as `target_documents` writes them."""
 
     evacuations: tuple[evacuations.EvacuationChange, ...] = ()
-    """Changes of the halls that get no new work, of the same revisions."""
+    """Changes of the halls that get no new work, of the same positions."""
+
+    unsettled: bytes = b""
+    """Entries that may yet go or come back, as `target_documents` writes them."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -195,6 +198,9 @@
     document: bytes
     """The document as it lies in the store."""
 
+    era: int
+    """Era of the store in which it was read there."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TablePull:
--- a/src/lineworks/wire/peer.capnp
+++ b/src/lineworks/wire/peer.capnp
@@ -44,6 +44,7 @@
   configVersion @1 :UInt64;
   configDigest @2 :Text;
   instances @3 :UInt32;
+  storeEra @4 :UInt64;
 }
 
 struct SubQueries {
@@ -124,15 +125,19 @@
   age @2 :UInt32;
   document @3 :Data;
   evacuations @4 :List(Evacuation);
+  fromEra @5 :UInt64;
+  toEra @6 :UInt64;
+  unsettled @7 :Data;
 }
 
 struct Evacuation {
   hall @0 :Text;
   revision @1 :UInt64;
   isAsked @2 :Bool;
+  era @3 :UInt64;
 }
 
-struct TableUpdate { version @0 :UInt64; document @1 :Data; }
+struct TableUpdate { version @0 :UInt64; document @1 :Data; era @2 :UInt64; }
 
 struct TablePull { version @0 :UInt64; }
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import strategies as st
 
-from lineworks.decisions import catalog, target_evidence, verdict
+from lineworks.decisions import catalog, evacuations, positions, target_evidence, verdict
 from lineworks.engine import messages
 from lineworks.wire import codec, frames, node_frames
 
@@ -84,6 +84,8 @@
     flush_at=_micros,
 )
 
+_position = st.builds(positions.Position, _number, _number)
+_evacuation = st.builds(evacuations.EvacuationChange, _text, _position, st.booleans())
 _names = st.lists(_text, max_size=5).map(tuple)
 _sighting = st.builds(
     target_evidence.Sighting,
@@ -100,12 +102,20 @@
         _number,
         st.lists(st.integers(0, 2**16 - 1), max_size=5).map(tuple),
     ),
-    st.builds(node_frames.TargetUpdate, _number, _number, _micros, st.binary(max_size=50)),
-    st.builds(node_frames.TableUpdate, _number, st.binary(max_size=50)),
+    st.builds(
+        node_frames.TargetUpdate,
+        _position,
+        _position,
+        _micros,
+        st.binary(max_size=50),
+        st.lists(_evacuation, max_size=3).map(tuple),
+        st.binary(max_size=50),
+    ),
+    st.builds(node_frames.TableUpdate, _number, st.binary(max_size=50), _number),
     st.builds(node_frames.TablePull, _number),
     st.builds(frames.Challenge, st.binary(max_size=32)),
     st.builds(frames.Hello, _text, _text, _text, st.binary(max_size=32)),
-    st.builds(frames.Heartbeat, st.booleans(), _number, _text, st.integers(0, 2**32 - 1)),
+    st.builds(frames.Heartbeat, st.booleans(), _number, _text, st.integers(0, 2**32 - 1), _number),
     st.builds(node_frames.ExtraAsk, _number, _names, _names),
     st.builds(node_frames.ExtraGrant, _number, _names),
     st.builds(node_frames.CreditPull, _number),
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lineworks.decisions import evacuations
+from lineworks.decisions import evacuations, positions
 from lineworks.standins import deployment
 from tests import test_forwarding
 
@@ -174,11 +174,15 @@
     assert halls == set(deployment.HALLS)
 
 
+def at(revision):
+    return positions.Position(1, revision)
+
+
 ORDERED = [
-    evacuations.EvacuationChange("a", 3, True),
-    evacuations.EvacuationChange("a", 5, False),
-    evacuations.EvacuationChange("a", 9, True),
-    evacuations.EvacuationChange("b", 4, True),
+    evacuations.EvacuationChange("a", at(3), True),
+    evacuations.EvacuationChange("a", at(5), False),
+    evacuations.EvacuationChange("a", at(9), True),
+    evacuations.EvacuationChange("b", at(4), True),
 ]
 
 
@@ -193,9 +197,9 @@
 def test_a_listing_takes_back_only_what_it_is_newer_than():
     found = evacuations.Evacuations()
     found.apply(ORDERED)
-    assert not found.replace([], 3)
-    assert found.replace([], 4)
+    assert not found.replace([], at(3), 0.0)
+    assert found.replace([], at(4), 0.0)
     assert found.halls == {"a"}
-    assert found.replace([evacuations.EvacuationChange("b", 10, True)], 10)
+    assert found.replace([evacuations.EvacuationChange("b", at(10), True)], at(10), 0.0)
     assert found.halls == {"b"}
     assert not found.apply(ORDERED)
--- a/tests/test_older_copy.py
+++ b/tests/test_older_copy.py
@@ -1,8 +1,10 @@
-"""The store came back from a copy some seconds old, and its revisions were given out again. The
-readers of all halls went on asking from the highest revision that they had ever seen. Until the store's
-count had passed it they were refused and read everything; from then on they were answered, but with
-what is numbered above the old place only. A configuration that was written in between, with a number
-below it, came into force nowhere, and requests on its route were refused for seconds:
+"""The store came back from a copy some seconds old, and its revisions were given out again.
+
+The readers of all halls went on asking from the highest revision that they had ever seen. Until
+the store's count had passed it they were refused and read everything; from then on they were
+answered, but with what is numbered above the old place only. A configuration that was written in
+between, with a number below it, came into force nowhere, and requests on its route were refused
+for seconds:
 
     52.80 "event": "history_gone", "revision": 68
     53.55 (version 54 acknowledged)
@@ -60,7 +62,7 @@
     copy = world.store.copy()
     write_others(world, MANY)
     look(world)
-    world.come_back(copy)
+    world.drill.come_back(copy)
     # Refused once, and all was read: the store's count is still below the old one.
     look(world)
     world.configure(ROUTES)
@@ -73,7 +75,7 @@
     copy = world.store.copy()
     write_others(world, MANY)
     look(world)
-    world.come_back(copy)
+    world.drill.come_back(copy)
     world.configure(ROUTES)
     write_others(world, MANY)
     world.run(IN_FORCE)
@@ -86,7 +88,7 @@
     write_others(world, MANY)
     world.announce(target)
     look(world)
-    world.come_back(copy)
+    world.drill.come_back(copy)
     look(world)
     world.announce(target, "draining")
     world.run(IN_FORCE)
@@ -99,7 +101,7 @@
     write_others(world, MANY)
     world.announce(target)
     look(world)
-    world.come_back(copy)
+    world.drill.come_back(copy)
     look(world, 4.0)
     world.withdraw(target)
     world.run(IN_FORCE)
@@ -112,7 +114,7 @@
     world.withdraw(target)
     look(world, IN_FORCE)
     assert set(entries(world, target).values()) == {None}
-    world.come_back(copy, rewritten_after=2.0)
+    world.drill.come_back(copy, rewritten_after=2.0)
     for _ in range(50):
         world.run(0.1)
         assert set(entries(world, target).values()) == {None}
@@ -123,7 +125,7 @@
     target = world.add_target("shelf", "akl")
     look(world)
     assert set(entries(world, target).values()) == {False}
-    world.come_back(copy, rewritten_after=1.5)
+    world.drill.come_back(copy, rewritten_after=1.5)
     for _ in range(40):
         world.run(0.1)
         assert set(entries(world, target).values()) == {False}
@@ -136,7 +138,7 @@
     look(world)
     world.end_evacuation("akl")
     look(world)
-    world.come_back(copy)
+    world.drill.come_back(copy)
     look(world)
     world.evacuate("akl")
     world.run(IN_FORCE)
@@ -147,7 +149,7 @@
     copy = world.store.copy()
     world.evacuate("akl")
     look(world)
-    world.come_back(copy, rewritten_after=1.5)
+    world.drill.come_back(copy, rewritten_after=1.5)
     for _ in range(40):
         world.run(0.1)
         assert {node.known.evacuated for node in world.nodes.values()} == {frozenset({"akl"})}
@@ -166,7 +168,7 @@
     copy = world.store.copy()
     world.add_node("akl-3", "akl")
     look(world)
-    world.come_back(copy)
+    world.drill.come_back(copy)
     look(world, 4.0)
     assert own_keys(world) == set(world.nodes)
 
@@ -175,7 +177,7 @@
     copy = world.store.copy()
     world.configure(ROUTES)
     look(world)
-    world.come_back(copy, rewritten_after=5.0)
+    world.drill.come_back(copy, rewritten_after=5.0)
     world.run(0.1)
     world.add_node("akl-3", "akl")
     world.run(1.0)
@@ -189,7 +191,7 @@
     world.announce(target)
     look(world)
     world.host_of("akl-1").freeze()
-    world.come_back(copy)
+    world.drill.come_back(copy)
     look(world)
     world.configure(ROUTES)
     world.announce(target, "draining")
@@ -204,12 +206,12 @@
     first = world.store.copy()
     write_others(world, MANY)
     look(world)
-    world.come_back(first)
+    world.drill.come_back(first)
     world.run(0.7)
     second = world.store.copy()
     write_others(world, MANY)
     look(world)
-    world.come_back(second)
+    world.drill.come_back(second)
     look(world)
     world.configure(ROUTES)
     write_others(world, MANY)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -6,6 +6,7 @@
 from twisted.internet import defer
 
 from bench import fakes
+from lineworks.decisions import positions
 from lineworks.models import member, node_settings
 from lineworks.platform import store
 from lineworks.platform.standins import store_model, store_server
@@ -40,14 +41,18 @@
         return self.do(self.client.transact([store.Write(key, value)], **more))
 
 
+def after(position, count=1):
+    return positions.Position(position.era, position.revision + count)
+
+
 @pytest.fixture
 def world():
     return World()
 
 
 def test_what_is_written_is_read_with_its_revision(world):
-    revision = world.write("a/1", b"\x00\xff")
-    assert world.do(world.client.get("a/1")) == store.Item("a/1", b"\x00\xff", revision)
+    position = world.write("a/1", b"\x00\xff")
+    assert world.do(world.client.get("a/1")) == store.Item("a/1", b"\x00\xff", position)
     assert world.do(world.client.get("a/2")) is None
 
 
@@ -67,7 +72,7 @@
     assert waiting == []
     world.model.remove("a/1")
     world.clock.run_until(world.clock.seconds() + 1.0)
-    assert waiting[0].changes == [store.Change("a/1", first + 1, None)]
+    assert waiting[0].changes == [store.Change("a/1", after(first), None)]
 
 
 def test_a_watch_without_change_ends_empty(world):
@@ -75,7 +80,7 @@
     world.write("b/1")
     found = world.do(world.client.watch("a/", first, 0.5))
     assert found.changes == []
-    assert found.revision == first + 1
+    assert found.position == after(first)
 
 
 def test_lost_history_is_told(world):
@@ -87,13 +92,13 @@
 
 
 def test_a_condition_that_does_not_hold_writes_nothing(world):
-    revision = world.write("a/1", b"1")
+    position = world.write("a/1", b"1")
     with pytest.raises(store.ConflictError):
-        world.write("a/1", b"2", expected=[("a/1", revision + 1)])
+        world.write("a/1", b"2", expected=[("a/1", after(position))])
     with pytest.raises(store.ConflictError):
-        world.write("a/1", b"2", expected=[("a/1", 0)])
+        world.write("a/1", b"2", expected=[("a/1", positions.ABSENT)])
     assert world.do(world.client.get("a/1")).value == b"1"
-    world.write("a/1", b"3", expected=[("a/1", revision)], removed=["a/2"])
+    world.write("a/1", b"3", expected=[("a/1", position)], removed=["a/2"])
 
 
 def test_keys_go_with_their_lease(world):
@@ -153,17 +158,17 @@
 
 def test_an_answer_that_is_none_of_the_stores_is_an_error(world):
     with pytest.raises(store.StoreError):
-        world.do(world.client.watch("a/", "x", 0.0))
+        world.do(world.client.watch("a/", positions.Position(1, "x"), 0.0))
 
 
 def test_the_products_client_keeps_values_and_members(world):
     client = platform_client.PlatformClient(world.client)
-    assert world.do(client.get("k")) == platform_client.Value(None, 0)
-    assert world.do(client.compare_and_swap("k", "one", 0))
-    assert not world.do(client.compare_and_swap("k", "two", 0))
+    assert world.do(client.get("k")) == platform_client.Value(None, positions.ABSENT)
+    assert world.do(client.compare_and_swap("k", "one", positions.ABSENT))
+    assert not world.do(client.compare_and_swap("k", "two", positions.ABSENT))
     value = world.do(client.get("k"))
     assert value.data == "one"
-    waiting = world.start(client.watch("k", value.revision))
+    waiting = world.start(client.watch("k", value.position))
     world.do(client.put("k", "two"))
     assert waiting[0].data == "two"
     me = member.Member("a", "h", "10.0.0.2", 1, "inc", False)
@@ -274,8 +279,8 @@
     come_back(world, copy)
     assert world.do(world.client.get("a/1")).value == b"1"
     assert world.do(world.client.get("a/2")) is None
-    assert world.model.grant(20.0) == lease
-    assert world.model.write("a/3", "dg==") == lost
+    assert world.model.grant(20.0) == lease.number
+    assert world.model.write("a/3", "dg==") == lost.revision
 
 
 def test_the_stand_in_does_not_know_a_revision_that_its_copy_lacks():
@@ -302,10 +307,126 @@
 def test_the_client_tells_once_that_the_store_came_back_from_a_copy():
     world = World()
     told = []
-    world.client.on_era.append(lambda: told.append(world.client.era))
+    world.client.era.listeners.append(lambda: told.append(world.client.era.value))
     world.write("a/1")
-    assert (world.client.era, told) == (1, [])
+    assert (world.client.era.value, told) == (1, [])
     come_back(world, world.model.copy())
     world.do(world.client.get("a/1"))
     world.do(world.client.get("a/1"))
     assert told == [2]
+
+
+def test_a_count_that_has_passed_the_old_place_is_no_continuation():
+    world = World()
+    copy = world.model.copy()
+    known = world.write("a/1")
+    come_back(world, copy)
+    world.model.write("a/2", "dg==")
+    world.model.write("a/3", "dg==")
+    with pytest.raises(store.HistoryGoneError):
+        world.do(world.client.watch("a/", known, 0.0))
+
+
+def test_who_was_told_of_the_return_by_others_asks_no_more_from_the_old_place():
+    world = World()
+    known = world.write("a/1")
+    world.client.era.learn(2)
+    with pytest.raises(store.HistoryGoneError):
+        world.do(world.client.watch("a/", known, 0.0))
+    assert world.server.calls["kv-watch"] == 0
+
+
+def test_an_answer_from_before_the_return_is_none():
+    world = World()
+    world.write("a/1")
+    world.server.faults.delay = 0.1
+    reading = world.start(world.client.get("a/1"))
+    world.clock.run_until(world.clock.seconds() + 0.05)
+    world.client.era.learn(2)
+    world.clock.run_until(world.clock.seconds() + 3.0)
+    assert reading[0].check(store.StoreUnsureError)
+
+
+def test_pages_of_two_copies_make_up_no_listing():
+    world = World()
+    for number in range(store_model.PAGE_ITEMS + 7):
+        world.model.write(f"a/{number:04d}", "dg==")
+    copy = world.model.copy()
+    for number in range(store_model.PAGE_ITEMS + 7):
+        world.model.remove(f"a/{number:04d}")
+        world.model.write(f"b/{number:04d}", "dg==")
+    listing = world.start(world.client.list_items(""))
+    world.clock.run_until(world.clock.seconds() + 0.007)
+    assert world.server.calls["kv-range"] == 1
+    come_back(world, copy)
+    world.clock.run_until(world.clock.seconds() + 1.0)
+    assert {item.key[:2] for item in listing[0].items} == {"a/"}
+    assert len(listing[0].items) == store_model.PAGE_ITEMS + 7
+    assert listing[0].position.era == 2
+
+
+def test_a_condition_on_a_revision_of_before_the_return_does_not_hold():
+    world = World()
+    copy = world.model.copy()
+    known = world.write("a/1", b"1")
+    come_back(world, copy)
+    assert world.model.write("a/1", "dg==") == known.revision
+    world.do(world.client.get("a/1"))
+    with pytest.raises(store.ConflictError):
+        world.write("a/1", b"2", expected=[("a/1", known)])
+    assert world.do(world.client.get("a/1")).value == b"v"
+
+
+def test_a_write_across_the_return_is_unsure():
+    world = World()
+    copy = world.model.copy()
+    known = world.write("a/1", b"1")
+    come_back(world, copy)
+    world.model.write("a/1", "dg==")
+    with pytest.raises(store.StoreUnsureError):
+        world.write("a/1", b"2", expected=[("a/1", known)])
+
+
+def test_a_lease_of_before_the_return_is_nobody_elses():
+    world = World()
+    copy = world.model.copy()
+    lease = world.do(world.client.grant_lease(20.0))
+    come_back(world, copy)
+    assert world.model.grant(20.0) == lease.number
+    world.model.transact((), (("others/key", "dg==", lease.number),), ())
+    world.do(world.client.get("others/key"))
+    with pytest.raises(store.LeaseGoneError):
+        world.do(world.client.renew_lease(lease))
+    with pytest.raises(store.LeaseGoneError):
+        world.do(world.client.transact([store.Write("a/1", b"v", lease)]))
+    world.do(world.client.end_lease(lease))
+    assert world.do(world.client.get("others/key")) is not None
+
+
+def test_a_renewal_across_the_return_tells_that_the_lease_is_over():
+    world = World()
+    copy = world.model.copy()
+    lease = world.do(world.client.grant_lease(20.0))
+    come_back(world, copy)
+    world.model.grant(20.0)
+    with pytest.raises(store.LeaseGoneError):
+        world.do(world.client.renew_lease(lease))
+
+
+def test_an_announcement_whose_lease_was_lost_is_made_again():
+    world = World()
+    client = platform_client.PlatformClient(world.client)
+    copy = world.model.copy()
+    me = member.Member("a", "h", "10.0.0.2", 1, "inc", False)
+    world.do(client.announce(me, 50.0))
+    come_back(world, copy)
+    world.model.grant(50.0)
+    world.do(client.announce(me, 50.0))
+    assert world.do(client.members()) == [me]
+
+
+def test_an_era_that_is_no_number_is_an_error():
+    world = World()
+    world.server.tells_era = lambda: b"soon"
+    with pytest.raises(store.StoreError, match="no number"):
+        world.do(world.client.get("a/1"))
--- a/tests/test_target_lives.py
+++ b/tests/test_target_lives.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from lineworks.decisions import target_view
+from lineworks.decisions import positions, target_view
 from lineworks.forwarding import target_documents
 from lineworks.platform import target_entries
 from tests import test_forwarding, test_target_view
@@ -27,7 +27,8 @@
 
 
 def apply(view, revision, found):
-    return view.apply([target_view.TargetChange("i-1", revision, found)], 0)
+    position = positions.Position(1, revision)
+    return view.apply([target_view.TargetChange("i-1", position, found)], 0)
 
 
 def test_a_later_life_is_not_leaving_though_the_one_before_was():
@@ -55,14 +56,14 @@
 def test_a_removal_that_waits_is_not_carried_out_on_a_later_life():
     view = target_view.TargetView()
     apply(view, 1, entry(OLD))
-    view.apply([target_view.TargetChange("i-1", 2, None)], hold_until=10.0)
+    view.apply([target_view.TargetChange("i-1", positions.Position(1, 2), None)], hold_until=10.0)
     apply(view, 3, entry(NEW))
     assert not view.expire(10.0)
     assert view.entries["i-1"].born == NEW
 
 
 def test_the_start_of_a_life_travels_and_is_read():
-    change = target_view.TargetChange("i-1", 3, entry(NEW))
+    change = target_view.TargetChange("i-1", positions.Position(1, 3), entry(NEW))
     assert target_documents.decode(target_documents.encode([change])) == [change]
     text = {
         "Service": "s",
--- a/tests/test_target_view.py
+++ b/tests/test_target_view.py
@@ -4,14 +4,20 @@
 
 import dataclasses
 
-from lineworks.decisions import target_view
+import pytest
+
+from lineworks.decisions import positions, target_view
 from lineworks.forwarding import target_documents
 
 ENTRY = target_view.TargetEntry("i-1", "s", "akl", "10.0.0.1", 80, 2, False, False)
 
 
-def change(revision, entry=ENTRY, name="i-1"):
-    return target_view.TargetChange(name, revision, entry)
+def at(revision, era=1):
+    return positions.Position(era, revision)
+
+
+def change(revision, entry=ENTRY, name="i-1", era=1):
+    return target_view.TargetChange(name, at(revision, era), entry)
 
 
 def test_an_older_change_does_not_undo_a_newer_one():
@@ -31,15 +37,15 @@
 def test_a_listing_drops_what_it_lacks():
     view = target_view.TargetView()
     view.apply([change(1)], 0)
-    assert view.replace([], 7, 0)
+    assert view.replace([], at(7), 0)
     assert not view.entries
-    assert view.revision == 7
+    assert view.position == at(7)
 
 
 def test_a_listing_keeps_what_is_newer_than_itself():
     view = target_view.TargetView()
     view.apply([change(9)], 0)
-    view.replace([], 7, 0)
+    view.replace([], at(7), 0)
     assert view.entries
 
 
@@ -73,3 +79,105 @@
         except target_documents.TargetDocumentError:
             continue
         raise AssertionError(data)
+
+
+GONE = target_view.TargetChange("i-1", at(5), None)
+AGAIN = change(3, era=2)
+"""The entry as an older copy has it, after it was gone."""
+
+
+def returned():
+    """A view in which the store's older copy brought back an entry that had gone."""
+    view = target_view.TargetView()
+    view.apply([change(3), GONE], 0)
+    view.replace([AGAIN], at(4, 2), hold_until=12.3, doubt_until=15.0)
+    return view
+
+
+def test_revisions_of_a_later_era_are_newer():
+    view = target_view.TargetView()
+    view.apply([change(50)], 0)
+    view.replace([change(7, era=2)], at(9, 2), 0)
+    assert view.position == at(9, 2)
+    assert view.apply([change(10, None, era=2)], 0)
+    assert not view.entries
+
+
+def test_what_had_gone_is_doubted_until_it_is_written_anew():
+    view = returned()
+    assert not view.entries
+    assert view.apply([change(6, era=2)], 0)
+    assert view.entries
+
+
+def test_what_had_gone_is_believed_when_dead_entries_would_be_gone():
+    view = returned()
+    assert not view.believe(14.9)
+    assert view.believe(15.0)
+    assert view.entries
+
+
+def test_what_goes_again_is_not_believed_later():
+    removed = returned()
+    removed.apply([change(6, None, era=2)], 0)
+    assert not removed.believe(20.0)
+    missing = returned()
+    missing.replace([], at(9, 2), 0)
+    assert not missing.believe(20.0)
+
+
+def test_another_process_under_the_identity_is_not_doubted():
+    view = target_view.TargetView()
+    view.apply([change(3), GONE], 0)
+    born = dataclasses.replace(ENTRY, born=1)
+    view.replace([change(3, born, era=2)], at(4, 2), 12.3, 15.0)
+    assert view.entries
+
+
+def test_a_peer_that_believed_an_entry_doubts_it_with_those_who_know():
+    view = target_view.TargetView()
+    view.replace([AGAIN], at(4, 2), 0, 15.0)
+    assert view.entries
+    told = target_documents.decode_unsettled(
+        target_documents.encode_unsettled(returned().unsettled(10.0))
+    )
+    assert view.take_unsettled(told, 10.0)
+    assert not view.entries
+    assert not view.believe(14.9)
+    assert view.believe(15.0)
+
+
+def test_a_peer_that_knows_more_doubts_nothing():
+    view = target_view.TargetView()
+    view.apply([change(6, era=2)], 0)
+    assert not view.take_unsettled(returned().unsettled(10.0), 10.0)
+    assert view.entries
+
+
+def test_a_peer_holds_up_a_removal_as_long_as_whoever_listed_it():
+    first = target_view.TargetView()
+    first.apply([change(1)], 0)
+    first.apply([change(2, None)], hold_until=12.0)
+    second = target_view.TargetView()
+    second.replace(first.all_changes(), at(9), 0)
+    second.take_unsettled(first.unsettled(10.0), 10.0)
+    assert second.certain() == {}
+    assert not second.expire(11.9)
+    assert second.expire(12.0)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"[",
+        b'{"a": 1}',
+        b"[3]",
+        b'[["held", "x", "i-1", 1, 1]]',
+        b'[["gone", 1, "i-1", 1, 1]]',
+        b'[["held", 1, "i-1", 1]]',
+        b'[["held", 1, "i-1", 1, 1, "s"]]',
+    ],
+)
+def test_what_is_no_list_of_unsettled_entries_is_an_error(data):
+    with pytest.raises(target_documents.TargetDocumentError):
+        target_documents.decode_unsettled(data)
