Soak: the store goes away and comes back from an older copy, at times twice

Targets leave and the set of shards changes at its return; a new checker holds that targets that leave get nothing after 5 s.

--- a/bench/soak/checkers.py
+++ b/bench/soak/checkers.py
@@ -316,6 +316,22 @@
                 yield Broken("evacuated halls", arrival.attempt, detail)
 
 
+def left_targets(found: history.History) -> Iterable[Broken]:
+    """Find requests that reached a target after all instances must know that it is leaving.
+
+    Those of an instance that was disturbed shortly before are passed over, as above.
+    """
+    calls = {call.attempt: call for call in found.calls}
+    for left in found.left:
+        due = _due_by(found, left.begin)
+        for arrival in found.arrivals:
+            call = calls.get(arrival.attempt)
+            is_late = arrival.target == left.target and due < arrival.at < left.end
+            if call is not None and is_late and not _may_lack(found, call, arrival.hall):
+                detail = f"{arrival.target}, {arrival.at - left.begin:.2f} s after"
+                yield Broken("targets that leave", arrival.attempt, detail)
+
+
 def _may_lack(found: history.History, call: history.Call, hall: str) -> bool:
     """Say whether a try's instance, or a gatherer of a hall, may lack news at its time."""
     return any(
@@ -337,6 +353,7 @@
     stops_take_no_request_in_vain,
     home_regions,
     evacuated_halls,
+    left_targets,
 )
 """All checkers of what arrived; `fatal_requests` reads the ends of targets as well."""
 
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import json
+import math
 from typing import TYPE_CHECKING, Any
 
 from bench.soak import processes
@@ -142,6 +143,20 @@
     """When they took it back."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Left:
+    """A target that asked for no new work."""
+
+    target: str
+    """Its identity."""
+
+    begin: float
+    """When it asked."""
+
+    end: float = math.inf
+    """When it took that back."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class History:
     """One run."""
@@ -173,6 +188,9 @@
     store_faults: tuple[tuple[float, float], ...] = ()
     """Beginning and end of each time in which the store, or a link to it, had a fault."""
 
+    left: tuple[Left, ...] = ()
+    """When targets left."""
+
     grace_seconds: float = processes.GRACE_SECONDS
     """Seconds that an instance has to stop."""
 
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -32,6 +32,21 @@
 """Least and most seconds after the signal to stop at which something follows, or lasts: a freeze
 begins and ends before the instance answers what is under way at its end."""
 
+AWAY_SECONDS = (0.3, 3.0)
+"""Least and most seconds for which the store is away before it comes back from an older copy."""
+
+COPY_AGES_MS = (600, 6000)
+"""Least and most milliseconds by which that copy is older than the store's going away."""
+
+RETURN_FOLLOWS = 5.0
+"""Seconds before the end of a run at which the store goes away so at the latest."""
+
+SECOND_RETURN_SHARE = 0.3
+"""Share of the runs in which it does so again soon after."""
+
+LEAVE_AT_RETURN = 2
+"""Targets that leave at the store's return."""
+
 FATAL_ROUTES = ("search", "read")
 """Routes of requests that end the targets that run them."""
 
@@ -126,6 +141,10 @@
     STORE_LOSES = "store_loses"
     """The store does the next writes and does not answer them."""
 
+    STORE_OLDER = "store_older"
+    """The store goes away and comes back from an older copy; then targets leave, and the set of
+    shards changes."""
+
     CONFIGURED = "configured"
     """A configuration with another limit of attempts."""
 
@@ -148,7 +167,7 @@
 )
 """Kinds in which instances are asked to stop and something else happens."""
 
-_APART = (Kind.FATAL_ASKED, Kind.HALL_EVACUATED, *STOPS)
+_APART = (Kind.FATAL_ASKED, Kind.HALL_EVACUATED, Kind.STORE_OLDER, *STOPS)
 """Kinds that are dealt from sources of their own: the other steps of a seed stay what they were
 before these."""
 
@@ -172,7 +191,7 @@
     """Names of targets, of links, of an instance, of a hall, or of a route."""
 
     value: int = 0
-    """Limit of attempts, of a configuration."""
+    """Limit of attempts, of a configuration; age of the store's copy in milliseconds."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -217,6 +236,7 @@
         *_fatal(seed, seconds),
         *_evacuation(seed, seconds, subjects.halls),
         *_stops(seed, seconds, subjects.nodes),
+        *_older_copies(seed, seconds, subjects.targets),
     ]
     return sorted([*steps, *apart], key=lambda step: step.at)
 
@@ -241,6 +261,24 @@
     return [Step(round(at, 3), Kind.HALL_EVACUATED, round(lasts, 3), (rng.choice(halls),))]
 
 
+def _older_copies(seed: int, seconds: float, targets: Sequence[str]) -> list[Step]:
+    """Deal a return of the store from an older copy, or two."""
+    rng = random.Random(f"{seed}-older")
+    last = seconds - RETURN_FOLLOWS
+    if last < CALM_SECONDS:
+        return []
+    steps = []
+    at = rng.uniform(CALM_SECONDS, last)
+    for _ in range(2 if rng.random() < SECOND_RETURN_SHARE else 1):
+        away = round(rng.uniform(*AWAY_SECONDS), 3)
+        leaving = tuple(sorted(rng.sample(list(targets), min(LEAVE_AT_RETURN, len(targets)))))
+        steps.append(
+            Step(round(at, 3), Kind.STORE_OLDER, away, leaving, rng.randint(*COPY_AGES_MS))
+        )
+        at += away + rng.uniform(0.3, 2.0)
+    return [step for step in steps if step.at <= last]
+
+
 def _stops(seed: int, seconds: float, nodes: Sequence[str]) -> list[Step]:
     """Deal stops with something else in them."""
     rng = random.Random(f"{seed}-stops")
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -157,6 +157,16 @@
         """Make it forget its history."""
         self.child.order(do="forget")
 
+    def begin_drill(self, age: float, away: float, rewritten: float) -> None:
+        """Make it go away and come back from an older copy of itself.
+
+        Args:
+            age: Seconds by which the copy is older than its going away.
+            away: Seconds that it is away.
+            rewritten: Seconds after its return until operators and targets have written again.
+        """
+        self.child.order(do="drill", age=age, away=away, rewritten=rewritten)
+
     def announce(self, place: Place, state: str) -> None:
         """Write the entry of the target at a place."""
         address = f"127.0.0.1:{place.link_port}"
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -60,6 +60,9 @@
 STORE_DELAY = 0.5
 """Seconds that a slow store's answers are late."""
 
+REWRITTEN_SECONDS = 0.6
+"""Seconds after the store's return from an older copy until operators and targets write again."""
+
 LINK_DELAY = 0.1
 """Seconds that bytes are late on a slow link, each way."""
 
@@ -153,6 +156,7 @@
         )
         self._configured: list[history.Configured] = []
         self._evacuated: list[history.Evacuated] = []
+        self._left: list[history.Left] = []
         self._store_faults: list[tuple[float, float]] = []
         self._is_over = False
 
@@ -261,7 +265,8 @@
             return
         if _strikes_store(step):
             now = self._reactor.seconds()
-            self._store_faults.append((now, now + step.seconds))
+            more = REWRITTEN_SECONDS if step.kind is plan.Kind.STORE_OLDER else 0.0
+            self._store_faults.append((now, now + step.seconds + more))
         if step.kind in TARGET_FAULTS:
             seconds, faults = TARGET_FAULTS[step.kind]
             self._set_faults(step.subjects, seconds, faults)
@@ -281,6 +286,10 @@
             self._store.set_fault("lose_answers", LOST_ANSWERS)
         elif step.kind is plan.Kind.STORE_FORGETS:
             self._store.forget()
+        elif step.kind is plan.Kind.STORE_OLDER:
+            self._store.begin_drill(step.value / 1000, step.seconds, REWRITTEN_SECONDS)
+            self._later(step, self._announce, step.subjects, "draining")
+            self._later(step, self._reshard)
         elif step.kind is plan.Kind.CONFIGURED:
             self._configure(step.value, self._configured[-1].shards)
         elif step.kind is plan.Kind.RESHARDED:
@@ -332,6 +341,18 @@
         for name in names:
             place = self._places[name]
             self._halls[place.hall].announce(place, state)
+            self._note_announced(place.target, state)
+
+    def _note_announced(self, target: str, state: str) -> None:
+        """Note when a target leaves; one that says it is ready may be used by who starts then."""
+        now = self._reactor.seconds()
+        if state == "draining":
+            self._left.append(history.Left(target, now))
+            return
+        self._left = [
+            dataclasses.replace(left, end=min(left.end, now)) if left.target == target else left
+            for left in self._left
+        ]
 
     def _history(self) -> history.History:
         return history.History(
@@ -344,6 +365,7 @@
             {"bill": frozenset(HOMES)},
             tuple(self._evacuated),
             tuple(self._store_faults),
+            left=tuple(self._left),
         )
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -181,6 +181,27 @@
     assert promises(one) == (["evacuated halls"] if is_broken else [])
 
 
+@pytest.mark.parametrize(
+    ("at", "more", "is_broken"),
+    [
+        (4.9, {}, False),
+        (5.1, {}, True),
+        (9.1, {}, False),
+        (5.1, {"store_faults": ((0.5, 2.0),)}, False),
+        (7.1, {"store_faults": ((0.5, 2.0),)}, True),
+        (5.1, {"disturbed": (history.Span("n1", 1.0, 4.0),)}, False),
+    ],
+)
+def test_a_request_that_reaches_a_target_that_left_is_seen(at, more, is_broken):
+    one = found(
+        [call("b", "read", sent_at=at, ended_at=at + 0.1)],
+        [arrival("b", "t", "shelf", at=at)],
+        left=(history.Left("t", 0.0, 9.0),),
+        **more,
+    )
+    assert promises(one) == ["targets that leave"] * is_broken
+
+
 def test_too_many_extra_arrivals_in_a_window_are_seen():
     # One request allows half an attempt, the fixed number two more: the third one is too many.
     arrivals = [arrival("a", "x", "s0", 1.0 + 0.1 * number) for number in range(4)]
