Claims that the store forgot are written again before a key is taken once more

What callers saw: nobody reported it; found by looking for the cause of the older copy elsewhere. A request with an Idempotency-Key whose claim was acknowledged in the time that the store lost could be claimed again at another instance, and run twice (test_claims.py, fails on the code before).

Cause: claims lean on the store never losing what it acknowledged. Each instance remembers its claims for 60 s and writes them again when it hears of a new era, from the store or from a peer's heartbeat; for 3 s keys are refused as not run. A claim cannot be made without reading the bucket first, and that read tells of the new era, so no key is taken from a bucket whose loss is not known yet. Left: claims of an instance that ends in the same seconds.

--- a/src/lineworks/services/claim_writer.py
+++ b/src/lineworks/services/claim_writer.py
@@ -1,7 +1,13 @@
-"""Writes claims of idempotency keys to the platform, grouped by bucket."""
+"""Writes claims of idempotency keys to the platform, grouped by bucket.
+
+The store may come back from an older copy without claims that it had acknowledged. Each instance
+writes those that it made lately again; meanwhile keys are refused, since the claim of another
+instance may be missing.
+"""
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING, Any
 
 import structlog
@@ -24,18 +30,29 @@
 RETRY_SECONDS = 0.02
 """Seconds between tries at first, doubled each time, with jitter."""
 
+SETTLE_SECONDS = 3.0
+"""Seconds after the store's return from an older copy in which keys are refused: all instances have
+heard of it and written their claims again by then."""
+
+REMEMBERED_SECONDS = 60.0
+"""Seconds for which own claims are remembered to be written again; the store's copies are some
+seconds old."""
+
 MARGIN = 0.02
 """Seconds of a request's time that must be left after its claim."""
 
+_SETTLING = "the store came back from an older copy, and claims are being written again"
+
 _log = structlog.get_logger(component="claim_writer")
 
 
 class _Wanted:
     """A claim that waits to be written."""
 
-    def __init__(self, claim: claims.Claim, deadline: float) -> None:
+    def __init__(self, claim: claims.Claim, deadline: float, is_again: bool = False) -> None:
         self.claim = claim
         self.deadline = deadline
+        self.is_again = is_again
         self.done: defer.Deferred[claims.Claim | verdict.Verdict] = defer.Deferred()
 
 
@@ -63,6 +80,10 @@
         self._wall_clock = wall_clock
         self._waiting: dict[str, list[_Wanted]] = {}
         self._writing: set[str] = set()
+        # Own claims that hold, with the time at which they were made.
+        self._made: collections.deque[tuple[float, claims.Claim]] = collections.deque()
+        self._settled_at = 0.0
+        platform.era.listeners.append(self._on_store_return)
 
     def start(self) -> None:
         """Do nothing."""
@@ -83,13 +104,42 @@
             A deferred with the claim that holds, which is another one when the key was taken; or
             with a NOT_RUN verdict when the claim is not known to hold.
         """
-        bucket = claims.bucket_of(claim.key)
         wanted = _Wanted(claim, deadline)
+        if self._is_settling:
+            self._refuse([wanted], verdict.Reason.PLATFORM_UNSURE, _SETTLING)
+        else:
+            self._enqueue(wanted)
+        return wanted.done
+
+    @property
+    def _is_settling(self) -> bool:
+        return bool(self._reactor.seconds() < self._settled_at)
+
+    def _enqueue(self, wanted: _Wanted) -> None:
+        bucket = claims.bucket_of(wanted.claim.key)
         self._waiting.setdefault(bucket, []).append(wanted)
         if bucket not in self._writing:
             self._writing.add(bucket)
             self._reactor.callLater(GROUP_SECONDS, self._begin, bucket)
-        return wanted.done
+
+    def _on_store_return(self) -> None:
+        """Write the own claims again, and refuse keys until others have done so."""
+        now = self._reactor.seconds()
+        self._settled_at = now + SETTLE_SECONDS
+        self._forget_old(now)
+        for _, claim in self._made:
+            wanted = _Wanted(claim, self._settled_at, is_again=True)
+            wanted.done.addCallback(_check_again, claim)
+            self._enqueue(wanted)
+
+    def _forget_old(self, now: float) -> None:
+        while self._made and self._made[0][0] < now - REMEMBERED_SECONDS:
+            self._made.popleft()
+
+    def _remember(self, claim: claims.Claim) -> None:
+        now = self._reactor.seconds()
+        self._made.append((now, claim))
+        self._forget_old(now)
 
     def _begin(self, bucket: str) -> None:
         writing = defer.ensureDeferred(self._write_bucket(bucket))
@@ -129,17 +179,27 @@
 
     async def _try_group(self, bucket: str, group: list[_Wanted]) -> bool:
         value = await self._platform.get(bucket)
+        if self._is_settling:
+            # Found out by this read, maybe: what it lacks proves nothing yet.
+            new = [wanted for wanted in group if not wanted.is_again]
+            self._refuse(new, verdict.Reason.PLATFORM_UNSURE, _SETTLING)
+            group[:] = [wanted for wanted in group if wanted.is_again]
+        if not group:
+            return True
         merged = claims.merge(value.data, [w.claim for w in group], self._wall_clock())
         held = claims.parse_bucket(value.data)
         is_written = all(
             claim.key in held and held[claim.key].nonce == claim.nonce for claim in merged.won
         )
         if not is_written and not await self._platform.compare_and_swap(
-            bucket, merged.data, value.revision
+            bucket, merged.data, value.position
         ):
             return False
         for wanted in group:
-            wanted.done.callback(merged.lost.get(wanted.claim.nonce, wanted.claim))
+            found = merged.lost.get(wanted.claim.nonce, wanted.claim)
+            if found is wanted.claim and not wanted.is_again:
+                self._remember(found)
+            wanted.done.callback(found)
         return True
 
     def _drop_late(self, group: list[_Wanted]) -> list[_Wanted]:
@@ -152,3 +212,11 @@
         text = f"{detail}; a ticket from /v1/tickets needs no platform"
         for wanted in group:
             wanted.done.callback(verdict.not_run(reason, text))
+
+
+def _check_again(found: claims.Claim | verdict.Verdict, claim: claims.Claim) -> None:
+    """Say that an own claim could not be written again: its key may be claimed once more."""
+    if isinstance(found, verdict.Verdict):
+        _log.error("claim_not_written_again", key=claim.key, reason=found.detail)
+    elif found.nonce != claim.nonce:
+        _log.error("claim_lost", key=claim.key, to=found.instance)
--- a/src/lineworks/services/cluster.py
+++ b/src/lineworks/services/cluster.py
@@ -14,6 +14,7 @@
 
     from lineworks.decisions import replicas
     from lineworks.models import settings
+    from lineworks.platform import store_era
     from lineworks.services import (
         config_keeper,
         membership,
@@ -52,6 +53,7 @@
         keeper: config_keeper.ConfigKeeper,
         members: membership.Membership,
         timelines: traces.Traces,
+        era: store_era.StoreEra,
     ) -> None:
         """Connect the engine.
 
@@ -64,12 +66,14 @@
             keeper: The configuration in force.
             members: The live instances.
             timelines: Takes the steps of queries.
+            era: Which era the platform's store is in; instances tell each other.
         """
         self._reactor = reactor
         self._name = options.name
         self._links = links
         self._pool = pool
         self._keeper = keeper
+        self._store_era = era
         self._members = members
         self._is_gatherer = "gather" in options.roles
         self._delays = {hall: ms / 1000 for hall, ms in options.hall_delay_ms.items()}
@@ -97,6 +101,7 @@
         links.on_up.append(self._on_up)
         links.on_down.append(self._on_down)
         links.make_heartbeat = self._make_heartbeat
+        self._store_era.listeners.append(lambda: links.broadcast(self._make_heartbeat()))
         self._keeper.listeners.append(self._on_config)
         self._members.listeners.append(self._on_members)
 
@@ -139,11 +144,17 @@
         return self._delays.get(hall, DEFAULT_DELAY)
 
     def _make_heartbeat(self) -> frames.Heartbeat:
-        return frames.Heartbeat(self._members.is_leaving, self._keeper.version, self._keeper.digest)
+        return frames.Heartbeat(
+            self._members.is_leaving,
+            self._keeper.version,
+            self._keeper.digest,
+            store_era=self._store_era.value,
+        )
 
     def _on_heartbeat(self, link: peer_link.PeerLink, frame: frames.Heartbeat) -> None:
         assert link.hello is not None
         name = link.hello.name
+        self._store_era.learn(frame.store_era)
         self._members.on_heartbeat(name, frame.is_leaving)
         self._keeper.on_heartbeat(name, frame.config_version, frame.config_digest)
 
--- a/src/lineworks/services/instance.py
+++ b/src/lineworks/services/instance.py
@@ -123,7 +123,9 @@
         keeper.listeners.append(lambda config, weights: self.life.config_arrived())
         pool = target_pool.TargetPool(reactor)
         timelines = traces.Traces(reactor)
-        core = cluster.Cluster(reactor, self._rng, options, links, pool, keeper, members, timelines)
+        core = cluster.Cluster(
+            reactor, self._rng, options, links, pool, keeper, members, timelines, platform.era
+        )
         writer = claim_writer.ClaimWriter(reactor, self._rng, platform, time.time)
         ticket_rng = random.SystemRandom()
         runner = runs.Runs(
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -126,3 +126,52 @@
     assert all(len(result) == 1 for _, result in found)
     refused = [result[0] for _, result in found if isinstance(result[0], verdict.Verdict)]
     assert all(item.is_not_run for item in refused)
+
+
+def lose_since(world, copy):
+    """Let the store come back from an older copy."""
+    world.platform.model.come_back(copy)
+
+
+def test_a_claim_that_the_store_lost_still_holds():
+    """A key was claimed and its request ran. The store came back from a copy without the claim, and
+    another instance claimed the key for the caller's second try, which ran once more."""
+    world = _World()
+    copy = world.platform.model.copy()
+    first = world.ask(0, claim(nonce="1"))
+    world.clock.run_until(1.0)
+    assert first[0].nonce == "1"
+    lose_since(world, copy)
+    second = world.ask(1, claim(nonce="2", instance="b"))
+    world.clock.run_until(2.0)
+    assert second[0].is_not_run
+    # The instances tell each other of the return with their heartbeats.
+    world.ports[0].era.learn(world.ports[1].era.value)
+    world.clock.run_until(2.0 + claim_writer.SETTLE_SECONDS)
+    third = world.ask(1, claim(nonce="3", instance="b"))
+    world.clock.run_until(8.0)
+    assert third[0].nonce == "1"
+
+
+def test_a_key_is_refused_at_once_while_lost_claims_are_written_again():
+    world = _World()
+    world.ask(0, claim(nonce="1"))
+    world.clock.run_until(1.0)
+    world.ports[0].era.learn(2)
+    found = world.ask(0, claim(key="cd" * 16, nonce="2"))
+    assert found[0].is_not_run
+    assert found[0].reason is verdict.Reason.PLATFORM_UNSURE
+
+
+def test_a_claim_whose_write_meets_the_return_is_refused():
+    world = _World()
+    world.ask(0, claim(key="0" * 32, nonce="0"))
+    world.clock.run_until(1.0)
+    copy = world.platform.model.copy()
+    key = "0" * 31 + "1"
+    found = world.ask(0, claim(key=key, nonce="1"))
+    world.clock.callLater(claim_writer.GROUP_SECONDS + 0.003, lose_since, world, copy)
+    world.clock.run_until(9.0)
+    held = claims.parse_bucket(world.platform.values[claims.bucket_of(key)][0])
+    assert found[0].is_not_run
+    assert key not in held
