A request's time counts from its arrival, also while the process stood still

It holds because the kernel stamps arrivals whether the process runs or not. What is read after its caller's time is refused at once as not run, instead of being sent to targets without any time.

The network in memory tells the same figure, so a frozen instance shows it without sockets: test_suspensions.py.

--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -211,11 +211,16 @@
             refused = outcome.refuse(found, retry_after=outcome.STOP_RETRY_AFTER)
             self._refuse(request, answer, table, route, attempt, content, refused)
             return None
+        deadline = deadlines.for_answer(request.arrived, allowed)
+        if self._shared.reactor.seconds() >= deadline:
+            found = verdict.not_run(verdict.Reason.DEADLINE, "its time was over when it was read")
+            self._refuse(request, answer, table, route, attempt, content, outcome.refuse(found))
+            return None
         call = target_calls.TargetCall(
             head=_head(request),
             body=request.body,
             attempt=attempt,
-            deadline=deadlines.for_answer(request.arrived, allowed),
+            deadline=deadline,
             is_repeatable=route.is_repeatable,
             content=content,
         )
--- a/src/lineworks/http1/server_connection.py
+++ b/src/lineworks/http1/server_connection.py
@@ -14,7 +14,7 @@
 from twisted.internet import error, protocol
 
 from lineworks.http1 import fields as http_fields
-from lineworks.kernel import round_trip
+from lineworks.kernel import tcp_info
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -132,7 +132,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Wait for the first request."""
         self.transport.setTcpNoDelay(True)
-        self._round_trip = round_trip.measure(self.transport.getHandle())
+        self._round_trip = tcp_info.round_trip(self.transport.getHandle())
         self._server.connections.add(self)
         self._set_timer(self._server.limits().idle_seconds)
 
@@ -157,7 +157,9 @@
         if self._is_broken:
             return
         if self._began_at is None and not self.is_busy:
-            self._began_at = self._server.now()
+            # Counted from its arrival: a process that stood still reads it late, and its caller
+            # would be answered late by as much.
+            self._began_at = self._server.now() - tcp_info.waited(self.transport.getHandle())
             self._set_timer(self._server.limits().header_seconds)
         if not self._is_in_body:
             self._head_size += len(data)
--- a/src/lineworks/standins/memory_network.py
+++ b/src/lineworks/standins/memory_network.py
@@ -93,7 +93,7 @@
         self.clock.callLater(self.delay(sender, receiver), self._arrive, receiver, deliver)
 
     def _arrive(self, receiver: str, deliver: Callable[[], None]) -> None:
-        self.host(receiver).run(deliver)
+        self.host(receiver).receive(deliver)
 
 
 class _Timer:
@@ -136,6 +136,8 @@
         self._is_dark = False
         self._next_port = FIRST_PORT
         self._waiting: collections.deque[Callable[[], None]] | None = None
+        self.arrived_at = 0.0
+        """When what it takes in arrived."""
         self.is_stopped = False
         """Whether the code on it has stopped the reactor."""
 
@@ -172,6 +174,16 @@
         elif not self._is_dark:
             call()
 
+    def receive(self, deliver: Callable[[], None]) -> None:
+        """Take in what arrives now, or when the host is no longer frozen."""
+        arrived_at = self.seconds()
+
+        def take() -> None:
+            self.arrived_at = arrived_at
+            deliver()
+
+        self.run(take)
+
     def listenTCP(  # noqa: N802
         self, port: int, factory: Any, backlog: int = 50, interface: str = ""
     ) -> _Listening:
--- a/src/lineworks/standins/memory_transport.py
+++ b/src/lineworks/standins/memory_transport.py
@@ -28,10 +28,16 @@
     address: str
     """IP address."""
 
+    arrived_at: float
+    """When what it takes in arrived."""
+
     @property
     def network(self) -> Network:
         """The network that it is on."""
 
+    def seconds(self) -> float:
+        """Tell the present."""
+
     def callLater(self, delay: float, call: Callable[..., Any], *args: Any) -> Any:  # noqa: N802
         """Schedule a call."""
 
@@ -162,8 +168,10 @@
         """Do nothing."""
 
     def getsockopt(self, level: int, option: int, size: int) -> bytes:
-        """Tell the round trip, as Linux does in its `tcp_info`; nothing else is asked for."""
+        """Tell the round trip and how long data waited, as Linux does in its `tcp_info`."""
         delay = self._host.network.delay
         there, back = self._there.address, self._host.address
         seconds = delay(there, back) + delay(back, there)
-        return struct.pack("=68xI", int(seconds * 1e6)).ljust(size, b"\0")
+        waited = self._host.seconds() - self._host.arrived_at
+        info = struct.pack("=52xI12xI", int(waited * 1000), int(seconds * 1e6))
+        return info.ljust(size, b"\0")
--- a/tests/test_suspensions.py
+++ b/tests/test_suspensions.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import pytest
+from twisted.internet import protocol
 
+from lineworks.platform.standins import documents
+from lineworks.standins import deployment
 from tests import test_forwarding
 
 SECONDS = (1.0, 5.0, 60.0)
@@ -65,3 +68,45 @@
     before = extra.least_left(world.clock.seconds())
     stand_still(world, "akl-1", seconds)
     assert extra.least_left(world.clock.seconds()) <= before + 1.0
+
+
+class Kept(protocol.Protocol):
+    """A caller's kept connection."""
+
+    seen = b""
+
+    def dataReceived(self, data):  # noqa: N802
+        self.seen += data
+
+
+def ask_frozen(world, path, budget, seconds):
+    """Send a request to an instance that stands still for a while, over an open connection."""
+    kept = Kept()
+    caller = world.network.host("10.250.0.1")
+    factory = protocol.Factory.forProtocol(lambda: kept)
+    caller.connectTCP(world.address_of("akl-1"), deployment.CALLER_PORT, factory)
+    world.run(0.1)
+    host = world.host_of("akl-1")
+    host.freeze()
+    kept.transport.write(documents.caller_request("GET", path, "late", budget, b""))
+    world.run(seconds)
+    host.wake()
+    world.run(0.05)
+    return kept
+
+
+@pytest.mark.parametrize("path", ["/search/q", "/read/q", "/bill/q"])
+def test_what_comes_too_late_out_of_its_socket_is_refused_at_once_as_not_run(path):
+    world = test_forwarding.build()
+    assert ask_frozen(world, path, 0.5, 0.6).seen.startswith(b"HTTP/1.1 503")
+    world.run(1.0)
+    assert world.runs_of("late") == []
+
+
+def test_what_still_has_time_when_it_is_read_is_served_within_it():
+    world = test_forwarding.build(lambda: 5.0)
+    kept = ask_frozen(world, "/read/q", 1.0, 0.6)
+    assert kept.seen == b""
+    assert world.runs_of("late")
+    world.run(0.35)
+    assert kept.seen.startswith(b"HTTP/1.1 504")
