Callers whose time runs out during the imports are refused within it

Cause: the port opens before the imports and nobody reads until the event loop runs. A thread accepts callers meanwhile, refuses as not run who has waited for 0.8 of its time, and hands the others to the event loop with all that they sent.

--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -38,9 +38,10 @@
 from lineworks.wire import frames, node_frames
 
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Callable, Sequence
 
+    from lineworks.kernel import early_callers
+
 HEARTBEAT_SECONDS = 2.0
 """Seconds between heartbeats on a link: a silent link counts as lost after twice that."""
 
@@ -61,7 +62,7 @@
         self,
         reactor: Any,
         settings: node_settings.NodeSettings,
-        callers_port: socket.socket | None = None,
+        callers_port: early_callers.EarlyCallers | None = None,
         rng: random.Random | None = None,
     ) -> None:
         """Make the process's services.
@@ -69,7 +70,7 @@
         Args:
             reactor: Twisted's reactor, on the steady clock.
             settings: Settings of the process.
-            callers_port: Socket that listens for callers already; opened at the start if not given.
+            callers_port: Port that callers connect to already; opened at the start if not given.
             rng: Source of all random choices; one with a seed of its own if not given.
         """
         self._reactor = reactor
@@ -198,7 +199,9 @@
         if self._callers_port is None:
             self._port = self._listen(settings.callers, self._callers)
         else:
-            self._port = listening.adopt(self._reactor, self._callers_port, self._callers)
+            self._port = self._callers_port.adopt(self._reactor, self._callers)
+            for error in self._callers_port.errors:
+                _log.warning("early_caller_failed", error=error)
         self._listen(settings.readiness, self._server(self._on_readiness))
         self._listen(settings.metrics, self._server(self._on_metrics))
         self._links.listen(settings.peers.host, settings.peers.port)
--- a/src/lineworks/platform/headers.py
+++ b/src/lineworks/platform/headers.py
@@ -54,6 +54,22 @@
     target does not tell, or no number that makes sense."""
 
 
+def budget_of_head(head: bytes) -> float | None:
+    """Find a caller's time budget in a request's head that is not parsed yet.
+
+    Args:
+        head: Bytes that hold the head.
+
+    Returns:
+        Seconds, or None where there is none.
+    """
+    for line in head.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]:
+        name, _, value = line.partition(b":")
+        if name.strip().lower() == BUDGET:
+            return read_budget(value.strip())
+    return None
+
+
 def read_budget(value: bytes | None) -> float | None:
     """Read a caller's time budget.
 
--- a/src/lineworks/programs/node.py
+++ b/src/lineworks/programs/node.py
@@ -9,12 +9,12 @@
 import gc
 import os
 import signal
-import socket
 import sys
 from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import mechanisms
-from lineworks.kernel import early_signals, lean_imports, listening
+from lineworks.kernel import early_callers, early_signals, lean_imports, listening
+from lineworks.platform import headers
 from lineworks.platform import settings as platform_settings
 
 if TYPE_CHECKING:
@@ -63,9 +63,12 @@
     return dataclasses.replace(platform_settings.load(), without=without)
 
 
-def _open_callers(settings: node_settings.NodeSettings) -> socket.socket:
+def _open_callers(settings: node_settings.NodeSettings) -> early_callers.EarlyCallers:
     """Let callers connect while the rest is imported."""
-    return listening.open_port(settings.callers.host, settings.callers.port)
+    opened = listening.open_port(settings.callers.host, settings.callers.port)
+    callers = early_callers.EarlyCallers(opened, headers.budget_of_head)
+    callers.start()
+    return callers
 
 
 def _install_reactor() -> Any:
@@ -90,7 +93,7 @@
     return logs.exit_code
 
 
-def _run(settings: node_settings.NodeSettings, callers: socket.socket) -> int:
+def _run(settings: node_settings.NodeSettings, callers: early_callers.EarlyCallers) -> int:
     """Start the services and run until they stop."""
     reactor = _install_reactor()
     from twisted.internet import defer
