Claims: an instance that starts refuses keys until a return of the store would be known to all

The second instance had never been in contact with the store, so the first era that it read was no return to it, and it took the key.

Cause: only a rise of the era counted as a return; an instance that starts can't see one. It refuses keys as not run for 3 s from its first contact now, as after a return. The test's instances have been in contact before, as running ones have; a new test has one that has not, and both pass.

--- a/src/lineworks/platform/store_era.py
+++ b/src/lineworks/platform/store_era.py
@@ -19,6 +19,8 @@
         self._era: int | None = None
         self.listeners: list[Callable[[], None]] = []
         """Called when the store is known to have come back from an older copy."""
+        self.on_first: list[Callable[[], None]] = []
+        """Called when an era is known for the first time; the store may have just come back."""
 
     @property
     def value(self) -> int:
@@ -36,6 +38,8 @@
             return
         self._era = era
         if before is None:
+            for listener in self.on_first:
+                listener()
             return
         _log.warning("store_from_older_copy", era=era, before=before)
         for listener in self.listeners:
--- a/src/lineworks/services/claim_writer.py
+++ b/src/lineworks/services/claim_writer.py
@@ -31,8 +31,9 @@
 """Seconds between tries at first, doubled each time, with jitter."""
 
 SETTLE_SECONDS = 3.0
-"""Seconds after the store's return from an older copy in which keys are refused: all instances have
-heard of it and written their claims again by then."""
+"""Seconds after the store's return from an older copy, and after an instance's first contact with
+the store, in which keys are refused: all instances have heard of a return and written their claims
+again by then."""
 
 REMEMBERED_SECONDS = 60.0
 """Seconds for which own claims are remembered to be written again; the store's copies are some
@@ -84,6 +85,8 @@
         self._made: collections.deque[tuple[float, claims.Claim]] = collections.deque()
         self._settled_at = 0.0
         platform.era.listeners.append(self._on_store_return)
+        # An instance that starts can't know whether the store has just come back.
+        platform.era.on_first.append(self._settle)
 
     def start(self) -> None:
         """Do nothing."""
@@ -124,14 +127,16 @@
 
     def _on_store_return(self) -> None:
         """Write the own claims again, and refuse keys until others have done so."""
-        now = self._reactor.seconds()
-        self._settled_at = now + SETTLE_SECONDS
-        self._forget_old(now)
+        self._settle()
+        self._forget_old(self._reactor.seconds())
         for _, claim in self._made:
             wanted = _Wanted(claim, self._settled_at, is_again=True)
             wanted.done.addCallback(_check_again, claim)
             self._enqueue(wanted)
 
+    def _settle(self) -> None:
+        self._settled_at = self._reactor.seconds() + SETTLE_SECONDS
+
     def _forget_old(self, now: float) -> None:
         while self._made and self._made[0][0] < now - REMEMBERED_SECONDS:
             self._made.popleft()
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -45,6 +45,9 @@
         self.clock = fakes.VirtualClock()
         self.platform = platforms.Platform(self.clock, random.Random(seed))
         self.ports = [platforms.PlatformPort(self.platform) for _ in range(writers)]
+        for port in self.ports:
+            # They have been in contact with the store for a while.
+            port.era.learn(self.platform.model.era)
         self.writers = [
             claim_writer.ClaimWriter(
                 self.clock, random.Random(f"{seed}/{n}"), port, self.clock.seconds
@@ -175,3 +178,23 @@
     held = claims.parse_bucket(world.platform.values[claims.bucket_of(key)][0])
     assert found[0].is_not_run
     assert key not in held
+
+
+def test_an_instance_that_starts_after_the_return_takes_no_key_too_soon():
+    world = _World()
+    copy = world.platform.model.copy()
+    first = world.ask(0, claim(nonce="1"))
+    world.clock.run_until(1.0)
+    assert first[0].nonce == "1"
+    lose_since(world, copy)
+    port = platforms.PlatformPort(world.platform)
+    started = claim_writer.ClaimWriter(world.clock, random.Random(7), port, world.clock.seconds)
+    world.writers.append(started)
+    second = world.ask(len(world.writers) - 1, claim(nonce="2", instance="b"))
+    world.clock.run_until(2.0)
+    assert second[0].is_not_run
+    world.ports[0].era.learn(port.era.value)
+    world.clock.run_until(2.0 + claim_writer.SETTLE_SECONDS)
+    third = world.ask(len(world.writers) - 1, claim(nonce="3", instance="b"))
+    world.clock.run_until(8.0)
+    assert third[0].nonce == "1"
