What is held up and what was leaving is told as such between instances; drills with an instance out of touch

- A reader listed entries whose removal it held up under positions of before the return.
A list names them apart now, and a peer treats them as missing until the same moment.

--- a/src/lineworks/decisions/evacuations.py
+++ b/src/lineworks/decisions/evacuations.py
@@ -16,6 +16,11 @@
     from collections.abc import Iterable
 
 
+WRITTEN_SECONDS = 1.0
+"""Seconds before the end of the time for which a missing evacuation is obeyed by which the
+operators have written it again."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EvacuationChange:
     """A change for one data hall."""
@@ -80,22 +85,29 @@
         for hall in self.halls - names:
             known = self._latest[hall].position
             if known.era < position.era:
-                self._held.setdefault(hall, hold_until)
+                # A second return soon after the first gives the operators their time again.
+                self._held[hall] = max(hold_until, self._held.get(hall, 0.0))
             elif known <= position:
                 self._latest[hall] = EvacuationChange(hall, position, False)
         return self.halls != before
 
-    def expire(self, now: float, position: positions.Position) -> bool:
+    def expire(self, now: float, asked_at: float, position: positions.Position) -> bool:
         """End the evacuations that nobody wrote again after the store's return.
 
         Args:
             now: The present, in seconds.
-            position: Position up to which every change is known.
+            asked_at: When the store was last asked with success: one that is away again can't
+                tell whether they were written.
+            position: Position up to which every change is known then.
 
         Returns:
             Whether other halls are evacuated than before.
         """
-        due = [hall for hall, until in self._held.items() if until <= now]
+        due = [
+            hall
+            for hall, until in self._held.items()
+            if until <= now and until - WRITTEN_SECONDS <= asked_at
+        ]
         for hall in due:
             del self._held[hall]
             self._latest[hall] = EvacuationChange(hall, position, False)
--- a/src/lineworks/decisions/target_view.py
+++ b/src/lineworks/decisions/target_view.py
@@ -89,6 +89,9 @@
     DOUBTED = "doubted"
     """It was gone, the store's older copy has it again, and it is not used yet."""
 
+    LEAVING = "leaving"
+    """Its target had asked for no new work, which the store's older copy does not tell."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unsettled:
@@ -100,7 +103,7 @@
     standing: Standing
     """Why it is not settled."""
 
-    seconds: float
+    seconds: float = 0.0
     """Seconds until it is settled, unless something is heard of it."""
 
 
@@ -188,6 +191,7 @@
         position: positions.Position,
         hold_until: float,
         doubt_until: float = 0.0,
+        held: Mapping[str, float] | None = None,
     ) -> bool:
         """Take in all entries as they were at one position.
 
@@ -197,10 +201,12 @@
             hold_until: Time before which missing entries are kept; 0 for no such time.
             doubt_until: Time before which entries that were gone are not believed if the store came
                 back from an older copy.
+            held: By identity, the times before which certain missing entries are kept.
 
         Returns:
             Whether an entry changed in more than its position.
         """
+        held = held or {}
         listed = list(entries)
         present = {change.id for change in listed}
         for name in self._doubted.keys() - present:
@@ -209,7 +215,7 @@
         is_changed = self.apply(listed, hold_until)
         for name in list(self._entries):
             if name not in present and self._positions.get(name, positions.ABSENT) <= position:
-                is_changed |= self._remove(name, hold_until)
+                is_changed |= self._remove(name, held.get(name, hold_until))
         self.position = max(self.position, position)
         return is_changed
 
@@ -268,11 +274,12 @@
         return bool(due)
 
     def all_changes(self) -> list[TargetChange]:
-        """List all entries with their positions, as changes for a peer that knows nothing."""
-        return [
-            TargetChange(name, self._positions.get(name, positions.ABSENT), entry)
-            for name, entry in self._entries.items()
-        ]
+        """List all entries that no removal is pending for, for a peer that knows nothing."""
+        return [self._as_change(name) for name in self._entries if name not in self._removals]
+
+    def _as_change(self, name: str) -> TargetChange:
+        position = self._positions.get(name, positions.ABSENT)
+        return TargetChange(name, position, self._entries[name])
 
     def unsettled(self, now: float) -> list[Unsettled]:
         """List the entries that are not settled, for a peer that is given all entries.
@@ -284,9 +291,9 @@
             The entries.
         """
         held = [
-            Unsettled(change, Standing.HELD, self._removals[change.id] - now)
-            for change in self.all_changes()
-            if change.id in self._removals
+            Unsettled(self._as_change(name), Standing.HELD, until - now)
+            for name, until in self._removals.items()
+            if name in self._entries
         ]
         doubted = [
             Unsettled(found.change, Standing.DOUBTED, found.until - now)
@@ -294,30 +301,63 @@
         ]
         return held + doubted
 
+    def contradict(self, listed: Iterable[TargetChange], now: float) -> list[Unsettled]:
+        """Find what is known better than a peer that lists entries: it may have just started.
+
+        Args:
+            listed: What the peer lists.
+            now: The present, in seconds.
+
+        Returns:
+            Of those the entries that are doubted here, and those whose targets are leaving.
+        """
+        used = {c.id for c in listed if c.entry is not None and not c.entry.is_leaving}
+        doubted = [
+            one
+            for one in self.unsettled(now)
+            if one.standing is Standing.DOUBTED and one.change.id in used
+        ]
+        leaving = [
+            Unsettled(self._as_change(name), Standing.LEAVING)
+            for name in self._leaving & used & self._entries.keys()
+        ]
+        return doubted + leaving
+
     def take_unsettled(self, found: Iterable[Unsettled], now: float) -> bool:
-        """Hold up and doubt what a peer does, unless more is known here.
+        """Hold up, doubt and leave alone what a peer does, unless more is known here.
 
         Args:
             found: What is not settled at the peer.
             now: The present, in seconds.
 
         Returns:
-            Whether an entry is used no more.
+            Whether an entry changed.
         """
         is_changed = False
         for one in found:
-            change = one.change
-            if self._positions.get(change.id, positions.ABSENT) > change.position:
-                continue
-            if one.standing is Standing.HELD and change.id in self._entries:
-                self._removals.setdefault(change.id, now + one.seconds)
-            elif one.standing is Standing.DOUBTED:
-                self._positions[change.id] = change.position
-                self._doubted.setdefault(change.id, _Doubted(change, now + one.seconds))
-                self._removals.pop(change.id, None)
-                is_changed |= self._entries.pop(change.id, None) is not None
+            if self._positions.get(one.change.id, positions.ABSENT) <= one.change.position:
+                is_changed |= self._take_standing(one, now)
         return is_changed
 
+    def _take_standing(self, one: Unsettled, now: float) -> bool:
+        change = one.change
+        if change.entry is None:
+            return False
+        if one.standing is Standing.LEAVING:
+            return self._put(dataclasses.replace(change.entry, is_leaving=True))
+        if one.standing is Standing.HELD:
+            if change.id in self._positions:
+                # Known here, and held or gone by what is known here.
+                return False
+            self._positions[change.id] = change.position
+            self._removals[change.id] = now + one.seconds
+            self._entries[change.id] = change.entry
+            return True
+        self._positions[change.id] = change.position
+        self._doubted.setdefault(change.id, _Doubted(change, now + one.seconds))
+        self._removals.pop(change.id, None)
+        return self._entries.pop(change.id, None) is not None
+
     def _put(self, entry: TargetEntry) -> bool:
         born = self._born.get(entry.id, 0)
         if entry.born < born:
--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Iterable, Sequence
+    from collections.abc import Callable, Iterable, Mapping, Sequence
 
     from lineworks.services import peer_links
     from lineworks.wire import frames
@@ -200,7 +200,7 @@
         now = self._reactor.seconds()
         is_changed = self._view.expire(now)
         is_changed |= self._view.believe(now)
-        is_changed |= self._evacuations.expire(now, self._view.position)
+        is_changed |= self._evacuations.expire(now, self._fresh_at, self._view.position)
         if is_changed:
             self.on_targets()
 
@@ -252,12 +252,13 @@
         asked: Iterable[evacuations.EvacuationChange],
         entries: Iterable[target_view.TargetChange],
         position: positions.Position,
+        held: Mapping[str, float] | None = None,
     ) -> bool:
         """Take in everything as it was at one position; say whether anything changed."""
         hold = self._hold()
         # Before the targets are known, so that a hall that is to be left alone gets nothing.
         is_changed = self._evacuations.replace(asked, position, hold)
-        is_changed |= self._view.replace(entries, position, hold, self._doubt_until)
+        is_changed |= self._view.replace(entries, position, hold, self._doubt_until, held)
         return is_changed
 
     async def _read_changes(self, asked_at: float) -> None:
@@ -373,7 +374,8 @@
             return
         self._note_return()
         if frame.after == positions.ABSENT:
-            is_changed = self._replace(frame.evacuations, changes, frame.position)
+            held = self._held_until(unsettled)
+            is_changed = self._replace(frame.evacuations, changes, frame.position, held)
         else:
             is_changed = self._evacuations.apply(frame.evacuations)
             is_changed |= self._view.apply(changes, self._hold())
@@ -383,19 +385,22 @@
         self._fresh_at = max(self._fresh_at, self._reactor.seconds() - frame.age)
         if is_changed:
             self.on_targets()
-        self._tell_doubts(link.hello.name, changes)
+        self._contradict(link.hello.name, changes)
 
-    def _tell_doubts(self, peer: str, listed: Iterable[target_view.TargetChange]) -> None:
-        """Tell a peer what had gone of what it lists: it may have just started."""
-        names = {change.id for change in listed}
-        unsettled = self._view.unsettled(self._reactor.seconds())
-        doubted = [
-            one
+    def _held_until(self, unsettled: Iterable[target_view.Unsettled]) -> dict[str, float]:
+        """Tell until when a peer keeps entries that are missing."""
+        now = self._reactor.seconds()
+        return {
+            one.change.id: now + one.seconds
             for one in unsettled
-            if one.standing is target_view.Standing.DOUBTED and one.change.id in names
-        ]
-        if doubted:
-            self._send_update([peer], self._view.position, [], unsettled=doubted)
+            if one.standing is target_view.Standing.HELD
+        }
+
+    def _contradict(self, peer: str, listed: Iterable[target_view.TargetChange]) -> None:
+        """Tell a peer what had gone or was leaving of what it lists: it may have just started."""
+        known_better = self._view.contradict(listed, self._reactor.seconds())
+        if known_better:
+            self._send_update([peer], self._view.position, [], unsettled=known_better)
 
     def _on_table_update(self, link: Any, frame: node_frames.TableUpdate) -> None:
         if (frame.version, frame.era) > (self.version, self._table_era):
--- a/src/lineworks/standins/memory_network.py
+++ b/src/lineworks/standins/memory_network.py
@@ -146,6 +146,11 @@
         """Its ends of open connections."""
         return frozenset(self._open)
 
+    @property
+    def is_frozen(self) -> bool:
+        """Whether it stands still."""
+        return self._waiting is not None
+
     def seconds(self) -> float:
         """Tell the present."""
         now: float = self.network.clock.seconds()
--- a/tests/test_target_view.py
+++ b/tests/test_target_view.py
@@ -161,6 +161,7 @@
     second = target_view.TargetView()
     second.replace(first.all_changes(), at(9), 0)
     second.take_unsettled(first.unsettled(10.0), 10.0)
+    assert set(second.entries) == {"i-1"}
     assert second.certain() == {}
     assert not second.expire(11.9)
     assert second.expire(12.0)
@@ -181,3 +182,25 @@
 def test_what_is_no_list_of_unsettled_entries_is_an_error(data):
     with pytest.raises(target_documents.TargetDocumentError):
         target_documents.decode_unsettled(data)
+
+
+def test_what_a_peer_holds_up_is_held_up_though_more_was_known_of_it():
+    # A reader listed what it held under the position of before the return. A peer with a later one
+    # took it for present, at a place after its removal, and kept it for good.
+    view = target_view.TargetView()
+    view.apply([change(3, era=2)], 0)
+    view.replace([], at(9, 3), 0, held={"i-1": 12.0})
+    assert view.certain() == {}
+    assert view.expire(12.0)
+
+
+def test_a_peer_is_told_what_it_lists_and_is_leaving():
+    knows = target_view.TargetView()
+    knows.apply([change(3, dataclasses.replace(ENTRY, is_leaving=True))], 0)
+    started = target_view.TargetView()
+    started.replace([change(2, era=2)], at(4, 2), 0)
+    knows.replace([change(2, era=2)], at(4, 2), 0)
+    assert knows.entries["i-1"].is_leaving
+    told = knows.contradict(started.all_changes(), 0.0)
+    assert started.take_unsettled(told, 0.0)
+    assert started.entries["i-1"].is_leaving
