Tidy: what the store holds has a module of its own; one test of whether an answer comes from another hall

Attempt.is_remote serves searches and their hedges; Gatherers.choose had no caller; proven ends include those of trials. Behaviour unchanged.

--- a/bench/platform.py
+++ b/bench/platform.py
@@ -13,7 +13,7 @@
 
 from lineworks.decisions import positions
 from lineworks.kernel import task
-from lineworks.platform import store, store_era
+from lineworks.platform import store, store_era, store_items
 from lineworks.platform.standins import store_model
 from lineworks.services import platform_client
 
@@ -138,28 +138,30 @@
     def stop(self) -> None:
         """Do nothing."""
 
-    async def get(self, key: str) -> store.Item | None:
+    async def get(self, key: str) -> store_items.Item | None:
         """Read a key; see `Store.get`."""
         await self._travel("get")
         platform = self._platform
         if platform.faults.stale_reads > 0 and key in platform.previous:
             platform.faults.stale_reads -= 1
             value, revision = platform.previous[key]
-            return store.Item(key, value.encode(), self._position(revision))
+            return store_items.Item(key, value.encode(), self._position(revision))
         item = platform.model.get(key)
         if item is None:
             return None
         platform.bytes += len(item.value)
         return self._item(item)
 
-    async def list_items(self, prefix: str) -> store.Listing:
+    async def list_items(self, prefix: str) -> store_items.Listing:
         """List items; see `Store.list_items`."""
         await self._travel("list")
         found, _ = self._platform.model.page(prefix, "")
         items = [self._item(item) for item in found]
-        return store.Listing(items, self._position(self._platform.model.revision))
+        return store_items.Listing(items, self._position(self._platform.model.revision))
 
-    async def watch(self, prefix: str, after: positions.Position, wait: float) -> store.Changes:
+    async def watch(
+        self, prefix: str, after: positions.Position, wait: float
+    ) -> store_items.Changes:
         """Read changes; see `Store.watch`."""
         await self._travel("watch")
         platform = self._platform
@@ -173,11 +175,11 @@
             raise store.HistoryGoneError("the store came back from an older copy")
         changes = self._changes(prefix, after)
         platform.bytes += sum(len(change.value or b"") for change in changes)
-        return store.Changes(changes, self._position(platform.model.revision))
+        return store_items.Changes(changes, self._position(platform.model.revision))
 
     async def transact(
         self,
-        writes: Iterable[store.Write],
+        writes: Iterable[store_items.Write],
         expected: Sequence[tuple[str, positions.Position]] = (),
         removed: Sequence[str] = (),
     ) -> positions.Position:
@@ -210,12 +212,12 @@
             raise store.ConflictError("another revision")
         return self._position(revision)
 
-    async def grant_lease(self, seconds: float) -> store.Lease:
+    async def grant_lease(self, seconds: float) -> store_items.Lease:
         """Open a lease; see `Store.grant_lease`."""
         await self._travel("lease")
-        return store.Lease(self._platform.model.grant(seconds), self._platform.model.era)
+        return store_items.Lease(self._platform.model.grant(seconds), self._platform.model.era)
 
-    async def renew_lease(self, lease: store.Lease) -> None:
+    async def renew_lease(self, lease: store_items.Lease) -> None:
         """Renew a lease; see `Store.renew_lease`."""
         await self._travel("renew")
         try:
@@ -223,13 +225,13 @@
         except store_model.NoLeaseError as error:
             raise store.LeaseGoneError("no such lease") from error
 
-    def _changes(self, prefix: str, after: positions.Position) -> list[store.Change]:
+    def _changes(self, prefix: str, after: positions.Position) -> list[store_items.Change]:
         try:
             found = self._platform.model.changes(prefix, after.revision)
         except store_model.CompactedError as error:
             raise store.HistoryGoneError("the history is gone") from error
         return [
-            store.Change(
+            store_items.Change(
                 c.key,
                 self._position(c.revision),
                 None if c.item is None else c.item.value.encode(),
@@ -240,9 +242,9 @@
     def _position(self, revision: int) -> positions.Position:
         return positions.Position(self._platform.model.era, revision)
 
-    def _item(self, item: store_model.StoredItem) -> store.Item:
+    def _item(self, item: store_model.StoredItem) -> store_items.Item:
         position = self._position(item.revision)
-        return store.Item(item.key, item.value.encode(), position, item.lease)
+        return store_items.Item(item.key, item.value.encode(), position, item.lease)
 
     @property
     def _is_out(self) -> bool:
--- a/src/lineworks/forwarding/attempts.py
+++ b/src/lineworks/forwarding/attempts.py
@@ -51,6 +51,17 @@
         """Whether it went straight to its target."""
         return True
 
+    def is_remote(self, hall: str) -> bool:
+        """Say whether its answer comes from another hall.
+
+        Args:
+            hall: The hall of this instance.
+
+        Returns:
+            Whether it does, or goes through a gatherer.
+        """
+        return not self.is_direct or self.state.hall != hall
+
 
 def known_targets(made: Iterable[Attempt]) -> frozenset[str]:
     """Name the targets that are known to have been sent a request.
--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -14,7 +14,7 @@
 from lineworks.decisions import evacuations, positions, routes, target_view
 from lineworks.forwarding import hall_peers, target_documents
 from lineworks.kernel import bounded_log, task
-from lineworks.platform import configuration, store, target_entries
+from lineworks.platform import configuration, store, store_items, target_entries
 from lineworks.platform import evacuations as evacuation_keys
 from lineworks.wire import node_frames
 
@@ -117,7 +117,7 @@
         """Entries read that name no target to use."""
         self.on_table: Callable[[routes.RouteTable], None] = lambda table: None
         self.on_targets: Callable[[], None] = lambda: None
-        self.on_instances: Callable[[Sequence[store.Change]], None] = lambda rows: None
+        self.on_instances: Callable[[Sequence[store_items.Change]], None] = lambda rows: None
         links.handle(node_frames.TargetUpdate, self._on_target_update)
         links.handle(node_frames.TableUpdate, self._on_table_update)
         links.handle(node_frames.TablePull, self._on_pull)
@@ -238,7 +238,7 @@
     async def _read_all(self, asked_at: float) -> None:
         """Read everything there is."""
         listing = await self._store.list_items(_ANY)
-        rows = [store.Change(item.key, item.position, item.value) for item in listing.items]
+        rows = [store_items.Change(item.key, item.position, item.value) for item in listing.items]
         is_changed = self._replace(_asked(rows), self._decode(rows), listing.position)
         self._has_targets = True
         self._fresh_at = max(self._fresh_at, asked_at)
@@ -291,7 +291,7 @@
         news = target_view.news(known, entries)
         self._send_update(hall_peers.names(self._links, self._hall), before, news, asked)
 
-    def _decode(self, rows: Iterable[store.Change]) -> list[target_view.TargetChange]:
+    def _decode(self, rows: Iterable[store_items.Change]) -> list[target_view.TargetChange]:
         changes = []
         for row in rows:
             name = row.key.removeprefix(target_entries.PREFIX)
@@ -312,7 +312,7 @@
             self._refused_log.info("entry_refused", error=str(error))
             return None
 
-    def _take_others(self, rows: Sequence[store.Change]) -> None:
+    def _take_others(self, rows: Sequence[store_items.Change]) -> None:
         """Take in what is no target's entry: the configuration and the instances' keys."""
         for row in rows:
             if row.key == configuration.KEY and row.value is not None:
@@ -456,7 +456,7 @@
         self._hold_until = now + target_view.LAPSE_GRACE
 
 
-def _asked(rows: Iterable[store.Change]) -> tuple[evacuations.EvacuationChange, ...]:
+def _asked(rows: Iterable[store_items.Change]) -> tuple[evacuations.EvacuationChange, ...]:
     """Pick out what the operators ask of whole halls."""
     found = []
     for row in rows:
--- a/src/lineworks/forwarding/gatherers.py
+++ b/src/lineworks/forwarding/gatherers.py
@@ -60,17 +60,6 @@
         links.handle(node_frames.GatherParts, self._on_parts)
         links.on_down.append(self._on_down)
 
-    def choose(self, hall: str) -> str | None:
-        """Choose a gatherer of a hall: one that is heard of, with the least work.
-
-        Args:
-            hall: The hall.
-
-        Returns:
-            Name of the instance, or None when none can be asked.
-        """
-        return next(iter(self.ranked(hall)), None)
-
     def ranked(self, hall: str) -> list[str]:
         """List the gatherers of a hall that are heard of, those with the least work first.
 
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -33,7 +33,7 @@
 from lineworks.http1 import server_connection
 from lineworks.kernel import bounded_log, listening, loop_delay, registry
 from lineworks.models import node_settings
-from lineworks.platform import headers, store
+from lineworks.platform import headers, store, store_items
 from lineworks.services import peer_links
 from lineworks.wire import frames, node_frames
 
@@ -334,7 +334,7 @@
             _log.info("hall_takes_work", hall=hall, view_age=age)
         self._evacuated = halls
 
-    def _on_other_keys(self, changes: Sequence[store.Change]) -> None:
+    def _on_other_keys(self, changes: Sequence[store_items.Change]) -> None:
         self._registration.on_changes(changes)
         self._suspects.on_changes(changes)
 
--- a/src/lineworks/forwarding/registration.py
+++ b/src/lineworks/forwarding/registration.py
@@ -16,7 +16,7 @@
 
 from lineworks.kernel import task
 from lineworks.models import member
-from lineworks.platform import store
+from lineworks.platform import store, store_items
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
@@ -132,12 +132,12 @@
                 _log.warning("registration_failed", error=str(error))
                 await task.sleep(self._reactor, RETRY_SECONDS * (1 + self._jitter()))
 
-    async def _register(self) -> store.Lease:
+    async def _register(self) -> store_items.Lease:
         mine = self._settings
         document = {"hall": mine.hall, "host": mine.peers.host, "port": mine.peers.port}
         lease = await self._store.grant_lease(LEASE_SECONDS)
         value = json.dumps(document).encode()
-        await self._store.transact([store.Write(PREFIX + mine.name, value, lease)])
+        await self._store.transact([store_items.Write(PREFIX + mine.name, value, lease)])
         return lease
 
     async def _look(self) -> None:
@@ -145,10 +145,10 @@
         await task.sleep(self._reactor, SECOND_LOOK_SECONDS)
         listing = await self._store.list_items(PREFIX)
         self.on_changes(
-            [store.Change(item.key, item.position, item.value) for item in listing.items]
+            [store_items.Change(item.key, item.position, item.value) for item in listing.items]
         )
 
-    def on_changes(self, changes: Iterable[store.Change]) -> None:
+    def on_changes(self, changes: Iterable[store_items.Change]) -> None:
         """Take in keys of instances that were written or removed.
 
         Args:
@@ -170,7 +170,7 @@
             self._links.set_wanted(self._members)
             self.on_listed()
 
-    async def _keep(self, lease: store.Lease) -> None:
+    async def _keep(self, lease: store_items.Lease) -> None:
         while True:
             await task.sleep(self._reactor, RENEW_SECONDS * (0.9 + self._jitter() / 5))
             await self._store.renew_lease(lease)
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -333,12 +333,9 @@
             self._on_failure(attempt.shard, found)
 
     def _record(self, attempt: search_state.Try) -> None:
-        is_remote = self._is_remote(attempt)
+        is_remote = attempt.is_remote(self._shared.hall)
         self._shared.record_answer(self._route.name, is_remote, attempt.started, attempt.is_hedge)
 
-    def _is_remote(self, attempt: search_state.Try) -> bool:
-        return not attempt.is_direct or attempt.state.hall != self._shared.hall
-
     def _drop_query(self, number: int) -> None:
         """Give up the rest of a query whose first part can't be used: later ones build on it."""
         if number in self._queries:
--- a/src/lineworks/forwarding/search_hedges.py
+++ b/src/lineworks/forwarding/search_hedges.py
@@ -160,7 +160,7 @@
             return False
         attempt = shard.running[0]
         # A gatherer keeps the parts of its targets together until then, also in the own hall.
-        is_remote = not attempt.is_direct or attempt.state.hall != self._shared.hall
+        is_remote = attempt.is_remote(self._shared.hall)
         delay = self.remote_delay if is_remote else self.local_delay
         if attempt.started > self._began:
             # An earlier attempt failed, so less time is left than the delay counts on.
--- a/src/lineworks/forwarding/suspect_exchange.py
+++ b/src/lineworks/forwarding/suspect_exchange.py
@@ -16,7 +16,7 @@
 from lineworks.decisions import suspects
 from lineworks.forwarding import hall_peers, suspect_documents, target_probe
 from lineworks.kernel import bounded_log, task
-from lineworks.platform import store
+from lineworks.platform import store, store_items
 from lineworks.wire import node_frames
 
 if TYPE_CHECKING:
@@ -251,7 +251,7 @@
         and cleared again each time, that was most of what 195 instances sent between regions.
         """
         content = record.content
-        is_known = content in self._told or record.trials or record.proven
+        is_known = content in self._told or record.proven
         if is_known or any(end.is_trial for end in record.ends):
             self._private.discard(content)
             self._tell(record, "an own request")
@@ -259,7 +259,7 @@
             self._private.add(content)
             self._note_news(record, "an own request")
 
-    def on_changes(self, changes: Iterable[store.Change]) -> None:
+    def on_changes(self, changes: Iterable[store_items.Change]) -> None:
         """Take in what the platform's store holds.
 
         Args:
@@ -441,7 +441,9 @@
             return
         lease = await self._store.grant_lease(KEPT_SECONDS)
         await self._store.transact(
-            store.Write(suspect_documents.PREFIX + content, suspect_documents.encode(record), lease)
+            store_items.Write(
+                suspect_documents.PREFIX + content, suspect_documents.encode(record), lease
+            )
             for content, record in batch.items()
         )
 
--- a/src/lineworks/platform/store.py
+++ b/src/lineworks/platform/store.py
@@ -18,7 +18,7 @@
 
 from lineworks.decisions import positions
 from lineworks.http1 import client_connection
-from lineworks.platform import _fields, _store_connections, store_era
+from lineworks.platform import _fields, _store_connections, store_era, store_items
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Iterable, Sequence
@@ -58,84 +58,6 @@
     """A key had another revision than expected."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Lease:
-    """A lease; the store may give its number out again after it came back from an older copy."""
-
-    number: int
-    """Its number."""
-
-    era: int
-    """Era in which it was given out."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Item:
-    """A key with its value."""
-
-    key: str
-    """The key."""
-
-    value: bytes
-    """The value."""
-
-    position: positions.Position
-    """Position of its last change."""
-
-    lease: int = 0
-    """Number of the lease that it ends with; 0 for none."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Change:
-    """A key that was written or removed."""
-
-    key: str
-    """The key."""
-
-    position: positions.Position
-    """Position of the change."""
-
-    value: bytes | None
-    """The new value, or None when the key was removed."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Listing:
-    """All items below a prefix."""
-
-    items: list[Item]
-    """The items."""
-
-    position: positions.Position
-    """Position that nothing in the listing is older than."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Changes:
-    """What has changed below a prefix."""
-
-    changes: list[Change]
-    """The changes in order."""
-
-    position: positions.Position
-    """Position up to which they go."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Write:
-    """A key to write in a transaction."""
-
-    key: str
-    """The key."""
-
-    value: bytes
-    """The value."""
-
-    lease: Lease | None = None
-    """Lease that it ends with."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Answer:
     """A whole answer of the store."""
@@ -149,7 +71,7 @@
 class _Page:
     """A page of a listing."""
 
-    items: list[Item]
+    items: list[store_items.Item]
     position: positions.Position
     has_more: bool
 
@@ -188,7 +110,7 @@
         """Close the idle connections."""
         self._connections.close()
 
-    async def get(self, key: str) -> Item | None:
+    async def get(self, key: str) -> store_items.Item | None:
         """Read a key.
 
         Args:
@@ -207,7 +129,7 @@
         _expect_ok("get", answer)
         return _decoded(lambda: _item(_fields.Fields(answer.document), answer.era))
 
-    async def list_items(self, prefix: str) -> Listing:
+    async def list_items(self, prefix: str) -> store_items.Listing:
         """Read all items below a prefix, page by page.
 
         Args:
@@ -219,7 +141,7 @@
         Raises:
             StoreError: The store cannot be reached or refused.
         """
-        items: list[Item] = []
+        items: list[store_items.Item] = []
         first: positions.Position | None = None
         for _ in range(_MAX_PAGES):
             page = await self._page(prefix, items[-1].key if items else "")
@@ -230,7 +152,7 @@
             first = first or page.position
             items += page.items
             if not page.has_more:
-                return Listing(items, first)
+                return store_items.Listing(items, first)
         raise StoreError("list: too many pages")
 
     async def _page(self, prefix: str, after: str) -> _Page:
@@ -239,7 +161,9 @@
         _expect_ok("list", answer)
         return _decoded(lambda: _decode_page(answer))
 
-    async def watch(self, prefix: str, after: positions.Position, wait: float) -> Changes:
+    async def watch(
+        self, prefix: str, after: positions.Position, wait: float
+    ) -> store_items.Changes:
         """Read what has changed below a prefix; wait for a change if there is none.
 
         Args:
@@ -274,7 +198,7 @@
 
     async def transact(
         self,
-        writes: Iterable[Write],
+        writes: Iterable[store_items.Write],
         expected: Sequence[tuple[str, positions.Position]] = (),
         removed: Sequence[str] = (),
     ) -> positions.Position:
@@ -327,7 +251,7 @@
         revision = _decoded(lambda: _fields.Fields(answer.document).integer("Revision"))
         return positions.Position(answer.era, revision)
 
-    async def grant_lease(self, seconds: float) -> Lease:
+    async def grant_lease(self, seconds: float) -> store_items.Lease:
         """Open a lease.
 
         Args:
@@ -343,9 +267,9 @@
         answer = await self._call("lease", "POST", "/lineworks/kv-lease", document)
         _expect_ok("lease", answer)
         number = _decoded(lambda: _fields.Fields(answer.document).integer("LeaseId"))
-        return Lease(number, answer.era)
+        return store_items.Lease(number, answer.era)
 
-    async def renew_lease(self, lease: Lease) -> None:
+    async def renew_lease(self, lease: store_items.Lease) -> None:
         """Renew a lease.
 
         Args:
@@ -363,7 +287,7 @@
         _expect_ok("renew", answer)
         self._expect_current(lease)
 
-    async def end_lease(self, lease: Lease) -> None:
+    async def end_lease(self, lease: store_items.Lease) -> None:
         """End a lease; its keys disappear.
 
         Args:
@@ -377,7 +301,7 @@
             return
         await self._call("end", "DELETE", f"/lineworks/kv-lease-end/{lease.number}")
 
-    def _expect_current(self, lease: Lease) -> None:
+    def _expect_current(self, lease: store_items.Lease) -> None:
         """Refuse a lease of an earlier era: its number may have been given to somebody else."""
         if lease.era < self.era.value:
             raise LeaseGoneError("the store came back from an older copy without the lease")
@@ -461,9 +385,9 @@
         raise StoreError(f"the store's answer: {error}") from error
 
 
-def _item(row: _fields.Fields, era: int) -> Item:
+def _item(row: _fields.Fields, era: int) -> store_items.Item:
     position = positions.Position(era, row.integer("Revision"))
-    return Item(row.text(_KEY), _value(row), position, row.integer("LeaseId", 0))
+    return store_items.Item(row.text(_KEY), _value(row), position, row.integer("LeaseId", 0))
 
 
 def _decode_page(answer: _Answer) -> _Page:
@@ -473,15 +397,15 @@
     return _Page(items, position, bool(items) and answer.document.get("HasMore") is True)
 
 
-def _changes(found: _fields.Fields, era: int) -> Changes:
+def _changes(found: _fields.Fields, era: int) -> store_items.Changes:
     rows = []
     for row in found.tables("events"):
         # "Compacted" marks a removed key; it says nothing about the history.
         is_gone = "Compacted" in row
         value = None if is_gone else _value(row)
         position = positions.Position(era, row.integer("Revision"))
-        rows.append(Change(row.text(_KEY), position, value))
-    return Changes(rows, positions.Position(era, found.integer("AtRev")))
+        rows.append(store_items.Change(row.text(_KEY), position, value))
+    return store_items.Changes(rows, positions.Position(era, found.integer("AtRev")))
 
 
 def _value(row: _fields.Fields) -> bytes:
--- a/src/lineworks/services/platform_client.py
+++ b/src/lineworks/services/platform_client.py
@@ -14,7 +14,7 @@
 
 from lineworks.decisions import positions
 from lineworks.models import member
-from lineworks.platform import store
+from lineworks.platform import store, store_items
 
 if TYPE_CHECKING:
     import collections
@@ -62,7 +62,7 @@
             client: The store.
         """
         self._store = client
-        self._lease: store.Lease | None = None
+        self._lease: store_items.Lease | None = None
         self._announced: member.Member | None = None
 
     @property
@@ -141,7 +141,7 @@
             PlatformUnsureError: It is not known whether it was written.
         """
         try:
-            await self._write(store.Write(key, data.encode()), [(key, expect)])
+            await self._write(store_items.Write(key, data.encode()), [(key, expect)])
         except store.ConflictError:
             return False
         return True
@@ -157,7 +157,7 @@
             PlatformError: Nothing was written.
             PlatformUnsureError: It is not known whether it was written.
         """
-        await self._write(store.Write(key, data.encode()), [])
+        await self._write(store_items.Write(key, data.encode()), [])
 
     async def members(self) -> list[member.Member]:
         """Read the membership list.
@@ -206,14 +206,14 @@
                 raise PlatformError(str(error)) from error
         data = json.dumps(dataclasses.asdict(entry)).encode()
         try:
-            await self._write(store.Write(MEMBERS + entry.name, data, self._lease), [])
+            await self._write(store_items.Write(MEMBERS + entry.name, data, self._lease), [])
         except store.LeaseGoneError as error:
             self._lease = None
             raise PlatformError(str(error)) from error
         self._announced = entry
 
     async def _write(
-        self, write: store.Write, expected: list[tuple[str, positions.Position]]
+        self, write: store_items.Write, expected: list[tuple[str, positions.Position]]
     ) -> None:
         try:
             await self._store.transact([write], expected)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -8,7 +8,7 @@
 from bench import fakes
 from lineworks.decisions import positions
 from lineworks.models import member, node_settings
-from lineworks.platform import store
+from lineworks.platform import store, store_items
 from lineworks.platform.standins import store_model, store_server
 from lineworks.services import platform_client
 from lineworks.standins import memory_network
@@ -38,7 +38,7 @@
         return found[0]
 
     def write(self, key, value=b"v", **more):
-        return self.do(self.client.transact([store.Write(key, value)], **more))
+        return self.do(self.client.transact([store_items.Write(key, value)], **more))
 
 
 def after(position, count=1):
@@ -52,7 +52,7 @@
 
 def test_what_is_written_is_read_with_its_revision(world):
     position = world.write("a/1", b"\x00\xff")
-    assert world.do(world.client.get("a/1")) == store.Item("a/1", b"\x00\xff", position)
+    assert world.do(world.client.get("a/1")) == store_items.Item("a/1", b"\x00\xff", position)
     assert world.do(world.client.get("a/2")) is None
 
 
@@ -72,7 +72,7 @@
     assert waiting == []
     world.model.remove("a/1")
     world.clock.run_until(world.clock.seconds() + 1.0)
-    assert waiting[0].changes == [store.Change("a/1", after(first), None)]
+    assert waiting[0].changes == [store_items.Change("a/1", after(first), None)]
 
 
 def test_a_watch_without_change_ends_empty(world):
@@ -103,7 +103,7 @@
 
 def test_keys_go_with_their_lease(world):
     lease = world.do(world.client.grant_lease(20.0))
-    world.do(world.client.transact([store.Write("a/1", b"v", lease)]))
+    world.do(world.client.transact([store_items.Write("a/1", b"v", lease)]))
     for _ in range(3):
         world.clock.run_until(world.clock.seconds() + 10)
         world.do(world.client.renew_lease(lease))
@@ -113,7 +113,7 @@
     with pytest.raises(store.LeaseGoneError):
         world.do(world.client.renew_lease(lease))
     with pytest.raises(store.LeaseGoneError):
-        world.do(world.client.transact([store.Write("a/1", b"v", lease)]))
+        world.do(world.client.transact([store_items.Write("a/1", b"v", lease)]))
 
 
 def test_a_refusal_is_certain_and_a_lost_answer_is_not(world):
@@ -398,7 +398,7 @@
     with pytest.raises(store.LeaseGoneError):
         world.do(world.client.renew_lease(lease))
     with pytest.raises(store.LeaseGoneError):
-        world.do(world.client.transact([store.Write("a/1", b"v", lease)]))
+        world.do(world.client.transact([store_items.Write("a/1", b"v", lease)]))
     world.do(world.client.end_lease(lease))
     assert world.do(world.client.get("others/key")) is not None
 
