--- a/tests/test_older_copy.py
+++ b/tests/test_older_copy.py
@@ -15,8 +15,9 @@
 
 import pytest
 
-from lineworks.forwarding import registration
+from lineworks.forwarding import registration, suspect_documents
 from lineworks.platform.standins import documents
+from lineworks.standins import deployment
 from tests import test_forwarding, test_forwarding_changes
 
 IN_FORCE = 3.0
@@ -233,3 +234,37 @@
 def test_the_keys_that_others_write_are_named_once():
     assert documents.target_key("i-1").startswith(documents.FOREIGN_PREFIXES)
     assert documents.CONFIGURATION_KEY.startswith(documents.FOREIGN_PREFIXES)
+
+
+def test_suspects_that_the_store_lost_are_written_again(world):
+    copy = world.store.copy()
+    suspects = world.nodes["akl-1"]._suspects
+    suspects.note_broken("c" * 24, ["i-1"], "a1", is_trial=True)
+    look(world)
+    prefix = suspect_documents.PREFIX
+    assert len(world.store.page(prefix, "")[0]) == 1
+    world.drill.come_back(copy)
+    look(world)
+    assert [item.key for item in world.store.page(prefix, "")[0]] == [prefix + "c" * 24]
+
+
+def test_an_instance_cut_from_the_store_hears_of_the_return_from_its_peers(world):
+    address = world.address_of("akl-1")
+    world.network.cut(address, deployment.STORE_ADDRESS)
+    world.network.cut(deployment.STORE_ADDRESS, address)
+    copy = world.store.copy()
+    write_others(world, MANY)
+    look(world)
+    world.drill.come_back(copy)
+    look(world)
+    assert world.nodes["akl-1"]._store.era.value == world.store.era
+
+
+def test_instances_write_their_keys_again_spread_over_a_while(world):
+    copy = world.store.copy()
+    look(world)
+    calls = world.server.calls
+    before = calls["kv-lease"]
+    world.drill.come_back(copy)
+    look(world)
+    assert calls["kv-lease"] - before == len(world.nodes)
