--- a/bench/soak/instances.py
+++ b/bench/soak/instances.py
@@ -11,11 +11,11 @@
 
 from twisted.internet import defer
 
-from bench.soak import history, plan, processes
+from bench.soak import history, plan, processes, schedule
 from lineworks.kernel import task
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Mapping
+    from collections.abc import Collection, Mapping
 
 RECOVERY_SECONDS = 3.0
 """Seconds after a step on an instance within which its callers may wait longer."""
@@ -30,18 +30,21 @@
 class Instances:
     """The instances of a run."""
 
-    def __init__(self, reactor: Any, nodes: Mapping[str, processes.Node]) -> None:
+    def __init__(
+        self, reactor: Any, calls: schedule.Schedule, nodes: Mapping[str, processes.Node]
+    ) -> None:
         """Take instances that may not have been started yet.
 
         Args:
             reactor: Twisted's reactor.
+            calls: What is to be done later in the run.
             nodes: The instances by name.
         """
         self._reactor = reactor
+        self._schedule = calls
         self._nodes = nodes
         self._taken_down: set[str] = set()
         self._frozen_until: dict[str, float] = {}
-        self._is_over = False
         self.disturbed: list[history.Span] = []
         """When instances could not answer as usual."""
         self.exits: list[str] = []
@@ -49,7 +52,6 @@
 
     def end(self) -> None:
         """End all that were started, and note those that had ended by themselves."""
-        self._is_over = True
         started = {name: node for name, node in self._nodes.items() if node.has_started}
         codes = {name: node.child.exit_code for name, node in started.items()}
         self.exits += unexpected_ends(codes, self._taken_down)
@@ -64,7 +66,7 @@
         """
         if step.kind is plan.Kind.NODES_ROLLED:
             for place, name in enumerate(step.subjects):
-                self._later(place * step.seconds, self._stop, self._nodes[name])
+                self._schedule.later(place * step.seconds, self._stop, self._nodes[name])
             return
         node = self._nodes[step.subjects[0]]
         if not node.child.is_running:
@@ -77,7 +79,7 @@
         elif step.kind is plan.Kind.NODE_KILLED:
             self._note(node, step.seconds)
             self._kill(node)
-            self._later(step.seconds, self._start, node)
+            self._schedule.later(step.seconds, self._start, node)
         elif step.kind is plan.Kind.NODE_STOPPED_AT_START:
             self._stop_at_start(node, step.seconds)
         else:
@@ -92,9 +94,9 @@
         }.get(step.kind)
         if again is not None:
             for number in range(1, MORE_SIGNALS + 1):
-                self._later(number * step.seconds, node.child.signal, again)
+                self._schedule.later(number * step.seconds, node.child.signal, again)
         elif step.kind is plan.Kind.NODE_FROZEN_IN_STOP:
-            self._later(step.seconds, self._freeze_same, node, node.child, step.seconds)
+            self._schedule.later(step.seconds, self._freeze_same, node, node.child, step.seconds)
 
     def _freeze_same(self, node: processes.Node, child: processes.Child, seconds: float) -> None:
         """Freeze an instance, unless another life of it has begun: no step asked to freeze that."""
@@ -111,7 +113,7 @@
         until = self._reactor.seconds() + seconds
         self._frozen_until[node.name] = max(until, self._frozen_until.get(node.name, 0.0))
         child.signal(signal.SIGSTOP)
-        self._later(seconds, child.signal, signal.SIGCONT)
+        self._schedule.later(seconds, child.signal, signal.SIGCONT)
 
     def _kill(self, node: processes.Node) -> None:
         self._taken_down.add(node.name)
@@ -129,7 +131,7 @@
 
         self._kill(node)
         self._start(node)
-        self._later(seconds, stop)
+        self._schedule.later(seconds, stop)
 
     def _stop(self, node: processes.Node) -> None:
         """Ask an instance to stop, as the platform does."""
@@ -143,7 +145,7 @@
         self._note(node, 0.0, is_planned=True)
         self._taken_down.add(node.name)
         child.signal(signal.SIGTERM)
-        self._later(processes.GRACE_SECONDS, self._end_in_time, node, child)
+        self._schedule.later(processes.GRACE_SECONDS, self._end_in_time, node, child)
         defer.ensureDeferred(self._restart_when_gone(node, child, codes))
 
     def _end_in_time(self, node: processes.Node, child: processes.Child) -> None:
@@ -162,26 +164,17 @@
     async def _restart_when_gone(
         self, node: processes.Node, child: processes.Child, codes: Collection[int | None]
     ) -> None:
-        while child.is_running and not self._is_over:
+        while child.is_running and not self._schedule.is_over:
             await task.sleep(self._reactor, POLL_SECONDS)
         if child.exit_code not in codes:
             self.exits.append(f"{node.name} stopped with {child.exit_code}")
         self._start(node)
 
     def _start(self, node: processes.Node) -> None:
-        if not self._is_over and not node.child.is_running:
+        if not self._schedule.is_over and not node.child.is_running:
             self._taken_down.discard(node.name)
             node.start()
 
-    def _later(self, seconds: float, call: Callable[..., None], *arguments: Any) -> None:
-        """Do something later, unless the run is over by then."""
-
-        def act() -> None:
-            if not self._is_over:
-                call(*arguments)
-
-        self._reactor.callLater(seconds, act)
-
 
 def unexpected_ends(codes: Mapping[str, int | None], taken_down: Collection[str]) -> list[str]:
     """Tell which instances ended though nothing took them down.
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -7,14 +7,13 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-from bench.soak import callers, checkers, history, instances, plan, processes
+from bench.soak import callers, checkers, history, instances, plan, processes, schedule
 from lineworks.decisions import extra_attempts
 from lineworks.kernel import task
 from lineworks.platform.standins import documents
 
 if TYPE_CHECKING:
     import pathlib
-    from collections.abc import Callable
 
 SHARDS = (
     tuple(f"s{number:02d}" for number in range(8)),
@@ -132,7 +131,8 @@
         self._store = processes.Store(store_port, folder)
         self._link_rows: list[dict[str, Any]] = []
         self._nodes = self._make_nodes(store_port, nodes_a_hall)
-        self._instances = instances.Instances(reactor, self._nodes)
+        self._schedule = schedule.Schedule(reactor)
+        self._instances = instances.Instances(reactor, self._schedule, self._nodes)
         self._places = {
             place.name: place for hall in processes.HALLS for place in self._make_places(hall)
         }
@@ -158,7 +158,6 @@
         self._evacuated: list[history.Evacuated] = []
         self._left: list[history.Left] = []
         self._store_faults: list[tuple[float, float]] = []
-        self._is_over = False
 
     def _make_nodes(self, store_port: int, nodes_a_hall: int) -> dict[str, processes.Node]:
         nodes = {}
@@ -225,7 +224,7 @@
 
     def _end(self) -> None:
         """End every process of this run."""
-        self._is_over = True
+        self._schedule.is_over = True
         self._instances.end()
         for hall in self._halls.values():
             hall.kill()
@@ -261,7 +260,7 @@
 
     def _do(self, step: plan.Step) -> None:
         """Carry out a step."""
-        if self._is_over:
+        if self._schedule.is_over:
             return
         if _strikes_store(step):
             now = self._reactor.seconds()
@@ -270,14 +269,14 @@
         if step.kind in TARGET_FAULTS:
             seconds, faults = TARGET_FAULTS[step.kind]
             self._set_faults(step.subjects, seconds, faults)
-            self._later(step, self._set_faults, step.subjects, 0.0, {})
+            self._schedule.later(step.seconds, self._set_faults, step.subjects, 0.0, {})
         elif step.kind in STORE_FAULTS:
             field, during, after = STORE_FAULTS[step.kind]
             self._store.set_fault(field, during)
-            self._later(step, self._store.set_fault, field, after)
+            self._schedule.later(step.seconds, self._store.set_fault, field, after)
         elif step.kind in LINK_FAULTS:
             self._links.set_faults(step.subjects, **LINK_FAULTS[step.kind])
-            self._later(step, self._links.set_faults, step.subjects)
+            self._schedule.later(step.seconds, self._links.set_faults, step.subjects)
         elif step.kind is plan.Kind.LINKS_RESET:
             self._links.reset(step.subjects)
         elif step.kind is plan.Kind.LINKS_SILENT:
@@ -288,15 +287,15 @@
             self._store.forget()
         elif step.kind is plan.Kind.STORE_OLDER:
             self._store.begin_drill(step.value / 1000, step.seconds, REWRITTEN_SECONDS)
-            self._later(step, self._announce, step.subjects, "draining")
-            self._later(step, self._reshard)
+            self._schedule.later(step.seconds, self._announce, step.subjects, "draining")
+            self._schedule.later(step.seconds, self._reshard)
         elif step.kind is plan.Kind.CONFIGURED:
             self._configure(step.value, self._configured[-1].shards)
         elif step.kind is plan.Kind.RESHARDED:
             self._reshard()
         elif step.kind is plan.Kind.TARGETS_DRAIN:
             self._announce(step.subjects, "draining")
-            self._later(step, self._announce, step.subjects, "ready")
+            self._schedule.later(step.seconds, self._announce, step.subjects, "ready")
         elif step.kind is plan.Kind.FATAL_ASKED:
             until = self._reactor.seconds() + step.seconds
             self._callers.ask_again(step.subjects[0], until, random.Random(step.at))
@@ -304,7 +303,7 @@
             self._evacuate(step)
         elif step.kind is plan.Kind.HALL_RESTARTS:
             self._halls[step.subjects[0]].kill()
-            self._later(step, self._halls[step.subjects[0]].start)
+            self._schedule.later(step.seconds, self._halls[step.subjects[0]].start)
         else:
             self._instances.do(step)
 
@@ -315,7 +314,7 @@
         now = self._reactor.seconds()
         self._store.write(key, documents.encoded("{}"))
         self._evacuated.append(history.Evacuated(hall, now, now + step.seconds))
-        self._later(step, self._store.remove, key)
+        self._schedule.later(step.seconds, self._store.remove, key)
 
     def _reshard(self) -> None:
         """Put the other set of shards in force; the targets of both stay."""
@@ -323,15 +322,6 @@
         other = SHARDS[1] if last.shards == SHARDS[0] else SHARDS[0]
         self._configure(last.max_attempts, other)
 
-    def _later(self, step: plan.Step, call: Callable[..., None], *arguments: Any) -> None:
-        """Do something at the end of a step, unless the run is over by then."""
-
-        def act() -> None:
-            if not self._is_over:
-                call(*arguments)
-
-        self._reactor.callLater(step.seconds, act)
-
     def _set_faults(self, names: tuple[str, ...], seconds: float, faults: dict[str, Any]) -> None:
         for name in names:
             place = self._places[name]
