--- a/bench/soak/checkers.py
+++ b/bench/soak/checkers.py
@@ -300,36 +300,38 @@
 
 
 def evacuated_halls(found: history.History) -> Iterable[Broken]:
-    """Find requests that reached an evacuated hall after all instances must know of it.
-
-    Those of an instance that was disturbed shortly before are passed over, and those that one of
-    the hall's own may have asked for: it may not know yet.
-    """
-    calls = {call.attempt: call for call in found.calls}
+    """Find requests that reached an evacuated hall after all instances must know of it."""
     for span in found.evacuated:
-        due = _due_by(found, span.begin)
-        for arrival in found.arrivals:
-            call = calls.get(arrival.attempt)
-            is_there = arrival.hall == span.hall and due < arrival.at < span.end
-            if call is not None and is_there and not _may_lack(found, call, span.hall):
-                detail = f"{arrival.target} in {span.hall}, {arrival.at - span.begin:.2f} s after"
-                yield Broken("evacuated halls", arrival.attempt, detail)
+        in_hall = [one for one in found.arrivals if one.hall == span.hall]
+        for arrival in _late(found, in_hall, span.begin, span.end):
+            detail = f"{arrival.target} in {span.hall}, {arrival.at - span.begin:.2f} s after"
+            yield Broken("evacuated halls", arrival.attempt, detail)
 
 
 def left_targets(found: history.History) -> Iterable[Broken]:
-    """Find requests that reached a target after all instances must know that it is leaving.
+    """Find requests that reached a target after all instances must know that it is leaving."""
+    for left in found.left:
+        at_target = [one for one in found.arrivals if one.target == left.target]
+        for arrival in _late(found, at_target, left.begin, left.end):
+            detail = f"{arrival.target}, {arrival.at - left.begin:.2f} s after"
+            yield Broken("targets that leave", arrival.attempt, detail)
 
-    Those of an instance that was disturbed shortly before are passed over, as above.
+
+def _late(
+    found: history.History, arrivals: Iterable[history.Arrival], begin: float, end: float
+) -> Iterable[history.Arrival]:
+    """Pick the arrivals after all instances must know of what began before.
+
+    Those of an instance that was disturbed shortly before are passed over, and those that one of
+    the target's hall may have asked for: it may not know yet.
     """
     calls = {call.attempt: call for call in found.calls}
-    for left in found.left:
-        due = _due_by(found, left.begin)
-        for arrival in found.arrivals:
-            call = calls.get(arrival.attempt)
-            is_late = arrival.target == left.target and due < arrival.at < left.end
-            if call is not None and is_late and not _may_lack(found, call, arrival.hall):
-                detail = f"{arrival.target}, {arrival.at - left.begin:.2f} s after"
-                yield Broken("targets that leave", arrival.attempt, detail)
+    due = _due_by(found, begin)
+    for arrival in arrivals:
+        call = calls.get(arrival.attempt)
+        is_late = due < arrival.at < end
+        if call is not None and is_late and not _may_lack(found, call, arrival.hall):
+            yield arrival
 
 
 def _may_lack(found: history.History, call: history.Call, hall: str) -> bool:
--- a/tests/test_older_copy.py
+++ b/tests/test_older_copy.py
@@ -41,6 +41,20 @@
     world.run(seconds)
 
 
+def go_on(world):
+    """Let others write, and all instances learn how far the store's count is."""
+    write_others(world, MANY)
+    look(world)
+
+
+def assert_put_in_force(world):
+    """A configuration comes into force in time, beside writes of others."""
+    world.configure(ROUTES)
+    write_others(world, MANY)
+    world.run(IN_FORCE)
+    assert set(versions(world).values()) == {world.version}
+
+
 def versions(world):
     return {name: node.known.version for name, node in world.nodes.items()}
 
@@ -61,26 +75,18 @@
 
 def test_a_version_numbered_below_the_old_place_is_in_force_in_time(world):
     copy = world.store.copy()
-    write_others(world, MANY)
-    look(world)
+    go_on(world)
     world.drill.come_back(copy)
     # Refused once, and all was read: the store's count is still below the old one.
     look(world)
-    world.configure(ROUTES)
-    write_others(world, MANY)
-    world.run(IN_FORCE)
-    assert set(versions(world).values()) == {world.version}
+    assert_put_in_force(world)
 
 
 def test_a_version_is_in_force_in_time_though_the_count_has_passed_the_old_place(world):
     copy = world.store.copy()
-    write_others(world, MANY)
-    look(world)
+    go_on(world)
     world.drill.come_back(copy)
-    world.configure(ROUTES)
-    write_others(world, MANY)
-    world.run(IN_FORCE)
-    assert set(versions(world).values()) == {world.version}
+    assert_put_in_force(world)
 
 
 def test_a_target_that_leaves_after_the_return_is_left_in_time(world):
@@ -205,19 +211,14 @@
 
 def test_a_second_return_soon_after_the_first_is_told_apart(world):
     first = world.store.copy()
-    write_others(world, MANY)
-    look(world)
+    go_on(world)
     world.drill.come_back(first)
     world.run(0.7)
     second = world.store.copy()
-    write_others(world, MANY)
-    look(world)
+    go_on(world)
     world.drill.come_back(second)
     look(world)
-    world.configure(ROUTES)
-    write_others(world, MANY)
-    world.run(IN_FORCE)
-    assert set(versions(world).values()) == {world.version}
+    assert_put_in_force(world)
 
 
 def test_a_version_that_is_written_with_other_contents_is_taken(world):
@@ -253,8 +254,7 @@
     world.network.cut(address, deployment.STORE_ADDRESS)
     world.network.cut(deployment.STORE_ADDRESS, address)
     copy = world.store.copy()
-    write_others(world, MANY)
-    look(world)
+    go_on(world)
     world.drill.come_back(copy)
     look(world)
     assert world.nodes["akl-1"]._store.era.value == world.store.era
