Soak: what is lost at the store's return, and what comes after it, is much

Others write 30 times before a return and 60 times after it now, targets announce themselves in the time that is lost, and it begins early enough to be checked.

--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -38,8 +38,9 @@
 COPY_AGES_MS = (600, 6000)
 """Least and most milliseconds by which that copy is older than the store's going away."""
 
-RETURN_FOLLOWS = 5.0
-"""Seconds before the end of a run at which the store goes away so at the latest."""
+RETURN_FOLLOWS = 12.0
+"""Seconds before the end of a run at which that begins at the latest: what changes at the store's
+return must be in force long enough before the end to be checked."""
 
 SECOND_RETURN_SHARE = 0.3
 """Share of the runs in which it does so again soon after."""
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -7,7 +7,16 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-from bench.soak import callers, checkers, history, instances, plan, processes, schedule
+from bench.soak import (
+    callers,
+    checkers,
+    history,
+    instances,
+    plan,
+    processes,
+    schedule,
+    store_process,
+)
 from lineworks.decisions import extra_attempts
 from lineworks.kernel import task
 from lineworks.platform.standins import documents
@@ -59,6 +68,9 @@
 STORE_DELAY = 0.5
 """Seconds that a slow store's answers are late."""
 
+RETURN_SLACK = 0.1
+"""Seconds after the store's return at which targets leave and the set of shards changes."""
+
 REWRITTEN_SECONDS = 0.6
 """Seconds after the store's return from an older copy until operators and targets write again."""
 
@@ -264,7 +276,8 @@
             return
         if _strikes_store(step):
             now = self._reactor.seconds()
-            more = REWRITTEN_SECONDS if step.kind is plan.Kind.STORE_OLDER else 0.0
+            is_drill = step.kind is plan.Kind.STORE_OLDER
+            more = store_process.LOST_SECONDS + REWRITTEN_SECONDS if is_drill else 0.0
             self._store_faults.append((now, now + step.seconds + more))
         if step.kind in TARGET_FAULTS:
             seconds, faults = TARGET_FAULTS[step.kind]
@@ -286,9 +299,7 @@
         elif step.kind is plan.Kind.STORE_FORGETS:
             self._store.forget()
         elif step.kind is plan.Kind.STORE_OLDER:
-            self._store.begin_drill(step.value / 1000, step.seconds, REWRITTEN_SECONDS)
-            self._schedule.later(step.seconds, self._announce, step.subjects, "draining")
-            self._schedule.later(step.seconds, self._reshard)
+            self._begin_drill(step)
         elif step.kind is plan.Kind.CONFIGURED:
             self._configure(step.value, self._configured[-1].shards)
         elif step.kind is plan.Kind.RESHARDED:
@@ -307,6 +318,15 @@
         else:
             self._instances.do(step)
 
+    def _begin_drill(self, step: plan.Step) -> None:
+        """Let the store come back from an older copy; what changes then is numbered as before."""
+        away, rewritten = step.seconds, REWRITTEN_SECONDS
+        self._announce(step.subjects, "ready")
+        self._store.begin_drill(step.value / 1000, away, rewritten)
+        after = store_process.LOST_SECONDS + away + RETURN_SLACK
+        self._schedule.later(after, self._announce, step.subjects, "draining")
+        self._schedule.later(after, self._reshard)
+
     def _evacuate(self, step: plan.Step) -> None:
         """Ask for an evacuation, and take it back later."""
         (hall,) = step.subjects
--- a/bench/soak/store_process.py
+++ b/bench/soak/store_process.py
@@ -13,6 +13,22 @@
     from collections.abc import Callable
 
 
+OTHERS_KEY = "others/key"
+"""A key that nobody reads; its writes move the store's count on."""
+
+LOST_WRITES = 30
+"""Writes of others that the store forgets at its return."""
+
+LOST_SECONDS = 1.5
+"""Seconds for which it has them: instances have learned of them by then."""
+
+LATER_WRITES = 60
+"""Writes of others after the return: the count passes where it was before."""
+
+LATER_SECONDS = 0.05
+"""Seconds between two of these."""
+
+
 def main(reactor: Any, port: int) -> None:
     """Serve until the standard input ends.
 
@@ -26,16 +42,25 @@
     drill = store_drill.StoreDrill(reactor, model)
     drill.keep_copies()
 
+    def write_others(count: int) -> None:
+        for _ in range(count):
+            model.write(OTHERS_KEY, "dg==")
+
     def begin_drill(order: dict[str, Any]) -> None:
         """Go away, and come back from an older copy later."""
         copy = drill.copy_of(reactor.seconds() - order["age"])
-        server.faults.is_silent = True
+        write_others(LOST_WRITES)
+        reactor.callLater(LOST_SECONDS, go_away, copy, order)
 
-        def come_back() -> None:
-            server.faults.is_silent = False
-            drill.come_back(copy, order["rewritten"])
+    def go_away(copy: store_model.StoreCopy, order: dict[str, Any]) -> None:
+        server.faults.is_silent = True
+        reactor.callLater(order["away"], come_back, copy, order)
 
-        reactor.callLater(order["away"], come_back)
+    def come_back(copy: store_model.StoreCopy, order: dict[str, Any]) -> None:
+        server.faults.is_silent = False
+        drill.come_back(copy, order["rewritten"])
+        for place in range(LATER_WRITES):
+            reactor.callLater(place * LATER_SECONDS, write_others, 1)
 
     orders: dict[str, Callable[[dict[str, Any]], Any]] = {
         "write": lambda order: model.write(order["key"], order["value"]),
