Design: API keys, quotas over all instances, fair shares; the interfaces between them

The interfaces stand with parts that change nothing yet: access.judge serves every request, QuotaKeeper admits every one.

--- a/src/lineworks/decisions/routes.py
+++ b/src/lineworks/decisions/routes.py
@@ -9,6 +9,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from lineworks.decisions import workspaces
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
@@ -89,6 +91,9 @@
     homes: frozenset[str] = ANYWHERE
     """Home regions: the only ones in which its requests are served."""
 
+    is_public: bool = False
+    """Whether its requests need no key."""
+
     @property
     def is_search(self) -> bool:
         """Whether its requests reach every shard."""
@@ -121,6 +126,7 @@
         routes: Iterable[Route],
         services: Iterable[ServiceSpec],
         limits: CallerLimits,
+        found: workspaces.Workspaces | None = None,
     ) -> None:
         """Index the routes by host, longest prefix first.
 
@@ -129,9 +135,11 @@
             routes: All routes.
             services: All services.
             limits: Limits of callers.
+            found: Workspaces; none where no request needs a key.
         """
         self.version = version
         self.limits = limits
+        self.workspaces = found or workspaces.Workspaces()
         self.services: Mapping[str, ServiceSpec] = {spec.name: spec for spec in services}
         self._by_host: dict[str, list[Route]] = {}
         for route in routes:
--- a/src/lineworks/decisions/verdict.py
+++ b/src/lineworks/decisions/verdict.py
@@ -108,6 +108,18 @@
     CRASHES_TARGETS = "crashes_targets"
     """The request ends the targets that run it."""
 
+    UNKNOWN_KEY = "unknown_key"
+    """The request carries no key that the configuration holds."""
+
+    KEY_UNSURE = "key_unsure"
+    """The instance cannot tell whether the request's key holds: it heard nothing for too long."""
+
+    OVER_QUOTA = "over_quota"
+    """The workspace has sent as much as its quota allows."""
+
+    QUOTA_UNSURE = "quota_unsure"
+    """Nobody who could tell whether the request is within the quota answers."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Verdict:
--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from lineworks.decisions import (
+    access,
     answer_time,
     deadlines,
     estimators,
@@ -16,7 +17,7 @@
     suspects,
     verdict,
 )
-from lineworks.forwarding import caution, outcome, search, single, target_calls
+from lineworks.forwarding import caution, outcome, quota_keeper, search, single, target_calls
 from lineworks.http1 import fields as http_fields
 from lineworks.http1 import server_connection
 from lineworks.platform import headers
@@ -43,15 +44,24 @@
 class Front:
     """Requests of callers at one instance."""
 
-    def __init__(self, shared: tools.Tools, log: request_log.RequestLog) -> None:
+    def __init__(
+        self,
+        shared: tools.Tools,
+        log: request_log.RequestLog,
+        revocation: access.Revocation,
+    ) -> None:
         """Start without a configuration; every request is refused as not run.
 
         Args:
             shared: What the requests share.
             log: Takes note of every request.
+            revocation: What holds for keys that were taken away while this instance heard nothing.
         """
         self._shared = shared
         self._log = log
+        self._revocation = revocation
+        # Requests whose quota is being asked for, each with what refuses it as not run.
+        self._asking: dict[search.Search | single.SingleRequest, Callable[[], None]] = {}
         self._table: routes.RouteTable | None = None
         self._turns = routes.WeightedTurns()
         self._under_way: set[search.Search | single.SingleRequest] = set()
@@ -69,7 +79,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is under way or held."""
-        return not self._under_way and not self._waiting
+        return not self._under_way and not self._waiting and not self._asking
 
     @property
     def is_mostly_refusing(self) -> bool:
@@ -101,8 +111,8 @@
         Returns:
             How many there were.
         """
-        count = len(self._under_way) + len(self._waiting)
-        for give_up in list(self._waiting.values()):
+        count = len(self._under_way) + len(self._waiting) + len(self._asking)
+        for give_up in [*self._waiting.values(), *self._asking.values()]:
             give_up()
         for work in list(self._under_way):
             work.end()
@@ -145,7 +155,14 @@
         if route is None:
             self._answer_at_once(request, answer, _plain(404, verdict.Reason.NO_SERVICE))
             return None
-        return self._forward(request, answer, table, route, attempt)
+        key = headers.read_key(request.header(headers.CALLER))
+        age = self.view_age()
+        found = access.judge(table.workspaces, route, key, age, self._revocation)
+        if found.refusal is not None:
+            refused = outcome.refuse(found.refusal)
+            self._refuse(request, answer, table, found.route, attempt, "", refused)
+            return None
+        return self._forward(request, answer, table, found, attempt)
 
     def _wait_for_start(
         self,
@@ -193,9 +210,10 @@
         request: server_connection.Request,
         answer: Callable[[server_connection.Answer], None],
         table: routes.RouteTable,
-        route: routes.Route,
+        accessed: access.Access,
         attempt: bytes,
     ) -> Callable[[], None] | None:
+        route = accessed.route
         budget = headers.read_budget(request.header(headers.BUDGET))
         allowed = min(route.timeout, budget if budget is not None else route.timeout)
         content = _content(request)
@@ -226,8 +244,12 @@
         )
         work: search.Search | single.SingleRequest
 
+        give_back: Callable[[], None] | None = None
+
         def on_end(found: outcome.Outcome) -> None:
             self._under_way.discard(work)
+            if give_back is not None and found.verdict.is_not_run:
+                give_back()
             is_refused = found.verdict.reason is verdict.Reason.NO_REPLICA
             self._refused.record(1.0 if is_refused else 0.0)
             self._log.on_end(
@@ -246,9 +268,57 @@
             work = single.SingleRequest(
                 self._shared, route, service, call, care, request.arrived, on_end
             )
+        on_gone = functools.partial(self._cancel, work, request, attempt, route)
+
+        def on_admission(admission: quota_keeper.Admission) -> None:
+            nonlocal give_back
+            self._asking.pop(work, None)
+            if admission.refusal is None:
+                give_back = admission.give_back
+                self._start(work)
+                return
+            refused = outcome.refuse(admission.refusal, retry_after=admission.retry_after)
+            self._refuse(request, answer, table, route, attempt, content, refused)
+
+        workspace = accessed.workspace
+        if workspace is None or workspace.quota is None:
+            self._start(work)
+            return on_gone
+        withdraw = self._shared.quotas.admit(workspace, on_admission)
+        if withdraw is None:
+            return on_gone if work in self._under_way else None
+        return self._await_quota(work, withdraw, on_admission, on_gone)
+
+    def _start(self, work: search.Search | single.SingleRequest) -> None:
         self._under_way.add(work)
         work.start()
-        return functools.partial(self._cancel, work, request, attempt, route)
+
+    def _await_quota(
+        self,
+        work: search.Search | single.SingleRequest,
+        withdraw: Callable[[], None],
+        on_admission: Callable[[quota_keeper.Admission], None],
+        on_gone: Callable[[], None],
+    ) -> Callable[[], None]:
+        """Keep a request whose quota is being asked for.
+
+        Returns:
+            A function that cancels it, because its caller has gone.
+        """
+
+        def give_up() -> None:
+            withdraw()
+            found = verdict.not_run(verdict.Reason.LEAVING, "its quota was still being asked for")
+            on_admission(quota_keeper.Admission(found, outcome.STOP_RETRY_AFTER))
+
+        def stop() -> None:
+            if self._asking.pop(work, None) is not None:
+                withdraw()
+            else:
+                on_gone()
+
+        self._asking[work] = give_up
+        return stop
 
     def _has_time(self, route: routes.Route) -> bool:
         """Say whether a request that comes now usually ends before the process does.
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -21,6 +21,7 @@
     metrics,
     placement_view,
     planned_stop,
+    quota_keeper,
     registration,
     request_log,
     suspect_exchange,
@@ -133,6 +134,7 @@
         self._registration = registration.Registration(
             reactor, settings, self._store, self._links, self._rng.random
         )
+        self._quotas = quota_keeper.QuotaKeeper()
         shared = tools.Tools(
             reactor,
             settings.hall,
@@ -142,13 +144,14 @@
             self._extra,
             self._keeper,
             self._suspects,
+            self._quotas,
             tools.HedgeTimes(),
             self._counters,
             bounded_log.BoundedLog(reactor, "hedges", tools.HEDGE_LINES_PER_SECOND),
             without,
         )
         self._request_log = request_log.RequestLog(reactor, self._metrics)
-        self._front = front.Front(shared, self._request_log)
+        self._front = front.Front(shared, self._request_log, settings.revocation)
         self._loop_delay = loop_delay.LoopDelay(reactor)
         self._started_at = reactor.seconds()
         self.lines_dropped: Callable[[], int] = lambda: 0
--- a/src/lineworks/forwarding/outcome.py
+++ b/src/lineworks/forwarding/outcome.py
@@ -91,9 +91,12 @@
         retry_after: Seconds after which the caller may ask again, where they are known.
 
     Returns:
-        503 for a request that has not run, 504 at the deadline, 502 otherwise.
+        429 for one over a quota, 503 for any other that has not run, 504 at the deadline, 502
+        otherwise.
     """
-    if found.is_not_run:
+    if found.reason is verdict.Reason.OVER_QUOTA:
+        status = 429
+    elif found.is_not_run:
         status = 503
     elif found.reason is verdict.Reason.DEADLINE:
         status = 504
--- a/src/lineworks/forwarding/tools.py
+++ b/src/lineworks/forwarding/tools.py
@@ -14,6 +14,7 @@
     from lineworks.forwarding import (
         extra_keeper,
         gatherers,
+        quota_keeper,
         suspect_exchange,
         target_book,
         target_calls,
@@ -132,6 +133,9 @@
     suspects: suspect_exchange.SuspectExchange
     """Knows the requests under which targets ended."""
 
+    quotas: quota_keeper.QuotaKeeper
+    """Tells whether requests are within the quotas of their workspaces."""
+
     hedges: HedgeTimes
     """When a sub-query counts as late."""
 
--- a/src/lineworks/models/node_settings.py
+++ b/src/lineworks/models/node_settings.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from lineworks.decisions import cold_targets, extra_attempts
+from lineworks.decisions import access, cold_targets, extra_attempts, quota
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -64,5 +64,11 @@
     cold_bound: cold_targets.ColdBound = cold_targets.ColdBound()
     """What cold targets may get from all instances together."""
 
+    quota_bound: quota.QuotaBound = quota.QuotaBound()
+    """What all instances together may let through beyond a workspace's quota."""
+
+    revocation: access.Revocation = access.Revocation()
+    """What holds for keys that were taken away while the instance heard nothing."""
+
     without: frozenset[mechanisms.Mechanism] = frozenset()
     """Mechanisms that are switched off, to measure what they are worth."""
--- a/src/lineworks/platform/headers.py
+++ b/src/lineworks/platform/headers.py
@@ -32,8 +32,11 @@
 _PROMISES = frozenset((408, 421, 429, 503))
 _MOST_BUDGET = 600_000
 
-_CALLER = b"authorization"
-"""The platform's pages name no header of their own that says who asks."""
+CALLER = b"authorization"
+"""Says who asks; it holds the API key where requests need one."""
+
+WORKSPACE = b"x-tenant-name"
+"""Tells a target whose request it is."""
 
 READINESS_PATH = b"/lineworks/readiness"
 """Path that the balancer asks."""
@@ -84,6 +87,21 @@
     return min(int(value), _MOST_BUDGET) / 1000
 
 
+def read_key(value: bytes | None) -> bytes | None:
+    """Read the API key that a request carries.
+
+    Args:
+        value: Value of its header `Authorization`, or None.
+
+    Returns:
+        The key, or None where there is none.
+    """
+    if value is None:
+        return None
+    scheme, _, key = value.strip().partition(b" ")
+    return key.strip() if scheme.lower() == b"bearer" and key.strip() else None
+
+
 def read_caller(fields: Iterable[tuple[bytes, bytes]]) -> bytes:
     """Read who asks, as far as a request says.
 
@@ -93,7 +111,7 @@
     Returns:
         The caller's credentials, or nothing where the request has none.
     """
-    return b",".join(value for name, value in fields if name == _CALLER)
+    return b",".join(value for name, value in fields if name == CALLER)
 
 
 def write_target_fields(target: str, seconds: float) -> bytes:
