API keys: decoded, judged by the front, kept from targets; stand-ins write and send them

Cause: the platform's path knew no workspaces: keys went to targets and every request ran. Change: Tenants and Public are decoded and checked, access.judge decides as docs/design/keys.md says, the head for targets carries the workspace's name and no key, 401 for an unknown key where knowledge is recent and 503 otherwise, with one bounded pull from a peer that is ahead. Settings hold the bounds of quotas and revocation.

--- a/src/lineworks/decisions/access.py
+++ b/src/lineworks/decisions/access.py
@@ -5,10 +5,33 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from lineworks.decisions import workspaces
+from lineworks.decisions import verdict
 
 if TYPE_CHECKING:
-    from lineworks.decisions import routes, verdict
+    from lineworks.decisions import routes, workspaces
+
+CERTAIN_SECONDS = 3.0
+"""Age up to which what an instance knows says for certain that there is no such key: a change is in
+force within a few seconds everywhere, and what is known is usually renewed well before."""
+
+_UNKNOWN = verdict.not_run(verdict.Reason.UNKNOWN_KEY, "no known key")
+_UNSURE_WHETHER_NEW = verdict.not_run(
+    verdict.Reason.KEY_UNSURE, "no known key, and the configuration may be newer elsewhere"
+)
+_UNSURE_WHETHER_TAKEN = verdict.not_run(
+    verdict.Reason.KEY_UNSURE, "the key may have been taken away meanwhile"
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Knowledge:
+    """How good what an instance knows of the configuration is."""
+
+    age: float
+    """Seconds since nothing newer is known to have been there."""
+
+    is_outdated: bool = False
+    """Whether a peer is known to have a newer configuration."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,22 +60,39 @@
 
 
 def judge(
-    known: workspaces.Workspaces,
+    table: routes.RouteTable,
     route: routes.Route,
     key: bytes | None,
-    age: float,
+    knowledge: Knowledge,
     revocation: Revocation,
 ) -> Access:
     """Judge a request.
 
     Args:
-        known: The workspaces of the configuration in force.
-        route: The route that it takes.
+        table: The configuration in force.
+        route: The route that the request takes.
         key: The key that it carries.
-        age: Age of what this instance knows of the configuration, in seconds.
+        knowledge: How good what this instance knows of the configuration is.
         revocation: What holds for keys that were taken away meanwhile.
 
     Returns:
         On whose behalf it is served, or why it isn't.
     """
-    return Access(route)
+    known = table.workspaces
+    if not known.is_used:
+        return Access(route)
+    workspace = known.find(key) if key is not None else None
+    if workspace is None:
+        return Access(route, refusal=None if route.is_public else _refuse(knowledge))
+    found = table.for_workspace(route, workspace)
+    is_old = revocation.is_strict and knowledge.age > revocation.seconds
+    if is_old and not route.is_public:
+        return Access(found, workspace, _UNSURE_WHETHER_TAKEN)
+    return Access(found, workspace)
+
+
+def _refuse(knowledge: Knowledge) -> verdict.Verdict:
+    """Refuse a request without a known key; a newer configuration may allow it."""
+    if knowledge.is_outdated or knowledge.age > CERTAIN_SECONDS:
+        return _UNSURE_WHETHER_NEW
+    return _UNKNOWN
--- a/src/lineworks/decisions/routes.py
+++ b/src/lineworks/decisions/routes.py
@@ -17,6 +17,9 @@
 ANYWHERE: frozenset[str] = frozenset()
 """Home regions of what may be served in any region."""
 
+NOWHERE: frozenset[str] = frozenset(("(none)",))
+"""Home regions of what may be served in no region: no hall stands in it."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceSpec:
@@ -142,6 +145,7 @@
         self.workspaces = found or workspaces.Workspaces()
         self.services: Mapping[str, ServiceSpec] = {spec.name: spec for spec in services}
         self._by_host: dict[str, list[Route]] = {}
+        self._for_workspaces: dict[tuple[str, str], Route] = {}
         for route in routes:
             self._by_host.setdefault(route.host, []).append(route)
         for listed in self._by_host.values():
@@ -167,6 +171,33 @@
                 return route
         return None
 
+    def for_workspace(self, route: Route, workspace: workspaces.Workspace) -> Route:
+        """Find what holds for the requests of a workspace on a route.
+
+        Args:
+            route: A route of this table.
+            workspace: A workspace of this table.
+
+        Returns:
+            The route, with the workspace's priority where it has one and with the home regions that
+            both allow.
+        """
+        key = (route.name, workspace.name)
+        found = self._for_workspaces.get(key)
+        if found is None:
+            found = self._for_workspaces[key] = dataclasses.replace(
+                route,
+                priority=route.priority if workspace.priority is None else workspace.priority,
+                homes=_common_homes(route.homes, workspace.homes),
+            )
+        return found
+
+
+def _common_homes(one: frozenset[str], other: frozenset[str]) -> frozenset[str]:
+    if not one or not other:
+        return one or other
+    return one & other or NOWHERE
+
 
 class WeightedTurns:
     """Divides a route's requests among its services in proportion to their weights.
--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -55,6 +55,10 @@
 """Seconds that a peer may be known to have a newer configuration before it is asked for it: the
 store or the hall's reader usually bring it by then, without bytes between regions."""
 
+PULL_PAUSE = 0.5
+"""Seconds between pulls from peers that are asked for because a caller waits for the newer
+configuration: an answer from another region takes less."""
+
 UNSURE_SECONDS = 3.0
 """Seconds after the start, and after the store's return from an older copy, in which a peer with a
 newer configuration is asked for it at once: what the store shows may be older than what was in
@@ -110,6 +114,8 @@
         self._hold_until = 0.0
         self._ahead: str | None = None
         self._ahead_since = 0.0
+        self._newest_heard = 0
+        self._pulled_at = float("-inf")
         self._spread = rng.random() * FALLBACK_SPREAD
         self._task = task.Task("directory", self._run)
         self._refused_log = bounded_log.BoundedLog(reactor, "directory", REFUSED_PER_SECOND)
@@ -133,6 +139,11 @@
         """Version of the configuration in force; 0 for none."""
         return self._table.version if self._table is not None else 0
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether a peer is known to have a newer configuration."""
+        return self._newest_heard > self.version
+
     @property
     def age(self) -> float:
         """Seconds since the store is known to have held nothing newer; `NEVER_AGE` at first."""
@@ -173,6 +184,7 @@
         """
         if version <= self.version:
             return
+        self._newest_heard = max(self._newest_heard, version)
         if self._ahead is None:
             self._ahead_since = self._reactor.seconds()
         self._ahead = peer
@@ -184,6 +196,16 @@
         now = self._reactor.seconds()
         is_unsure = self.version > 0 and now - self._unsure_since < UNSURE_SECONDS
         if is_unsure or now - self._ahead_since >= BEHIND_SECONDS:
+            self._pull()
+
+    def hurry(self) -> None:
+        """Ask a peer that is ahead at once, because a caller waits for what it has."""
+        if self._ahead is not None and self._reactor.seconds() >= self._pulled_at + PULL_PAUSE:
+            self._pull()
+
+    def _pull(self) -> None:
+        if self._ahead is not None:
+            self._pulled_at = self._reactor.seconds()
             self._links.send(self._ahead, node_frames.TablePull(self.version))
             self._ahead = None
 
--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -39,6 +39,7 @@
 
 _BODY_METHODS = frozenset((b"POST", b"PUT", b"PATCH"))
 _DROPPED = frozenset((headers.BUDGET, headers.EXPECT))
+_DROPPED_WITH_KEYS = _DROPPED | {headers.CALLER, headers.WORKSPACE}
 
 
 class Front:
@@ -70,6 +71,10 @@
         """Says whether configuration and targets are known."""
         self.view_age: Callable[[], float] = lambda: 0.0
         """Tells the age of what is known of the targets, in seconds."""
+        self.is_outdated: Callable[[], bool] = lambda: False
+        """Says whether a peer is known to have a newer configuration."""
+        self.on_unsure: Callable[[], None] = lambda: None
+        """Called when a newer configuration could allow what is refused."""
         self.ends_at: Callable[[], float] = lambda: math.inf
         """Tells when the process ends whatever is under way, in seconds."""
         self.is_over: Callable[[], bool] = lambda: False
@@ -156,11 +161,13 @@
             self._answer_at_once(request, answer, _plain(404, verdict.Reason.NO_SERVICE))
             return None
         key = headers.read_key(request.header(headers.CALLER))
-        age = self.view_age()
-        found = access.judge(table.workspaces, route, key, age, self._revocation)
+        knowledge = access.Knowledge(self.view_age(), self.is_outdated())
+        found = access.judge(table, route, key, knowledge, self._revocation)
         if found.refusal is not None:
+            if found.refusal.reason is verdict.Reason.KEY_UNSURE:
+                self.on_unsure()
             refused = outcome.refuse(found.refusal)
-            self._refuse(request, answer, table, found.route, attempt, "", refused)
+            self._refuse(request, answer, table, found, attempt, "", refused)
             return None
         return self._forward(request, answer, table, found, attempt)
 
@@ -216,26 +223,28 @@
         route = accessed.route
         budget = headers.read_budget(request.header(headers.BUDGET))
         allowed = min(route.timeout, budget if budget is not None else route.timeout)
-        content = _content(request)
+        has_keys = table.workspaces.is_used
+        content = _content(request, accessed, has_keys)
         judgement = self._shared.suspects.judge(content)
         if judgement is suspects.Judgement.REFUSE:
             left = self._shared.suspects.note_refused(content, attempt.decode("latin-1"))
             found = verdict.not_run(verdict.Reason.CRASHES_TARGETS, "ends the targets that run it")
             refused = outcome.refuse(found, retry_after=left)
-            self._refuse(request, answer, table, route, attempt, content, refused)
+            self._refuse(request, answer, table, accessed, attempt, content, refused)
             return None
         if not self._has_time(route):
             found = verdict.not_run(verdict.Reason.LEAVING, "the process would end first")
             refused = outcome.refuse(found, retry_after=outcome.STOP_RETRY_AFTER)
-            self._refuse(request, answer, table, route, attempt, content, refused)
+            self._refuse(request, answer, table, accessed, attempt, content, refused)
             return None
         deadline = deadlines.for_answer(request.arrived, allowed)
         if self._shared.reactor.seconds() >= deadline:
             found = verdict.not_run(verdict.Reason.DEADLINE, "its time was over when it was read")
-            self._refuse(request, answer, table, route, attempt, content, outcome.refuse(found))
+            refused = outcome.refuse(found)
+            self._refuse(request, answer, table, accessed, attempt, content, refused)
             return None
         call = target_calls.TargetCall(
-            head=_head(request),
+            head=_head(request, accessed, has_keys),
             body=request.body,
             attempt=attempt,
             deadline=deadline,
@@ -253,7 +262,14 @@
             is_refused = found.verdict.reason is verdict.Reason.NO_REPLICA
             self._refused.record(1.0 if is_refused else 0.0)
             self._log.on_end(
-                request, attempt, route, table.version, found, self.view_age(), content
+                request,
+                attempt,
+                route,
+                table.version,
+                found,
+                self.view_age(),
+                content,
+                accessed.workspace,
             )
             answer(found.answer)
 
@@ -268,7 +284,7 @@
             work = single.SingleRequest(
                 self._shared, route, service, call, care, request.arrived, on_end
             )
-        on_gone = functools.partial(self._cancel, work, request, attempt, route)
+        on_gone = functools.partial(self._cancel, work, request, attempt, accessed)
 
         def on_admission(admission: quota_keeper.Admission) -> None:
             nonlocal give_back
@@ -278,7 +294,7 @@
                 self._start(work)
                 return
             refused = outcome.refuse(admission.refusal, retry_after=admission.retry_after)
-            self._refuse(request, answer, table, route, attempt, content, refused)
+            self._refuse(request, answer, table, accessed, attempt, content, refused)
 
         workspace = accessed.workspace
         if workspace is None or workspace.quota is None:
@@ -340,14 +356,22 @@
         request: server_connection.Request,
         answer: Callable[[server_connection.Answer], None],
         table: routes.RouteTable,
-        route: routes.Route,
+        accessed: access.Access,
         attempt: bytes,
         content: str,
         refused: outcome.Outcome,
     ) -> None:
         """Answer a request of a route that nothing is sent for."""
-        age = self.view_age()
-        self._log.on_end(request, attempt, route, table.version, refused, age, content)
+        self._log.on_end(
+            request,
+            attempt,
+            accessed.route,
+            table.version,
+            refused,
+            self.view_age(),
+            content,
+            accessed.workspace,
+        )
         answer(refused.answer)
 
     def _cancel(
@@ -355,14 +379,15 @@
         work: search.Search | single.SingleRequest,
         request: server_connection.Request,
         attempt: bytes,
-        route: routes.Route,
+        accessed: access.Access,
     ) -> None:
         self._under_way.discard(work)
+        route, workspace = accessed.route, accessed.workspace
         if self.is_over():
             # Callers did not leave: whoever looks for the cause must not be sent to them.
-            self._log.on_cut(request, attempt, route, work.known())
+            self._log.on_cut(request, attempt, route, work.known(), workspace)
         else:
-            self._log.on_caller_gone(request, attempt, route)
+            self._log.on_caller_gone(request, attempt, route, workspace)
         work.cancel()
 
     def _answer_at_once(
@@ -380,23 +405,37 @@
     return outcome.Outcome(server_connection.Answer(status), verdict.not_run(reason))
 
 
-def _content(request: server_connection.Request) -> str:
-    """Make the fingerprint of what a request asks."""
+def _content(request: server_connection.Request, accessed: access.Access, has_keys: bool) -> str:
+    """Make the fingerprint of what a request asks.
+
+    Where requests carry keys it goes by the workspace, so that it outlives a change of its keys.
+    """
+    if has_keys:
+        caller = accessed.workspace.name.encode() if accessed.workspace is not None else b""
+    else:
+        caller = headers.read_caller(request.fields)
     return fingerprints.fingerprint(
         request.method,
         request.header(b"host") or b"",
         request.target,
-        headers.read_caller(request.fields),
+        caller,
         request.body,
     )
 
 
-def _head(request: server_connection.Request) -> bytes:
-    """Write the part of a request's head that all targets get."""
+def _head(request: server_connection.Request, accessed: access.Access, has_keys: bool) -> bytes:
+    """Write the part of a request's head that all targets get.
+
+    Where requests carry keys, none reaches a target, and whose request it is isn't for the caller
+    to say.
+    """
+    dropped = _DROPPED_WITH_KEYS if has_keys else _DROPPED
     lines = [request.method + b" " + request.target + b" HTTP/1.1"]
     for name, value in http_fields.end_to_end(request.fields):
-        if name not in _DROPPED:
+        if name not in dropped:
             lines.append(name + b": " + value)
+    if accessed.workspace is not None:
+        lines.append(headers.WORKSPACE + b": " + accessed.workspace.name.encode())
     if request.body or request.method in _BODY_METHODS:
         lines.append(b"Content-Length: %d" % len(request.body))
     return b"\r\n".join(lines) + b"\r\n"
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -227,6 +227,8 @@
         """Tie the services together."""
         self._front.is_complete = lambda: self._directory.is_complete
         self._front.view_age = lambda: self._directory.age
+        self._front.is_outdated = lambda: self._directory.is_outdated
+        self._front.on_unsure = self._directory.hurry
         self._front.ends_at = lambda: self._stop.answer_by
         self._front.is_over = lambda: self._stop.is_over
         self._store.era.listeners.append(self._on_store_return)
@@ -293,12 +295,16 @@
         self._links.broadcast(self._heartbeat())
 
     def _warn_of_unknown_homes(self, table: routes.RouteTable) -> None:
-        """Say which routes name home regions that the deployment does not have."""
+        """Say which routes and workspaces name home regions that the deployment does not have."""
         known = set(self._settings.regions.values())
         for route in table.routes:
             unknown = sorted(route.homes - known)
             if unknown:
                 _log.warning("unknown_home_regions", route=route.name, regions=unknown)
+        for workspace in table.workspaces.all:
+            unknown = sorted(workspace.homes - known)
+            if unknown:
+                _log.warning("unknown_home_regions", workspace=workspace.name, regions=unknown)
 
     def _go_on_if_complete(self) -> None:
         if self._directory.is_complete:
--- a/src/lineworks/forwarding/outcome.py
+++ b/src/lineworks/forwarding/outcome.py
@@ -19,6 +19,9 @@
 targets: its store does not answer, which rarely ends within a fraction of a second, and callers ask
 only once or twice more. They wait for a third of the time that they have left at most."""
 
+CHALLENGE = (b"WWW-Authenticate", b"Bearer")
+"""Header that tells a caller without a known key how to carry one."""
+
 STOP_RETRY_AFTER = 0.0
 """Seconds after which a caller may ask again when this process ends first: another instance takes
 its next connection."""
@@ -91,9 +94,11 @@
         retry_after: Seconds after which the caller may ask again, where they are known.
 
     Returns:
-        429 for one over a quota, 503 for any other that has not run, 504 at the deadline, 502
-        otherwise.
+        401 for an unknown key, 429 for one over a quota, 503 for any other that has not run, 504
+        at the deadline, 502 otherwise.
     """
+    if found.reason is verdict.Reason.UNKNOWN_KEY:
+        return Outcome(server_connection.Answer(401, [CHALLENGE]), found, attempts)
     if found.reason is verdict.Reason.OVER_QUOTA:
         status = 429
     elif found.is_not_run:
--- a/src/lineworks/forwarding/request_log.py
+++ b/src/lineworks/forwarding/request_log.py
@@ -11,7 +11,7 @@
 from lineworks.platform import headers
 
 if TYPE_CHECKING:
-    from lineworks.decisions import routes, verdict
+    from lineworks.decisions import routes, verdict, workspaces
     from lineworks.forwarding import metrics, outcome
     from lineworks.http1 import server_connection
 
@@ -70,6 +70,7 @@
         found: outcome.Outcome,
         view_age: float,
         content: str = "",
+        workspace: workspaces.Workspace | None = None,
     ) -> None:
         """Note the end of a request.
 
@@ -81,6 +82,7 @@
             found: How it ended.
             view_age: Age of what is known of the targets, in seconds.
             content: Fingerprint of what was asked.
+            workspace: On whose behalf it came, if that is known.
         """
         seconds = self._reactor.seconds() - request.arrived
         is_late = route is not None and seconds > route.aim
@@ -92,6 +94,7 @@
             "request",
             id=attempt.decode("latin-1"),
             content=content,
+            workspace=_name(workspace),
             route=route.name if route is not None else None,
             version=version,
             status=found.answer.status,
@@ -132,6 +135,7 @@
         attempt: bytes,
         route: routes.Route,
         known: verdict.Verdict,
+        workspace: workspaces.Workspace | None = None,
     ) -> None:
         """Note that this process ended with a request under way; its caller got no answer.
 
@@ -140,12 +144,14 @@
             attempt: Identity of the caller's try.
             route: The route.
             known: What is known of it.
+            workspace: On whose behalf it came, if that is known.
         """
         self._counts.on_cut(route)
         seconds = self._reactor.seconds() - request.arrived
         self._cut.info(
             "cut_at_end",
             id=attempt.decode("latin-1"),
+            workspace=_name(workspace),
             route=route.name,
             certainty=known.certainty.value,
             detail=known.detail,
@@ -165,7 +171,11 @@
         )
 
     def on_caller_gone(
-        self, request: server_connection.Request, attempt: bytes, route: routes.Route
+        self,
+        request: server_connection.Request,
+        attempt: bytes,
+        route: routes.Route,
+        workspace: workspaces.Workspace | None = None,
     ) -> None:
         """Note that a caller left before its answer.
 
@@ -173,12 +183,18 @@
             request: The request.
             attempt: Identity of the caller's try.
             route: The route.
+            workspace: On whose behalf it came, if that is known.
         """
         self._counts.on_caller_gone(route)
         seconds = self._reactor.seconds() - request.arrived
         self._bad.info(
             "caller_gone",
             id=attempt.decode("latin-1"),
+            workspace=_name(workspace),
             route=route.name,
             ms=round(seconds * 1000, 1),
         )
+
+
+def _name(workspace: workspaces.Workspace | None) -> str | None:
+    return workspace.name if workspace is not None else None
--- a/src/lineworks/http1/server_connection.py
+++ b/src/lineworks/http1/server_connection.py
@@ -40,8 +40,8 @@
     target: bytes
     """Path with the query, as it came."""
 
-    fields: list[tuple[bytes, bytes]]
-    """Header fields in order, names in lower case."""
+    fields: list[tuple[bytes, bytes]] = dataclasses.field(repr=False)
+    """Header fields in order, names in lower case. They hold the caller's key."""
 
     body: bytes
     """The body."""
--- a/src/lineworks/platform/_fields.py
+++ b/src/lineworks/platform/_fields.py
@@ -19,12 +19,13 @@
 class Fields:
     """One table of a document, with the path that leads to it."""
 
-    def __init__(self, table: Any, path: str = "") -> None:
+    def __init__(self, table: Any, path: str = "", is_secret: bool = False) -> None:
         """Wrap a table.
 
         Args:
             table: The decoded value.
             path: Where it stands in the document, for errors.
+            is_secret: Whether errors show no value of the table and of what it holds.
 
         Raises:
             DocumentError: It is no table.
@@ -33,6 +34,7 @@
             raise DocumentError(f"{path or '(document)'}: expected a table")
         self._table = table
         self._path = path
+        self._is_secret = is_secret
 
     def __contains__(self, name: str) -> bool:
         return self._table.get(name) is not None
@@ -42,6 +44,17 @@
         """Names of all fields."""
         return list(self._table)
 
+    def secret(self) -> Fields:
+        """Give the same table, of which errors show no value."""
+        return Fields(self._table, self._path, is_secret=True)
+
+    def flag(self, name: str, default: bool) -> bool:
+        """Read true or false."""
+        value = self._get(name, default)
+        if not isinstance(value, bool):
+            raise self._wrong(name, "true or false")
+        return value
+
     def text(self, name: str, default: str | None = None) -> str:
         """Read a text that is not empty."""
         value = self._get(name, default)
@@ -77,12 +90,14 @@
 
     def table(self, name: str) -> Fields:
         """Read a table."""
-        return Fields(self._get(name, None), self._at(name))
+        return Fields(self._get(name, None), self._at(name), self._is_secret)
 
     def tables(self, name: str) -> list[Fields]:
         """Read a list of tables; a missing one is empty."""
         listed = self.items(name)
-        return [Fields(item, f"{self._at(name)}.{index}") for index, item in enumerate(listed)]
+        return [
+            Fields(item, self.at(name, index), self._is_secret) for index, item in enumerate(listed)
+        ]
 
     def items(self, name: str) -> list[Any]:
         """Read a list; a missing one is empty."""
@@ -104,6 +119,10 @@
         """Read an address of the form IP:PORT."""
         return parse_address(self.text(name), self._at(name))
 
+    def at(self, name: str, index: int) -> str:
+        """Tell where an item of a list stands, for errors."""
+        return f"{self._at(name)}.{index}"
+
     def _get(self, name: str, default: Any) -> Any:
         value = self._table.get(name)
         if value is None:
@@ -116,7 +135,8 @@
         return f"{self._path}.{name}" if self._path else name
 
     def _wrong(self, name: str, expected: str) -> DocumentError:
-        found = _shown(self._table.get(name))
+        value = self._table.get(name)
+        found = type(value).__name__ if self._is_secret else _shown(value)
         return DocumentError(f"{self._at(name)}: expected {expected}, found {found}")
 
 
--- a/src/lineworks/platform/configuration.py
+++ b/src/lineworks/platform/configuration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lineworks.decisions import routes
+from lineworks.decisions import routes, workspaces
 from lineworks.platform import _fields
 
 KEY = "op/config"
@@ -46,7 +46,68 @@
     ]
     listed = [_route(item) for item in found.tables("Routing")]
     limits = _limits(found.table("Limits")) if "Limits" in found else routes.CallerLimits()
-    return routes.RouteTable(found.integer("ConfigVersion"), listed, services, limits)
+    return routes.RouteTable(
+        found.integer("ConfigVersion"),
+        listed,
+        services,
+        limits,
+        workspaces.Workspaces(_workspaces(found.secret())),
+    )
+
+
+def _workspaces(found: _fields.Fields) -> list[tuple[workspaces.Workspace, list[str]]]:
+    """Read the workspaces, each with its keys."""
+    names: set[str] = set()
+    keys: set[str] = set()
+    listed = []
+    for index, item in enumerate(found.tables("Tenants")):
+        workspace = _workspace(item)
+        path = found.at("Tenants", index)
+        if not _fits_header(workspace.name):
+            raise _fields.DocumentError(f"{path}.Name: cannot stand in a header")
+        if workspace.name in names:
+            raise _fields.DocumentError(f"{path}.Name: stands twice")
+        names.add(workspace.name)
+        listed.append((workspace, _keys(item, keys)))
+    return listed
+
+
+def _workspace(item: _fields.Fields) -> workspaces.Workspace:
+    rate = item.number("RatePerS", 0.0)
+    burst = item.number("Burst", 0.0)
+    return workspaces.Workspace(
+        name=item.text("Name"),
+        priority=item.integer("Priority") if "Priority" in item else None,
+        quota=workspaces.Quota(rate, burst) if rate else None,
+        homes=frozenset(item.texts("AllowedRegions")),
+    )
+
+
+def _keys(item: _fields.Fields, taken: set[str]) -> list[str]:
+    """Read a workspace's keys. Errors tell where a wrong one stands and never what it is.
+
+    Args:
+        item: The workspace.
+        taken: Keys of all workspaces so far, to which these are added.
+    """
+    listed = item.items("ApiKeys")
+    for index, key in enumerate(listed):
+        path = item.at("ApiKeys", index)
+        if not isinstance(key, str):
+            raise _fields.DocumentError(f"{path}: expected a text")
+        if not key:
+            raise _fields.DocumentError(f"{path}: empty")
+        if not _fits_header(key):
+            raise _fields.DocumentError(f"{path}: cannot stand in a header")
+        if key in taken:
+            raise _fields.DocumentError(f"{path}: stands twice")
+        taken.add(key)
+    return listed
+
+
+def _fits_header(text: str) -> bool:
+    """Say whether a text comes out of a header's value as it went in."""
+    return text.isprintable() and text == text.strip()
 
 
 def _limits(item: _fields.Fields) -> routes.CallerLimits:
@@ -80,6 +141,7 @@
         # Despite its name the field holds a share: that of the shards that an answer needs.
         least_share=item.number("OldestVersion", 1.0),
         homes=frozenset(item.texts("AllowedRegions")),
+        is_public=item.flag("Public", False),
     )
 
 
--- a/src/lineworks/platform/settings.py
+++ b/src/lineworks/platform/settings.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from lineworks.decisions import cold_targets, extra_attempts
+from lineworks.decisions import access, cold_targets, extra_attempts, quota
 from lineworks.models import node_settings
 from lineworks.platform import _fields
 
@@ -117,5 +117,24 @@
         store=node_settings.Address(*found.table("platform").address("Address")),
         allowance=allowance,
         cold_bound=cold_bound,
+        quota_bound=_quota_bound(bounds),
+        revocation=_revocation(bounds),
         stop_seconds=bounds.number("GraceS", 6.0, least=1.0),
     )
+
+
+def _quota_bound(bounds: _fields.Fields) -> quota.QuotaBound:
+    usual = quota.QuotaBound()
+    return quota.QuotaBound(
+        bounds.number("QuotaWindowS", usual.window, least=0.1),
+        bounds.number("QuotaExcess", usual.excess),
+        bounds.number("QuotaSlack", usual.slack),
+    )
+
+
+def _revocation(bounds: _fields.Fields) -> access.Revocation:
+    usual = access.Revocation()
+    return access.Revocation(
+        bounds.flag("StrictRevoke", usual.is_strict),
+        bounds.number("RevokeMs", usual.seconds * 1000) / 1000,
+    )
--- a/src/lineworks/platform/standins/documents.py
+++ b/src/lineworks/platform/standins/documents.py
@@ -77,6 +77,7 @@
     services: Iterable[str],
     cold_seconds: float = 0.0,
     cold_rate: float = 0.0,
+    workspaces: Sequence[dict[str, Any]] = (),
 ) -> str:
     """Write a configuration.
 
@@ -86,6 +87,7 @@
         services: Names of the services.
         cold_seconds: Seconds that their targets are cold after a start.
         cold_rate: Requests a second that one handles while cold; 0 for no bound.
+        workspaces: Workspaces in the platform's form; none where no request needs a key.
 
     Returns:
         The document as the store holds it.
@@ -103,16 +105,49 @@
             for name in sorted(services)
         ],
         "Limits": _LIMITS,
+        **({"Tenants": list(workspaces)} if workspaces else {}),
     }
     return encoded(json.dumps(document))
 
 
+def workspace(
+    name: str,
+    *keys: str,
+    rate: float | None = None,
+    burst: float = 0.0,
+    priority: int | None = None,
+    homes: Sequence[str] = (),
+) -> dict[str, Any]:
+    """Write a workspace as configurations hold it.
+
+    Args:
+        name: Its name.
+        *keys: Its keys.
+        rate: Requests a second that it may send; None for no limit.
+        burst: Requests besides, at once.
+        priority: Rank of its requests; None where that of their routes holds.
+        homes: Home regions; none for any.
+
+    Returns:
+        Its fields.
+    """
+    return {
+        "Name": name,
+        "ApiKeys": list(keys),
+        **({} if rate is None else {"RatePerS": rate, "Burst": burst}),
+        **({} if priority is None else {"Priority": priority}),
+        **({"AllowedRegions": list(homes)} if homes else {}),
+    }
+
+
 def encoded(text: str) -> str:
     """Encode a value as the store holds it."""
     return base64.b64encode(text.encode()).decode()
 
 
-def caller_request(method: str, path: str, attempt: str, budget: float, body: bytes) -> bytes:
+def caller_request(
+    method: str, path: str, attempt: str, budget: float, body: bytes, key: str = ""
+) -> bytes:
     """Write a caller's request.
 
     Args:
@@ -121,6 +156,7 @@
         attempt: Identity of the try.
         budget: Seconds that the caller waits.
         body: Body; empty for none.
+        key: API key; empty for none.
 
     Returns:
         Its bytes.
@@ -129,6 +165,8 @@
         f"{method} {path} HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: {attempt}\r\n"
         f"X-Time-Budget: {int(budget * 1000)}\r\n"
     )
+    if key:
+        head += f"Authorization: Bearer {key}\r\n"
     if body:
         head += f"Content-Length: {len(body)}\r\n"
     return head.encode() + b"\r\n" + body
--- a/src/lineworks/standins/deployment.py
+++ b/src/lineworks/standins/deployment.py
@@ -12,7 +12,7 @@
 
 from twisted.internet import defer, protocol
 
-from lineworks.decisions import cold_targets, extra_attempts, mechanisms
+from lineworks.decisions import access, cold_targets, extra_attempts, mechanisms, quota
 from lineworks.forwarding import node
 from lineworks.http1 import client_connection
 from lineworks.models import node_settings
@@ -100,6 +100,13 @@
         """Seconds that targets are cold after a start."""
         self.cold_rate = 0.0
         """Requests a second that a cold target handles; 0 for no bound."""
+        self.workspaces: list[dict[str, Any]] = []
+        """Workspaces of the configurations written from now on, as `documents.workspace` writes
+        them; none where no request needs a key."""
+        self.quota_bound = quota.QuotaBound(5.0, 0.1, 20.0)
+        """What instances that start from now on may let through beyond quotas."""
+        self.revocation = access.Revocation()
+        """What holds at them for keys that were taken away while they heard nothing."""
         self.cold_bound = cold_targets.ColdBound(1.5, 5.0)
         """What cold targets may get from all instances together."""
         self.keeps_identities = False
@@ -204,7 +211,7 @@
         self.version = self.version + 1 if version is None else version
         services = {target.service for target in self.targets.values()}
         document = documents.configuration(
-            self.version, routes, services, self.cold_seconds, self.cold_rate
+            self.version, routes, services, self.cold_seconds, self.cold_rate, self.workspaces
         )
         self.store.write(documents.CONFIGURATION_KEY, document)
 
@@ -242,6 +249,8 @@
             allowance=self.allowance,
             stop_seconds=6.0,
             cold_bound=self.cold_bound,
+            quota_bound=self.quota_bound,
+            revocation=self.revocation,
             without=self.without,
         )
         started = node.Node(host, settings, rng=random.Random(self.rng.getrandbits(64)))
@@ -270,6 +279,7 @@
         body: bytes = b"",
         budget: float = 2.0,
         attempt: str = "",
+        key: str = "",
     ) -> Reply:
         """Send a request to an instance on a new connection.
 
@@ -280,13 +290,15 @@
             body: Body.
             budget: Seconds that the caller waits.
             attempt: Identity of the try; a new one when not given.
+            key: API key; none when not given.
 
         Returns:
             The reply, filled in as time passes.
         """
         self._attempts += 1
         attempt = attempt or f"a{self._attempts:06d}"
-        return self.send(name, documents.caller_request(method, path, attempt, budget, body))
+        data = documents.caller_request(method, path, attempt, budget, body, key)
+        return self.send(name, data)
 
     def send(self, name: str, data: bytes, port: int = CALLER_PORT) -> Reply:
         """Send bytes to an instance on a new connection and read one answer."""
