--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -56,8 +56,8 @@
 store or the hall's reader usually bring it by then, without bytes between regions."""
 
 PULL_PAUSE = 0.5
-"""Seconds between pulls from peers that are asked for because a caller waits for the newer
-configuration: an answer from another region takes less."""
+"""Seconds between pulls from peers at least: all peers tell of a new configuration at about the
+same time, and an answer from another region takes less."""
 
 UNSURE_SECONDS = 3.0
 """Seconds after the start, and after the store's return from an older copy, in which a peer with a
@@ -188,6 +188,8 @@
         if self._ahead is None:
             self._ahead_since = self._reactor.seconds()
         self._ahead = peer
+        # Now, and not after a call to the store that may be under way for a while.
+        self._pull_if_behind()
 
     def _pull_if_behind(self) -> None:
         """Ask a peer for what it has, when the store and the own hall did not bring it in time."""
@@ -195,19 +197,22 @@
             return
         now = self._reactor.seconds()
         is_unsure = self.version > 0 and now - self._unsure_since < UNSURE_SECONDS
-        if is_unsure or now - self._ahead_since >= BEHIND_SECONDS:
+        # Neither the store nor the hall's reader brings it to one whose own calls fail.
+        is_cut_off = self._failures > 0 and self.age >= FALLBACK_SECONDS
+        if is_unsure or is_cut_off or now - self._ahead_since >= BEHIND_SECONDS:
             self._pull()
 
     def hurry(self) -> None:
         """Ask a peer that is ahead at once, because a caller waits for what it has."""
-        if self._ahead is not None and self._reactor.seconds() >= self._pulled_at + PULL_PAUSE:
-            self._pull()
+        self._pull()
 
     def _pull(self) -> None:
-        if self._ahead is not None:
-            self._pulled_at = self._reactor.seconds()
-            self._links.send(self._ahead, node_frames.TablePull(self.version))
-            self._ahead = None
+        now = self._reactor.seconds()
+        if self._ahead is None or now < self._pulled_at + PULL_PAUSE:
+            return
+        self._pulled_at = now
+        self._links.send(self._ahead, node_frames.TablePull(self.version))
+        self._ahead = None
 
     async def _run(self) -> None:
         while True:
--- /dev/null
+++ b/tests/test_access.py
@@ -0,0 +1,124 @@
+"""Who may be served, on whose behalf, and when a refusal is certain."""
+
+from __future__ import annotations
+
+import pytest
+
+from lineworks.decisions import access, routes, verdict, workspaces
+
+FRESH = access.Knowledge(0.5)
+OLD = access.Knowledge(60.0)
+OUTDATED = access.Knowledge(0.5, is_outdated=True)
+LENIENT = access.Revocation()
+STRICT = access.Revocation(is_strict=True, seconds=5.0)
+KNOWN = b"key-of-north"
+UNKNOWN = b"key-of-nobody"
+
+
+def route(name="read", is_public=False, priority=3, homes=routes.ANYWHERE):
+    return routes.Route(
+        name=name,
+        host="x.example",
+        prefix=f"/{name}/",
+        is_repeatable=True,
+        timeout=2.0,
+        aim=0.2,
+        max_attempts=2,
+        priority=priority,
+        split=(routes.WeightedService("shelf", 1.0),),
+        homes=homes,
+        is_public=is_public,
+    )
+
+
+def table(*listed, priority=None, homes=routes.ANYWHERE):
+    north = workspaces.Workspace("north", priority, homes=homes)
+    found = workspaces.Workspaces([(north, [KNOWN.decode()])])
+    return routes.RouteTable(1, listed, [], routes.CallerLimits(), found)
+
+
+def judge(key, is_public=False, knowledge=FRESH, revocation=LENIENT):
+    asked = route(is_public=is_public)
+    return access.judge(table(asked), asked, key, knowledge, revocation)
+
+
+@pytest.mark.parametrize("revocation", [LENIENT, STRICT])
+@pytest.mark.parametrize("knowledge", [FRESH, OLD, OUTDATED])
+@pytest.mark.parametrize("key", [None, UNKNOWN])
+def test_without_workspaces_every_request_is_served(key, knowledge, revocation):
+    asked = route()
+    found = routes.RouteTable(1, [asked], [], routes.CallerLimits())
+    served = access.judge(found, asked, key, knowledge, revocation)
+    assert served == access.Access(asked)
+    assert served.route is asked
+
+
+@pytest.mark.parametrize(
+    ("key", "is_public", "knowledge", "revocation", "name", "reason"),
+    [
+        (KNOWN, False, FRESH, LENIENT, "north", None),
+        (KNOWN, False, OLD, LENIENT, "north", None),
+        (KNOWN, False, OUTDATED, LENIENT, "north", None),
+        (KNOWN, False, FRESH, STRICT, "north", None),
+        (KNOWN, False, access.Knowledge(5.0), STRICT, "north", None),
+        (KNOWN, False, access.Knowledge(5.01), STRICT, "north", verdict.Reason.KEY_UNSURE),
+        (KNOWN, True, FRESH, LENIENT, "north", None),
+        (KNOWN, True, OLD, STRICT, "north", None),
+        (None, True, OLD, STRICT, None, None),
+        (UNKNOWN, True, FRESH, LENIENT, None, None),
+        (UNKNOWN, True, OLD, STRICT, None, None),
+        (UNKNOWN, False, FRESH, LENIENT, None, verdict.Reason.UNKNOWN_KEY),
+        (UNKNOWN, False, FRESH, STRICT, None, verdict.Reason.UNKNOWN_KEY),
+        (UNKNOWN, False, OLD, LENIENT, None, verdict.Reason.KEY_UNSURE),
+        (UNKNOWN, False, OUTDATED, LENIENT, None, verdict.Reason.KEY_UNSURE),
+        (None, False, FRESH, LENIENT, None, verdict.Reason.UNKNOWN_KEY),
+        (None, False, OLD, LENIENT, None, verdict.Reason.KEY_UNSURE),
+        (b"", False, FRESH, LENIENT, None, verdict.Reason.UNKNOWN_KEY),
+    ],
+)
+def test_what_a_key_allows(key, is_public, knowledge, revocation, name, reason):
+    found = judge(key, is_public, knowledge, revocation)
+    assert (found.workspace.name if found.workspace else None) == name
+    assert (found.refusal.reason if found.refusal else None) == reason
+    assert found.refusal is None or found.refusal.is_not_run
+
+
+def test_a_refusal_is_certain_for_a_shorter_time_than_a_change_may_take():
+    certain = access.Knowledge(access.CERTAIN_SECONDS)
+    assert judge(UNKNOWN, knowledge=certain).refusal.reason is verdict.Reason.UNKNOWN_KEY
+    older = access.Knowledge(access.CERTAIN_SECONDS + 0.01)
+    assert judge(UNKNOWN, knowledge=older).refusal.reason is verdict.Reason.KEY_UNSURE
+
+
+@pytest.mark.parametrize(("own", "expected"), [(None, 3), (0, 0), (7, 7)])
+def test_the_priority_of_a_workspace_goes_before_that_of_the_route(own, expected):
+    asked = route(priority=3)
+    found = access.judge(table(asked, priority=own), asked, KNOWN, FRESH, LENIENT)
+    assert found.route.priority == expected
+
+
+@pytest.mark.parametrize(
+    ("of_route", "of_workspace", "expected"),
+    [
+        ((), (), routes.ANYWHERE),
+        (("akl",), (), {"akl"}),
+        ((), ("akl",), {"akl"}),
+        (("akl", "wlg"), ("wlg", "chc"), {"wlg"}),
+        (("akl",), ("chc",), routes.NOWHERE),
+    ],
+)
+def test_home_regions_of_route_and_workspace_both_bind(of_route, of_workspace, expected):
+    asked = route(homes=frozenset(of_route))
+    known = table(asked, homes=frozenset(of_workspace))
+    found = access.judge(known, asked, KNOWN, FRESH, LENIENT)
+    assert found.route.homes == expected
+
+
+def test_the_route_of_a_workspace_is_made_once_and_keeps_its_name():
+    listed = [route("read"), route("write")]
+    known = table(*listed, priority=1)
+    first = access.judge(known, listed[0], KNOWN, FRESH, LENIENT).route
+    again = access.judge(known, listed[0], KNOWN, FRESH, LENIENT).route
+    other = access.judge(known, listed[1], KNOWN, FRESH, LENIENT).route
+    assert first is again
+    assert (first.name, other.name) == ("read", "write")
