--- a/src/lineworks/decisions/quota.py
+++ b/src/lineworks/decisions/quota.py
@@ -1,8 +1,77 @@
-"""How many requests a workspace may send through all instances together."""
+"""How many requests a workspace may send through all instances together.
+
+The limit holds for all instances together, in every window of time, without agreement between
+them. Each data hall has an equal part of a workspace's tokens, held by one of its instances in a
+`Bucket`. Tokens are earned, moved or spent, never copied: a message that is lost loses them, and
+what is moved, granted or given back counts for a short time only, from the moment at which it was
+asked for.
+
+A holder that starts again, or takes over, begins with a full bucket: a new life. So what is spent
+in any window is at most what all lives that act within it began with, what the halls earned in it,
+and what was outside the buckets when it began: `part_of` makes this fit the bound for `LIVES` lives
+a hall.
+"""
 
 from __future__ import annotations
 
 import dataclasses
+import enum
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lineworks.decisions import workspaces
+
+LIVES = 3
+"""Lives a hall and window that the bound has room for; also how many instances of a hall hold
+tokens at all, so that a cut into many pieces makes no more holders."""
+
+MOVE_SECONDS = 0.25
+"""Seconds for which tokens from another hall count, from the moment at which they were asked for:
+some round trips between regions."""
+
+RETURN_SECONDS = 0.2
+"""Seconds after a grant within which its token can be given back: most requests that find no target
+end at once."""
+
+GRANT_SECONDS = 0.08
+"""Seconds for which a grant counts, from the moment at which it was asked for."""
+
+TRANSIT_SECONDS = MOVE_SECONDS + RETURN_SECONDS + GRANT_SECONDS
+"""Seconds for which a token can be outside the buckets."""
+
+HEARD_SECONDS = 2.5
+"""Seconds without a word after which an instance counts as not heard: a heartbeat and some more."""
+
+CHECK_SECONDS = 0.5
+"""Seconds between looks at who is heard of."""
+
+TAKEOVER_SECONDS = HEARD_SECONDS + 2 * CHECK_SECONDS
+"""Seconds for which an instance must be silent before the next one earns in its place: by then it
+has noticed as well, if it still runs."""
+
+RATE_SECONDS = 2.0
+"""Seconds over which the rate of requests is learnt."""
+
+LEAST_DEPTH = 2.0
+"""Tokens that all halls together can save, where the bound has room for them: with less, no request
+could be admitted while a hall is lost."""
+
+_ROUNDING = 1e-3
+"""Part of a token that may be lacking: moved tokens are rounded down. It stays owed."""
+
+
+class Decision(enum.IntEnum):
+    """What a holder says to a request."""
+
+    GRANTED = 0
+    """It has a token for it."""
+
+    OVER = 1
+    """There is none."""
+
+    UNSURE = 2
+    """It does not hold the hall's tokens."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -17,3 +86,251 @@
 
     slack: float = 0.0
     """Requests besides."""
+
+    def most(self, quota: workspaces.Quota) -> float:
+        """Tell how many requests may be let through in a window.
+
+        Args:
+            quota: The quota.
+
+        Returns:
+            Requests, fractions included.
+        """
+        return (quota.rate * self.window + quota.burst) * (1 + self.excess) + self.slack
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """What a data hall has of a quota."""
+
+    rate: float
+    """Tokens that it earns in a second."""
+
+    depth: float
+    """Tokens that it saves at most."""
+
+
+def part_of(quota: workspaces.Quota, bound: QuotaBound, halls: int) -> Part:
+    """Divide a quota.
+
+    Where the bound leaves no room for `LIVES` lives beside the rate, the rate is lowered.
+
+    Args:
+        quota: The quota of all instances together.
+        bound: What they may let through beyond it.
+        halls: Number of data halls.
+
+    Returns:
+        The part of each hall.
+    """
+    most = bound.most(quota)
+    seconds = bound.window + TRANSIT_SECONDS
+    least = min(LEAST_DEPTH, most / (2 * LIVES))
+    depth = max((most - quota.rate * seconds) / LIVES, least)
+    rate = min(quota.rate, (most - LIVES * depth) / seconds)
+    return Part(rate / halls, depth / halls)
+
+
+class Bucket:
+    """The tokens of a workspace in one hall."""
+
+    def __init__(self, part: Part, now: float) -> None:
+        """Start full.
+
+        Args:
+            part: What the hall has of the quota.
+            now: The present, in seconds.
+        """
+        self._part = part
+        self._tokens = part.depth
+        self._at = now
+        self._share = 1.0
+        # Tokens from other halls that had no room: each with when they end.
+        self._moved: list[tuple[float, float]] = []
+
+    @property
+    def part(self) -> Part:
+        """What the hall has of the quota."""
+        return self._part
+
+    def tokens(self, now: float) -> float:
+        """Tell how many tokens there are.
+
+        Args:
+            now: The present, in seconds.
+
+        Returns:
+            Tokens, fractions included.
+        """
+        self._advance(now)
+        return self._tokens + sum(amount for _, amount in self._moved)
+
+    def take(self, now: float) -> bool:
+        """Spend a token on a request.
+
+        Args:
+            now: The present, in seconds.
+
+        Returns:
+            Whether there was one.
+        """
+        if self.tokens(now) < 1 - _ROUNDING:
+            return False
+        left = 1.0
+        while self._moved and left > 0:
+            ends, amount = self._moved.pop(0)
+            if amount > left:
+                self._moved.insert(0, (ends, amount - left))
+            left -= min(amount, left)
+        self._tokens -= left
+        return True
+
+    def put_back(self, now: float) -> None:
+        """Take a token back whose request certainly did not run.
+
+        Args:
+            now: The present, in seconds; within `RETURN_SECONDS` of the grant.
+        """
+        self._advance(now)
+        self._tokens = min(self._part.depth, self._tokens + 1)
+
+    def give(self, now: float, wanted: float, most: float = 0.5) -> float:
+        """Hand tokens over to another hall.
+
+        Args:
+            now: The present, in seconds.
+            wanted: Tokens asked for.
+            most: Share of the own tokens (0 to 1) that is given at most.
+
+        Returns:
+            Tokens, fractions included; there are as many less here.
+        """
+        self._advance(now)
+        amount = max(0.0, min(wanted, most * self._tokens))
+        self._tokens -= amount
+        return amount
+
+    def add(self, amount: float, asked_at: float, now: float) -> None:
+        """Take in tokens of another hall.
+
+        Args:
+            amount: Tokens, fractions included.
+            asked_at: When they were asked for, in seconds.
+            now: The present, in seconds.
+        """
+        self._advance(now)
+        ends = asked_at + MOVE_SECONDS
+        if amount <= 0 or ends <= now:
+            return
+        kept = min(amount, self._part.depth - self._tokens)
+        self._tokens += kept
+        if amount > kept:
+            self._moved.append((ends, amount - kept))
+            self._moved.sort()
+
+    def seconds_until_next(self, now: float) -> float:
+        """Tell when the hall alone will have earned a whole token.
+
+        Args:
+            now: The present, in seconds.
+
+        Returns:
+            Seconds; infinite when it never will.
+        """
+        lacking = 1 - _ROUNDING - self.tokens(now)
+        if lacking <= 0:
+            return 0.0
+        rate = self._part.rate * self._share
+        return lacking / rate if rate > 0 and self._part.depth >= 1 - _ROUNDING else math.inf
+
+    def set_part(self, part: Part, now: float) -> None:
+        """Change the limit; this begins no new life.
+
+        Args:
+            part: What the hall has of the new quota.
+            now: The present, in seconds.
+        """
+        self._advance(now)
+        self._part = part
+        self._tokens = min(part.depth, self._tokens)
+
+    def set_share(self, share: float, now: float) -> None:
+        """Say how much of the hall's rate this holder earns from now on.
+
+        Args:
+            share: From 0 to 1.
+            now: The present, in seconds.
+        """
+        self._advance(now)
+        self._share = share
+
+    def _advance(self, now: float) -> None:
+        earned = max(0.0, now - self._at) * self._part.rate * self._share
+        self._tokens = min(self._part.depth, self._tokens + earned)
+        self._at = max(self._at, now)
+        if self._moved:
+            self._moved = [(ends, amount) for ends, amount in self._moved if ends > now]
+
+
+class AskRate:
+    """How often a workspace was asked for lately."""
+
+    def __init__(self) -> None:
+        """Start with no request."""
+        self._value = 0.0
+        self._at = 0.0
+
+    def note(self, now: float) -> None:
+        """Count a request.
+
+        Args:
+            now: The present, in seconds.
+        """
+        self._value = self.value(now) + 1 / RATE_SECONDS
+        self._at = now
+
+    def value(self, now: float) -> float:
+        """Tell the rate.
+
+        Args:
+            now: The present, in seconds.
+
+        Returns:
+            Requests a second, the latest ones counted most.
+        """
+        return self._value * math.exp((self._at - now) / RATE_SECONDS)
+
+
+def wanted(tokens: float, waiting: int, rate: float) -> float:
+    """Say how many tokens a hall should ask the others for.
+
+    Args:
+        tokens: Its own.
+        waiting: Requests that wait for one.
+        rate: Requests a second that it gets.
+
+    Returns:
+        Tokens, fractions included; what can't be spent before it ends isn't asked for.
+    """
+    return max(0.0, max(1, waiting) + rate * MOVE_SECONDS - tokens)
+
+
+def earned_share(rank: int, silent: float, heard: int, known: int) -> float:
+    """Say how much of its hall's rate a holder earns.
+
+    A holder earns in proportion to the instances of its hall that it hears, so that two that are
+    cut off from each other earn no more together than one would. One that stands in for an
+    instance with a better rank earns nothing until that one, if it is cut off, has noticed.
+
+    Args:
+        rank: Its rank for the workspace among the instances that are known of the hall, 0 first.
+        silent: Seconds since any instance with a better rank was heard of.
+        heard: Instances of the hall that it hears, itself included.
+        known: Instances that are known of the hall, itself included.
+
+    Returns:
+        From 0 to 1.
+    """
+    if rank and silent < TAKEOVER_SECONDS:
+        return 0.0
+    return min(1.0, heard / max(1, known))
--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -284,7 +284,7 @@
         if workspace is None or workspace.quota is None:
             self._start(work)
             return on_gone
-        withdraw = self._shared.quotas.admit(workspace, on_admission)
+        withdraw = self._shared.quotas.admit(workspace, on_admission, deadline)
         if withdraw is None:
             return on_gone if work in self._under_way else None
         return self._await_quota(work, withdraw, on_admission, on_gone)
--- a/src/lineworks/forwarding/gatherers.py
+++ b/src/lineworks/forwarding/gatherers.py
@@ -102,6 +102,17 @@
         else:
             self._leaving.discard(peer)
 
+    def is_leaving(self, name: str) -> bool:
+        """Say whether an instance told that it takes no new work.
+
+        Args:
+            name: The instance.
+
+        Returns:
+            Whether it did.
+        """
+        return name in self._leaving
+
     def distrust(self, name: str) -> None:
         """Pass an instance over until it is heard of.
 
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -21,7 +21,10 @@
     metrics,
     placement_view,
     planned_stop,
+    quota_holder,
     quota_keeper,
+    quota_ranks,
+    quota_view,
     registration,
     request_log,
     suspect_exchange,
@@ -134,7 +137,25 @@
         self._registration = registration.Registration(
             reactor, settings, self._store, self._links, self._rng.random
         )
-        self._quotas = quota_keeper.QuotaKeeper()
+        self._ranks = quota_ranks.QuotaRanks(
+            reactor,
+            settings.name,
+            settings.hall,
+            self._links,
+            self._gatherers,
+            lambda: self._registration.members,
+        )
+        holder = quota_holder.QuotaHolder(
+            reactor,
+            settings.hall,
+            settings.regions,
+            self._links,
+            self._ranks,
+            settings.quota_bound,
+        )
+        self._quotas = quota_keeper.QuotaKeeper(
+            reactor, settings.name, self._links, self._gatherers, self._ranks, holder
+        )
         shared = tools.Tools(
             reactor,
             settings.hall,
@@ -229,6 +250,7 @@
         self._front.view_age = lambda: self._directory.age
         self._front.ends_at = lambda: self._stop.answer_by
         self._front.is_over = lambda: self._stop.is_over
+        self._ranks.is_leaving = lambda: self._stop.is_begun
         self._store.era.listeners.append(self._on_store_return)
         self._directory.on_table = self._on_table
         self._directory.on_targets = self._on_targets
@@ -276,11 +298,14 @@
         if placement_view.is_wanted(request):
             age, now = self._directory.age, self._reactor.seconds()
             return placement_view.answer(self._front.table, self._book, self._evacuated, age, now)
+        if quota_view.is_wanted(request):
+            return quota_view.answer(self._quotas, self._settings.hall)
         kind = (b"Content-Type", b"text/plain; version=0.0.4")
         return server_connection.Answer(200, [kind], self._metrics.export())
 
     def _on_table(self, table: routes.RouteTable) -> None:
         self._front.set_table(table)
+        self._quotas.set_workspaces(table.workspaces.all)
         self._warn_of_unknown_homes(table)
         self._on_targets()
         self._links.broadcast(self._heartbeat())
@@ -394,6 +419,11 @@
                 "instances": float(self._extra.instances.value(now)),
                 **{kind: float(count) for kind, count in self._keeper.counts.items()},
             },
+            "lineworks_quotas": {
+                **{kind: float(count) for kind, count in self._quotas.counts.items()},
+                **{f"holder_{k}": float(v) for k, v in self._quotas.holder.counts.items()},
+            },
+            "lineworks_quota_refusals": self._quota_refusals(),
             "lineworks_target_reports": {
                 kind: float(count) for kind, count in self._evidence.counts.items()
             },
@@ -405,7 +435,11 @@
                 "greatest": self._loop_delay.greatest,
             },
             "lineworks_log_lines": {
-                "left_out": float(self._request_log.left_out + self._learning.lines_left_out),
+                "left_out": float(
+                    self._request_log.left_out
+                    + self._learning.lines_left_out
+                    + self._quotas.lines_left_out
+                ),
                 "dropped": float(self.lines_dropped()),
             },
             "lineworks_uptime_seconds": {"process": now - self._started_at},
@@ -416,6 +450,13 @@
             },
         }
 
+    def _quota_refusals(self) -> dict[str, float]:
+        """Count refusals by workspace, for all reasons together."""
+        found: dict[str, float] = {}
+        for (workspace, _), count in self._quotas.refusals.items():
+            found[workspace] = found.get(workspace, 0.0) + count
+        return found
+
 
 def _link_secret(settings: node_settings.NodeSettings) -> bytes:
     """Derive what the links of one deployment share.
--- /dev/null
+++ b/src/lineworks/forwarding/quota_holder.py
@@ -0,0 +1,346 @@
+"""Holds the tokens of workspaces for a data hall, and moves them between halls.
+
+A holder grants what it has. When it has none it asks the holders of the other halls at once, and a
+request waits for their answers for a moment; when its tokens run low and requests come faster than
+it earns it asks ahead. A pull that brought nothing is followed by a pause, longer each time, so a
+workspace that is over its limit everywhere causes few messages.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import itertools
+import math
+from typing import TYPE_CHECKING, Any
+
+from lineworks.decisions import quota
+from lineworks.wire import node_frames
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping
+
+    from lineworks.decisions import workspaces
+    from lineworks.forwarding import quota_ranks
+    from lineworks.services import peer_links
+
+PULL_WAIT = 0.045
+"""Seconds that a request waits for tokens of other halls: two round trips between regions."""
+
+LEAST_PAUSE = 0.25
+"""Seconds after a pull that brought too little before the next one."""
+
+MOST_PAUSE = 2.0
+"""Seconds to which that pause grows while pulls go on bringing too little."""
+
+QUIET_SECONDS = 1.0
+"""Seconds without a request after which a hall gives another one all that it asks for."""
+
+GENEROUS = 2.0
+"""Multiple of its part of what is wanted that each hall is asked for: some have less."""
+
+MOST_RETRY_AFTER = 2.0
+"""Seconds that a refused caller is told to wait at most."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What a holder says to a request."""
+
+    decision: quota.Decision
+    """What it is."""
+
+    retry_after: float = 0.0
+    """Seconds after which the caller may ask again, where there is no token."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Waiter:
+    reply: Callable[[Answer], None]
+    until: float
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Held:
+    """The tokens of one workspace."""
+
+    bucket: quota.Bucket
+    limit: workspaces.Quota
+    acted_at: float
+    rate: quota.AskRate = dataclasses.field(default_factory=quota.AskRate)
+    waiting: list[_Waiter] = dataclasses.field(default_factory=list)
+    asked_at: float = -math.inf
+    refused_at: float = -math.inf
+    # When the next token is free that no refused caller was told of yet.
+    free_at: float = -math.inf
+    # The pull under way: who has not answered.
+    owing: set[str] = dataclasses.field(default_factory=set)
+    pull: int = 0
+    brought: float = 0.0
+    pause: float = LEAST_PAUSE
+    may_pull_at: float = -math.inf
+
+
+class QuotaHolder:
+    """The tokens that this instance holds."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        hall: str,
+        halls: Iterable[str],
+        links: peer_links.PeerLinks,
+        ranks: quota_ranks.QuotaRanks,
+        bound: quota.QuotaBound,
+    ) -> None:
+        """Start without tokens.
+
+        Args:
+            reactor: Twisted's reactor.
+            hall: Data hall of this instance.
+            halls: All data halls.
+            links: Links to the other instances.
+            ranks: Tells who holds tokens.
+            bound: What all instances together may let through beyond a quota.
+        """
+        self._reactor = reactor
+        self._hall = hall
+        self._halls = sorted({*halls, hall})
+        self._links = links
+        self._ranks = ranks
+        self._bound = bound
+        self._limits: dict[str, workspaces.Quota] = {}
+        self._held: dict[str, _Held] = {}
+        self._numbers = itertools.count(1)
+        self._pulls: dict[int, tuple[str, float]] = {}
+        self._timer: Any = None
+        self.counts: collections.Counter[str] = collections.Counter()
+        """Tokens granted and refused, pulls, and those that brought too little."""
+        links.handle(node_frames.QuotaPull, self._on_pull)
+        links.handle(node_frames.QuotaShare, self._on_share)
+        links.on_down.append(self._on_down)
+
+    @property
+    def limits(self) -> Mapping[str, workspaces.Quota]:
+        """Limits by workspace."""
+        return self._limits
+
+    def held(self) -> dict[str, float]:
+        """Tell what this instance holds.
+
+        Returns:
+            Tokens by workspace.
+        """
+        now = self._reactor.seconds()
+        return {name: held.bucket.tokens(now) for name, held in self._held.items()}
+
+    def set_limits(self, limits: Mapping[str, workspaces.Quota]) -> None:
+        """Put limits in force. Tokens of workspaces that are gone are kept for a window.
+
+        Args:
+            limits: Limits by workspace.
+        """
+        self._limits = dict(limits)
+        now = self._reactor.seconds()
+        for name, held in self._held.items():
+            limit = self._limits.get(name)
+            if limit is not None and limit != held.limit:
+                held.limit = limit
+                held.bucket.set_part(self._part(limit), now)
+
+    def ask(self, workspace: str, reply: Callable[[Answer], None]) -> Callable[[], None] | None:
+        """Ask for a token.
+
+        Args:
+            workspace: Name of the workspace.
+            reply: Takes the answer, once; it may be called before this function returns.
+
+        Returns:
+            A function that withdraws the question; None when it is answered.
+        """
+        if workspace not in self._limits:
+            # By the configuration in force here it has no limit, or no longer one.
+            self.counts["without_limit"] += 1
+            reply(Answer(quota.Decision.GRANTED))
+            return None
+        held = self._find(workspace)
+        if held is None:
+            reply(Answer(quota.Decision.UNSURE))
+            return None
+        now = self._reactor.seconds()
+        held.asked_at = held.acted_at = now
+        held.rate.note(now)
+        if not held.waiting and held.bucket.take(now):
+            self._grant(reply)
+            self._pull_ahead(workspace, held, now)
+            return None
+        if not held.owing and now < held.may_pull_at:
+            self._refuse(held, reply, now)
+            return None
+        waiter = _Waiter(reply, now + PULL_WAIT)
+        held.waiting.append(waiter)
+        if not held.owing:
+            self._pull(workspace, held, now)
+
+        def withdraw() -> None:
+            if waiter in held.waiting:
+                held.waiting.remove(waiter)
+
+        return withdraw if waiter in held.waiting else None
+
+    def put_back(self, workspace: str, granted_at: float) -> None:
+        """Take back the token of a request that certainly did not run.
+
+        Args:
+            workspace: Name of the workspace.
+            granted_at: When it was granted, in seconds.
+        """
+        now = self._reactor.seconds()
+        held = self._held.get(workspace)
+        if held is not None and now - granted_at <= quota.RETURN_SECONDS:
+            self.counts["returned"] += 1
+            held.bucket.put_back(now)
+
+    def _part(self, limit: workspaces.Quota) -> quota.Part:
+        return quota.part_of(limit, self._bound, len(self._halls))
+
+    def _find(self, workspace: str) -> _Held | None:
+        """Find the tokens of a workspace, or begin to hold them."""
+        if not self._ranks.may_hold(workspace):
+            return None
+        held = self._held.get(workspace)
+        if held is None:
+            now = self._reactor.seconds()
+            limit = self._limits[workspace]
+            held = _Held(quota.Bucket(self._part(limit), now), limit, now)
+            held.bucket.set_share(self._ranks.share(workspace), now)
+            self._held[workspace] = held
+            self.counts["lives"] += 1
+            if self._timer is None:
+                self._timer = self._reactor.callLater(quota.CHECK_SECONDS, self._check)
+        return held
+
+    def _check(self) -> None:
+        """Look who is heard of, and forget what was not used for a window."""
+        self._timer = None
+        now = self._reactor.seconds()
+        for name, held in list(self._held.items()):
+            if now - held.acted_at > self._bound.window and not held.owing:
+                del self._held[name]
+            else:
+                held.bucket.set_share(self._ranks.share(name), now)
+        oldest = now - quota.MOVE_SECONDS
+        self._pulls = {number: pull for number, pull in self._pulls.items() if pull[1] > oldest}
+        if self._held:
+            self._timer = self._reactor.callLater(quota.CHECK_SECONDS, self._check)
+
+    def _grant(self, reply: Callable[[Answer], None]) -> None:
+        self.counts["granted"] += 1
+        reply(Answer(quota.Decision.GRANTED))
+
+    def _refuse(self, held: _Held, reply: Callable[[Answer], None], now: float) -> None:
+        """Refuse, and tell when there is a token that no caller was told of yet."""
+        self.counts["refused"] += 1
+        held.refused_at = now
+        between = 1 / held.limit.rate if held.limit.rate > 0 else MOST_RETRY_AFTER
+        held.free_at = max(held.free_at, now) + between
+        if held.free_at > now + MOST_RETRY_AFTER:
+            # Begin again at the front, so that what callers are told stays spread.
+            held.free_at = now + min(between, MOST_RETRY_AFTER)
+        reply(Answer(quota.Decision.OVER, held.free_at - now))
+
+    def _pull_ahead(self, workspace: str, held: _Held, now: float) -> None:
+        """Ask for tokens before they are needed, where requests come faster than they are earned.
+
+        Where the rate of requests is lower, the next one usually finds a token.
+        """
+        if held.owing or now < held.may_pull_at:
+            return
+        seconds = held.bucket.seconds_until_next(now)
+        if seconds * held.rate.value(now) > 1:
+            self._pull(workspace, held, now)
+
+    def _pull(self, workspace: str, held: _Held, now: float) -> None:
+        """Ask all other halls for tokens."""
+        asked = [self._ranks.foreign_holder(workspace, hall) for hall in self._halls]
+        own = self._halls.index(self._hall)
+        names = [name for place, name in enumerate(asked) if name is not None and place != own]
+        rate = held.rate.value(now)
+        wanted = quota.wanted(held.bucket.tokens(now), len(held.waiting), rate)
+        number = next(self._numbers)
+        each = min(wanted, GENEROUS * wanted / max(1, len(names)))
+        frame = node_frames.QuotaPull(number, workspace, each)
+        held.owing = {name for name in names if self._links.send(name, frame)}
+        held.pull = number
+        held.brought = 0.0
+        self.counts["pulls"] += 1
+        self._pulls[number] = (workspace, now)
+        if not held.owing:
+            self._end_pull(workspace, held, now)
+            return
+        until = min((waiter.until for waiter in held.waiting), default=now + PULL_WAIT)
+        self._reactor.callLater(max(0.0, until - now), self._on_pull_over, workspace, held, number)
+
+    def _on_pull_over(self, workspace: str, held: _Held, number: int) -> None:
+        if held.pull == number and held.owing:
+            self.counts["unanswered"] += len(held.owing)
+            held.owing.clear()
+            self._end_pull(workspace, held, self._reactor.seconds())
+
+    def _end_pull(self, workspace: str, held: _Held, now: float) -> None:
+        """Refuse those whose time is over; ask once more for the others if that is of use."""
+        self._serve_waiting(held, now)
+        is_of_use = held.brought >= 1 or not held.waiting
+        if is_of_use and held.brought > 0:
+            held.pause = LEAST_PAUSE
+        else:
+            self.counts["pulls_in_vain"] += 1
+            held.may_pull_at = now + held.pause
+            held.pause = min(MOST_PAUSE, 2 * held.pause)
+        if is_of_use and any(waiter.until > now for waiter in held.waiting):
+            self._pull(workspace, held, now)
+            return
+        waiting, held.waiting = held.waiting, []
+        for waiter in waiting:
+            self._refuse(held, waiter.reply, now)
+
+    def _serve_waiting(self, held: _Held, now: float) -> None:
+        while held.waiting and held.bucket.take(now):
+            self._grant(held.waiting.pop(0).reply)
+
+    def _on_pull(self, link: Any, frame: node_frames.QuotaPull) -> None:
+        amount = self._give(frame.workspace, frame.amount)
+        link.send(node_frames.QuotaShare(frame.number, amount))
+
+    def _give(self, workspace: str, amount: float) -> float:
+        """Take tokens for another hall from those held here, unless the own hall lacks some."""
+        held = self._find(workspace) if workspace in self._limits else None
+        now = self._reactor.seconds()
+        if held is None or held.waiting or now - held.refused_at < LEAST_PAUSE:
+            return 0.0
+        held.acted_at = now
+        is_quiet = now - held.asked_at > QUIET_SECONDS
+        return held.bucket.give(now, amount, 1.0 if is_quiet else 0.5)
+
+    def _on_share(self, link: Any, frame: node_frames.QuotaShare) -> None:
+        workspace, asked_at = self._pulls.get(frame.number, ("", 0.0))
+        held = self._held.get(workspace)
+        if held is None:
+            return
+        now = self._reactor.seconds()
+        held.bucket.add(frame.amount, asked_at, now)
+        self._serve_waiting(held, now)
+        if frame.number != held.pull or not held.owing:
+            return
+        held.brought += frame.amount
+        held.owing.discard(link.hello.name)
+        if not held.owing:
+            self._end_pull(workspace, held, now)
+
+    def _on_down(self, name: str) -> None:
+        now = self._reactor.seconds()
+        for workspace, held in list(self._held.items()):
+            if name in held.owing:
+                held.owing.discard(name)
+                if not held.owing:
+                    self._end_pull(workspace, held, now)
--- a/src/lineworks/forwarding/quota_keeper.py
+++ b/src/lineworks/forwarding/quota_keeper.py
@@ -1,14 +1,48 @@
-"""Asks whether a request is within the quota of its workspace."""
+"""Asks whether a request is within the quota of its workspace.
+
+The tokens of a workspace are held by one instance of each data hall (`quota_holder`). An instance
+asks the one of its own hall; where that doesn't answer it asks the next by rank, once.
+"""
 
 from __future__ import annotations
 
+import collections
 import dataclasses
-from typing import TYPE_CHECKING
+import itertools
+import math
+from typing import TYPE_CHECKING, Any
+
+from lineworks.decisions import quota, verdict
+from lineworks.forwarding import quota_holder
+from lineworks.kernel import bounded_log
+from lineworks.wire import node_frames
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
+
+    from lineworks.decisions import workspaces
+    from lineworks.forwarding import gatherers, quota_ranks
+    from lineworks.services import peer_links
+
+ASK_SECONDS = quota.GRANT_SECONDS
+"""Seconds that an answer of a holder is waited for; then it is passed over until it is heard of
+again. It may wait for other halls meanwhile (`quota_holder.PULL_WAIT`)."""
+
+MOST_ASKS = 2
+"""Holders that are asked for one request at most."""
 
-    from lineworks.decisions import verdict, workspaces
+UNSURE_RETRY_AFTER = 0.1
+"""Seconds after which a caller may ask again where no holder answered: another instance may hear
+one."""
+
+MOST_NAMED = 200
+"""Workspaces whose refusals are counted apart; the rest together."""
+
+OTHERS = "(others)"
+"""What the rest is called."""
+
+LINES_PER_SECOND = 5.0
+"""Log lines a second for refusals."""
 
 
 def _keep() -> None:
@@ -29,21 +63,262 @@
     """Gives its place to another request, where it was admitted and certainly did not run."""
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Question:
+    """A request whose token is being asked for."""
+
+    workspace: str
+    on_end: Callable[[Admission], None]
+    until: float
+    tried: list[str] = dataclasses.field(default_factory=list)
+    number: int = 0
+    sent_at: float = 0.0
+    timer: Any = None
+    withdraw_own: Callable[[], None] | None = None
+    is_over: bool = False
+
+
 class QuotaKeeper:
     """Admits requests by the quotas of their workspaces."""
 
+    def __init__(
+        self,
+        reactor: Any,
+        name: str,
+        links: peer_links.PeerLinks,
+        peers: gatherers.Gatherers,
+        ranks: quota_ranks.QuotaRanks,
+        holder: quota_holder.QuotaHolder,
+    ) -> None:
+        """Start with nothing asked.
+
+        Args:
+            reactor: Twisted's reactor.
+            name: Name of this instance.
+            links: Links to the other instances.
+            peers: Takes note of those that do not answer.
+            ranks: Tells who holds tokens.
+            holder: The tokens that this instance holds.
+        """
+        self._reactor = reactor
+        self._name = name
+        self._links = links
+        self._peers = peers
+        self._ranks = ranks
+        self._holder = holder
+        self._log = bounded_log.BoundedLog(reactor, "quotas", LINES_PER_SECOND)
+        self._numbers = itertools.count(1)
+        self._questions: dict[int, _Question] = {}
+        # What others were granted lately: (their process, number) with workspace and time.
+        self._grants: collections.OrderedDict[tuple[str, int], tuple[str, float]] = (
+            collections.OrderedDict()
+        )
+        self.counts: collections.Counter[str] = collections.Counter()
+        """Requests asked for, admitted and refused, and holders without an answer."""
+        self.refusals: dict[tuple[str, str], int] = {}
+        """Refused requests by workspace and reason."""
+        links.handle(node_frames.QuotaAsk, self._on_ask)
+        links.handle(node_frames.QuotaGrant, self._on_grant)
+        links.handle(node_frames.QuotaReturn, self._on_return)
+        links.on_down.append(self._on_down)
+
+    @property
+    def holder(self) -> quota_holder.QuotaHolder:
+        """The tokens that this instance holds."""
+        return self._holder
+
+    @property
+    def ranks(self) -> quota_ranks.QuotaRanks:
+        """Tells who holds tokens."""
+        return self._ranks
+
+    @property
+    def lines_left_out(self) -> int:
+        """Log lines that were left out."""
+        return self._log.left_out_in_all
+
+    def set_workspaces(self, listed: Iterable[workspaces.Workspace]) -> None:
+        """Put the limits of a configuration in force.
+
+        Args:
+            listed: Its workspaces.
+        """
+        self._holder.set_limits({one.name: one.quota for one in listed if one.quota is not None})
+
     def admit(
-        self, workspace: workspaces.Workspace, on_end: Callable[[Admission], None]
+        self,
+        workspace: workspaces.Workspace,
+        on_end: Callable[[Admission], None],
+        deadline: float = math.inf,
     ) -> Callable[[], None] | None:
         """Ask for a request's place.
 
         Args:
             workspace: Whose request it is.
             on_end: Takes the answer, once; it may be called before this function returns.
+            deadline: Time by which the answer is of use, in seconds.
 
         Returns:
             A function that withdraws the question, because the caller has gone; None when the
             answer is known already.
         """
-        on_end(Admission())
-        return None
+        if workspace.quota is None:
+            on_end(Admission())
+            return None
+        self.counts["asked"] += 1
+        question = _Question(workspace.name, on_end, deadline)
+        self._ask_next(question)
+        if question.is_over:
+            return None
+
+        def withdraw() -> None:
+            if not question.is_over:
+                self.counts["withdrawn"] += 1
+                self._close(question)
+
+        return withdraw
+
+    def _ask_next(self, question: _Question) -> None:
+        """Ask the best holder that wasn't asked yet."""
+        now = self._reactor.seconds()
+        left = [
+            name for name in self._ranks.holders(question.workspace) if name not in question.tried
+        ]
+        if not left or len(question.tried) >= MOST_ASKS or now >= question.until:
+            self._refuse_unsure(question)
+            return
+        name = left[0]
+        question.tried.append(name)
+        question.sent_at = now
+        if name == self._name:
+            self._ask_own(question)
+            return
+        question.number = next(self._numbers)
+        self._questions[question.number] = question
+        if not self._links.send(name, node_frames.QuotaAsk(question.number, question.workspace)):
+            del self._questions[question.number]
+            self._ask_next(question)
+            return
+        wait = min(ASK_SECONDS, question.until - now)
+        question.timer = self._reactor.callLater(wait, self._on_timeout, question)
+
+    def _ask_own(self, question: _Question) -> None:
+        def reply(answer: quota_holder.Answer) -> None:
+            question.withdraw_own = None
+            granted_at = self._reactor.seconds()
+            self._take_answer(
+                question,
+                answer,
+                lambda: self._holder.put_back(question.workspace, granted_at),
+            )
+
+        withdraw = self._holder.ask(question.workspace, reply)
+        if not question.is_over:
+            question.withdraw_own = withdraw
+
+    def _take_answer(
+        self, question: _Question, answer: quota_holder.Answer, give_back: Callable[[], None]
+    ) -> None:
+        if answer.decision is quota.Decision.UNSURE:
+            self.counts["not_held"] += 1
+            self._ask_next(question)
+        elif answer.decision is quota.Decision.GRANTED:
+            self.counts["admitted"] += 1
+            self._end(question, Admission(give_back=give_back))
+        else:
+            found = verdict.not_run(
+                verdict.Reason.OVER_QUOTA, f"workspace {question.workspace} is over its quota"
+            )
+            self._refuse(question, found, answer.retry_after)
+
+    def _refuse_unsure(self, question: _Question) -> None:
+        tried = ", ".join(question.tried) or "nobody"
+        found = verdict.not_run(
+            verdict.Reason.QUOTA_UNSURE,
+            f"no holder of the quota of workspace {question.workspace} answers; asked {tried}",
+        )
+        self._refuse(question, found, UNSURE_RETRY_AFTER)
+
+    def _refuse(self, question: _Question, found: verdict.Verdict, retry_after: float) -> None:
+        reason = found.reason.value
+        self.counts[reason] += 1
+        key = (question.workspace, reason)
+        if key not in self.refusals and len(self.refusals) >= MOST_NAMED:
+            key = (OTHERS, reason)
+        self.refusals[key] = self.refusals.get(key, 0) + 1
+        self._log.info(
+            "quota_refused",
+            workspace=question.workspace,
+            reason=reason,
+            asked=list(question.tried),
+            retry_after=round(retry_after, 2),
+        )
+        self._end(question, Admission(found, retry_after))
+
+    def _end(self, question: _Question, admission: Admission) -> None:
+        self._close(question)
+        question.on_end(admission)
+
+    def _close(self, question: _Question) -> None:
+        question.is_over = True
+        self._questions.pop(question.number, None)
+        if question.timer is not None and question.timer.active():
+            question.timer.cancel()
+        if question.withdraw_own is not None:
+            question.withdraw_own()
+            question.withdraw_own = None
+
+    def _on_timeout(self, question: _Question) -> None:
+        """Pass a holder over that does not answer."""
+        self.counts["unanswered"] += 1
+        del self._questions[question.number]
+        self._peers.distrust(question.tried[-1])
+        self._ask_next(question)
+
+    def _on_down(self, name: str) -> None:
+        lost = [one for one in self._questions.values() if one.tried[-1] == name]
+        for question in lost:
+            if not question.is_over:
+                self._questions.pop(question.number, None)
+                question.timer.cancel()
+                self._ask_next(question)
+
+    def _on_grant(self, link: Any, frame: node_frames.QuotaGrant) -> None:
+        question = self._questions.get(frame.number)
+        now = self._reactor.seconds()
+        is_awaited = question is not None and question.tried[-1] == link.hello.name
+        is_granted = frame.decision is quota.Decision.GRANTED
+        if question is None or not is_awaited or now - question.sent_at > ASK_SECONDS:
+            # Its caller has gone, or another holder was asked meanwhile.
+            if is_granted:
+                link.send(node_frames.QuotaReturn(frame.number))
+            return
+        del self._questions[frame.number]
+        question.timer.cancel()
+        self._take_answer(
+            question,
+            quota_holder.Answer(frame.decision, frame.retry_after),
+            lambda: link.send(node_frames.QuotaReturn(frame.number)),
+        )
+
+    def _on_ask(self, link: Any, frame: node_frames.QuotaAsk) -> None:
+        def reply(answer: quota_holder.Answer) -> None:
+            if answer.decision is quota.Decision.GRANTED:
+                self._note_grant((link.hello.incarnation, frame.number), frame.workspace)
+            link.send(node_frames.QuotaGrant(frame.number, answer.decision, answer.retry_after))
+
+        self._holder.ask(frame.workspace, reply)
+
+    def _note_grant(self, key: tuple[str, int], workspace: str) -> None:
+        now = self._reactor.seconds()
+        self._grants[key] = (workspace, now)
+        while self._grants:
+            oldest = next(iter(self._grants))
+            if now - self._grants[oldest][1] <= quota.RETURN_SECONDS:
+                break
+            del self._grants[oldest]
+
+    def _on_return(self, link: Any, frame: node_frames.QuotaReturn) -> None:
+        found = self._grants.pop((link.hello.incarnation, frame.number), None)
+        if found is not None:
+            self._holder.put_back(*found)
--- /dev/null
+++ b/src/lineworks/forwarding/quota_ranks.py
@@ -0,0 +1,151 @@
+"""Which instance of a data hall holds a workspace's tokens, and how much of the rate it earns."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Any
+
+from lineworks.decisions import ownership, quota
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Iterable, Sequence
+
+    from lineworks.forwarding import gatherers
+    from lineworks.models import member
+    from lineworks.services import peer_links
+
+
+def by_hash(workspace: str, names: Iterable[str]) -> Sequence[str]:
+    """Rank instances for a workspace by rendezvous hashing.
+
+    Args:
+        workspace: Name of the workspace.
+        names: Names of the instances.
+
+    Returns:
+        The names, the best first.
+    """
+    listed = list(names)
+    return ownership.owners(f"quota {workspace}", listed, len(listed))
+
+
+class QuotaRanks:
+    """Ranks the instances of halls for workspaces, by what this one knows."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        name: str,
+        hall: str,
+        links: peer_links.PeerLinks,
+        peers: gatherers.Gatherers,
+        members: Callable[[], Collection[member.Member]],
+    ) -> None:
+        """Start with nobody lost.
+
+        Args:
+            reactor: Twisted's reactor.
+            name: Name of this instance.
+            hall: Its data hall.
+            links: Links to the other instances.
+            peers: Tells which of them can be asked.
+            members: Tells which instances are listed.
+        """
+        self._reactor = reactor
+        self._name = name
+        self._hall = hall
+        self._links = links
+        self._peers = peers
+        self._members = members
+        self._started_at = reactor.seconds()
+        self._lost_at: dict[str, float] = {}
+        self.order: Callable[[str, Iterable[str]], Sequence[str]] = by_hash
+        """Ranks names of instances for a workspace, the best first."""
+        self.is_leaving: Callable[[], bool] = lambda: False
+        """Says whether this instance is about to stop."""
+        links.on_down.append(self._on_down)
+
+    def holders(self, workspace: str) -> list[str]:
+        """List the instances of this hall that hold a workspace's tokens and can be asked.
+
+        Args:
+            workspace: Name of the workspace.
+
+        Returns:
+            Their names, the best first; this instance may be among them.
+        """
+        able = set(self._peers.able(self._hall))
+        if not able or not self.is_leaving():
+            able.add(self._name)
+        return [name for name in self._first(workspace) if name in able]
+
+    def foreign_holder(self, workspace: str, hall: str) -> str | None:
+        """Choose whom to ask in another hall.
+
+        Args:
+            workspace: Name of the workspace.
+            hall: The hall.
+
+        Returns:
+            Its name; None when nobody there is heard of.
+        """
+        ranked = self.order(workspace, self._peers.able(hall))
+        return ranked[0] if ranked else None
+
+    def may_hold(self, workspace: str) -> bool:
+        """Say whether this instance is one of those that may hold a workspace's tokens.
+
+        Args:
+            workspace: Name of the workspace.
+
+        Returns:
+            Whether it is, by all instances that are known of the hall.
+        """
+        return self._name in self._first(workspace)
+
+    def share(self, workspace: str) -> float:
+        """Say how much of the hall's rate this instance earns for a workspace.
+
+        Args:
+            workspace: Name of the workspace.
+
+        Returns:
+            From 0 to 1; nothing while the other instances are not known.
+        """
+        if self.is_leaving() or not self._members():
+            return 0.0
+        known = self._known()
+        ranked = self.order(workspace, known)
+        rank = list(ranked).index(self._name)
+        better = [name for name in ranked[:rank] if not self._peers.is_leaving(name)]
+        silent = min((self._silence(name) for name in better), default=math.inf)
+        linked = [name for name in known if name in self._links.up]
+        heard = 1 + sum(self._silence(name) <= quota.HEARD_SECONDS for name in linked)
+        return quota.earned_share(rank, silent, heard, len(known))
+
+    def _first(self, workspace: str) -> Sequence[str]:
+        if not self._members() and not self._links.up:
+            return ()
+        return self.order(workspace, self._known())[: quota.LIVES]
+
+    def _known(self) -> set[str]:
+        """Name the instances of this hall that are listed or linked, this one included."""
+        names = {one.name for one in self._members() if one.hall == self._hall}
+        for name, link in self._links.up.items():
+            if link.hello is not None and link.hello.hall == self._hall:
+                names.add(name)
+        names.add(self._name)
+        return names
+
+    def _silence(self, name: str) -> float:
+        now: float = self._reactor.seconds()
+        link = self._links.up.get(name)
+        if link is not None:
+            return now - link.heard_at
+        return now - self._lost_at.get(name, self._started_at)
+
+    def _on_down(self, name: str) -> None:
+        now = self._reactor.seconds()
+        oldest = now - quota.TAKEOVER_SECONDS
+        self._lost_at = {other: at for other, at in self._lost_at.items() if at > oldest}
+        self._lost_at[name] = now
--- /dev/null
+++ b/src/lineworks/forwarding/quota_view.py
@@ -0,0 +1,68 @@
+"""Shows operators the quotas: limits, who holds tokens, and whose requests were refused.
+
+Served beside the metrics, which only the instances' own network reaches.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from lineworks.http1 import server_connection
+
+if TYPE_CHECKING:
+    from lineworks.forwarding import quota_keeper
+
+PATH = b"/quotas"
+"""Path of the view (GET)."""
+
+
+def is_wanted(request: server_connection.Request) -> bool:
+    """Say whether a request is for this view.
+
+    Args:
+        request: The request.
+
+    Returns:
+        Whether its path is the view's.
+    """
+    return request.target.partition(b"?")[0] == PATH
+
+
+def answer(keeper: quota_keeper.QuotaKeeper, hall: str) -> server_connection.Answer:
+    """Answer an operator.
+
+    Args:
+        keeper: Admits requests by their quotas.
+        hall: Data hall of this instance.
+
+    Returns:
+        The view as JSON.
+    """
+    held = keeper.holder.held()
+    document = {
+        "hall": hall,
+        "limits": [
+            {
+                "workspace": name,
+                "rate": limit.rate,
+                "burst": limit.burst,
+                "holders": keeper.ranks.holders(name),
+            }
+            for name, limit in sorted(keeper.holder.limits.items())
+        ],
+        "held": [
+            {
+                "workspace": name,
+                "tokens": round(tokens, 3),
+                "share_of_rate": round(keeper.ranks.share(name), 3),
+            }
+            for name, tokens in sorted(held.items())
+        ],
+        "refusals": [
+            {"workspace": name, "reason": reason, "count": count}
+            for (name, reason), count in sorted(keeper.refusals.items())
+        ],
+    }
+    fields = [(b"Content-Type", b"application/json")]
+    return server_connection.Answer(200, fields, json.dumps(document).encode())
--- a/src/lineworks/forwarding/registration.py
+++ b/src/lineworks/forwarding/registration.py
@@ -96,6 +96,11 @@
         """Names of the instances that are listed."""
         return self._members.keys()
 
+    @property
+    def members(self) -> Collection[member.Member]:
+        """The instances that are listed."""
+        return self._members.values()
+
     def start(self) -> None:
         """Begin to register."""
         self._started_at = self._reactor.seconds()
--- a/src/lineworks/programs/_node_commands.py
+++ b/src/lineworks/programs/_node_commands.py
@@ -11,10 +11,14 @@
 SUSPECTS = "suspects"
 LIFT = "lift"
 PLACEMENT = "placement"
+QUOTAS = "quotas"
 
-COMMANDS = (SUSPECTS, LIFT, PLACEMENT)
+COMMANDS = (SUSPECTS, LIFT, PLACEMENT, QUOTAS)
 """All of them; they need no secret."""
 
+WITHOUT_ARGUMENT = (SUSPECTS, PLACEMENT, QUOTAS)
+"""Those that take no argument."""
+
 
 def call_of(arguments: list[str]) -> tuple[str, str]:
     """Tell which call carries a command out.
@@ -44,6 +48,7 @@
         SUSPECTS: lambda: _suspect_lines(reply["suspects"]),
         LIFT: lambda: f"lifted {arguments[1]}",
         PLACEMENT: lambda: _placement_lines(reply),
+        QUOTAS: lambda: _quota_lines(reply),
     }
     return writers[arguments[0]]()
 
@@ -79,3 +84,24 @@
             f"{row['share_a_second']} requests a second from here"
         )
     return "\n".join(lines)
+
+
+def _quota_lines(reply: dict[str, Any]) -> str:
+    held = {row["workspace"]: row for row in reply["held"]}
+    lines = []
+    for row in reply["limits"]:
+        holder = row["holders"][0] if row["holders"] else "nobody that is heard of"
+        lines.append(
+            f"{row['workspace']}: {row['rate']} a second and {row['burst']} besides; "
+            f"in {reply['hall']} held by {holder}"
+        )
+        mine = held.get(row["workspace"])
+        if mine is not None:
+            lines.append(
+                f"  here {mine['tokens']} tokens, {mine['share_of_rate']} of the hall's rate"
+            )
+    lines += [
+        f"refused: {row['workspace']} {row['count']} times ({row['reason']})"
+        for row in reply["refusals"]
+    ]
+    return "\n".join(lines) or "no workspace has a quota"
--- a/src/lineworks/programs/ctl.py
+++ b/src/lineworks/programs/ctl.py
@@ -28,6 +28,8 @@
     lift CONTENT   let a refused request have one careful trial, on all instances
     placement      print which routes have home regions and lack targets there, which halls are
                    evacuated, and what cold targets get, as the instance at --node knows it
+    quotas         print the quotas of workspaces, who holds their tokens in the data hall of
+                   the instance at --node, and whose requests it refused
 
 Exit codes: 0 done; 1 failed; 2 the arguments or a file cannot be used; 3 refused, and so not
 done; 4 not known whether it was done (see `settle`).
@@ -337,7 +339,7 @@
         return None if len(arguments) > 2 else "timeline takes an identity and at least one file"
     if arguments[0] == _LOSSES:
         return None if len(arguments) > 1 else "losses takes at least one file"
-    without_argument = (*_PLAIN, _node_commands.SUSPECTS, _node_commands.PLACEMENT)
+    without_argument = (*_PLAIN, *_node_commands.WITHOUT_ARGUMENT)
     wanted = 1 if arguments[0] in without_argument else 2
     if len(arguments) != wanted:
         return f"{arguments[0]} takes {wanted - 1} argument{'' if wanted == 2 else 's'}"
--- /dev/null
+++ b/src/lineworks/wire/_quota_codec.py
@@ -0,0 +1,90 @@
+"""Encodes and decodes the frames by which instances hold quotas together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from lineworks.decisions import quota
+from lineworks.wire import _base, node_frames
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_MILLIONTHS = 1_000_000
+
+_MOST_MILLIONTHS = 2**32 - 1
+
+
+def _write_ask(builder: Any, frame: node_frames.QuotaAsk, now: float) -> None:
+    body = builder.init("quotaAsk")
+    body.number = frame.number
+    body.workspace = frame.workspace
+
+
+def _read_ask(body: Any, now: float) -> node_frames.QuotaAsk:
+    return node_frames.QuotaAsk(body.number, body.workspace)
+
+
+def _write_grant(builder: Any, frame: node_frames.QuotaGrant, now: float) -> None:
+    body = builder.init("quotaGrant")
+    body.number = frame.number
+    body.decision = int(frame.decision)
+    body.retryAfter = min(_base.MAX_REMAINING, int(frame.retry_after * _base.MICROSECONDS))
+
+
+def _read_grant(body: Any, now: float) -> node_frames.QuotaGrant:
+    decision = quota.Decision(body.decision)
+    return node_frames.QuotaGrant(body.number, decision, body.retryAfter / _base.MICROSECONDS)
+
+
+def _write_return(builder: Any, frame: node_frames.QuotaReturn, now: float) -> None:
+    builder.init("quotaReturn").number = frame.number
+
+
+def _read_return(body: Any, now: float) -> node_frames.QuotaReturn:
+    return node_frames.QuotaReturn(body.number)
+
+
+def _write_pull(builder: Any, frame: node_frames.QuotaPull, now: float) -> None:
+    body = builder.init("quotaPull")
+    body.number = frame.number
+    body.workspace = frame.workspace
+    body.amount = _millionths(frame.amount)
+
+
+def _read_pull(body: Any, now: float) -> node_frames.QuotaPull:
+    return node_frames.QuotaPull(body.number, body.workspace, body.amount / _MILLIONTHS)
+
+
+def _write_share(builder: Any, frame: node_frames.QuotaShare, now: float) -> None:
+    body = builder.init("quotaShare")
+    body.number = frame.number
+    body.amount = _millionths(frame.amount)
+
+
+def _read_share(body: Any, now: float) -> node_frames.QuotaShare:
+    return node_frames.QuotaShare(body.number, body.amount / _MILLIONTHS)
+
+
+def _millionths(amount: float) -> int:
+    # Rounded down, so that no token comes into being on the way.
+    return min(_MOST_MILLIONTHS, int(amount * _MILLIONTHS))
+
+
+ENCODERS: dict[type, Callable[[Any, Any, float], None]] = {
+    node_frames.QuotaAsk: _write_ask,
+    node_frames.QuotaGrant: _write_grant,
+    node_frames.QuotaReturn: _write_return,
+    node_frames.QuotaPull: _write_pull,
+    node_frames.QuotaShare: _write_share,
+}
+"""Writers by message class: (builder of a frame, message, present)."""
+
+DECODERS: dict[str, Callable[[Any, float], Any]] = {
+    "quotaAsk": _read_ask,
+    "quotaGrant": _read_grant,
+    "quotaReturn": _read_return,
+    "quotaPull": _read_pull,
+    "quotaShare": _read_share,
+}
+"""Readers by the frame's kind: (body, present)."""
--- a/src/lineworks/wire/codec.py
+++ b/src/lineworks/wire/codec.py
@@ -12,7 +12,14 @@
 
 from lineworks.decisions import catalog, verdict
 from lineworks.engine import messages
-from lineworks.wire import _base, _gather_codec, _sharing_codec, _suspect_codec, frames
+from lineworks.wire import (
+    _base,
+    _gather_codec,
+    _quota_codec,
+    _sharing_codec,
+    _suspect_codec,
+    frames,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -299,6 +306,7 @@
     **_gather_codec.ENCODERS,
     **_sharing_codec.ENCODERS,
     **_suspect_codec.ENCODERS,
+    **_quota_codec.ENCODERS,
 }
 
 _DECODERS: dict[str, Callable[[Any, float], frames.Frame]] = {
@@ -316,4 +324,5 @@
     **_gather_codec.DECODERS,
     **_sharing_codec.DECODERS,
     **_suspect_codec.DECODERS,
+    **_quota_codec.DECODERS,
 }
--- a/src/lineworks/wire/frames.py
+++ b/src/lineworks/wire/frames.py
@@ -146,5 +146,10 @@
     | node_frames.CreditShare
     | node_frames.TargetReports
     | node_frames.SuspectReports
+    | node_frames.QuotaAsk
+    | node_frames.QuotaGrant
+    | node_frames.QuotaReturn
+    | node_frames.QuotaPull
+    | node_frames.QuotaShare
 )
 """Everything that travels on a peer link."""
--- a/src/lineworks/wire/node_frames.py
+++ b/src/lineworks/wire/node_frames.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from lineworks.decisions import evacuations, positions, suspects, target_evidence
+    from lineworks.decisions import evacuations, positions, quota, suspects, target_evidence
 
 
 class Failure(enum.IntEnum):
@@ -208,3 +208,61 @@
 
     version: int
     """Version in force at the sender."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaAsk:
+    """Asks the holder of a workspace's tokens for one."""
+
+    number: int
+    """Number of this message, unique for the sending process."""
+
+    workspace: str
+    """Name of the workspace."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaGrant:
+    """A holder's answer."""
+
+    number: int
+    """Number of the `QuotaAsk`."""
+
+    decision: quota.Decision
+    """What it is."""
+
+    retry_after: float = 0.0
+    """Seconds after which the caller may ask again, where there is no token."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaReturn:
+    """Gives back the token of a request that certainly did not run."""
+
+    number: int
+    """Number of the `QuotaAsk` that it was granted for."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaPull:
+    """Asks the holder in another data hall for tokens."""
+
+    number: int
+    """Number of this message, unique for the sending process."""
+
+    workspace: str
+    """Name of the workspace."""
+
+    amount: float
+    """Tokens wanted at most, fractions included."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaShare:
+    """Hands tokens over; the sender has none of them any more."""
+
+    number: int
+    """Number of the `QuotaPull`."""
+
+    amount: float
+    """Tokens, fractions included."""
--- a/src/lineworks/wire/peer.capnp
+++ b/src/lineworks/wire/peer.capnp
@@ -27,6 +27,11 @@
     creditShare @20 :CreditShare;
     targetReports @21 :TargetReports;
     suspectReports @22 :SuspectReports;
+    quotaAsk @23 :QuotaAsk;
+    quotaGrant @24 :QuotaGrant;
+    quotaReturn @25 :QuotaReturn;
+    quotaPull @26 :QuotaPull;
+    quotaShare @27 :QuotaShare;
   }
 }
 
@@ -171,3 +176,15 @@
   flags @7 :List(UInt8);
   attempts @8 :List(Text);
 }
+
+struct QuotaAsk { number @0 :UInt64; workspace @1 :Text; }
+
+# Decisions as in decisions/quota.py.
+struct QuotaGrant { number @0 :UInt64; decision @1 :UInt8; retryAfter @2 :UInt32; }
+
+struct QuotaReturn { number @0 :UInt64; }
+
+# Millionths of a token.
+struct QuotaPull { number @0 :UInt64; workspace @1 :Text; amount @2 :UInt32; }
+
+struct QuotaShare { number @0 :UInt64; amount @1 :UInt32; }
