Fair shares: those that wait for room are tried in one order, shared between workspaces

Cause: whoever looks first after a slot frees gets it; a workspace that sends most gets most.

Change: decisions/fair_shares.py ranks what waits (in time, workspace served clearly less often than all, priority with ageing, least got, arrival); forwarding/waiting_line.py tries all that wait at a front or gatherer in that order, and newcomers don't pass. A workspace that spent far more than an equal part of a service's extra attempts leaves the last of them to others. On only where the configuration has workspaces. What is given up before a connection was open is known not to have run.

--- a/src/lineworks/forwarding/attempts.py
+++ b/src/lineworks/forwarding/attempts.py
@@ -21,6 +21,12 @@
 GIVEN_UP = verdict.may_have_run(verdict.Reason.CANCELLED, "given up")
 """End of an attempt that was given up: its target hears of that later, or not at all."""
 
+UNDER_WAY = verdict.may_have_run(verdict.Reason.CANCELLED, "under way")
+"""What holds of an attempt that has not ended."""
+
+UNSENT = verdict.not_run(verdict.Reason.UNREACHABLE, "given up before a connection was open")
+"""End of an attempt that was given up before anything of it was handed to a connection."""
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Attempt:
@@ -35,8 +41,9 @@
     is_hedge: bool = False
     """Whether it was made beside a slow one."""
 
-    cancel: Callable[[], None] | None = None
-    """Cancels an attempt that went straight to its target."""
+    cancel: Callable[[], bool] | None = None
+    """Cancels an attempt that went straight to its target, and says whether nothing of it was
+    handed to any connection."""
 
     end: verdict.Verdict | None = None
     """How it ended, or None while it is under way."""
@@ -63,6 +70,28 @@
         return not self.is_direct or self.state.hall != hall
 
 
+def give_up(attempt: Attempt) -> None:
+    """Give up an attempt that went straight to its target, and note whether it may have run.
+
+    Args:
+        attempt: The attempt; one through a gatherer is left alone.
+    """
+    if attempt.cancel is not None:
+        attempt.end = UNSENT if attempt.cancel() else GIVEN_UP
+
+
+def certainty(made: Iterable[Attempt]) -> verdict.Certainty:
+    """Say whether a request ran.
+
+    Args:
+        made: All attempts so far.
+
+    Returns:
+        What is known by their ends; one under way may have run.
+    """
+    return verdict.combine([one.end or UNDER_WAY for one in made])
+
+
 def known_targets(made: Iterable[Attempt]) -> frozenset[str]:
     """Name the targets that are known to have been sent a request.
 
--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -98,6 +98,7 @@
             table: The configuration.
         """
         self._table = table
+        self._shared.line.is_fair = table.workspaces.is_used
         self._turns.forget_absent(table.routes)
 
     def go_on(self) -> None:
@@ -241,6 +242,7 @@
             deadline=deadline,
             is_repeatable=route.is_repeatable,
             content=content,
+            workspace=accessed.workspace.name if accessed.workspace is not None else "",
         )
         work: search.Search | single.SingleRequest
 
--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -13,8 +13,8 @@
 import functools
 from typing import TYPE_CHECKING, Any
 
-from lineworks.decisions import mechanisms, parts, verdict
-from lineworks.forwarding import answers, target_calls
+from lineworks.decisions import fair_shares, mechanisms, parts, verdict
+from lineworks.forwarding import answers, target_calls, waiting_line
 from lineworks.kernel import bounded_log
 from lineworks.platform import headers
 from lineworks.wire import node_frames
@@ -48,7 +48,7 @@
     query: node_frames.GatherQuery
     reply: Callable[[node_frames.GatherParts], None]
     call: target_calls.TargetCall
-    running: dict[int, Callable[[], None]] = dataclasses.field(default_factory=dict)
+    running: dict[int, Callable[[], bool]] = dataclasses.field(default_factory=dict)
     waiting: list[int] = dataclasses.field(default_factory=list)
     look: Any = None
     ready: list[parts.Part] = dataclasses.field(default_factory=list)
@@ -58,6 +58,9 @@
     flush: Any = None
     timeout: Any = None
     is_flushed: bool = False
+    claim: fair_shares.Claim | None = None
+    """Its place where room is shared between workspaces; None where everybody looks for itself."""
+    leave_line: Callable[[], None] = lambda: None
     has_broken: bool = False
     has_answer: bool = False
     first: tuple[bytes, ...] | None = None
@@ -100,6 +103,7 @@
         self._book = book
         self._calls = calls
         self._jobs: dict[tuple[str, int], _Job] = {}
+        self._line = waiting_line.WaitingLine(reactor)
         self._log = bounded_log.BoundedLog(reactor, "gatherer", FAILURES_PER_SECOND)
 
     @property
@@ -118,8 +122,9 @@
         jobs = list(self._jobs.items())
         for key, job in jobs:
             for shard, stop in job.running.items():
-                stop()
-                job.failed[shard] = node_frames.Failure.MAY_HAVE_RUN
+                is_unsent = stop()
+                failure = node_frames.Failure
+                job.failed[shard] = failure.NOT_SENT if is_unsent else failure.MAY_HAVE_RUN
             job.running.clear()
             job.failed.update(dict.fromkeys(job.waiting, node_frames.Failure.NOT_SENT))
             job.waiting.clear()
@@ -144,7 +149,9 @@
             query.head, query.body, query.attempt, query.deadline, is_repeatable=True
         )
         is_merging = self._merges and query.flush_at > now
-        job = _Job(origin, query, reply, call, is_merging=is_merging)
+        self._line.is_fair = query.is_fair
+        claim = self._claim(query, now) if query.is_fair else None
+        job = _Job(origin, query, reply, call, is_merging=is_merging, claim=claim)
         key = (origin, query.number)
         self._jobs[key] = job
         for shard in range(len(query.services)):
@@ -160,20 +167,39 @@
         else:
             self._close(key)
 
-    def _place(self, key: tuple[str, int], job: _Job, shard: int, now: float) -> None:
-        """Ask a target of a shard; wait for room until the front looks at what is late."""
+    def _claim(self, query: node_frames.GatherQuery, now: float) -> fair_shares.Claim:
+        usual = max(map(self._book.service_time, query.services))
+        return fair_shares.Claim(query.workspace, query.priority, now, query.due - usual)
+
+    def _is_behind(self, job: _Job, service: str) -> bool:
+        return job.claim is not None and self._line.is_behind(job.claim, (service,))
+
+    def _place(
+        self, key: tuple[str, int], job: _Job, shard: int, now: float, is_turn: bool = False
+    ) -> None:
+        """Ask a target of a shard; wait for room until the front looks at what is late.
+
+        Args:
+            key: Key of the job.
+            job: The job.
+            shard: Position of the shard.
+            now: The present, in seconds.
+            is_turn: Whether those that go before it have looked for room already.
+        """
         service = job.query.services[shard]
         state = None
-        if not job.holds:
+        may_wait = now + ROOM_PAUSE < job.query.flush_at
+        is_next = is_turn or not may_wait or not self._is_behind(job, service)
+        if is_next and not job.holds:
             state = self._book.choose_in(self._hall, service, now, not job.is_merging)
         if state is not None:
+            self._line.note_served(job.query.workspace)
             on_end = functools.partial(self._on_end, key, shard, state.id)
             job.running[shard] = self._calls.send(state, job.call, on_end)
-        elif now + ROOM_PAUSE < job.query.flush_at and self._book.is_full_in(
-            self._hall, service, now
-        ):
+        elif may_wait and self._book.is_full_in(self._hall, service, now):
             job.waiting.append(shard)
         else:
+            self._line.note_refused(job.query.workspace)
             job.failed[shard] = node_frames.Failure.NOT_SENT
             detail = self._book.describe(service, now)
             found = verdict.not_run(verdict.Reason.NO_REPLICA, detail)
@@ -181,8 +207,14 @@
 
     def _look_again(self, key: tuple[str, int], job: _Job) -> None:
         job.look = None
-        if job.waiting:
-            job.look = self._reactor.callLater(ROOM_PAUSE, self._on_look, key)
+        if not job.waiting:
+            return
+        look = functools.partial(self._on_look, key)
+        if job.claim is not None:
+            services = [job.query.services[shard] for shard in job.waiting]
+            job.leave_line = self._line.wait(job.claim, services, look)
+        else:
+            job.look = self._reactor.callLater(ROOM_PAUSE, look)
 
     def _on_look(self, key: tuple[str, int]) -> None:
         """Look for room for the shards that wait for it."""
@@ -190,7 +222,7 @@
         now = self._reactor.seconds()
         waiting, job.waiting = job.waiting, []
         for shard in waiting:
-            self._place(key, job, shard, now)
+            self._place(key, job, shard, now, is_turn=True)
         self._look_again(key, job)
         if not job.is_open:
             self._finish(key)
@@ -317,6 +349,7 @@
 
     def _close(self, key: tuple[str, int]) -> None:
         job = self._jobs.pop(key)
+        job.leave_line()
         for timer in (job.flush, job.look, job.timeout):
             if timer is not None and timer.active():
                 timer.cancel()
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -30,6 +30,7 @@
     target_calls,
     target_learning,
     tools,
+    waiting_line,
 )
 from lineworks.http1 import server_connection
 from lineworks.kernel import bounded_log, listening, loop_delay, registry
@@ -148,6 +149,7 @@
             tools.HedgeTimes(),
             self._counters,
             bounded_log.BoundedLog(reactor, "hedges", tools.HEDGE_LINES_PER_SECOND),
+            waiting_line.WaitingLine(reactor, self._rng.random),
             without,
         )
         self._request_log = request_log.RequestLog(reactor, self._metrics)
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -12,7 +12,7 @@
 import functools
 from typing import TYPE_CHECKING, Any
 
-from lineworks.decisions import mechanisms, parts, verdict
+from lineworks.decisions import fair_shares, mechanisms, parts, verdict
 from lineworks.forwarding import (
     attempts,
     extra_keeper,
@@ -95,11 +95,16 @@
         )
         self._timers: list[Any] = []
         self._is_late = False
-        self._hedges = search_hedges.SearchHedges(shared, route, self._shards, self._parts)
-        self._certainties: list[verdict.Verdict] = []
+        self._sent.due = due
+        self._hedges = search_hedges.SearchHedges(
+            shared, route, self._shards, self._parts, call.workspace
+        )
         self._failures: list[str] = []
         self._held: list[int] = []
         self._given_up: set[int] = set()
+        usual = max(map(shared.book.service_time, route.shards), default=0.0)
+        self._claim = fair_shares.Claim(call.workspace, route.priority, arrived, due - usual)
+        self._leave_line: Callable[[], None] = lambda: None
 
     def start(self) -> None:
         """Send the first attempts."""
@@ -108,7 +113,10 @@
         for shard in self._shards:
             shared.extra.note_request(shard.service, now)
         self._set_timer(self._call.deadline - now, self._on_deadline)
-        self._begin()
+        if shared.line.is_behind(self._claim, self._route.shards):
+            self._wait_for_room()
+        else:
+            self._begin()
 
     def _begin(self) -> None:
         """Send the first attempts once enough shards have a target with room, or refuse."""
@@ -125,6 +133,8 @@
         if open_shards + len(self._parts.covered) < self._needed:
             self._wait_or_refuse(open_shards, now)
             return
+        if not self._sent.count:
+            shared.line.note_served(self._call.workspace)
         if self._care.is_trial:
             self._begin_trial(chosen, now)
             return
@@ -163,12 +173,26 @@
         """Wait a little for targets with room; a search that can't succeed loads no target."""
         reachable = sum(1 for shard in self._shards if self._has_any(shard))
         may_wait = mechanisms.Mechanism.ROOM_WAIT not in self._shared.without
+        line = self._shared.line
+        if line.is_fair and not self._claim.can_be_in_time(now):
+            may_wait = False
         last = self._arrived + WAIT_SHARE * self._route.aim - ROOM_PAUSE
         if may_wait and reachable >= self._needed and now < min(last, self._call.deadline):
-            self._set_timer(ROOM_PAUSE, self._begin)
+            self._wait_for_room()
             return
+        if not self._sent.count:
+            line.note_refused(self._call.workspace)
         detail = f"{open_shards} of {len(self._shards)} shards have a target with room"
-        self._finish_without(outcome.no_target(self._route, detail))
+        found = outcome.no_target(self._route, detail)
+        self._finish_without(found, line.retry_after(outcome.RETRY_AFTER))
+
+    def _wait_for_room(self) -> None:
+        """Look again soon: in its turn where room is shared between workspaces."""
+        line = self._shared.line
+        if line.is_fair:
+            self._leave_line = line.wait(self._claim, self._route.shards, self._begin)
+        else:
+            self._set_timer(ROOM_PAUSE, self._begin)
 
     def _has_any(self, shard: search_state.Shard) -> bool:
         return self._shared.book.has_any(shard.service, self._route.homes)
@@ -185,6 +209,7 @@
         if len(self._parts.covered) >= self._needed:
             self._finish()
         else:
+            self._sent.give_up_calls()
             self._end(outcome.refuse(self.known(), self._sent.count, outcome.STOP_RETRY_AFTER))
 
     def cancel(self) -> None:
@@ -215,7 +240,7 @@
             shard = self._shards[index]
             if state is None:
                 self._on_unreachable(index)
-            elif shard.sent and not is_hedge and not self._shared.may_spend(shard.service, now):
+            elif shard.sent and not is_hedge and not self._may_retry(shard, now):
                 self._on_no_budget(index)
             elif shard.was_sent_to(state.id):
                 # A gatherer might choose another target, one more than the route allows.
@@ -230,6 +255,9 @@
         if near:
             self._sent.ask_own_hall(near, now, is_hedge)
 
+    def _may_retry(self, shard: search_state.Shard, now: float) -> bool:
+        return self._shared.may_spend(shard.service, now, workspace=self._call.workspace)
+
     def _choose(self, shard: search_state.Shard, now: float) -> target_state.TargetState | None:
         return shard.choose(self._shared.book, self._route, now)
 
@@ -267,7 +295,6 @@
         """Deal with an attempt that failed: try elsewhere, or wait for another one."""
         if self._on_end is None:
             return
-        self._certainties.append(found)
         shard = self._shards[index]
         self._failures.append(f"{shard.service} {found.reason.value}: {found.detail}")
         if self._care.is_trial:
@@ -356,7 +383,10 @@
             shard.asks += 1
             shard.is_waiting = True
             on_reply = functools.partial(self._on_retry, index)
-            self._shared.keeper.ask((shard.service,), False, on_reply)
+            now = self._shared.reactor.seconds()
+            # Like a hedge it then leaves a part to the retries of others.
+            leaves_last = self._shared.spent_far_more(shard.service, now, self._call.workspace)
+            self._shared.keeper.ask((shard.service,), leaves_last, on_reply)
         else:
             self._give_up(index)
 
@@ -403,7 +433,11 @@
             self._finish()
             return
         detail = f"{len(self._parts.covered)} of {len(self._shards)} shards in time"
-        self._finish_without(verdict.may_have_run(verdict.Reason.DEADLINE, detail))
+        # A call that still waits for its connection has reached nobody: callers of a search that
+        # reached no target were told that it may have run.
+        self._sent.give_up_calls()
+        known = self._what_is_known()
+        self._finish_without(verdict.Verdict(known.certainty, verdict.Reason.DEADLINE, detail))
 
     def _check(self) -> None:
         """Answer as soon as waiting any longer brings nothing."""
@@ -422,12 +456,7 @@
 
     def _what_is_known(self) -> verdict.Verdict:
         detail = f"{len(self._parts.covered)} of {len(self._shards)} shards answered"
-        certainty = verdict.combine(self._certainties)
-        is_running = any(shard.running for shard in self._shards)
-        if self._parts.covered:
-            certainty = verdict.Certainty.RAN
-        elif is_running and certainty is verdict.Certainty.NOT_RUN:
-            certainty = verdict.Certainty.MAY_HAVE_RUN
+        certainty = attempts.certainty(one for shard in self._shards for one in shard.made)
         return verdict.Verdict(certainty, verdict.Reason.COVERAGE, detail)
 
     def _finish(self) -> None:
@@ -438,8 +467,8 @@
             self._shared.counters.partial += 1
         self._end(outcome.Outcome(answer, verdict.OK, self._sent.count))
 
-    def _finish_without(self, found: verdict.Verdict) -> None:
-        self._end(outcome.refuse(found, self._sent.count))
+    def _finish_without(self, found: verdict.Verdict, retry_after: float | None = None) -> None:
+        self._end(outcome.refuse(found, self._sent.count, retry_after))
 
     def _end(self, found: outcome.Outcome) -> None:
         on_end = self._on_end
@@ -470,4 +499,5 @@
             if timer.active():
                 timer.cancel()
         self._timers.clear()
+        self._leave_line()
         self._sent.stop()
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -78,6 +78,8 @@
         """Attempts made so far."""
         self.hedge_at = 0.0
         """When attempts through gatherers are looked at, in seconds."""
+        self.due = 0.0
+        """When the answer must leave to be in time, in seconds."""
 
     def ask_halls(self, wanted: list[int], now: float, is_hedge: bool) -> None:
         """Send attempts to as few other halls as will do, the best covered first.
@@ -188,6 +190,10 @@
             floor=b"" if without_floor else self._floor(),
             deadline=self._call.deadline - way / 2,
             flush_at=now if is_hedge else self.hedge_at - way - FLUSH_LEAD,
+            is_fair=shared.line.is_fair,
+            workspace=self._call.workspace,
+            priority=self._route.priority,
+            due=self.due - way / 2,
         )
         on_parts = functools.partial(self._on_parts, number)
         on_lost = functools.partial(self._on_gatherer_lost, number)
@@ -359,9 +365,8 @@
         now = self._shared.reactor.seconds()
         for attempt in running:
             attempt.end = attempts.GIVEN_UP
-            if attempt.cancel is not None:
-                attempt.cancel()
-            elif attempt.query:
+            attempts.give_up(attempt)
+            if attempt.query:
                 self._shared.book.note_given_up(attempt.state, now, now - attempt.started)
                 self._shared.gatherers.cancel(attempt.query, (attempt.position,))
                 self._close_query_if_over(attempt.query)
@@ -375,13 +380,17 @@
         del self._queries[number]
         self._shared.gatherers.close(number, None)
 
+    def give_up_calls(self) -> None:
+        """Cancel the attempts that went straight to targets, and note which reached none."""
+        for shard in self._shards:
+            for attempt in shard.running:
+                attempts.give_up(attempt)
+            shard.running = [one for one in shard.running if one.query]
+
     def stop(self) -> None:
         """Cancel all attempts; nothing is reported any more."""
         self._is_over = True
-        for shard in self._shards:
-            for attempt in shard.running:
-                if attempt.cancel is not None:
-                    attempt.cancel()
+        self.give_up_calls()
         for number, tries in self._queries.items():
             open_positions = tuple(
                 attempt.position
--- a/src/lineworks/forwarding/search_hedges.py
+++ b/src/lineworks/forwarding/search_hedges.py
@@ -47,6 +47,7 @@
         route: routes.Route,
         shards: Sequence[search_state.Shard],
         found: parts.PartSet,
+        workspace: str = "",
     ) -> None:
         """Start with nothing due.
 
@@ -55,11 +56,13 @@
             route: The route.
             shards: The search's shards.
             found: The parts that are in.
+            workspace: Workspace that it is for; empty for none.
         """
         self._shared = shared
         self._route = route
         self._shards = shards
         self._found = found
+        self._workspace = workspace
         self._needed = parts.needed(len(shards), route.least_share)
         self._began = 0.0
         self._aim_at = 0.0
@@ -185,8 +188,11 @@
         if is_enough and now + book.least(state) > self._aim_at:
             shard.not_hedged = search_state.NotHedged.TOO_LATE
             return None
-        if not self._shared.may_spend(shard.service, now, extra_attempts.KEPT_FROM_HEDGES):
+        kept = extra_attempts.KEPT_FROM_HEDGES
+        if not self._shared.may_spend(shard.service, now, kept, self._workspace):
             shard.not_hedged = search_state.NotHedged.NO_BUDGET
+            if self._shared.spent_far_more(shard.service, now, self._workspace):
+                return None
             if shard.asks < extra_keeper.MOST_ASKS or self._is_lacking:
                 self._lacking.append(shard.service)
             return None
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -10,7 +10,7 @@
 import functools
 from typing import TYPE_CHECKING, Any
 
-from lineworks.decisions import mechanisms, verdict
+from lineworks.decisions import fair_shares, mechanisms, verdict
 from lineworks.forwarding import answers, attempts, extra_keeper, outcome, target_calls
 from lineworks.http1 import fields as http_fields
 from lineworks.http1 import server_connection
@@ -74,6 +74,13 @@
         self._failures: list[str] = []
         self._failure: client_connection.Response | None = None
         self._target = ""
+        self._claim = fair_shares.Claim(
+            call.workspace,
+            route.priority,
+            arrived,
+            arrived + route.aim - shared.book.service_time(service),
+        )
+        self._leave_line: Callable[[], None] = lambda: None
 
     def start(self) -> None:
         """Send the first attempt."""
@@ -81,7 +88,10 @@
         now = shared.reactor.seconds()
         shared.extra.note_request(self._service, now)
         self._set_timer(self._call.deadline - now, self._on_deadline)
-        self._place()
+        if shared.line.is_behind(self._claim, (self._service,)):
+            self._wait_for_room()
+        else:
+            self._place()
         is_hedged = mechanisms.Mechanism.READ_HEDGES not in shared.without
         if is_hedged and self._route.is_repeatable:
             delay = shared.hedges.delay(self._route.name, False, self._route.aim)
@@ -91,9 +101,7 @@
         """Tell what is known of the request while it is under way."""
         count = len(self._made)
         detail = f"{count} attempts, {len(self._running)} of them not answered"
-        if self._running:
-            return verdict.may_have_run(verdict.Reason.LEAVING, detail)
-        return verdict.Verdict(verdict.combine(self._known), verdict.Reason.LEAVING, detail)
+        return verdict.Verdict(attempts.certainty(self._made), verdict.Reason.LEAVING, detail)
 
     def end(self) -> None:
         """Answer with what is known, because the process ends."""
@@ -102,6 +110,7 @@
         if self._failure is not None and not self._running:
             self._pass_back(self._failure, self._known[-1])
             return
+        self._give_up_running()
         found = outcome.refuse(self.known(), len(self._made), outcome.STOP_RETRY_AFTER)
         self._end(found)
 
@@ -129,21 +138,40 @@
         if state is not None:
             self._send(state, now, is_hedge=False)
         elif self._may_wait(now):
-            self._set_timer(ROOM_PAUSE, self._place)
+            self._wait_for_room()
         else:
-            detail = f"no target has room: {self._shared.book.describe(self._service, now)}"
-            found = outcome.no_target(self._route, detail)
-            self._finish_without(found.reason, found.detail)
+            self._refuse_for_room(now)
+
+    def _refuse_for_room(self, now: float) -> None:
+        shared = self._shared
+        if not self._made:
+            shared.line.note_refused(self._call.workspace)
+        detail = f"no target has room: {shared.book.describe(self._service, now)}"
+        found = outcome.no_target(self._route, detail)
+        pause = shared.line.retry_after(outcome.RETRY_AFTER)
+        self._finish_without(found.reason, found.detail, pause)
+
+    def _wait_for_room(self) -> None:
+        """Look again soon: in its turn where room is shared between workspaces."""
+        line = self._shared.line
+        if line.is_fair:
+            self._leave_line = line.wait(self._claim, (self._service,), self._place)
+        else:
+            self._set_timer(ROOM_PAUSE, self._place)
 
     def _may_wait(self, now: float) -> bool:
         if mechanisms.Mechanism.ROOM_WAIT in self._shared.without:
             return False
+        if self._shared.line.is_fair and not self._claim.can_be_in_time(now):
+            return False
         if not self._has_any():
             return False
         last = self._arrived + WAIT_SHARE * self._route.aim - ROOM_PAUSE
         return now < min(last, self._call.deadline)
 
     def _send(self, state: target_state.TargetState, now: float, is_hedge: bool) -> None:
+        if not self._made:
+            self._shared.line.note_served(self._call.workspace)
         attempt = attempts.Attempt(state, now, is_hedge)
         self._made.append(attempt)
         self._running.append(attempt)
@@ -218,14 +246,18 @@
         is_free = mechanisms.Mechanism.FREE_RETRIES not in shared.without
         if is_free and not answers.was_sent(last):
             return True
-        return shared.may_spend(self._service, shared.reactor.seconds())
+        now = shared.reactor.seconds()
+        return shared.may_spend(self._service, now, workspace=self._call.workspace)
 
     def _may_ask(self) -> bool:
         return self._asks < extra_keeper.MOST_ASKS
 
     def _ask_for_extra(self, on_reply: Callable[[], None]) -> None:
         self._asks += 1
-        self._shared.keeper.ask((self._service,), False, on_reply)
+        now = self._shared.reactor.seconds()
+        # Like a hedge it then leaves a part to the retries of others.
+        leaves_last = self._shared.spent_far_more(self._service, now, self._call.workspace)
+        self._shared.keeper.ask((self._service,), leaves_last, on_reply)
 
     def _on_retry_granted(self, last: verdict.Verdict) -> None:
         """Go on after an extra attempt was asked for."""
@@ -243,7 +275,7 @@
         state = self._choose(now)
         if state is None:
             return
-        if not shared.may_spend(self._service, now):
+        if not shared.may_spend(self._service, now, workspace=self._call.workspace):
             if self._may_ask():
                 self._ask_for_extra(self._on_hedge)
             return
@@ -255,7 +287,9 @@
         if self._on_end is None:
             return
         if self._made:
-            found = verdict.may_have_run(verdict.Reason.DEADLINE, "no answer in time")
+            self._give_up_running()
+            certainty = attempts.certainty(self._made)
+            found = verdict.Verdict(certainty, verdict.Reason.DEADLINE, "no answer in time")
             self._end(outcome.refuse(found, len(self._made)))
         else:
             self._finish_without(verdict.Reason.OVERLOADED, "no target had room in time")
@@ -273,10 +307,12 @@
         answer = server_connection.Answer(response.status, passed, response.body)
         self._end(outcome.Outcome(answer, found, len(self._made), target=self._target))
 
-    def _finish_without(self, reason: verdict.Reason, detail: str) -> None:
+    def _finish_without(
+        self, reason: verdict.Reason, detail: str, retry_after: float | None = None
+    ) -> None:
         certainty = verdict.combine(self._known)
         found = verdict.Verdict(certainty, reason, detail)
-        self._end(outcome.refuse(found, len(self._made)))
+        self._end(outcome.refuse(found, len(self._made), retry_after))
 
     def _end(self, found: outcome.Outcome) -> None:
         on_end = self._on_end
@@ -305,7 +341,12 @@
             if timer.active():
                 timer.cancel()
         self._timers.clear()
+        self._leave_line()
         if cancels_attempts:
-            for attempt in self._running:
-                if attempt.cancel is not None:
-                    attempt.cancel()
+            self._give_up_running()
+
+    def _give_up_running(self) -> None:
+        """Cancel the attempts under way, and note which of them reached no connection."""
+        for attempt in self._running:
+            attempts.give_up(attempt)
+        self._running.clear()
--- a/src/lineworks/forwarding/target_calls.py
+++ b/src/lineworks/forwarding/target_calls.py
@@ -69,6 +69,9 @@
     content: str = ""
     """Fingerprint of what is asked, which other tries may share; empty where it isn't needed."""
 
+    workspace: str = ""
+    """Name of the workspace that it is served for; empty for none."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallEnd:
@@ -167,7 +170,7 @@
         state: target_state.TargetState,
         call: TargetCall,
         on_end: Callable[[CallEnd], None],
-    ) -> Callable[[], None]:
+    ) -> Callable[[], bool]:
         """Start a call.
 
         Args:
@@ -176,7 +179,8 @@
             on_end: Called once, never from inside this function, unless the call is cancelled.
 
         Returns:
-            A function that cancels the call and what the target does for it.
+            A function that cancels the call and what the target does for it. It says whether
+            nothing of the request was handed to a connection, so that it certainly did not run.
         """
         now = self._reactor.seconds()
         self.notice_silence(now)
@@ -335,19 +339,25 @@
         self._learning.on_end(exchange.state, end.verdict, end.response, now, seconds)
         on_end(end)
 
-    def _cancel(self, exchange: _Exchange) -> None:
-        """Give a call up; closing its connection makes the target drop the request."""
+    def _cancel(self, exchange: _Exchange) -> bool:
+        """Give a call up; closing its connection makes the target drop the request.
+
+        Returns:
+            Whether it was under way and waited for a connection yet, over which nothing goes now.
+        """
         if exchange.on_end is None:
-            return
+            return False
         exchange.on_end = None
         self._under_way.pop(exchange, None)
         self._kept.pop(exchange, None)
         now = self._reactor.seconds()
         exchange.state.replica.on_ended(now, is_progress=False)
         self._learning.on_given_up(exchange.state, now, now - exchange.started)
-        if exchange.connection is not None:
-            exchange.connection.abort()
-            exchange.connection = None
+        if exchange.connection is None:
+            return True
+        exchange.connection.abort()
+        exchange.connection = None
+        return False
 
     def _sweep(self) -> None:
         self._timer = self._reactor.callLater(SWEEP_SECONDS, self._sweep)
--- a/src/lineworks/forwarding/tools.py
+++ b/src/lineworks/forwarding/tools.py
@@ -5,12 +5,12 @@
 import dataclasses
 from typing import TYPE_CHECKING, Any
 
-from lineworks.decisions import estimators
+from lineworks.decisions import estimators, extra_attempts
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from lineworks.decisions import extra_attempts, mechanisms
+    from lineworks.decisions import mechanisms
     from lineworks.forwarding import (
         extra_keeper,
         gatherers,
@@ -19,6 +19,7 @@
         target_book,
         target_calls,
         target_state,
+        waiting_line,
     )
     from lineworks.kernel import bounded_log
 
@@ -145,27 +146,49 @@
     log: bounded_log.BoundedLog
     """Takes a line for each hedge."""
 
+    line: waiting_line.WaitingLine
+    """Requests that wait for room, and what each workspace got lately."""
+
     without: frozenset[mechanisms.Mechanism] = frozenset()
     """Mechanisms that are switched off."""
 
     lags: estimators.Quantiles = dataclasses.field(default_factory=estimators.Quantiles)
     """How long after their latest moment answers of searches left."""
 
-    def may_spend(self, service: str, now: float, kept: float = 0.0) -> bool:
+    def may_spend(self, service: str, now: float, kept: float = 0.0, workspace: str = "") -> bool:
         """Take one extra attempt at a service, or count that none was left.
 
         Args:
             service: The service.
             now: The present, in seconds.
             kept: Part of the allowance (0 to 1) that is left for others.
+            workspace: Workspace of the request; empty for none.
 
         Returns:
             Whether it may be sent.
         """
-        if self.extra.spend(service, now, kept):
-            return True
-        self.counters.budget_spent += 1
-        return False
+        if self.spent_far_more(service, now, workspace):
+            kept += extra_attempts.KEPT_FROM_HEDGES
+        if not self.extra.spend(service, now, kept):
+            self.counters.budget_spent += 1
+            return False
+        if self.line.is_fair:
+            self.line.shares.note_spent(workspace, service, now)
+        return True
+
+    def spent_far_more(self, service: str, now: float, workspace: str) -> bool:
+        """Say whether a workspace leaves the last extra attempts at a service to others.
+
+        Args:
+            service: The service.
+            now: The present, in seconds.
+            workspace: The workspace; empty for none.
+
+        Returns:
+            Whether room is shared between workspaces, and it spent far more than its part.
+        """
+        line = self.line
+        return line.is_fair and line.shares.spent_far_more(workspace, service, now)
 
     def log_hedges(
         self,
--- a/src/lineworks/wire/_gather_codec.py
+++ b/src/lineworks/wire/_gather_codec.py
@@ -24,6 +24,10 @@
     body.floor = frame.floor
     body.remaining = _base.remaining(frame.deadline, now)
     body.flushIn = _base.remaining(frame.flush_at, now)
+    body.isFair = frame.is_fair
+    body.workspace = frame.workspace
+    body.priority = frame.priority
+    body.dueIn = _base.remaining(frame.due, now)
 
 
 def _read_query(body: Any, now: float) -> node_frames.GatherQuery:
@@ -40,6 +44,10 @@
         floor=bytes(body.floor),
         deadline=now + body.remaining / _base.MICROSECONDS,
         flush_at=now + body.flushIn / _base.MICROSECONDS,
+        is_fair=body.isFair,
+        workspace=body.workspace,
+        priority=body.priority,
+        due=now + body.dueIn / _base.MICROSECONDS,
     )
 
 
--- a/src/lineworks/wire/node_frames.py
+++ b/src/lineworks/wire/node_frames.py
@@ -57,6 +57,18 @@
     flush_at: float
     """Time at which the parts that are in are sent, in seconds on the receiver's clock."""
 
+    is_fair: bool = False
+    """Whether room is shared between workspaces."""
+
+    workspace: str = ""
+    """Name of the workspace that it is for; empty for none."""
+
+    priority: int = 0
+    """Rank; 0 is the most urgent."""
+
+    due: float = 0.0
+    """When the parts must leave to be of use in time, in seconds on the receiver's clock."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatherParts:
--- a/src/lineworks/wire/peer.capnp
+++ b/src/lineworks/wire/peer.capnp
@@ -104,6 +104,10 @@
   floor @6 :Data;
   remaining @7 :UInt32;
   flushIn @8 :UInt32;
+  isFair @9 :Bool;
+  workspace @10 :Text;
+  priority @11 :Int32;
+  dueIn @12 :UInt32;
 }
 
 struct GatherParts {
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -82,6 +82,10 @@
     floor=st.binary(max_size=16),
     deadline=_micros,
     flush_at=_micros,
+    is_fair=st.booleans(),
+    workspace=_text,
+    priority=st.integers(-3, 1000),
+    due=_micros,
 )
 
 _position = st.builds(positions.Position, _number, _number)
@@ -148,7 +152,10 @@
         return [(row.frame, row.verdict, row.body, round(row.waited, 5)) for row in frame.replies]
     if isinstance(frame, node_frames.GatherQuery):
         return dataclasses.replace(
-            frame, deadline=round(frame.deadline, 5), flush_at=round(frame.flush_at, 5)
+            frame,
+            deadline=round(frame.deadline, 5),
+            flush_at=round(frame.flush_at, 5),
+            due=round(frame.due, 5),
         )
     if isinstance(frame, node_frames.TargetUpdate):
         return dataclasses.replace(frame, age=round(frame.age, 5))
