--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -55,6 +55,10 @@
 """Seconds that a peer may be known to have a newer configuration before it is asked for it: the
 store or the hall's reader usually bring it by then, without bytes between regions."""
 
+PULL_PAUSE = 0.5
+"""Seconds between pulls from peers at least: all peers tell of a new configuration at about the
+same time, and an answer from another region takes less."""
+
 UNSURE_SECONDS = 3.0
 """Seconds after the start, and after the store's return from an older copy, in which a peer with a
 newer configuration is asked for it at once: what the store shows may be older than what was in
@@ -110,6 +114,8 @@
         self._hold_until = 0.0
         self._ahead: str | None = None
         self._ahead_since = 0.0
+        self._newest_heard = 0
+        self._pulled_at = float("-inf")
         self._spread = rng.random() * FALLBACK_SPREAD
         self._task = task.Task("directory", self._run)
         self._refused_log = bounded_log.BoundedLog(reactor, "directory", REFUSED_PER_SECOND)
@@ -133,6 +139,11 @@
         """Version of the configuration in force; 0 for none."""
         return self._table.version if self._table is not None else 0
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether a peer is known to have a newer configuration."""
+        return self._newest_heard > self.version
+
     @property
     def age(self) -> float:
         """Seconds since the store is known to have held nothing newer; `NEVER_AGE` at first."""
@@ -173,9 +184,12 @@
         """
         if version <= self.version:
             return
+        self._newest_heard = max(self._newest_heard, version)
         if self._ahead is None:
             self._ahead_since = self._reactor.seconds()
         self._ahead = peer
+        # Now, and not after a call to the store that may be under way for a while.
+        self._pull_if_behind()
 
     def _pull_if_behind(self) -> None:
         """Ask a peer for what it has, when the store and the own hall did not bring it in time."""
@@ -183,9 +197,22 @@
             return
         now = self._reactor.seconds()
         is_unsure = self.version > 0 and now - self._unsure_since < UNSURE_SECONDS
-        if is_unsure or now - self._ahead_since >= BEHIND_SECONDS:
-            self._links.send(self._ahead, node_frames.TablePull(self.version))
-            self._ahead = None
+        # Neither the store nor the hall's reader brings it to one whose own calls fail.
+        is_cut_off = self._failures > 0 and self.age >= FALLBACK_SECONDS
+        if is_unsure or is_cut_off or now - self._ahead_since >= BEHIND_SECONDS:
+            self._pull()
+
+    def hurry(self) -> None:
+        """Ask a peer that is ahead at once, because a caller waits for what it has."""
+        self._pull()
+
+    def _pull(self) -> None:
+        now = self._reactor.seconds()
+        if self._ahead is None or now < self._pulled_at + PULL_PAUSE:
+            return
+        self._pulled_at = now
+        self._links.send(self._ahead, node_frames.TablePull(self.version))
+        self._ahead = None
 
     async def _run(self) -> None:
         while True:
