--- a/src/lineworks/decisions/mechanisms.py
+++ b/src/lineworks/decisions/mechanisms.py
@@ -33,6 +33,9 @@
     WORK_SPLIT = "work_split"
     """Several instances of a hall ask the targets of one large search."""
 
+    FAST_GATHERERS = "fast_gatherers"
+    """Instances that are much faster than others ask the targets for them."""
+
     HEDGE_FLOOR = "hedge_floor"
     """Gatherers leave out records that can't be in the answer any more."""
 
--- a/src/lineworks/decisions/work_split.py
+++ b/src/lineworks/decisions/work_split.py
@@ -8,13 +8,6 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, TypeVar
-
-if TYPE_CHECKING:
-    from collections.abc import Sequence
-
-_Item = TypeVar("_Item")
-
 MOST_TOGETHER = 45
 """Shards that one instance asks by itself where others could help: the parts of a search over 90 or
 135 shards then take as long as a third of it did. Worth of two played days on 60 instances: .201 to
@@ -33,16 +26,3 @@
     """
     wanted = -(-count // MOST_TOGETHER)
     return max(1, min(wanted, helpers))
-
-
-def divide(items: Sequence[_Item], count: int) -> list[list[_Item]]:
-    """Divide items into pieces whose sizes differ by one at most.
-
-    Args:
-        items: The items.
-        count: Pieces.
-
-    Returns:
-        The pieces.
-    """
-    return [list(items[first::count]) for first in range(count)]
--- a/src/lineworks/forwarding/gatherers.py
+++ b/src/lineworks/forwarding/gatherers.py
@@ -7,6 +7,7 @@
 import math
 from typing import TYPE_CHECKING, Any
 
+from lineworks.decisions import gather_rate
 from lineworks.wire import node_frames
 
 if TYPE_CHECKING:
@@ -29,6 +30,9 @@
     silent_at: float = -math.inf
     """When it was last known to be silent; it is passed over until it is heard of again."""
 
+    rate: float = gather_rate.UNKNOWN
+    """Shards a second that it says it can ask."""
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Order:
@@ -42,14 +46,22 @@
 class Gatherers:
     """Sends queries to gatherers and matches what comes back."""
 
-    def __init__(self, reactor: Any, links: peer_links.PeerLinks, rng: random.Random) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        links: peer_links.PeerLinks,
+        rng: random.Random,
+        own_rate: float = gather_rate.UNKNOWN,
+    ) -> None:
         """Start with nothing under way.
 
         Args:
             reactor: Twisted's reactor.
             links: Links to the other instances.
             rng: Spreads queries over the gatherers of a hall.
+            own_rate: Shards a second that this instance can ask itself.
         """
+        self._own_rate = own_rate
         self._reactor = reactor
         self._links = links
         self._rng = rng
@@ -60,8 +72,13 @@
         links.handle(node_frames.GatherParts, self._on_parts)
         links.on_down.append(self._on_down)
 
+    @property
+    def own_rate(self) -> float:
+        """Shards a second that this instance can ask itself."""
+        return self._own_rate
+
     def ranked(self, hall: str) -> list[str]:
-        """List the gatherers of a hall that are heard of, those with the least work first.
+        """List the gatherers of a hall that are heard of, those to be asked first before the rest.
 
         Args:
             hall: The hall.
@@ -69,7 +86,47 @@
         Returns:
             Their names.
         """
-        return sorted(self.able(hall), key=lambda name: (self._peer(name).open, self._rng.random()))
+        helpers = [
+            gather_rate.Helper(name, self.rate(name), self._peer(name).open)
+            for name in self.able(hall)
+        ]
+        return gather_rate.rank(helpers, self._rng.random)
+
+    def rate(self, name: str) -> float:
+        """Tell how fast a gatherer is, as far as it says.
+
+        Args:
+            name: The gatherer.
+
+        Returns:
+            Shards a second; unknown where this instance does not tell its own rate.
+        """
+        return self._peer(name).rate if self._own_rate > gather_rate.UNKNOWN else self._own_rate
+
+    def is_faster(self, name: str) -> bool:
+        """Say whether a gatherer is so much faster that work of this instance is handed to it.
+
+        Args:
+            name: The gatherer.
+        """
+        return gather_rate.is_faster(self.rate(name), self._own_rate)
+
+    def is_slow_in(self, hall: str) -> bool:
+        """Say whether a gatherer of a hall is much faster than this instance.
+
+        Args:
+            hall: The hall.
+        """
+        return any(self.is_faster(name) for name in self.able(hall))
+
+    def set_rate(self, peer: str, rate: float) -> None:
+        """Note how fast a gatherer says it is.
+
+        Args:
+            peer: The gatherer.
+            rate: Shards a second.
+        """
+        self._peer(peer).rate = rate
 
     def able(self, hall: str) -> list[str]:
         """List the other instances of a hall that are heard of and take new work.
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from lineworks.decisions import cold_targets, extra_attempts, mechanisms, routes
+from lineworks.decisions import cold_targets, extra_attempts, gather_rate, mechanisms, routes
 from lineworks.forwarding import (
     directory,
     evidence_exchange,
@@ -103,7 +103,9 @@
         )
         self._learning = target_learning.TargetLearning(reactor, self._book, self._rng)
         self._calls = target_calls.TargetCalls(reactor, self._learning)
-        self._gatherers = gatherers.Gatherers(reactor, self._links, self._rng)
+        is_rated = mechanisms.Mechanism.FAST_GATHERERS not in without
+        own_rate = settings.gather_rate if is_rated else gather_rate.UNKNOWN
+        self._gatherers = gatherers.Gatherers(reactor, self._links, self._rng, own_rate)
         self._keeper = extra_keeper.ExtraKeeper(
             reactor,
             settings.name,
@@ -354,10 +356,12 @@
             "",
             self._seen_instances,
             self._store.era.value,
+            self._gatherers.own_rate,
         )
 
     def _on_heartbeat(self, link: Any, frame: frames.Heartbeat) -> None:
         self._gatherers.set_leaving(link.hello.name, frame.is_leaving)
+        self._gatherers.set_rate(link.hello.name, frame.gather_rate)
         self._store.era.learn(frame.store_era)
         self._directory.on_peer_version(link.hello.name, frame.config_version)
         now = self._reactor.seconds()
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -8,7 +8,7 @@
 import functools
 from typing import TYPE_CHECKING
 
-from lineworks.decisions import mechanisms, parts, verdict, work_split
+from lineworks.decisions import gather_rate, mechanisms, parts, verdict, work_split
 from lineworks.forwarding import (
     answers,
     attempts,
@@ -123,9 +123,7 @@
             return
         peers = self._shared.gatherers.ranked(hall)
         count = self._pieces(len(chosen), len(peers), is_hedge)
-        for number, piece in enumerate(work_split.divide(list(chosen.items()), count)):
-            peer = peers[number] if peers else None
-            self._ask_by(peer, hall, dict(piece), now, is_hedge)
+        self._ask_each(peers[:count] or [None], hall, chosen, now, is_hedge)
 
     def ask_own_hall(
         self, chosen: dict[int, target_state.TargetState], now: float, is_hedge: bool
@@ -138,15 +136,33 @@
             is_hedge: Whether they are second attempts beside slow ones.
         """
         hall = self._shared.hall
-        is_large = len(chosen) > work_split.MOST_TOGETHER
-        peers: list[str | None] = [*self._shared.gatherers.ranked(hall)] if is_large else []
+        gatherers = self._shared.gatherers
+        is_many = len(chosen) >= gather_rate.LEAST_HANDED and not is_hedge
+        peers: list[str] = []
+        if len(chosen) > work_split.MOST_TOGETHER or (is_many and gatherers.is_slow_in(hall)):
+            peers = gatherers.ranked(hall)
         count = self._pieces(len(chosen), len(peers) + 1, is_hedge)
         # Its own piece last: the messages leave before the processor is busy with calls.
-        helpers = [*peers[: count - 1], None]
-        for peer, piece in zip(
-            helpers, work_split.divide(list(chosen.items()), count), strict=True
-        ):
-            self._ask_by(peer, hall, dict(piece), now, is_hedge)
+        helpers: list[str | None] = [*peers[: count - 1], None]
+        if count == 1 and is_many and peers and gatherers.is_faster(peers[0]):
+            helpers = [peers[0]]
+        self._ask_each(helpers, hall, chosen, now, is_hedge)
+
+    def _ask_each(
+        self,
+        helpers: Sequence[str | None],
+        hall: str,
+        chosen: dict[int, target_state.TargetState],
+        now: float,
+        is_hedge: bool,
+    ) -> None:
+        """Divide shards among gatherers of a hall; None stands for this instance."""
+        gatherers = self._shared.gatherers
+        rates = [gatherers.own_rate if name is None else gatherers.rate(name) for name in helpers]
+        pieces = gather_rate.divide(list(chosen.items()), rates)
+        for peer, piece in zip(helpers, pieces, strict=True):
+            if piece:
+                self._ask_by(peer, hall, dict(piece), now, is_hedge)
 
     def _pieces(self, count: int, helpers: int, is_hedge: bool) -> int:
         if is_hedge or mechanisms.Mechanism.WORK_SPLIT in self._shared.without:
--- a/src/lineworks/models/node_settings.py
+++ b/src/lineworks/models/node_settings.py
@@ -70,5 +70,8 @@
     revocation: access.Revocation = access.Revocation()
     """What holds for keys that were taken away while the instance heard nothing."""
 
+    gather_rate: float = 0.0
+    """Shards a second that the instance can ask for others; 0 where that is not known."""
+
     without: frozenset[mechanisms.Mechanism] = frozenset()
     """Mechanisms that are switched off, to measure what they are worth."""
--- a/src/lineworks/platform/settings.py
+++ b/src/lineworks/platform/settings.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from lineworks.decisions import cold_targets, extra_attempts
+from lineworks.decisions import cold_targets, extra_attempts, gather_rate
 from lineworks.models import node_settings
 from lineworks.platform import _fields
 
@@ -21,6 +21,8 @@
 PEER_PORT = 0
 """Offset in the machine's range of free ports at which instances talk to each other."""
 
+_MEGABIT = 1_000_000
+
 METRICS_PORT = 1
 """Offset in that range at which metrics are served."""
 
@@ -118,4 +120,14 @@
         allowance=allowance,
         cold_bound=cold_bound,
         stop_seconds=bounds.number("GraceS", 6.0, least=1.0),
+        gather_rate=_gather_rate(found.table("Limits")) if "Limits" in found else 0.0,
     )
+
+
+def _gather_rate(limits: _fields.Fields) -> float:
+    """Tell how many shards the machine can ask in a second.
+
+    Its processor is a share of one core that runs several times as fast.
+    """
+    processor = limits.number("CpuShare", 0.0) * limits.number("CpuCores", 0.0)
+    return gather_rate.rate(processor, limits.number("LinkMbps", 0.0) * _MEGABIT)
--- a/src/lineworks/wire/codec.py
+++ b/src/lineworks/wire/codec.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import pathlib
 from typing import TYPE_CHECKING, Any
 
@@ -98,6 +99,7 @@
     body.configDigest = frame.config_digest
     body.instances = frame.instances
     body.storeEra = frame.store_era
+    body.gatherRate = frame.gather_rate
 
 
 def _write_sub_queries(builder: Any, frame: messages.SubQueries, now: float) -> None:
@@ -181,7 +183,12 @@
 
 def _read_heartbeat(body: Any, now: float) -> frames.Frame:
     return frames.Heartbeat(
-        body.isLeaving, body.configVersion, body.configDigest, body.instances, body.storeEra
+        body.isLeaving,
+        body.configVersion,
+        body.configDigest,
+        body.instances,
+        body.storeEra,
+        max(0.0, body.gatherRate) if math.isfinite(body.gatherRate) else 0.0,
     )
 
 
--- a/src/lineworks/wire/frames.py
+++ b/src/lineworks/wire/frames.py
@@ -58,6 +58,9 @@
     store_era: int = 0
     """Greatest era of the platform's store that the sender knows of; 0 where it knows none."""
 
+    gather_rate: float = 0.0
+    """Shards a second that the sender can ask for others; 0 where it does not tell."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Replies:
--- a/src/lineworks/wire/peer.capnp
+++ b/src/lineworks/wire/peer.capnp
@@ -45,6 +45,7 @@
   configDigest @2 :Text;
   instances @3 :UInt32;
   storeEra @4 :UInt64;
+  gatherRate @5 :Float64;
 }
 
 struct SubQueries {
--- a/tests/test_work_split.py
+++ b/tests/test_work_split.py
@@ -8,7 +8,7 @@
 import pytest
 
 from bench import fakes
-from lineworks.decisions import mechanisms, parts, work_split
+from lineworks.decisions import gather_rate, mechanisms, parts, work_split
 from lineworks.standins import deployment
 
 MANY = 110
@@ -123,7 +123,7 @@
     items = list(range(rng.randint(0, 400)))
     helpers = rng.randint(0, 9)
     count = work_split.pieces(len(items), helpers)
-    found = work_split.divide(items, count)
+    found = gather_rate.divide(items, [gather_rate.UNKNOWN] * count)
     assert 1 <= count <= max(1, helpers)
     assert sorted(item for piece in found for item in piece) == items
     sizes = [len(piece) for piece in found]
