--- a/src/lineworks/platform/settings.py
+++ b/src/lineworks/platform/settings.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from lineworks.decisions import access, cold_targets, extra_attempts, quota
+from lineworks.decisions import access, cold_targets, extra_attempts, gather_rate, quota
 from lineworks.models import node_settings
 from lineworks.platform import _fields
 
@@ -24,6 +24,8 @@
 METRICS_PORT = 1
 """Offset in that range at which metrics are served."""
 
+_MEGABIT = 1_000_000
+
 
 class SettingsError(Exception):
     """The settings cannot be used; the message is one line that names the field."""
@@ -120,6 +122,7 @@
         quota_bound=_quota_bound(bounds),
         revocation=_revocation(bounds),
         stop_seconds=bounds.number("GraceS", 6.0, least=1.0),
+        gather_rate=_gather_rate(found.table("Limits")) if "Limits" in found else 0.0,
     )
 
 
@@ -138,3 +141,12 @@
         bounds.flag("StrictRevoke", usual.is_strict),
         bounds.number("RevokeMs", usual.seconds * 1000) / 1000,
     )
+
+
+def _gather_rate(limits: _fields.Fields) -> float:
+    """Tell how many shards the machine can ask in a second.
+
+    Its processor is a share of one core that runs several times as fast.
+    """
+    processor = limits.number("CpuShare", 0.0) * limits.number("CpuCores", 0.0)
+    return gather_rate.rate(processor, limits.number("LinkMbps", 0.0) * _MEGABIT)
