Look at the knowledge's age before asking who reads for the hall

Cause: each instance asked every 0.05 s which of its hall's instances reads the store: it listed all links and hashed the names, and only then looked at how old the knowledge is. A third of the time of 120 instances at rest went there. Change: the age first. Below the reader's interval nobody asks, above the fallback everybody does; only between the two does it matter who reads. Who asks when is as before.

--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -209,9 +209,11 @@
             return False
         if not self.is_complete:
             return True
-        if self._is_reader():
-            return self.age >= POLL_SECONDS
-        return self.age >= FALLBACK_SECONDS + self._spread
+        # First, since it is cheap: who reads is found by looking at every link.
+        age = self.age
+        if age < POLL_SECONDS:
+            return False
+        return age >= FALLBACK_SECONDS + self._spread or self._is_reader()
 
     def _is_reader(self) -> bool:
         """Say whether this instance reads the store for its hall."""
--- /dev/null
+++ b/tests/test_rest.py
@@ -0,0 +1,38 @@
+"""What instances do while nobody asks them anything."""
+
+from __future__ import annotations
+
+import collections
+
+from bench import fakes
+from lineworks.forwarding import hall_peers
+from lineworks.standins import deployment
+
+INSTANCES = 4
+"""Instances of each hall."""
+
+
+def _linked():
+    world = deployment.Deployment(fakes.VirtualClock())
+    world.add_target("billing", "akl")
+    world.configure([{"Name": "billing", "PathPrefix": "/billing/", "Service": "billing"}])
+    for hall in deployment.HALLS:
+        for number in range(INSTANCES):
+            world.add_node(f"{hall}-{number}", hall)
+    world.run(6.0)
+    return world
+
+
+def test_who_reads_for_a_hall_is_looked_up_only_when_the_knowledge_gets_old(monkeypatch):
+    """Looking at all links in each tick took a third of the time of a large fleet at rest."""
+    world = _linked()
+    lookups = collections.Counter()
+    acts_for_hall = hall_peers.acts_for_hall
+
+    def count(links, hall, own, duty):
+        lookups[own] += 1
+        return acts_for_hall(links, hall, own, duty)
+
+    monkeypatch.setattr(hall_peers, "acts_for_hall", count)
+    world.run(10.0)
+    assert 0 < sum(lookups.values()) <= 3 * len(world.nodes) * 10
