--- a/src/lineworks/standins/deployment.py
+++ b/src/lineworks/standins/deployment.py
@@ -96,6 +96,8 @@
         """Mechanisms that instances which start from now on do without."""
         self.on_start: Callable[[http_target.HttpTarget], None] = lambda target: None
         """Called with each target that starts again."""
+        self.gather_rate = 0.0
+        """Shards a second that instances which start from now on say they can ask; 0 for none."""
         self.cold_seconds = 0.0
         """Seconds that targets are cold after a start."""
         self.cold_rate = 0.0
@@ -251,6 +253,7 @@
             cold_bound=self.cold_bound,
             quota_bound=self.quota_bound,
             revocation=self.revocation,
+            gather_rate=self.gather_rate,
             without=self.without,
         )
         started = node.Node(host, settings, rng=random.Random(self.rng.getrandbits(64)))
--- /dev/null
+++ b/tests/test_gather_rate.py
@@ -0,0 +1,128 @@
+"""Instances that are much faster than others ask the targets for them."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import pytest
+
+from lineworks.decisions import gather_rate
+from tests import test_work_split
+
+FAST = gather_rate.rate(2.0, 100e6)
+SLOW = gather_rate.rate(0.4, 10e6)
+
+
+def helpers(rates, opened=()):
+    return [
+        gather_rate.Helper(f"i{number}", rate, opened[number] if opened else 0)
+        for number, rate in enumerate(rates)
+    ]
+
+
+def first_choices(rates, opened=(), draws=4000):
+    rng = random.Random(1)
+    chosen = collections.Counter()
+    for _ in range(draws):
+        chosen[gather_rate.rank(helpers(rates, opened), rng.random)[0]] += 1
+    return chosen
+
+
+def test_two_fast_instances_among_sixteen_are_asked_first_most_of_the_time():
+    chosen = first_choices([FAST] * 2 + [SLOW] * 14)
+    assert chosen["i0"] + chosen["i1"] > 0.8 * 4000
+    assert 0.8 < chosen["i0"] / chosen["i1"] < 1.25
+
+
+def test_a_fast_instance_with_much_to_do_leaves_work_to_the_others():
+    busy = first_choices([FAST] * 2 + [SLOW] * 14, [40, 40] + [0] * 14)
+    assert busy["i0"] + busy["i1"] < 0.2 * 4000
+
+
+def test_instances_that_are_alike_are_asked_by_how_little_they_do():
+    rng = random.Random(2)
+    for _ in range(50):
+        assert gather_rate.rank(helpers([SLOW] * 3, [2, 0, 1]), rng.random) == ["i1", "i2", "i0"]
+
+
+@pytest.mark.parametrize("rates", [[FAST, gather_rate.UNKNOWN], [gather_rate.UNKNOWN] * 2])
+def test_instances_of_unknown_rate_are_treated_alike(rates):
+    assert gather_rate.are_alike(rates)
+    assert not gather_rate.is_faster(*rates)
+
+
+def test_work_is_divided_so_that_all_take_about_as_long():
+    pieces = gather_rate.divide(list(range(135)), [FAST, FAST, SLOW])
+    assert sum(pieces, []) == list(range(135))
+    seconds = [len(piece) / rate for piece, rate in zip(pieces, [FAST, FAST, SLOW], strict=True)]
+    assert max(seconds) < 1.3 * min(seconds)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_every_item_goes_to_one_piece(seed):
+    rng = random.Random(seed)
+    items = list(range(rng.randint(0, 300)))
+    rates = [rng.choice([FAST, SLOW]) * rng.uniform(0.5, 2) for _ in range(rng.randint(1, 9))]
+    pieces = gather_rate.divide(items, rates)
+    assert len(pieces) == len(rates)
+    assert sorted(sum(pieces, [])) == items
+
+
+@pytest.mark.parametrize(("processor", "link"), [(0.0, 1e6), (1.0, 0.0)])
+def test_a_rate_needs_processor_and_link(processor, link):
+    assert gather_rate.rate(processor, link) == gather_rate.UNKNOWN
+
+
+def build(shards=30, halls=("akl",)):
+    world = test_work_split.deployment.Deployment(test_work_split.fakes.VirtualClock())
+    services = [f"s{number:03d}" for number in range(shards)]
+    for service in services:
+        for hall in halls:
+            world.add_target(service, hall, lambda: 0.03)
+    route = {"Name": "search", "PathPrefix": "/search/", "Fanout": services, "TopK": 50}
+    world.configure([{**route, "OldestVersion": 0.95}])
+    for number, rate in enumerate([SLOW, SLOW, FAST, SLOW]):
+        world.gather_rate = rate
+        world.add_node(f"akl-{number}", "akl")
+    world.gather_rate = SLOW
+    world.add_node("wlg-0", "wlg")
+    world.run(4.0)
+    return world
+
+
+def calls_of_searches(world, name, count=40):
+    calls = test_work_split.note_calls(world)
+    for number in range(count):
+        attempt = f"{name}-{number}"
+        reply = test_work_split.ask(world, name, attempt)
+        assert test_work_split.check(world, reply, attempt, 30) == 30
+    return sum(calls.values(), collections.Counter())
+
+
+def test_a_slow_instance_hands_searches_to_a_fast_one_of_its_hall():
+    calls = calls_of_searches(build(), "akl-0")
+    assert calls["akl-2"] > 0.8 * calls.total()
+
+
+def test_a_fast_instance_asks_by_itself():
+    assert set(calls_of_searches(build(), "akl-2", count=5)) == {"akl-2"}
+
+
+def test_an_instance_of_another_hall_asks_the_fast_one():
+    calls = calls_of_searches(build(), "wlg-0")
+    assert calls["akl-2"] > 0.8 * calls.total()
+
+
+@pytest.mark.parametrize("fault", ["kill", "freeze"])
+def test_a_search_outlives_the_fast_instance_that_asks_for_it(fault):
+    world = build(halls=("akl", "wlg"))
+    calls = test_work_split.note_calls(world)
+    number = 0
+    while not calls[f"q{number}"]["akl-2"]:
+        number += 1
+        reply = world.ask("akl-0", "/search/q", attempt=f"q{number}")
+        world.run(0.01)
+    getattr(world.host_of("akl-2"), fault)()
+    world.run(1.5)
+    assert test_work_split.check(world, reply, f"q{number}", 30) >= 29
