--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -9,6 +9,7 @@
 import pytest
 import yaml
 
+from lineworks.decisions import access, quota
 from lineworks.http1 import client_connection
 from lineworks.platform import configuration, headers, settings, target_entries
 
@@ -62,6 +63,11 @@
         ('NodeName: "edge-1"', "", "NodeName"),
         ("10.200.1.7:8102", "nowhere", "platform.Address"),
         ("RetryRatio: 0.2", "RetryRatio: many", "TimingBounds.RetryRatio"),
+        ("RetryRatio: 0.2", "QuotaWindowS: 0", "TimingBounds.QuotaWindowS"),
+        ("RetryRatio: 0.2", "QuotaExcess: -1", "TimingBounds.QuotaExcess"),
+        ("RetryRatio: 0.2", "QuotaSlack: [1]", "TimingBounds.QuotaSlack"),
+        ("RetryRatio: 0.2", 'StrictRevoke: "yes"', "TimingBounds.StrictRevoke"),
+        ("RetryRatio: 0.2", "RevokeMs: soon", "TimingBounds.RevokeMs"),
         ("[7380, 7395]", "[7380]", "PortRange"),
         ("[7380, 7395]", "[7380, 7380]", "PortRange"),
         ("ListenAddrs:", "Elsewhere:", "ListenAddrs"),
@@ -73,6 +79,16 @@
         settings.parse(SETTINGS.replace(old, new))
 
 
+def test_bounds_of_quotas_and_revocation_may_be_told_or_left_out():
+    found = settings.parse(SETTINGS)
+    assert found.quota_bound == quota.QuotaBound()
+    assert found.revocation == access.Revocation()
+    told = "QuotaWindowS: 4, QuotaExcess: 0.1, QuotaSlack: 20, StrictRevoke: true, RevokeMs: 2500"
+    found = settings.parse(SETTINGS.replace("GraceS: 6", told))
+    assert found.quota_bound == quota.QuotaBound(4.0, 0.1, 20.0)
+    assert found.revocation == access.Revocation(is_strict=True, seconds=2.5)
+
+
 def test_missing_settings_are_told():
     with pytest.raises(settings.SettingsError, match="LINEWORKS_SETTINGS"):
         settings.load({})
