--- a/src/lineworks/platform/store_items.py
+++ b/src/lineworks/platform/store_items.py
@@ -27,8 +27,8 @@
     key: str
     """The key."""
 
-    value: bytes
-    """The value."""
+    value: bytes = dataclasses.field(repr=False)
+    """The value. That of the configuration holds API keys."""
 
     position: positions.Position
     """Position of its last change."""
@@ -47,7 +47,7 @@
     position: positions.Position
     """Position of the change."""
 
-    value: bytes | None
+    value: bytes | None = dataclasses.field(repr=False)
     """The new value, or None when the key was removed."""
 
 
--- a/src/lineworks/wire/node_frames.py
+++ b/src/lineworks/wire/node_frames.py
@@ -195,8 +195,8 @@
     version: int
     """Its version."""
 
-    document: bytes
-    """The document as it lies in the store."""
+    document: bytes = dataclasses.field(repr=False)
+    """The document as it lies in the store. It holds API keys."""
 
     era: int
     """Era of the store in which it was read there."""
--- a/tests/test_api_keys.py
+++ b/tests/test_api_keys.py
@@ -7,7 +7,9 @@
 import pytest
 import structlog
 
-from lineworks.decisions import access
+from lineworks.decisions import access, positions
+from lineworks.http1 import server_connection
+from lineworks.platform import store_items
 from lineworks.platform.standins import documents
 from lineworks.standins import deployment
 from lineworks.wire import node_frames
@@ -171,6 +173,18 @@
         assert all(key.encode() not in exported for key in (NORTH, SOUTH, OTHER, "sk-old"))
 
 
+def test_no_key_stands_in_what_is_shown_of_requests_and_documents():
+    document = NORTH.encode()
+    fields = [(b"authorization", b"Bearer " + document)]
+    for shown in (
+        server_connection.Request(b"GET", b"/", fields, b"", 0.0),
+        node_frames.TableUpdate(1, document, 0),
+        store_items.Item("op/config", document, positions.ABSENT),
+        store_items.Change("op/config", positions.ABSENT, document),
+    ):
+        assert NORTH not in repr(shown)
+
+
 def test_an_added_key_is_in_force_everywhere():
     world = build()
     assert statuses(world, OTHER) == {401}
