--- a/src/lineworks/decisions/quota.py
+++ b/src/lineworks/decisions/quota.py
@@ -50,7 +50,7 @@
 """Seconds for which an instance must be silent before the next one earns in its place: by then it
 has noticed as well, if it still runs."""
 
-RATE_SECONDS = 2.0
+RATE_SECONDS = 10.0
 """Seconds over which the rate of requests is learnt."""
 
 LEAST_DEPTH = 2.0
--- a/src/lineworks/forwarding/quota_holder.py
+++ b/src/lineworks/forwarding/quota_holder.py
@@ -33,6 +33,12 @@
 MOST_PAUSE = 2.0
 """Seconds to which that pause grows while pulls go on bringing too little."""
 
+LEAST_BROUGHT = 0.1
+"""Tokens that a pull must have brought to be repeated at once."""
+
+MOST_ROUNDS = 3
+"""Times that halls are asked in one pull."""
+
 QUIET_SECONDS = 1.0
 """Seconds without a request after which a hall gives another one all that it asks for."""
 
@@ -77,8 +83,10 @@
     owing: set[str] = dataclasses.field(default_factory=set)
     pull: int = 0
     brought: float = 0.0
+    rounds: int = 0
     pause: float = LEAST_PAUSE
     may_pull_at: float = -math.inf
+    may_pull_ahead_at: float = -math.inf
 
 
 class QuotaHolder:
@@ -104,8 +112,7 @@
             bound: What all instances together may let through beyond a quota.
         """
         self._reactor = reactor
-        self._hall = hall
-        self._halls = sorted({*halls, hall})
+        self._others = sorted(set(halls) - {hall})
         self._links = links
         self._ranks = ranks
         self._bound = bound
@@ -169,10 +176,13 @@
             return None
         now = self._reactor.seconds()
         held.asked_at = held.acted_at = now
+        rate = held.rate.value(now)
         held.rate.note(now)
         if not held.waiting and held.bucket.take(now):
             self._grant(reply)
-            self._pull_ahead(workspace, held, now)
+            # A first request after a quiet time says nothing of when the next one comes.
+            if rate > 0:
+                self._pull_ahead(workspace, held, now)
             return None
         if not held.owing and now < held.may_pull_at:
             self._refuse(held, reply, now)
@@ -202,7 +212,7 @@
             held.bucket.put_back(now)
 
     def _part(self, limit: workspaces.Quota) -> quota.Part:
-        return quota.part_of(limit, self._bound, len(self._halls))
+        return quota.part_of(limit, self._bound, len(self._others) + 1)
 
     def _find(self, workspace: str) -> _Held | None:
         """Find the tokens of a workspace, or begin to hold them."""
@@ -250,56 +260,65 @@
         reply(Answer(quota.Decision.OVER, held.free_at - now))
 
     def _pull_ahead(self, workspace: str, held: _Held, now: float) -> None:
-        """Ask for tokens before they are needed, where requests come faster than they are earned.
-
-        Where the rate of requests is lower, the next one usually finds a token.
-        """
-        if held.owing or now < held.may_pull_at:
-            return
-        seconds = held.bucket.seconds_until_next(now)
-        if seconds * held.rate.value(now) > 1:
+        """Ask for tokens before they are needed."""
+        may_pull_at = max(held.may_pull_at, held.may_pull_ahead_at)
+        if not held.owing and now >= may_pull_at and self._runs_low(held, now):
             self._pull(workspace, held, now)
 
+    def _runs_low(self, held: _Held, now: float) -> bool:
+        """Say whether requests come faster than the next token, so that one would have to wait."""
+        return held.bucket.seconds_until_next(now) * held.rate.value(now) > 1
+
     def _pull(self, workspace: str, held: _Held, now: float) -> None:
-        """Ask all other halls for tokens."""
-        asked = [self._ranks.foreign_holder(workspace, hall) for hall in self._halls]
-        own = self._halls.index(self._hall)
-        names = [name for place, name in enumerate(asked) if name is not None and place != own]
+        """Ask the other halls for tokens."""
+        self.counts["pulls"] += 1
+        held.brought = 0.0
+        held.rounds = 0
+        self._ask_halls(workspace, held, now)
+
+    def _ask_halls(self, workspace: str, held: _Held, now: float) -> None:
+        """Ask each hall for a part of what is lacking."""
+        asked = [self._ranks.foreign_holder(workspace, hall) for hall in self._others]
+        names = [name for name in asked if name is not None]
         rate = held.rate.value(now)
         wanted = quota.wanted(held.bucket.tokens(now), len(held.waiting), rate)
-        number = next(self._numbers)
-        each = min(wanted, GENEROUS * wanted / max(1, len(names)))
-        frame = node_frames.QuotaPull(number, workspace, each)
+        # Asked once more, halls have less than was thought: each one gives what it can.
+        each = wanted if held.rounds else min(wanted, GENEROUS * wanted / max(1, len(names)))
+        held.rounds += 1
+        held.pull = next(self._numbers)
+        self._pulls[held.pull] = (workspace, now)
+        frame = node_frames.QuotaPull(held.pull, workspace, each)
         held.owing = {name for name in names if self._links.send(name, frame)}
-        held.pull = number
-        held.brought = 0.0
-        self.counts["pulls"] += 1
-        self._pulls[number] = (workspace, now)
         if not held.owing:
-            self._end_pull(workspace, held, now)
+            self._end_round(workspace, held, now)
             return
         until = min((waiter.until for waiter in held.waiting), default=now + PULL_WAIT)
-        self._reactor.callLater(max(0.0, until - now), self._on_pull_over, workspace, held, number)
+        wait = max(0.0, until - now)
+        self._reactor.callLater(wait, self._on_pull_over, workspace, held, held.pull)
 
     def _on_pull_over(self, workspace: str, held: _Held, number: int) -> None:
         if held.pull == number and held.owing:
             self.counts["unanswered"] += len(held.owing)
             held.owing.clear()
-            self._end_pull(workspace, held, self._reactor.seconds())
+            self._end_round(workspace, held, self._reactor.seconds())
 
-    def _end_pull(self, workspace: str, held: _Held, now: float) -> None:
-        """Refuse those whose time is over; ask once more for the others if that is of use."""
+    def _end_round(self, workspace: str, held: _Held, now: float) -> None:
+        """Ask more halls where that is needed and of use, or refuse those that still wait."""
         self._serve_waiting(held, now)
-        is_of_use = held.brought >= 1 or not held.waiting
-        if is_of_use and held.brought > 0:
-            held.pause = LEAST_PAUSE
-        else:
+        is_lacking = bool(held.waiting) or self._runs_low(held, now)
+        has_time = all(waiter.until > now for waiter in held.waiting)
+        is_of_use = held.brought >= LEAST_BROUGHT and held.rounds < MOST_ROUNDS
+        if held.waiting and has_time and is_of_use:
+            self._ask_halls(workspace, held, now)
+            return
+        if held.waiting:
             self.counts["pulls_in_vain"] += 1
             held.may_pull_at = now + held.pause
             held.pause = min(MOST_PAUSE, 2 * held.pause)
-        if is_of_use and any(waiter.until > now for waiter in held.waiting):
-            self._pull(workspace, held, now)
-            return
+        elif is_lacking:
+            held.may_pull_ahead_at = now + LEAST_PAUSE
+        if held.brought >= 1 or not held.waiting:
+            held.pause = LEAST_PAUSE
         waiting, held.waiting = held.waiting, []
         for waiter in waiting:
             self._refuse(held, waiter.reply, now)
@@ -335,7 +354,7 @@
         held.brought += frame.amount
         held.owing.discard(link.hello.name)
         if not held.owing:
-            self._end_pull(workspace, held, now)
+            self._end_round(workspace, held, now)
 
     def _on_down(self, name: str) -> None:
         now = self._reactor.seconds()
@@ -343,4 +362,4 @@
             if name in held.owing:
                 held.owing.discard(name)
                 if not held.owing:
-                    self._end_pull(workspace, held, now)
+                    self._end_round(workspace, held, now)
