--- a/src/lineworks/forwarding/quota_holder.py
+++ b/src/lineworks/forwarding/quota_holder.py
@@ -27,9 +27,12 @@
 PULL_WAIT = 0.045
 """Seconds that a request waits for tokens of other halls: two round trips between regions."""
 
-LEAST_PAUSE = 0.25
+LEAST_PAUSE = 0.1
 """Seconds after a pull that brought too little before the next one."""
 
+AHEAD_PAUSE = 0.25
+"""Seconds before tokens are asked for ahead of need again, where there were too few."""
+
 MOST_PAUSE = 2.0
 """Seconds to which that pause grows while pulls go on bringing too little."""
 
@@ -316,7 +319,7 @@
             held.may_pull_at = now + held.pause
             held.pause = min(MOST_PAUSE, 2 * held.pause)
         elif is_lacking:
-            held.may_pull_ahead_at = now + LEAST_PAUSE
+            held.may_pull_ahead_at = now + AHEAD_PAUSE
         if held.brought >= 1 or not held.waiting:
             held.pause = LEAST_PAUSE
         waiting, held.waiting = held.waiting, []
@@ -335,7 +338,7 @@
         """Take tokens for another hall from those held here, unless the own hall lacks some."""
         held = self._find(workspace) if workspace in self._limits else None
         now = self._reactor.seconds()
-        if held is None or held.waiting or now - held.refused_at < LEAST_PAUSE:
+        if held is None or held.waiting or now - held.refused_at < AHEAD_PAUSE:
             return 0.0
         held.acted_at = now
         is_quiet = now - held.asked_at > QUIET_SECONDS
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,240 @@
+"""The tokens of a quota: what a hall has of it, and that no window gets more than the bound."""
+
+from __future__ import annotations
+
+import bisect
+import math
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from lineworks.decisions import quota, workspaces
+
+BOUND = quota.QuotaBound(5.0, 0.1, 20.0)
+TIGHT = quota.QuotaBound(5.0, 0.0, 0.0)
+
+
+def part(rate, burst, bound=BOUND, halls=6):
+    return quota.part_of(workspaces.Quota(rate, burst), bound, halls)
+
+
+def test_a_small_limit_leaves_each_hall_more_than_a_token():
+    found = part(1.0, 1.0)
+    assert found.rate == pytest.approx(1 / 6)
+    assert found.depth == pytest.approx((26.6 - 5 - quota.TRANSIT_SECONDS) / 3 / 6)
+    assert found.depth > 1.1
+
+
+@pytest.mark.parametrize("bound", [BOUND, TIGHT, quota.QuotaBound(5.0, 0.0, 3.0)])
+@pytest.mark.parametrize("rate", [0.0, 0.1, 1.0, 10.0, 500.0])
+@pytest.mark.parametrize("burst", [0.0, 1.0, 50.0])
+def test_all_lives_together_stay_within_the_bound(rate, burst, bound):
+    found = part(rate, burst, bound, 1)
+    spent = quota.LIVES * found.depth + found.rate * (bound.window + quota.TRANSIT_SECONDS)
+    assert spent <= bound.most(workspaces.Quota(rate, burst)) + 1e-9
+    assert found.depth >= 0
+    assert 0 <= found.rate <= rate
+
+
+def test_without_any_excess_most_of_the_rate_is_left():
+    assert part(10.0, 10.0, TIGHT, 1).rate > 0.9 * 10
+    assert part(1.0, 1.0, TIGHT, 1).rate > 0.5
+    assert part(1.0, 1.0, TIGHT, 1).depth == pytest.approx(1.0)
+
+
+def test_a_bucket_starts_full_and_earns():
+    bucket = quota.Bucket(quota.Part(2.0, 3.0), 0.0)
+    assert [bucket.take(0.0) for _ in range(4)] == [True, True, True, False]
+    assert bucket.seconds_until_next(0.0) == pytest.approx(0.5, abs=0.01)
+    assert not bucket.take(0.4)
+    assert bucket.take(0.5)
+    assert bucket.tokens(100.0) == 3.0
+
+
+def test_a_part_of_less_than_a_token_is_filled_from_elsewhere():
+    bucket = quota.Bucket(quota.Part(0.1, 0.2), 0.0)
+    assert math.isinf(bucket.seconds_until_next(0.0))
+    assert not bucket.take(0.0)
+    for _ in range(4):
+        bucket.add(0.2, 0.0, 0.0)
+    assert bucket.take(0.0)
+    assert bucket.tokens(0.0) == pytest.approx(0.0)
+
+
+def test_moved_tokens_end_where_they_have_no_room():
+    bucket = quota.Bucket(quota.Part(0.0, 1.0), 0.0)
+    bucket.add(2.0, 0.0, 0.1)
+    assert bucket.tokens(0.1) == 3.0
+    assert bucket.tokens(quota.MOVE_SECONDS) == 1.0
+    bucket.take(1.0)
+    bucket.add(1.0, 1.0, 1.0 + quota.MOVE_SECONDS)
+    assert bucket.tokens(1.0 + quota.MOVE_SECONDS) == 0.0
+
+
+def test_what_is_given_is_gone_here():
+    bucket = quota.Bucket(quota.Part(0.0, 4.0), 0.0)
+    assert bucket.give(0.0, 10.0) == 2.0
+    assert bucket.give(0.0, 0.5) == 0.5
+    assert bucket.tokens(0.0) == 1.5
+    assert bucket.give(0.0, 10.0, 1.0) == 1.5
+    assert bucket.give(0.0, 1.0, 1.0) == 0.0
+
+
+def test_a_token_given_back_never_exceeds_the_depth():
+    bucket = quota.Bucket(quota.Part(0.0, 2.0), 0.0)
+    bucket.put_back(0.0)
+    assert bucket.tokens(0.0) == 2.0
+    bucket.take(0.0)
+    bucket.put_back(0.0)
+    assert bucket.tokens(0.0) == 2.0
+
+
+def test_a_lower_limit_cuts_the_tokens_and_a_higher_one_begins_no_new_life():
+    bucket = quota.Bucket(quota.Part(1.0, 6.0), 0.0)
+    bucket.set_part(quota.Part(0.5, 2.0), 0.0)
+    assert bucket.tokens(0.0) == 2.0
+    bucket.set_part(quota.Part(3.0, 9.0), 0.0)
+    assert bucket.tokens(0.0) == 2.0
+    assert bucket.tokens(1.0) == 5.0
+
+
+def test_a_clock_that_stands_or_is_asked_late_earns_nothing_twice():
+    bucket = quota.Bucket(quota.Part(1.0, 5.0), 0.0)
+    while bucket.take(10.0):
+        pass
+    assert not bucket.take(9.0)
+    assert not bucket.take(10.5)
+    assert bucket.take(11.0)
+
+
+def test_holders_that_are_cut_off_from_each_other_share_the_rate():
+    late = quota.TAKEOVER_SECONDS
+    assert quota.earned_share(0, math.inf, 15, 15) == 1.0
+    assert quota.earned_share(0, math.inf, 1, 15) + quota.earned_share(1, late, 14, 15) == 1.0
+    assert quota.earned_share(1, 0.0, 15, 15) == 0.0
+    assert quota.earned_share(2, late - 0.1, 14, 15) == 0.0
+
+
+HALLS = 3
+LIMIT = workspaces.Quota(4.0, 4.0)
+_places = st.integers(0, HALLS - 1)
+_seconds = st.floats(0.0, 0.6)
+_event = st.one_of(
+    st.tuples(st.just("take"), _places, st.integers(1, 8)),
+    st.tuples(st.just("pull"), _places, _places, st.floats(0, 8), _seconds),
+    st.tuples(st.just("put_back"), _places, _seconds),
+    st.tuples(st.just("restart"), _places),
+    st.tuples(st.just("set_rate"), st.sampled_from((1.0, 4.0))),
+    st.tuples(st.just("wait"), st.floats(0.0, 3.0)),
+)
+
+
+class Halls:
+    """Buckets of some halls, with messages that are late or lost, played by a list of events."""
+
+    def __init__(self, bound):
+        self.bound, self.now = bound, 0.0
+        self.buckets = [self.make(LIMIT) for _ in range(HALLS)]
+        self.births = [[] for _ in range(HALLS)]
+        self.spent = []
+        self.late = []
+
+    def make(self, limit):
+        return quota.Bucket(quota.part_of(limit, self.bound, HALLS), self.now)
+
+    def play(self, events):
+        for kind, *values in events:
+            getattr(self, kind)(*values)
+        self.wait(1.0)
+        return self.worst_excess()
+
+    def take(self, place, times):
+        for _ in range(times):
+            if self.buckets[place].take(self.now):
+                self.spent.append((self.now, self.buckets[place]))
+
+    def pull(self, place, other, amount, delay):
+        """Move tokens; a message may come late, and to a holder that is gone by then."""
+        if place != other:
+            asker, asked_at = self.buckets[place], self.now
+            given = self.buckets[other].give(self.now, amount, 1.0)
+            self.later(delay, lambda: asker.add(given, asked_at, self.now))
+
+    def put_back(self, place, delay):
+        """Give the latest token back that was spent at a hall, if it is not too late."""
+        mine = [row for row in self.spent if row[1] is self.buckets[place]]
+        if mine and self.now + delay - mine[-1][0] <= quota.RETURN_SECONDS:
+            self.spent.remove(mine[-1])
+            self.later(delay, lambda: mine[-1][1].put_back(self.now))
+
+    def restart(self, place):
+        """Begin a new life, where the window has not seen too many."""
+        lately = [at for at in self.births[place] if at > self.now - self.bound.window]
+        if len(lately) < quota.LIVES - 1:
+            self.births[place].append(self.now)
+            self.buckets[place] = self.make(LIMIT)
+
+    def set_rate(self, rate):
+        found = quota.part_of(workspaces.Quota(rate, rate), self.bound, HALLS)
+        for bucket in self.buckets:
+            bucket.set_part(found, self.now)
+
+    def wait(self, seconds):
+        end = self.now + seconds
+        while self.late and self.late[0][0] <= end:
+            self.now, _, call = self.late.pop(0)
+            call()
+        self.now = end
+
+    def later(self, delay, call):
+        self.late.append((self.now + delay, len(self.late), call))
+        self.late.sort(key=lambda item: item[:2])
+
+    def worst_excess(self):
+        """Tell by how much the fullest window is over the bound."""
+        times = sorted(at for at, _ in self.spent)
+        ends = [bisect.bisect_left(times, at + self.bound.window) for at in times]
+        fullest = max((end - first for first, end in enumerate(ends)), default=0)
+        return fullest - self.bound.most(LIMIT)
+
+
+@hypothesis.given(st.lists(_event, max_size=60), st.sampled_from((BOUND, TIGHT)))
+@hypothesis.settings(max_examples=400)
+def test_no_order_of_events_passes_the_bound_in_any_window(events, bound):
+    assert Halls(bound).play(events) <= 1e-6
+
+
+SPEND = [("take", place, 40) for place in range(HALLS)]
+ALL_LIVES = [*SPEND, *[("restart", place) for place in range(HALLS)], *SPEND] + [
+    *[("restart", place) for place in range(HALLS)],
+    *SPEND,
+]
+PULLS = [
+    event for _ in range(20) for event in (("pull", 0, 1, 8.0, 0.0), ("take", 0, 9), ("wait", 0.1))
+]
+HOARD = [("pull", 0, 1, 8.0, 0.5), ("wait", 2.0)] * 20 + ALL_LIVES
+
+
+def copy_what_is_given(monkeypatch):
+    monkeypatch.setattr(quota.Bucket, "give", lambda bucket, now, wanted, most=0.5: wanted)
+
+
+def keep_what_was_moved(monkeypatch):
+    monkeypatch.setattr(quota, "MOVE_SECONDS", 1e9)
+
+
+def fill_for_one_life(monkeypatch):
+    whole = quota.part_of(LIMIT, BOUND, HALLS)
+    deep = quota.Part(whole.rate, whole.depth * quota.LIVES)
+    monkeypatch.setattr(quota, "part_of", lambda limit, bound, halls: deep)
+
+
+@pytest.mark.parametrize(
+    ("mistake", "events"),
+    [(copy_what_is_given, PULLS), (keep_what_was_moved, HOARD), (fill_for_one_life, ALL_LIVES)],
+)
+def test_a_way_that_is_too_generous_is_found(monkeypatch, mistake, events):
+    assert Halls(BOUND).play(events) <= 0
+    mistake(monkeypatch)
+    assert Halls(BOUND).play(events) > 0
