--- /dev/null
+++ b/tests/test_quota_keeper.py
@@ -0,0 +1,294 @@
+"""Quotas over whole fleets: real holders and keepers on links in memory, 91 instances in 6 halls."""
+
+from __future__ import annotations
+
+import statistics
+
+import pytest
+
+from lineworks.decisions import quota, verdict
+from lineworks.forwarding import quota_holder, quota_keeper
+from tests import quota_fleet
+
+OVER, UNSURE = verdict.Reason.OVER_QUOTA, verdict.Reason.QUOTA_UNSURE
+HOT = "w00"
+
+
+def one_workspace(rate=10.0, sizes=quota_fleet.SIZES, burst=None):
+    return quota_fleet.Fleet(sizes, {"w": (rate, rate if burst is None else burst)})
+
+
+def holder_of(fleet, hall="b1", workspace="w"):
+    """Name the instance that holds a hall's tokens while all are there."""
+    return next(one for one in fleet.instances.values() if one.hall == hall).ranks.holders(
+        workspace
+    )[0]
+
+
+def below_the_limit(fleet, name):
+    """List refused requests before which no window had more than the limit in it."""
+    limit = fleet.workspaces[name].quota
+    events = [(at, True) for at in fleet.admitted[name]]
+    events += [(at, False) for at, _ in fleet.refused[name]]
+    tokens, last, found = limit.burst, 0.0, []
+    for at, is_admitted in sorted(events):
+        tokens, last = min(limit.burst, tokens + (at - last) * limit.rate) - 1, at
+        if tokens >= 0 and not is_admitted:
+            found.append(at)
+    return found
+
+
+def test_ten_thousand_calm_requests_are_admitted():
+    fleet, rates = quota_fleet.whole()
+    fleet.load(rates, 10_000 / quota_fleet.REQUESTS_A_SECOND)
+    refused = sum(map(len, fleet.refused.values()))
+    admitted = sum(map(len, fleet.admitted.values()))
+    assert [below_the_limit(fleet, name) for name in rates if fleet.refused[name]].count([]) == sum(
+        bool(fleet.refused[name]) for name in rates
+    )
+    # Bursts of a random load go beyond a limit now and then.
+    assert refused <= 0.002 * admitted
+    assert statistics.median(w for waits in fleet.waits.values() for w in waits) < 0.001
+    assert fleet.worst_excess() <= 0
+
+
+def test_a_hot_workspace_gets_its_limit_and_the_others_notice_nothing():
+    calm, rates = quota_fleet.whole()
+    calm.load(rates, 40.0)
+    hot, _ = quota_fleet.whole()
+    hot.load({**rates, HOT: 6 * rates[HOT]}, 40.0)
+    limit = hot.workspaces[HOT].quota
+    assert len(hot.admitted[HOT]) >= 0.95 * limit.rate * 40.0
+    assert hot.worst_excess() <= 0
+    assert {reason for _, reason in hot.refused[HOT]} == {OVER}
+    assert not any(hot.refused[name] for name in rates if name != HOT)
+
+    def median(fleet):
+        return statistics.median(w for name in rates if name != HOT for w in fleet.waits[name])
+
+    assert abs(median(hot) - median(calm)) < 0.001
+
+
+@pytest.mark.parametrize("rate", [1.0, 10.0, 50.0])
+def test_a_workspace_uses_its_whole_limit_through_one_instance(rate):
+    fleet = one_workspace(rate)
+    alone = next(iter(fleet.instances))
+    fleet.load({"w": 3 * rate}, 40.0, lambda workspace: alone)
+    assert len(fleet.admitted["w"]) >= 0.95 * rate * 40.0
+    assert fleet.worst_excess() <= 0
+
+
+def test_a_workspace_uses_its_whole_limit_in_one_hall():
+    fleet = one_workspace()
+    hall = [name for name in fleet.instances if name.startswith("p1")]
+    fleet.load({"w": 30.0}, 40.0, lambda workspace: fleet.rng.choice(hall))
+    assert len(fleet.admitted["w"]) >= 0.95 * 10.0 * 40.0
+    assert fleet.worst_excess() <= 0
+
+
+def test_nothing_travels_between_halls_for_a_workspace_far_below_its_limit():
+    fleet = one_workspace()
+    for _ in range(60):
+        fleet.ask("w", fleet.rng.choice(list(fleet.instances)))
+        fleet.run(1.0)
+    assert len(fleet.admitted["w"]) == 60
+    assert fleet.messages["between halls"] == 0
+    assert max(fleet.waits["w"]) < 0.001
+
+
+def test_nothing_at_all_happens_without_a_limit():
+    fleet = quota_fleet.Fleet((2, 2, 2, 2, 2, 2), {"w": None})
+    fleet.load({"w": 50.0}, 2.0)
+    assert not fleet.refused["w"]
+    assert not fleet.messages
+    assert not any(one.holder.held() for one in fleet.instances.values())
+    assert not any(one.holder.counts or one.keeper.counts for one in fleet.instances.values())
+
+
+def test_a_workspace_over_its_limit_everywhere_causes_few_messages():
+    fleet = one_workspace()
+    fleet.load({"w": 300.0}, 10.0)
+    fleet.messages.clear()
+    fleet.load({"w": 300.0}, 20.0)
+    assert fleet.messages["between halls"] / 20.0 < 300.0
+
+
+@pytest.mark.parametrize("rate", [1.0, 5.0])
+def test_a_limit_without_any_excess_is_used_and_kept(monkeypatch, rate):
+    bound = quota.QuotaBound(5.0, 0.0, 0.0)
+    monkeypatch.setattr(quota_fleet, "BOUND", bound)
+    fleet = one_workspace(rate)
+    fleet.load({"w": 4 * rate}, 60.0)
+    assert (
+        len(fleet.admitted["w"])
+        >= 0.9 * quota.part_of(fleet.workspaces["w"].quota, bound, 1).rate * 60.0
+    )
+    assert fleet.worst_excess() <= 1e-6
+
+
+def cut_halls(fleet):
+    fleet.cut_halls()
+    fleet.load({"w": 60.0}, 8.0)
+    fleet.heal()
+
+
+def cut_single_instances(fleet):
+    for hall in ("b1", "p1", "d1"):
+        fleet.cut_off(holder_of(fleet, hall))
+        fleet.load({"w": 60.0}, 3.0)
+    fleet.heal()
+
+
+def kill_all(fleet):
+    fleet.restart(*fleet.instances)
+    fleet.load({"w": 60.0}, 3.0)
+
+
+def kill_all_twice_in_a_window(fleet):
+    kill_all(fleet)
+    kill_all(fleet)
+
+
+def kill_holders(fleet):
+    for _ in range(2):
+        fleet.restart(*[holder_of(fleet, hall) for hall in fleet.halls], after=1.5)
+        fleet.load({"w": 60.0}, 4.0)
+
+
+def freeze_holders(fleet):
+    frozen = [holder_of(fleet, hall) for hall in fleet.halls]
+    for name in frozen:
+        fleet.freeze(name)
+    fleet.load({"w": 60.0}, 4.0)
+    for name in frozen:
+        fleet.wake(name)
+
+
+TROUBLES = [
+    cut_halls,
+    cut_single_instances,
+    kill_all,
+    kill_all_twice_in_a_window,
+    kill_holders,
+    freeze_holders,
+]
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("rate", [1.0, 10.0])
+@pytest.mark.parametrize("trouble", TROUBLES)
+def test_no_window_gets_more_than_the_bound(trouble, rate, seed):
+    fleet = quota_fleet.Fleet((5, 5, 5, 5, 5, 5), {"w": (rate, rate)}, seed)
+    fleet.load({"w": 60.0}, 6.0)
+    trouble(fleet)
+    fleet.load({"w": 60.0}, 8.0)
+    assert len(fleet.admitted["w"]) > 10 * rate
+    assert fleet.worst_excess() <= 0
+
+
+def test_a_fleet_that_is_too_generous_is_found(monkeypatch):
+    monkeypatch.setattr(quota, "LIVES", 0.5)
+    monkeypatch.setattr(quota_fleet.quota_ranks.QuotaRanks, "may_hold", lambda *_: True)
+    fleet = one_workspace(10.0, (5,) * 6)
+    fleet.load({"w": 60.0}, 6.0)
+    kill_all(fleet)
+    assert fleet.worst_excess() > 0
+
+
+@pytest.mark.parametrize("trouble", [kill_all, cut_halls])
+def test_a_kill_of_all_or_a_cut_between_halls_costs_few_requests_below_the_limit(trouble):
+    fleet, rates = quota_fleet.whole()
+    fleet.load(rates, 5.0)
+    if trouble is kill_all:
+        fleet.restart(*fleet.instances)
+        fleet.run(2.0)
+    else:
+        fleet.cut_halls()
+    before = sum(map(len, fleet.refused.values()))
+    fleet.load(rates, 20.0)
+    refused = sum(map(len, fleet.refused.values())) - before
+    print(trouble.__name__, refused, sum(map(len, fleet.admitted.values())))
+    assert fleet.worst_excess() <= 0
+    assert refused <= (5 if trouble is kill_all else 60)
+
+
+@pytest.mark.parametrize("fault", ["kill", "freeze", "cut_off"])
+def test_the_loss_of_a_holder_costs_its_hall_one_time_out(fault):
+    fleet = one_workspace()
+    lost = holder_of(fleet)
+    others = [name for name in fleet.instances if name.startswith("b1") and name != lost]
+    fleet.ask("w", others[0])
+    fleet.run(1.0)
+    getattr(fleet, fault)(lost)
+    for name in others[:3]:
+        fleet.ask("w", name)
+        fleet.run(quota_keeper.ASK_SECONDS + 0.05)
+    assert len(fleet.admitted["w"]) + len(fleet.refused["w"]) == 4
+    assert not fleet.refused["w"]
+    assert max(fleet.waits["w"]) < quota_keeper.ASK_SECONDS + 0.05
+
+
+def test_an_instance_that_hears_nobody_who_could_tell_refuses_as_not_run():
+    fleet = one_workspace()
+    holders = fleet.instances["b1-0"].ranks.holders("w")
+    far = next(n for n in fleet.instances if n.startswith("b1") and n not in holders)
+    fleet.cut_off(far)
+    fleet.run(6.0)
+    fleet.ask("w", far)
+    assert [reason for _, reason in fleet.refused["w"]] == [UNSURE]
+
+
+def test_a_token_that_was_given_back_serves_another_request():
+    fleet = one_workspace(0.0, burst=5.0)
+    name = next(iter(fleet.instances))
+    for _ in range(60):
+        fleet.ask("w", name, returns=True)
+        fleet.run(0.05)
+    assert not fleet.refused["w"]
+
+
+def test_a_caller_that_left_costs_no_token():
+    fleet = one_workspace(0.0, burst=5.0)
+    asker = next(one for one in fleet.instances.values() if one.name != holder_of(fleet))
+    for _ in range(60):
+        withdraw = asker.keeper.admit(fleet.workspaces["w"], pytest.fail)
+        withdraw()
+        fleet.run(0.05)
+    assert not asker.keeper._questions
+    fleet.ask("w", asker.name)
+    fleet.run(0.1)
+    assert fleet.admitted["w"]
+
+
+def test_refused_callers_are_told_different_times_of_return():
+    fleet = one_workspace()
+    fleet.load({"w": 200.0}, 5.0)
+    assert max(fleet.retry_after) <= quota_holder.MOST_RETRY_AFTER
+    assert min(fleet.retry_after) > 0
+    assert len({round(seconds, 2) for seconds in fleet.retry_after}) > 5
+
+
+def test_a_lower_limit_holds_at_once_and_a_workspace_that_comes_back_has_no_new_life():
+    fleet = one_workspace(50.0)
+    fleet.load({"w": 200.0}, 5.0)
+    for one in fleet.instances.values():
+        one.holder.set_limits({})
+        one.holder.set_limits({"w": quota_fleet.workspaces.Quota(1.0, 1.0)})
+    before, lives = (
+        len(fleet.admitted["w"]),
+        sum(one.holder.counts["lives"] for one in fleet.instances.values()),
+    )
+    fleet.load({"w": 200.0}, 5.0)
+    after = sum(one.holder.counts["lives"] for one in fleet.instances.values())
+    assert after == lives
+    assert len(fleet.admitted["w"]) - before <= quota_fleet.BOUND.most(
+        quota_fleet.workspaces.Quota(1.0, 1.0)
+    )
+
+
+def test_buckets_that_nobody_uses_are_forgotten_after_a_window():
+    fleet = one_workspace()
+    fleet.load({"w": 60.0}, 2.0)
+    assert any(one.holder.held() for one in fleet.instances.values())
+    fleet.run(quota_fleet.BOUND.window + 2 * quota.CHECK_SECONDS)
+    assert not any(one.holder.held() for one in fleet.instances.values())
