True verdicts: what reached no target is refused as not run, also at its deadline

Cause: at the deadline, and at the end of a process, every attempt under way counted as one that may have run, also where its connection was still being opened; gatherers told fronts nothing of a query whose deadline came, so that fronts had to take it that it had run; and a search that ended for lack of shards did the same. Callers got 502 or 504 for requests that no target had seen, and may not repeat unrepeatable ones after those.

Shown by tests/test_true_verdicts.py: 4 of 7 fail on (502 or 504 for requests that ran nowhere), the other three hold the converse: a target or a silent gatherer that was asked is never told as not run.

--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -119,17 +119,10 @@
         Returns:
             How many there were.
         """
-        jobs = list(self._jobs.items())
-        for key, job in jobs:
-            for shard, stop in job.running.items():
-                is_unsent = stop()
-                failure = node_frames.Failure
-                job.failed[shard] = failure.NOT_SENT if is_unsent else failure.MAY_HAVE_RUN
-            job.running.clear()
-            job.failed.update(dict.fromkeys(job.waiting, node_frames.Failure.NOT_SENT))
-            job.waiting.clear()
-            self._finish(key)
-        return len(jobs)
+        keys = list(self._jobs)
+        for key in keys:
+            self._hand_back(key)
+        return len(keys)
 
     def on_query(
         self,
@@ -157,7 +150,7 @@
         for shard in range(len(query.services)):
             self._place(key, job, shard, now)
         delay = max(0.0, query.deadline - now)
-        job.timeout = self._reactor.callLater(delay, self._give_up, key)
+        job.timeout = self._reactor.callLater(delay, self._hand_back, key)
         if job.failed:
             self._send(job)
         if job.is_open:
@@ -338,6 +331,20 @@
             )
         )
 
+    def _hand_back(self, key: tuple[str, int]) -> None:
+        """Stop all work on a query, and send what is in and what became of the rest.
+
+        Fronts that heard nothing of a query at its deadline had to take it that it had run.
+        """
+        job = self._jobs[key]
+        for shard, stop in job.running.items():
+            failure = node_frames.Failure.NOT_SENT if stop() else node_frames.Failure.MAY_HAVE_RUN
+            job.failed[shard] = failure
+        job.running.clear()
+        job.failed.update(dict.fromkeys(job.waiting, node_frames.Failure.NOT_SENT))
+        job.waiting.clear()
+        self._finish(key)
+
     def _give_up(self, key: tuple[str, int]) -> None:
         job = self._jobs.get(key)
         if job is None:
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -46,6 +46,10 @@
 seconds cost 0.002 of worth, mean of thirteen played days."""
 
 
+LAST_WORDS = 2 * search_attempts.FLUSH_LEAD
+"""Seconds before the deadline from which on no failure is answered by another attempt: gatherers
+tell then what they know, and what ran and what did not is judged at the deadline."""
+
 _OVERLAP = verdict.ran(verdict.Reason.FAILED, "merged with a shard that was in already")
 
 
@@ -165,7 +169,7 @@
     def _on_trial_end(self, found: verdict.Verdict) -> None:
         """Go on after the target of a trial failed: elsewhere if it didn't run, else not at all."""
         if self._care.holds or not found.is_not_run:
-            self._finish_without(self._what_is_known())
+            self._finish_in_part()
         else:
             self._set_timer(ROOM_PAUSE, self._begin)
 
@@ -297,6 +301,9 @@
             return
         shard = self._shards[index]
         self._failures.append(f"{shard.service} {found.reason.value}: {found.detail}")
+        if self._shared.reactor.seconds() + LAST_WORDS >= self._call.deadline:
+            # Too late for another attempt, and others are about to tell what became of theirs.
+            return
         if self._care.is_trial:
             self._on_trial_end(found)
             return
@@ -333,7 +340,7 @@
         """End a search whose targets broke off when none is left that could still answer."""
         is_running = any(shard.running for shard in self._shards)
         if self._on_end is not None and self._held and self._care.holds and not is_running:
-            self._finish_without(self._what_is_known())
+            self._finish_in_part()
 
     def _release(self) -> None:
         """Try again the shards that were put off, because a target has answered."""
@@ -432,12 +439,7 @@
         if len(self._parts.covered) >= self._needed:
             self._finish()
             return
-        detail = f"{len(self._parts.covered)} of {len(self._shards)} shards in time"
-        # A call that still waits for its connection has reached nobody: callers of a search that
-        # reached no target were told that it may have run.
-        self._sent.give_up_calls()
-        known = self._what_is_known()
-        self._finish_without(verdict.Verdict(known.certainty, verdict.Reason.DEADLINE, detail))
+        self._finish_in_part(verdict.Reason.DEADLINE)
 
     def _check(self) -> None:
         """Answer as soon as waiting any longer brings nothing."""
@@ -452,7 +454,7 @@
         if not self._parts.missing or (is_enough and (self._is_late or not open_shards)):
             self._finish()
         elif covered + open_shards < self._needed:
-            self._finish_without(self._what_is_known())
+            self._finish_in_part()
 
     def _what_is_known(self) -> verdict.Verdict:
         detail = f"{len(self._parts.covered)} of {len(self._shards)} shards answered"
@@ -467,6 +469,15 @@
             self._shared.counters.partial += 1
         self._end(outcome.Outcome(answer, verdict.OK, self._sent.count))
 
+    def _finish_in_part(self, reason: verdict.Reason = verdict.Reason.COVERAGE) -> None:
+        """End without an answer, because too few shards are in.
+
+        A call that still waits for its connection has reached nobody: callers of searches that no
+        target had seen were told that they may have run.
+        """
+        self._sent.give_up_calls()
+        self._finish_without(dataclasses.replace(self._what_is_known(), reason=reason))
+
     def _finish_without(self, found: verdict.Verdict, retry_after: float | None = None) -> None:
         self._end(outcome.refuse(found, self._sent.count, retry_after))
 
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -27,7 +27,8 @@
     from lineworks.forwarding import caution, tools
 
 FLUSH_LEAD = 0.004
-"""Seconds that a gatherer's first parts should be here before the hedges are decided."""
+"""Seconds that a gatherer's first parts should be here before the hedges are decided, and its last
+word before the deadline."""
 
 ONE_HALL_SHARE = 0.3
 """Share of the aim that a first attempt may be slower by when that saves asking one more hall,
@@ -178,6 +179,10 @@
     ) -> bool:
         shared = self._shared
         way = shared.book.ways.round_trip(hall)
+        deadline = self._call.deadline - way - FLUSH_LEAD
+        if deadline <= now:
+            # Its last word would come too late, and what became of the query would not be known.
+            return False
         without_floor = mechanisms.Mechanism.HEDGE_FLOOR in shared.without
         number = shared.gatherers.next_number()
         query = node_frames.GatherQuery(
@@ -188,7 +193,7 @@
             attempt=self._call.attempt,
             top=self._route.top,
             floor=b"" if without_floor else self._floor(),
-            deadline=self._call.deadline - way / 2,
+            deadline=deadline,
             flush_at=now if is_hedge else self.hedge_at - way - FLUSH_LEAD,
             is_fair=shared.line.is_fair,
             workspace=self._call.workspace,
--- /dev/null
+++ b/tests/test_true_verdicts.py
@@ -0,0 +1,81 @@
+"""Requests that reached no target are refused as not run, and only those."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests import test_forwarding
+
+
+def go_dark(world, services):
+    """Let targets neither answer nor refuse connections."""
+    for service in services:
+        for target in test_forwarding.targets_of(world, service):
+            target.host.power_off()
+
+
+def was_refused_as_not_run(reply):
+    return reply.status == 503 and float(reply.headers["retry-after"]) >= 0
+
+
+@pytest.mark.parametrize("method", ["read", "bill"])
+def test_a_request_whose_targets_are_dark_until_its_deadline_was_not_run(method):
+    world = test_forwarding.build()
+    go_dark(world, ["shelf"])
+    reply = world.ask("akl-1", f"/{method}/x", budget=0.1, attempt="r1")
+    world.run(1.0)
+    assert not world.runs_of("r1")
+    assert was_refused_as_not_run(reply)
+
+
+def test_a_search_whose_targets_are_dark_until_its_deadline_was_not_run():
+    world = test_forwarding.build()
+    go_dark(world, test_forwarding.SHARDS)
+    reply = world.ask("akl-1", "/search/q", budget=0.1, attempt="q1")
+    world.run(1.0)
+    assert not world.runs_of("q1")
+    assert was_refused_as_not_run(reply)
+
+
+def test_a_request_that_waits_for_a_connection_when_its_process_ends_was_not_run():
+    world = test_forwarding.build()
+    go_dark(world, ["shelf"])
+    reply = world.ask("akl-1", "/bill/x", "POST", b"note", attempt="b1")
+    world.run(0.01)
+    world.nodes["akl-1"]._front.end_all()
+    world.run(0.5)
+    assert not world.runs_of("b1")
+    assert was_refused_as_not_run(reply)
+
+
+def test_a_search_that_one_target_got_is_no_refusal_whatever_became_of_the_others():
+    world = test_forwarding.build()
+    go_dark(world, test_forwarding.SHARDS[1:])
+    for target in test_forwarding.targets_of(world, test_forwarding.SHARDS[0]):
+        target.work = lambda: 5.0
+    reply = world.ask("akl-1", "/search/q", budget=0.1, attempt="q1")
+    world.run(1.0)
+    assert world.runs_of("q1")
+    assert reply.status in (502, 504)
+
+
+def test_a_search_whose_gatherers_fell_silent_is_no_refusal():
+    world = test_forwarding.build()
+    reply = world.ask("akl-1", "/search/q", budget=0.1, attempt="q1")
+    world.run(0.002)
+    for name in world.nodes:
+        if name != "akl-1":
+            world.host_of(name).freeze()
+    go_dark(world, test_forwarding.SHARDS)
+    world.run(1.0)
+    assert reply.status in (502, 504)
+
+
+def test_a_request_that_a_target_got_is_no_refusal_at_its_deadline():
+    world = test_forwarding.build()
+    for target in test_forwarding.targets_of(world, "shelf"):
+        target.work = lambda: 5.0
+    reply = world.ask("akl-1", "/read/x", budget=0.3, attempt="r1")
+    world.run(1.0)
+    assert world.runs_of("r1")
+    assert reply.status == 504
