--- a/src/lineworks/decisions/fair_shares.py
+++ b/src/lineworks/decisions/fair_shares.py
@@ -17,13 +17,20 @@
 """Seconds after which a request that was asked or served counts half: callers ask again within
 seconds, and what a workspace took a minute ago is no reason to turn it away now."""
 
-LEAST_SERVED = 0.8
-"""How often a workspace must be served, for what it asks, relative to all: below that its callers
-notice a shortage that others don't."""
+LEAST_SERVED = 0.85
+"""How often a workspace with a quota is served at least, for what it asks, relative to all: its
+quota says what it may ask, so whatever is within it is due like that of others. Below four fifths
+its callers would notice a shortage that others don't; the rest is for what this instance has yet
+to see."""
 
-AGEING_SECONDS = 0.1
-"""Seconds of waiting that count as one priority: longer than an urgent request waits at all, and
-well within what one with a long aim can bear."""
+LEAST_WITHOUT_QUOTA = 0.5
+"""The same of a workspace without a quota, which may ask for any amount: if it were due in full,
+one that asks ever more would push the others out. Half as often as all isn't shut out."""
+
+AGEING_SECONDS = 0.2
+"""Seconds of waiting that count as one priority, so that a long request comes to its turn beside a
+stream of urgent ones of its own workspace. Requests wait for a fifth of their aim at most, so only
+those with aims above a second age at all: between others who got least lately decides."""
 
 LEAST_SPENT = 4.0
 """Extra attempts at one service spent lately below which no workspace counts as having spent too
@@ -55,6 +62,9 @@
     in_time_until: float
     """Until when it must be sent to be usually in time, in seconds."""
 
+    has_quota: bool = False
+    """Whether a quota bounds what its workspace asks."""
+
     def can_be_in_time(self, now: float) -> bool:
         """Say whether it is usually in time when it is sent now."""
         return now <= self.in_time_until
@@ -203,20 +213,21 @@
         aged = claim.priority - (now - claim.arrived) / AGEING_SECONDS
         return (
             not claim.can_be_in_time(now),
-            not self._is_short(claim.workspace),
+            not self._is_short(claim),
             math.ceil(aged),
             self._served.of(claim.workspace),
             claim.arrived,
         )
 
-    def _is_short(self, workspace: str) -> bool:
+    def _is_short(self, claim: Claim) -> bool:
         """Say whether a workspace was served clearly less often than all."""
-        asked = self._asked.of(workspace)
+        asked = self._asked.of(claim.workspace)
         total = self._asked.total
         if not asked or not total:
             return False
         often = self._served.total / total
-        return self._served.of(workspace) / asked < LEAST_SERVED * often
+        least = LEAST_SERVED if claim.has_quota else LEAST_WITHOUT_QUOTA
+        return self._served.of(claim.workspace) / asked < least * often
 
 
 def spread_pause(pause: float, draw: float) -> float:
--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -221,7 +221,7 @@
         accessed: access.Access,
         attempt: bytes,
     ) -> Callable[[], None] | None:
-        route = accessed.route
+        route, workspace = accessed.route, accessed.workspace
         budget = headers.read_budget(request.header(headers.BUDGET))
         allowed = min(route.timeout, budget if budget is not None else route.timeout)
         has_keys = table.workspaces.is_used
@@ -251,7 +251,8 @@
             deadline=deadline,
             is_repeatable=route.is_repeatable,
             content=content,
-            workspace=accessed.workspace.name if accessed.workspace is not None else "",
+            workspace=workspace.name if workspace is not None else "",
+            has_quota=workspace is not None and workspace.quota is not None,
         )
         work: search.Search | single.SingleRequest
 
@@ -298,7 +299,6 @@
             refused = outcome.refuse(admission.refusal, retry_after=admission.retry_after)
             self._refuse(request, answer, table, accessed, attempt, content, refused)
 
-        workspace = accessed.workspace
         if workspace is None or workspace.quota is None:
             self._start(work)
             return on_gone
--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -162,7 +162,9 @@
 
     def _claim(self, query: node_frames.GatherQuery, now: float) -> fair_shares.Claim:
         usual = max(map(self._book.service_time, query.services))
-        return fair_shares.Claim(query.workspace, query.priority, now, query.due - usual)
+        return fair_shares.Claim(
+            query.workspace, query.priority, now, query.due - usual, query.has_quota
+        )
 
     def _is_behind(self, job: _Job, service: str) -> bool:
         return job.claim is not None and self._line.is_behind(job.claim, (service,))
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -107,7 +107,9 @@
         self._held: list[int] = []
         self._given_up: set[int] = set()
         usual = max(map(shared.book.service_time, route.shards), default=0.0)
-        self._claim = fair_shares.Claim(call.workspace, route.priority, arrived, due - usual)
+        self._claim = fair_shares.Claim(
+            call.workspace, route.priority, arrived, due - usual, call.has_quota
+        )
         self._leave_line: Callable[[], None] = lambda: None
 
     def start(self) -> None:
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -197,6 +197,7 @@
             flush_at=now if is_hedge else self.hedge_at - way - FLUSH_LEAD,
             is_fair=shared.line.is_fair,
             workspace=self._call.workspace,
+            has_quota=self._call.has_quota,
             priority=self._route.priority,
             due=self.due - way / 2,
         )
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -79,6 +79,7 @@
             route.priority,
             arrived,
             arrived + route.aim - shared.book.service_time(service),
+            call.has_quota,
         )
         self._leave_line: Callable[[], None] = lambda: None
 
--- a/src/lineworks/forwarding/target_calls.py
+++ b/src/lineworks/forwarding/target_calls.py
@@ -72,6 +72,9 @@
     workspace: str = ""
     """Name of the workspace that it is served for; empty for none."""
 
+    has_quota: bool = False
+    """Whether that workspace has a quota."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallEnd:
--- a/src/lineworks/wire/_gather_codec.py
+++ b/src/lineworks/wire/_gather_codec.py
@@ -26,6 +26,7 @@
     body.flushIn = _base.remaining(frame.flush_at, now)
     body.isFair = frame.is_fair
     body.workspace = frame.workspace
+    body.hasQuota = frame.has_quota
     body.priority = frame.priority
     body.dueIn = _base.remaining(frame.due, now)
 
@@ -46,6 +47,7 @@
         flush_at=now + body.flushIn / _base.MICROSECONDS,
         is_fair=body.isFair,
         workspace=body.workspace,
+        has_quota=body.hasQuota,
         priority=body.priority,
         due=now + body.dueIn / _base.MICROSECONDS,
     )
--- a/src/lineworks/wire/node_frames.py
+++ b/src/lineworks/wire/node_frames.py
@@ -63,6 +63,9 @@
     workspace: str = ""
     """Name of the workspace that it is for; empty for none."""
 
+    has_quota: bool = False
+    """Whether that workspace has a quota."""
+
     priority: int = 0
     """Rank; 0 is the most urgent."""
 
--- a/src/lineworks/wire/peer.capnp
+++ b/src/lineworks/wire/peer.capnp
@@ -108,6 +108,7 @@
   workspace @10 :Text;
   priority @11 :Int32;
   dueIn @12 :UInt32;
+  hasQuota @13 :Bool;
 }
 
 struct GatherParts {
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -84,6 +84,7 @@
     flush_at=_micros,
     is_fair=st.booleans(),
     workspace=_text,
+    has_quota=st.booleans(),
     priority=st.integers(-3, 1000),
     due=_micros,
 )
--- /dev/null
+++ b/tests/test_fair_shares.py
@@ -0,0 +1,276 @@
+"""Who goes next in a shortage: each decision with the load that it answers."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import heapq
+import random
+
+import pytest
+from twisted.internet import task
+
+from lineworks.decisions import fair_shares
+from lineworks.forwarding import waiting_line
+
+SERVICE_SECONDS = 0.05
+WAIT_SECONDS = 0.2
+
+
+@dataclasses.dataclass
+class Sender:
+    """A workspace, or one kind of its requests."""
+
+    name: str
+    rate: float
+    priority: int = 1
+    aim: float = 1.0
+    seconds: float = SERVICE_SECONDS
+    has_quota: bool = False
+
+
+class Replay:
+    """A load that one instance shares out over some slots, in its order or in that of arrival."""
+
+    def __init__(self, senders, slots, seconds=60.0, seed=1, is_fair=True):
+        self.asked = collections.Counter()
+        self.served = collections.Counter()
+        self._asked_by = collections.Counter()
+        self._served_by = collections.Counter()
+        self._shares = fair_shares.Shares()
+        self._is_fair = is_fair
+        self._waiting = []
+        self._busy = []
+        arrivals = _arrivals(senders, seconds, random.Random(seed))
+        for now, sender in arrivals:
+            while self._busy and len(self._busy) >= slots and self._busy[0] <= now:
+                self._go_on(heapq.heappop(self._busy))
+            while self._busy and self._busy[0] <= now:
+                heapq.heappop(self._busy)
+            self._take(now, sender, slots)
+
+    def _take(self, now, sender, slots):
+        self.asked[sender.name] += 1
+        self._asked_by[id(sender)] += 1
+        claim = fair_shares.Claim(
+            sender.name,
+            sender.priority,
+            now,
+            now + sender.aim - sender.seconds,
+            sender.has_quota,
+        )
+        if len(self._busy) < slots:
+            self._serve(now, claim, sender)
+        else:
+            self._waiting.append((claim, sender))
+
+    def _go_on(self, now):
+        """Use a slot that is free."""
+        kept = [one for one in self._waiting if one[0].arrived + WAIT_SECONDS > now]
+        for claim, _ in self._waiting:
+            if claim.arrived + WAIT_SECONDS <= now:
+                self._shares.note_refused(claim.workspace, now)
+        self._waiting = kept
+        if kept:
+            claims = [claim for claim, _ in kept]
+            place = self._shares.order(claims, now)[0] if self._is_fair else 0
+            self._serve(now, *kept.pop(place))
+
+    def _serve(self, now, claim, sender):
+        self._shares.note_served(claim.workspace, now)
+        self.served[sender.name] += 1
+        self._served_by[id(sender)] += 1
+        heapq.heappush(self._busy, now + sender.seconds)
+
+    def share(self, name):
+        return self.served[name] / self.asked[name]
+
+    def share_of(self, sender):
+        return self._served_by[id(sender)] / self._asked_by[id(sender)]
+
+    @property
+    def overall(self):
+        return sum(self.served.values()) / sum(self.asked.values())
+
+
+def _arrivals(senders, seconds, rng):
+    found = []
+    for sender in senders:
+        at = rng.expovariate(sender.rate)
+        while at < seconds:
+            found.append((at, sender))
+            at += rng.expovariate(sender.rate)
+    return sorted(found, key=lambda one: one[0])
+
+
+def eight(hot_rate, has_quota=False):
+    """Make eight workspaces that ask ten times a second each, but for the hot one."""
+    return [Sender("hot", hot_rate, has_quota=has_quota)] + [
+        Sender(f"w{number}", 10.0) for number in range(7)
+    ]
+
+
+SEEDS = range(5)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_with_room_for_half_nobody_is_served_much_less_often_than_all(seed):
+    # Asked 130 a second, room for 65.
+    load = Replay(eight(60.0, has_quota=True), slots=3, seed=seed)
+    assert load.overall < 0.55
+    for name in load.asked:
+        assert load.share(name) >= 0.8 * load.overall
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_small_ones_keep_theirs_beside_a_hot_one_without_a_quota(seed):
+    # Asked 130 a second, of which 60 by the hot one; room for 100.
+    alone = Replay(eight(10.0)[1:], slots=5, seed=seed)
+    beside = Replay(eight(60.0), slots=5, seed=seed)
+    as_they_come = Replay(eight(60.0), slots=5, seed=seed, is_fair=False)
+    for number in range(7):
+        name = f"w{number}"
+        assert beside.share(name) >= 0.95 * alone.share(name)
+        assert as_they_come.share(name) < 0.9 * alone.share(name)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_hot_one_without_a_quota_is_not_shut_out(seed):
+    load = Replay(eight(60.0), slots=3, seed=seed)
+    assert load.share("hot") >= 0.4 * load.overall
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_urgent_ones_go_before_long_ones_of_the_same_workspace(seed):
+    urgent = Sender("w", 30.0, priority=0, aim=0.2)
+    long = Sender("w", 60.0, priority=2, aim=2.0)
+    load = Replay([urgent, long], slots=3, seed=seed)
+    as_they_come = Replay([urgent, long], slots=3, seed=seed, is_fair=False)
+    assert load.share_of(urgent) >= 0.95
+    assert as_they_come.share_of(urgent) < 0.8
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_less_urgent_workspace_is_served_beside_one_that_takes_all(seed):
+    urgent = Sender("urgent", 100.0, priority=0)
+    patient = Sender("patient", 10.0, priority=3)
+    load = Replay([urgent, patient], slots=3, seed=seed)
+    # By priority alone it would get what is left, which is nothing.
+    assert load.share("patient") >= 0.4 * load.overall
+
+
+def test_a_long_request_that_has_waited_goes_before_urgent_ones_that_just_came():
+    shares = fair_shares.Shares()
+    long = fair_shares.Claim("w", 2, 0.0, 2.0)
+    urgent = [fair_shares.Claim("w", 0, now, now + 0.1) for now in (0.0, 0.1, 0.5)]
+    assert shares.goes_before(urgent[0], long, 0.0)
+    assert shares.goes_before(urgent[1], long, 0.1)
+    assert shares.goes_before(long, urgent[2], 0.5)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_what_cannot_be_in_time_takes_no_room_of_what_can(seed):
+    doomed = Sender("w", 60.0, priority=0, aim=0.04)
+    good = Sender("w", 50.0, priority=1, aim=0.2)
+    load = Replay([doomed, good], slots=3, seed=seed)
+    as_they_come = Replay([doomed, good], slots=3, seed=seed, is_fair=False)
+    assert load.share_of(good) >= 0.9
+    assert as_they_come.share_of(good) < 0.8
+
+
+def test_who_was_served_long_ago_is_treated_like_the_others():
+    shares = fair_shares.Shares()
+    for _ in range(100):
+        shares.note_served("hot", 0.0)
+    shares.note_served("calm", 0.0)
+
+    def hot_goes_first(now):
+        hot = fair_shares.Claim("hot", 1, now - 0.02, 500.0)
+        return shares.goes_before(hot, fair_shares.Claim("calm", 1, now - 0.01, 500.0), now)
+
+    assert not hot_goes_first(2.0)
+    assert hot_goes_first(300.0)
+
+
+class TestExtraAttempts:
+    """Extra attempts at a service that are short."""
+
+    def spent(self, *counts):
+        shares = fair_shares.Shares()
+        for number, count in enumerate(counts):
+            shares.note_served(f"w{number}", 0.0)
+            for _ in range(count):
+                shares.note_spent(f"w{number}", "s", 0.0)
+        return [shares.spent_far_more(f"w{number}", "s", 0.0) for number in range(len(counts))]
+
+    def test_one_that_spends_most_leaves_the_last_to_others(self):
+        assert self.spent(20, 2, 2, 0) == [True, False, False, False]
+        assert self.spent(20, 0) == [True, False]
+
+    def test_one_that_is_alone_or_spends_its_part_leaves_none(self):
+        assert self.spent(20) == [False]
+        assert self.spent(6, 5, 6, 5) == [False] * 4
+
+    def test_a_few_tell_nothing(self):
+        assert self.spent(3, 0, 0) == [False] * 3
+
+    def test_each_service_counts_for_itself(self):
+        shares = fair_shares.Shares()
+        shares.note_served("calm", 0.0)
+        shares.note_served("hot", 0.0)
+        for _ in range(20):
+            shares.note_spent("hot", "s", 0.0)
+        assert not shares.spent_far_more("hot", "t", 0.0)
+
+
+class TestWaitingLine:
+    """Those that wait, on a clock of the test's own."""
+
+    def build(self):
+        clock = task.Clock()
+        line = waiting_line.WaitingLine(clock)
+        line.is_fair = True
+        tried = []
+
+        def claim(name, priority=1):
+            return fair_shares.Claim(name, priority, clock.seconds(), 100.0)
+
+        def wait(name, priority=1, service="s"):
+            def look():
+                tried.append(name)
+
+            return line.wait(claim(name, priority), (service,), look)
+
+        return clock, line, tried, claim, wait
+
+    def test_those_that_wait_are_tried_in_order_and_once(self):
+        clock, line, tried, _, wait = self.build()
+        line.note_served("hot")
+        wait("hot")
+        wait("calm")
+        wait("urgent", priority=0)
+        clock.advance(1.0)
+        assert tried == ["urgent", "calm", "hot"]
+        assert line.length == 0
+
+    def test_a_newcomer_passes_only_those_that_it_goes_before(self):
+        _, line, _, claim, wait = self.build()
+        wait("calm")
+        assert line.is_behind(claim("calm"), ("s",)) is False
+        assert line.is_behind(claim("late", 2), ("s", "t"))
+        assert not line.is_behind(claim("late", 2), ("t",))
+        assert not line.is_behind(claim("urgent", 0), ("s",))
+
+    def test_one_that_leaves_is_not_tried_also_while_others_are(self):
+        clock, line, tried, claim, wait = self.build()
+        leave = wait("late", priority=2)
+        line.wait(claim("first", 0), ("s",), leave)
+        clock.advance(1.0)
+        assert tried == []
+
+    def test_callers_that_are_refused_come_back_spread(self):
+        draws = iter((0.0, 0.5, 1.0))
+        line = waiting_line.WaitingLine(task.Clock(), lambda: next(draws))
+        assert line.retry_after(0.2) is None
+        line.is_fair = True
+        assert [line.retry_after(0.2) for _ in range(3)] == pytest.approx([0.1, 0.2, 0.3])
