--- a/bench/own_days.py
+++ b/bench/own_days.py
@@ -35,6 +35,7 @@
         "hup",
         "release",
         "reshard",
+        "revoke",
         "roll_term",
         "scale_in",
         "scale_out",
--- a/tests/test_own_days.py
+++ b/tests/test_own_days.py
@@ -7,8 +7,9 @@
 from bench import own_days
 
 KINDS = [{"kind": f"kind-{number}", "share": 0.5, "how": 'a "b" \\ c'} for number in range(20)]
+PLANNED = {"roll_term", "revoke"}
 SITE = {
-    "troubles": [*KINDS, {"kind": "roll_term"}],
+    "troubles": [*KINDS, *({"kind": kind} for kind in sorted(PLANNED))],
     "day": [
         {"name": "quiet-1", "slot": "quiet", "seed": 1},
         {"name": "t", "slot": "trouble", "seed": 2, "light": True, "goal": {"floor": 0.4}},
@@ -32,8 +33,8 @@
 def test_planned_work_stands_apart_and_the_rest_of_the_day_is_the_sites():
     for text in own_days.make_days(SITE, "x", 7).values():
         day = tomllib.loads(text)
-        assert all(entry["kind"] == "roll_term" for entry in day["plan"])
-        assert all(entry["kind"] != "roll_term" for entry in day["faults"])
+        assert all(entry["kind"] in PLANNED for entry in day["plan"])
+        assert all(entry["kind"] not in PLANNED for entry in day["faults"])
         assert day["goal"] == {"floor": 0.4}
         assert day["light"] is True
         assert day["faults"][0]["how"] == 'a "b" \\ c'
