--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -16,14 +16,14 @@
 import absl.flags
 from twisted.internet import defer
 
-from bench.soak import checkers
+from bench.soak import checkers, workspace_checkers
 from lineworks.kernel import steady_reactor
 from lineworks.programs import _common
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from bench.soak import history
+    from bench.soak import history, knowledge
     from bench.soak import run as runs
 
 _SEED = absl.flags.DEFINE_integer("seed", 1, "Seed of the first run; the same deals the same.", 0)
@@ -57,14 +57,14 @@
     seed: int,
     one: runs.Run,
     found: history.History,
-    broken: list[checkers.Broken],
+    broken: list[knowledge.Broken],
     folder: pathlib.Path,
 ) -> None:
     statuses = collections.Counter(call.status for call in found.calls)
     told = ", ".join(f"{status or 'none'} {count}" for status, count in sorted(statuses.items()))
     print(f"seed {seed}: {len(one.steps)} steps, {len(found.calls)} requests ({told}), ", end="")
     print(f"{len(found.arrivals)} arrivals, {len(broken)} broken", flush=True)
-    for line in _latencies(found):
+    for line in [*_latencies(found), *_refusals_below(found)]:
         print(line)
     for row in broken[:MOST_SHOWN]:
         print(f"  {row.promise}: {row.attempt}: {row.detail}")
@@ -90,6 +90,13 @@
         yield f"  {route}: {len(ranked)} successes, p{shares} {told} ms"
 
 
+def _refusals_below(found: history.History) -> Iterable[str]:
+    """Tell how many tries were refused for the limit of a workspace far below it."""
+    if found.configured[-1].workspaces:
+        count = len(workspace_checkers.refused_below(found))
+        yield f"  workspaces: {count} refused while far below their limit"
+
+
 async def _play_all(reactor: Any) -> int:
     is_kept = True
     for seed in range(_SEED.value, _SEED.value + _RUNS.value):
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -43,6 +43,8 @@
     budget: float
     is_fatal: bool = False
     is_first: bool = False
+    key: str = ""
+    workspace: str = ""
     timer: Any = None
     connection: client_connection.ClientConnection | None = None
 
@@ -59,6 +61,7 @@
         note: Callable[[history.Call], None],
         draw_budget: Callable[[], float] = lambda: BUDGET,
         prefix: str = "t",
+        draw_key: Callable[[], tuple[str, str]] = lambda: ("", ""),
     ) -> None:
         """Make callers; nothing is sent yet.
 
@@ -70,6 +73,7 @@
             note: Takes each try with its end.
             draw_budget: Draws the seconds that a caller waits.
             prefix: Beginning of the identities of tries, so that those of several callers differ.
+            draw_key: Draws the key of a try and the workspace that it names, empty for none.
         """
         self._reactor = reactor
         self._rng = rng
@@ -78,6 +82,7 @@
         self._write = note
         self._draw_budget = draw_budget
         self._prefix = prefix
+        self._draw_key = draw_key
         self._numbers = itertools.count(1)
         self._idle: dict[str, list[client_connection.ClientConnection]] = {}
         self._due = 0.0
@@ -103,26 +108,31 @@
         if now < self._ends_at:
             self._reactor.callLater(max(0.0, self._due - now), self._send_due)
 
-    def ask_again(self, route: str, until: float, rng: random.Random) -> None:
+    def ask_again(self, route: str, until: float, rng: random.Random, key: str = "") -> None:
         """Ask for what ends its targets, again and again, at any instance.
 
         Args:
             route: Its route.
             until: When to stop, in seconds.
             rng: Draws instances.
+            key: Key that all these tries carry: with another one they would be others.
         """
         if self._reactor.seconds() < until:
-            self._start_try(route, rng.choice(sorted(self._fronts)), is_fatal=True)
-            self._reactor.callLater(ASK_AGAIN_SECONDS, self.ask_again, route, until, rng)
+            self._start_try(route, rng.choice(sorted(self._fronts)), (key, ""), is_fatal=True)
+            self._reactor.callLater(ASK_AGAIN_SECONDS, self.ask_again, route, until, rng, key)
 
     def _send(self) -> None:
         route = self._rng.choices([name for name, _ in ROUTES], [share for _, share in ROUTES])[0]
-        self._start_try(route, self._rng.choice(sorted(self._fronts)))
+        self._start_try(route, self._rng.choice(sorted(self._fronts)), self._draw_key())
 
-    def _start_try(self, route: str, front: str, is_fatal: bool = False) -> None:
+    def _start_try(
+        self, route: str, front: str, sender: tuple[str, str], is_fatal: bool = False
+    ) -> None:
         attempt = f"{self._prefix}{next(self._numbers):06d}"
         budget = self._draw_budget()
-        one = _Try(attempt, route, front, self._reactor.seconds(), budget, is_fatal)
+        now = self._reactor.seconds()
+        key, workspace = sender
+        one = _Try(attempt, route, front, now, budget, is_fatal, key=key, workspace=workspace)
         self.under_way += 1
         one.timer = self._reactor.callLater(budget + PATIENCE, self._give_up, one)
         while self._idle.get(front):
@@ -140,7 +150,8 @@
         one.connection = connection
         name = history.FATAL if one.is_fatal else "q"
         path = f"/{one.route}/{name}"
-        data = documents.caller_request("GET", path, one.attempt, one.budget, b"")
+        more = documents.caller_fields(one.key, one.workspace)
+        data = documents.caller_request("GET", path, one.attempt, one.budget, b"", more)
         connection.send(data, False, lambda end: self._on_end(one, end))
 
     def on_no_connection(self, one: _Try, detail: str) -> None:
@@ -188,6 +199,7 @@
             status,
             is_fatal=one.is_fatal,
             is_first=one.is_first,
+            key=one.key,
             **more,
         )
         self._write(call)
--- a/bench/soak/checkers.py
+++ b/bench/soak/checkers.py
@@ -7,6 +7,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from bench.soak import knowledge, workspace_checkers
 from lineworks.decisions import parts
 from lineworks.platform.standins import http_target
 
@@ -15,16 +16,9 @@
 
     from bench.soak import history
 
-SPREAD_SECONDS = 5.0
-"""Seconds for which a configuration may be in force after the next one was written. Only a time
-without a fault of the store counts: while its calls fail, nobody can learn of the next one."""
-
 LATE_SECONDS = 0.5
 """Seconds after its deadline at which a caller must have its answer."""
 
-CONTACT_SECONDS = 4.0
-"""Seconds after which every undisturbed instance knows what happened."""
-
 ENDS_KNOWN = 3
 """Ends of targets after which a request is known to end them."""
 
@@ -43,25 +37,11 @@
 NO_CONNECTION = frozenset(("ConnectionRefusedError", "TimeoutError"))
 """Why a caller could not connect."""
 
-REFUSED = frozenset((408, 421, 429, 503))
+REFUSED = frozenset((401, 408, 421, 429, 503))
 """Statuses that promise that a request has not run and never will."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Broken:
-    """A promise that was broken."""
-
-    promise: str
-    """The promise in a few words."""
-
-    attempt: str
-    """Identity of a try that shows it; the last one of several."""
-
-    detail: str
-    """What was seen, and what is allowed."""
-
-
-def attempts_a_shard(found: history.History) -> Iterable[Broken]:
+def attempts_a_shard(found: history.History) -> Iterable[knowledge.Broken]:
     """Find tries that ran on more targets of a service than a route in force allowed."""
     calls = {call.attempt: call for call in found.calls}
     ran: dict[tuple[str, str], set[str]] = collections.defaultdict(set)
@@ -71,37 +51,24 @@
     for (attempt, service), targets in ran.items():
         call = calls.get(attempt)
         if call is None:
-            yield Broken("targets run only what callers sent", attempt, f"ran at {service}")
+            yield knowledge.Broken(
+                "targets run only what callers sent", attempt, f"ran at {service}"
+            )
             continue
-        allowed = [one.max_attempts for one in _in_force(found, call)]
+        allowed = [one.max_attempts for one in knowledge.in_force(found, call)]
         most = 1 if call.route in ONCE else max(allowed)
         if len(targets) > most:
             detail = f"{service}: ran on {', '.join(sorted(targets))}; {most} allowed"
-            yield Broken("attempts a shard", attempt, detail)
-
-
-def _in_force(found: history.History, call: history.Call) -> Iterable[history.Configured]:
-    """List the configurations that may have been in force for a try."""
-    for place, one in enumerate(found.configured):
-        following = found.configured[place + 1 : place + 2]
-        is_over = any(call.sent_at > _due_by(found, later.at) for later in following)
-        if one.at <= call.ended_at and not is_over:
-            yield one
+            yield knowledge.Broken("attempts a shard", attempt, detail)
 
 
-def _due_by(found: history.History, written_at: float) -> float:
-    """Tell by when a configuration must be in force: after a calm time of the store."""
-    begin = written_at
-    for fault_begin, fault_end in sorted(found.store_faults):
-        if fault_begin < begin + SPREAD_SECONDS:
-            begin = max(begin, fault_end)
-    return begin + SPREAD_SECONDS
-
-
-def extra_attempts(found: history.History) -> Iterable[Broken]:
+def extra_attempts(found: history.History) -> Iterable[knowledge.Broken]:
     """Find windows in which a service got more arrivals beyond the first than allowed."""
     sent: dict[str, list[float]] = collections.defaultdict(list)
     for call in found.calls:
+        # What was refused for its key, or a limit, is no request that earns attempts.
+        if call.status in (workspace_checkers.UNAUTHORIZED, workspace_checkers.OVER_LIMIT):
+            continue
         for service in _services_of(found, call):
             sent[service].append(call.sent_at)
     seen: set[tuple[str, str]] = set()
@@ -119,7 +86,7 @@
     """List the services that a try may reach."""
     if call.route != SEARCH:
         return (found.services[call.route],)
-    return {service for one in _in_force(found, call) for service in one.shards}
+    return {service for one in knowledge.in_force(found, call) for service in one.shards}
 
 
 def _windows_over(
@@ -127,7 +94,7 @@
     service: str,
     extras: Sequence[history.Arrival],
     sent: Sequence[float],
-) -> Iterable[Broken]:
+) -> Iterable[knowledge.Broken]:
     """Hold each window that ends with an extra arrival against the requests of its time."""
     window = found.allowance.window
     times = [arrival.at for arrival in extras]
@@ -139,14 +106,14 @@
         most = found.allowance.share * requests + found.allowance.slack
         if count > most:
             detail = f"{service}: {count} extra arrivals in {window:g} s; {most:.1f} allowed"
-            yield Broken("sum of extra attempts", arrival.attempt, detail)
+            yield knowledge.Broken("sum of extra attempts", arrival.attempt, detail)
 
 
 def _count_between(times: Sequence[float], begin: float, end: float) -> int:
     return bisect.bisect_right(times, end) - bisect.bisect_left(times, begin)
 
 
-def runs_once(found: history.History) -> Iterable[Broken]:
+def runs_once(found: history.History) -> Iterable[knowledge.Broken]:
     """Find requests that may run once and ran more often."""
     routes = {call.attempt: call.route for call in found.calls}
     runs: collections.Counter[str] = collections.Counter(
@@ -156,25 +123,25 @@
     )
     for attempt, count in runs.items():
         if count > 1:
-            yield Broken("runs once", attempt, f"ran {count} times")
+            yield knowledge.Broken("runs once", attempt, f"ran {count} times")
 
 
-def refusals_are_true(found: history.History) -> Iterable[Broken]:
+def refusals_are_true(found: history.History) -> Iterable[knowledge.Broken]:
     """Find requests that may run once and ran though their caller was told that they had not."""
     ran = {arrival.attempt for arrival in found.arrivals if arrival.has_run}
     for call in found.calls:
         if call.route in ONCE and call.status in REFUSED and call.attempt in ran:
-            yield Broken("refused means not run", call.attempt, f"answered {call.status}")
+            yield knowledge.Broken("refused means not run", call.attempt, f"answered {call.status}")
 
 
-def answers_are_exact(found: history.History) -> Iterable[Broken]:
+def answers_are_exact(found: history.History) -> Iterable[knowledge.Broken]:
     """Find answers of searches that are not the greatest records of the parts that they name."""
     for call in found.calls:
         if call.route == SEARCH and call.status == 200:
-            sets = [one.shards for one in _in_force(found, call)]
+            sets = [one.shards for one in knowledge.in_force(found, call)]
             detail = _what_is_wrong(call, sets)
             if detail:
-                yield Broken("answers are exact", call.attempt, detail)
+                yield knowledge.Broken("answers are exact", call.attempt, detail)
 
 
 def _what_is_wrong(call: history.Call, sets: Sequence[Sequence[str]]) -> str:
@@ -201,13 +168,13 @@
     return ""
 
 
-def answered_in_time(found: history.History) -> Iterable[Broken]:
+def answered_in_time(found: history.History) -> Iterable[knowledge.Broken]:
     """Find callers of undisturbed instances that were left waiting past their deadline."""
     for call in found.calls:
         by = call.sent_at + call.budget + LATE_SECONDS
         if call.ended_at > by and not _disturbances(found, call):
             detail = f"{call.front}: {call.ended_at - call.sent_at:.2f} s of {call.budget:g} s"
-            yield Broken("answered by the deadline", call.attempt, detail)
+            yield knowledge.Broken("answered by the deadline", call.attempt, detail)
 
 
 def _disturbances(found: history.History, call: history.Call) -> list[history.Span]:
@@ -219,7 +186,7 @@
     ]
 
 
-def answered_at_all(found: history.History) -> Iterable[Broken]:
+def answered_at_all(found: history.History) -> Iterable[knowledge.Broken]:
     """Find tries that ran, or found no instance, and whose callers got no answer.
 
     An instance that was killed or frozen is excused; one that was asked to stop answers what ran
@@ -231,12 +198,16 @@
             continue
         spans = _disturbances(found, call)
         if not spans and (call.attempt in ran or call.detail in NO_CONNECTION):
-            yield Broken("every request is answered", call.attempt, f"{call.front}: {call.detail}")
+            yield knowledge.Broken(
+                "every request is answered", call.attempt, f"{call.front}: {call.detail}"
+            )
         elif spans and call.attempt in ran and _is_within_stop(found, spans, call):
-            yield Broken("a stop cuts no request", call.attempt, f"{call.front}: {call.detail}")
+            yield knowledge.Broken(
+                "a stop cuts no request", call.attempt, f"{call.front}: {call.detail}"
+            )
 
 
-def stops_take_no_request_in_vain(found: history.History) -> Iterable[Broken]:
+def stops_take_no_request_in_vain(found: history.History) -> Iterable[knowledge.Broken]:
     """Find tries that nothing ran and whose connection a stopping instance closed unanswered.
 
     Their callers can't know that nothing ran, so they may not ask for it again.
@@ -249,7 +220,7 @@
         if spans and _is_within_stop(found, spans, call):
             kind = "new" if call.is_first else "kept"
             detail = f"{call.front}: {kind} connection, {call.detail}"
-            yield Broken("a stop answers what reached it", call.attempt, detail)
+            yield knowledge.Broken("a stop answers what reached it", call.attempt, detail)
 
 
 def _is_within_stop(
@@ -261,7 +232,7 @@
     )
 
 
-def fatal_requests(found: history.History) -> Iterable[Broken]:
+def fatal_requests(found: history.History) -> Iterable[knowledge.Broken]:
     """Find requests that ended targets and whose tries went on to reach others.
 
     Tries of an instance that was disturbed shortly before are passed over: it may not know yet.
@@ -271,80 +242,43 @@
     ends = [arrival.at for arrival in fatal if arrival.is_end]
     if len(ends) < ENDS_KNOWN:
         return
-    since = sorted(ends)[ENDS_KNOWN - 1] + CONTACT_SECONDS
+    since = sorted(ends)[ENDS_KNOWN - 1] + knowledge.CONTACT_SECONDS
     late = {arrival.attempt for arrival in fatal if not arrival.is_end and arrival.at > since}
-    counted = sorted(one for one in late if not _is_unaware(found, calls[one]))
+    counted = sorted(one for one in late if not knowledge.is_unaware(found, calls[one]))
     if len(counted) > MOST_LATE_TRIES:
         detail = f"{len(counted)} tries reached targets; {MOST_LATE_TRIES} allowed"
-        yield Broken("requests that end their targets", counted[-1], detail)
+        yield knowledge.Broken("requests that end their targets", counted[-1], detail)
 
 
-def _is_unaware(found: history.History, call: history.Call) -> bool:
-    """Say whether the instance of a try was disturbed so shortly before that it may lack news."""
-    return any(
-        span.front == call.front
-        and span.begin <= call.ended_at
-        and call.sent_at <= span.end + CONTACT_SECONDS
-        for span in found.disturbed
-    )
-
-
-def home_regions(found: history.History) -> Iterable[Broken]:
+def home_regions(found: history.History) -> Iterable[knowledge.Broken]:
     """Find requests that reached a target outside the home regions of their route."""
     routes = {call.attempt: call.route for call in found.calls}
     for arrival in found.arrivals:
         homes = found.homes.get(routes.get(arrival.attempt, ""))
         if homes and arrival.hall not in homes:
             detail = f"{arrival.target} in {arrival.hall}; home is {', '.join(sorted(homes))}"
-            yield Broken("home regions", arrival.attempt, detail)
+            yield knowledge.Broken("home regions", arrival.attempt, detail)
 
 
-def evacuated_halls(found: history.History) -> Iterable[Broken]:
+def evacuated_halls(found: history.History) -> Iterable[knowledge.Broken]:
     """Find requests that reached an evacuated hall after all instances must know of it."""
     for span in found.evacuated:
         in_hall = [one for one in found.arrivals if one.hall == span.hall]
-        for arrival in _late(found, in_hall, span.begin, span.end):
+        for arrival in knowledge.late(found, in_hall, span.begin, span.end):
             detail = f"{arrival.target} in {span.hall}, {arrival.at - span.begin:.2f} s after"
-            yield Broken("evacuated halls", arrival.attempt, detail)
+            yield knowledge.Broken("evacuated halls", arrival.attempt, detail)
 
 
-def left_targets(found: history.History) -> Iterable[Broken]:
+def left_targets(found: history.History) -> Iterable[knowledge.Broken]:
     """Find requests that reached a target after all instances must know that it is leaving."""
     for left in found.left:
         at_target = [one for one in found.arrivals if one.target == left.target]
-        for arrival in _late(found, at_target, left.begin, left.end):
+        for arrival in knowledge.late(found, at_target, left.begin, left.end):
             detail = f"{arrival.target}, {arrival.at - left.begin:.2f} s after"
-            yield Broken("targets that leave", arrival.attempt, detail)
-
-
-def _late(
-    found: history.History, arrivals: Iterable[history.Arrival], begin: float, end: float
-) -> Iterable[history.Arrival]:
-    """Pick the arrivals after all instances must know of what began before.
-
-    Those of an instance that was disturbed shortly before are passed over, and those that one of
-    the target's hall may have asked for: it may not know yet.
-    """
-    calls = {call.attempt: call for call in found.calls}
-    due = _due_by(found, begin)
-    for arrival in arrivals:
-        call = calls.get(arrival.attempt)
-        is_late = due < arrival.at < end
-        if call is not None and is_late and not _may_lack(found, call, arrival.hall):
-            yield arrival
-
-
-def _may_lack(found: history.History, call: history.Call, hall: str) -> bool:
-    """Say whether a try's instance, or a gatherer of a hall, may lack news at its time."""
-    return any(
-        (span.front == call.front or span.front.startswith(f"{hall}-"))
-        and span.begin <= call.ended_at
-        and call.sent_at <= span.end + CONTACT_SECONDS
-        for span in found.disturbed
-    )
+            yield knowledge.Broken("targets that leave", arrival.attempt, detail)
 
 
-CHECKERS: tuple[Callable[[history.History], Iterable[Broken]], ...] = (
+CHECKERS: tuple[Callable[[history.History], Iterable[knowledge.Broken]], ...] = (
     attempts_a_shard,
     extra_attempts,
     runs_once,
@@ -356,11 +290,12 @@
     home_regions,
     evacuated_halls,
     left_targets,
+    *workspace_checkers.CHECKERS,
 )
 """All checkers of what arrived; `fatal_requests` reads the ends of targets as well."""
 
 
-def check(found: history.History) -> list[Broken]:
+def check(found: history.History) -> list[knowledge.Broken]:
     """Hold a run against all promises.
 
     Args:
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -8,9 +8,11 @@
 import dataclasses
 import json
 import math
+import re
 from typing import TYPE_CHECKING, Any
 
 from bench.soak import processes
+from lineworks.decisions import quota
 
 if TYPE_CHECKING:
     import pathlib
@@ -27,6 +29,12 @@
 ARRIVALS = "arrivals-*.jsonl"
 """Files with what reached targets, one for each process of targets."""
 
+LOGS = "*-[0-9]*.log"
+"""Logs of the instances."""
+
+KEY_PATTERN = re.compile(r"key-[0-9a-f]+")
+"""What the keys of a run look like."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
@@ -71,6 +79,9 @@
     is_first: bool = False
     """Whether it was the first one on its connection."""
 
+    key: str = ""
+    """Key that it carried; empty for none."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
@@ -97,6 +108,29 @@
     is_end: bool = False
     """Whether it tells of the end of the target under this try, and not of an arrival."""
 
+    workspace: str = ""
+    """Name of the workspace that the target was told; empty for none."""
+
+    shown: str = ""
+    """What the target was shown of the caller's key; empty for nothing."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Workspace:
+    """A workspace in a configuration."""
+
+    name: str
+    """Its name."""
+
+    keys: tuple[str, ...]
+    """Its keys; no other workspace ever has one of them."""
+
+    rate: float = 0.0
+    """Requests a second that it may send; 0 for no limit."""
+
+    burst: float = 0.0
+    """Requests that it may send besides."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configured:
@@ -111,6 +145,9 @@
     shards: tuple[str, ...]
     """Services that are the shards of a search."""
 
+    workspaces: tuple[Workspace, ...] = ()
+    """Its workspaces; none where requests need no key."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Span:
@@ -128,6 +165,9 @@
     is_planned: bool = False
     """Whether the instance was asked to stop."""
 
+    is_frozen: bool = False
+    """Whether it was frozen, and goes on with what it knew before."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Evacuated:
@@ -194,6 +234,12 @@
     grace_seconds: float = processes.GRACE_SECONDS
     """Seconds that an instance has to stop."""
 
+    quota_bound: quota.QuotaBound = quota.QuotaBound()
+    """What all instances together may let through beyond a workspace's limit."""
+
+    logged_keys: tuple[str, ...] = ()
+    """Keys that stand in an instance's log, each with the log's name."""
+
 
 def call_writer(folder: pathlib.Path) -> Callable[[Call], None]:
     """Open the book of what callers sent and got.
@@ -225,6 +271,24 @@
     return tuple(sorted(rows, key=lambda call: call.sent_at))
 
 
+def find_logged_keys(folder: pathlib.Path, configured: Iterable[Configured]) -> tuple[str, ...]:
+    """Look for keys in the logs of the instances.
+
+    Args:
+        folder: The run's folder.
+        configured: All configurations of the run.
+
+    Returns:
+        Each key that stands in a log, with the log's name.
+    """
+    keys = {key for one in configured for found in one.workspaces for key in found.keys}
+    return tuple(
+        f"{log.name}: {key}"
+        for log in (sorted(folder.glob(LOGS)) if keys else ())
+        for key in sorted(keys & set(KEY_PATTERN.findall(log.read_text(errors="replace"))))
+    )
+
+
 def read_arrivals(folder: pathlib.Path) -> tuple[Arrival, ...]:
     """Read what targets noted.
 
--- a/bench/soak/instances.py
+++ b/bench/soak/instances.py
@@ -74,7 +74,7 @@
         if step.kind is plan.Kind.NODE_SIGNALLED:
             node.child.signal(signal.SIGHUP)
         elif step.kind is plan.Kind.NODE_FROZEN:
-            self._note(node, step.seconds)
+            self._note(node, step.seconds, is_frozen=True)
             self._freeze(node, step.seconds)
         elif step.kind is plan.Kind.NODE_KILLED:
             self._note(node, step.seconds)
@@ -103,10 +103,16 @@
         if node.child is child:
             self._freeze(node, seconds)
 
-    def _note(self, node: processes.Node, seconds: float, is_planned: bool = False) -> None:
+    def _note(
+        self,
+        node: processes.Node,
+        seconds: float,
+        is_planned: bool = False,
+        is_frozen: bool = False,
+    ) -> None:
         now = self._reactor.seconds()
         lasts = max(seconds, processes.GRACE_SECONDS) + RECOVERY_SECONDS
-        self.disturbed.append(history.Span(node.name, now, now + lasts, is_planned))
+        self.disturbed.append(history.Span(node.name, now, now + lasts, is_planned, is_frozen))
 
     def _freeze(self, node: processes.Node, seconds: float) -> None:
         child = node.child
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -54,6 +54,12 @@
 ATTEMPT_LIMITS = (1, 2, 3)
 """Limits of attempts that configurations deal."""
 
+MEAN_WORKSPACE_PAUSE = 4.0
+"""Mean seconds between two changes of workspaces."""
+
+LIMIT_PERCENTS = (50, 100, 200)
+"""Limits of the workspace that sends most, in percent of its usual one."""
+
 
 class Kind(enum.Enum):
     """What a step does."""
@@ -158,6 +164,15 @@
     HALL_EVACUATED = "hall_evacuated"
     """The operators ask to send nothing more to the targets of a hall, and take that back."""
 
+    WORKSPACE_KEY_ADDED = "workspace_key_added"
+    """A configuration in which a workspace has one key more."""
+
+    WORKSPACE_KEY_TAKEN = "workspace_key_taken"
+    """A configuration in which the oldest key of a workspace is gone."""
+
+    WORKSPACE_LIMIT = "workspace_limit"
+    """A configuration with another limit of the workspace that sends most."""
+
 
 STOPS = (
     Kind.NODE_ASKED_AGAIN,
@@ -168,7 +183,10 @@
 )
 """Kinds in which instances are asked to stop and something else happens."""
 
-_APART = (Kind.FATAL_ASKED, Kind.HALL_EVACUATED, Kind.STORE_OLDER, *STOPS)
+WORKSPACES = (Kind.WORKSPACE_KEY_ADDED, Kind.WORKSPACE_KEY_TAKEN, Kind.WORKSPACE_LIMIT)
+"""Kinds that change workspaces; a run that has none passes over them."""
+
+_APART = (Kind.FATAL_ASKED, Kind.HALL_EVACUATED, Kind.STORE_OLDER, *STOPS, *WORKSPACES)
 """Kinds that are dealt from sources of their own: the other steps of a seed stay what they were
 before these."""
 
@@ -192,7 +210,8 @@
     """Names of targets, of links, of an instance, of a hall, or of a route."""
 
     value: int = 0
-    """Limit of attempts, of a configuration; age of the store's copy in milliseconds."""
+    """Limit of attempts, of a configuration; age of the store's copy in milliseconds; limit of a
+    workspace in percent of its usual one."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -238,6 +257,7 @@
         *_evacuation(seed, seconds, subjects.halls),
         *_stops(seed, seconds, subjects.nodes),
         *_older_copies(seed, seconds, subjects.targets),
+        *_workspace_changes(seed, seconds),
     ]
     return sorted([*steps, *apart], key=lambda step: step.at)
 
@@ -295,6 +315,19 @@
     return steps
 
 
+def _workspace_changes(seed: int, seconds: float) -> list[Step]:
+    """Deal keys that are added and taken away, and limits that go down and up."""
+    rng = random.Random(f"{seed}-workspace-changes")
+    steps = []
+    at = CALM_SECONDS + rng.expovariate(1 / MEAN_WORKSPACE_PAUSE)
+    while at < seconds - CALM_SECONDS:
+        kind = rng.choice(WORKSPACES)
+        value = rng.choice(LIMIT_PERCENTS) if kind is Kind.WORKSPACE_LIMIT else 0
+        steps.append(Step(round(at, 3), kind, value=value))
+        at += rng.expovariate(1 / MEAN_WORKSPACE_PAUSE)
+    return steps
+
+
 def _struck(kind: Kind, rng: random.Random, subjects: Subjects) -> tuple[str, ...]:
     """Choose whom a step strikes; the first word of its kind tells what they are."""
     choices: dict[str, Callable[[], tuple[str, ...]]] = {
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from lineworks.decisions import extra_attempts
+    from lineworks.decisions import extra_attempts, quota
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 NODE_PROGRAM = ROOT / "src" / "lineworks_node.py"
@@ -273,6 +273,7 @@
         store_port: int,
         allowance: extra_attempts.Allowance,
         folder: pathlib.Path,
+        quota_bound: quota.QuotaBound | None = None,
     ) -> None:
         """Write its settings; `start` starts it.
 
@@ -283,6 +284,7 @@
             store_port: Port of its link to the store.
             allowance: Attempts beyond the first that a service may get.
             folder: The run's folder.
+            quota_bound: What may be let through beyond a limit; None where there are no limits.
         """
         self.name = name
         self.port = ports[0]
@@ -295,6 +297,10 @@
             "RetrySlack": allowance.slack,
             "GraceS": GRACE_SECONDS,
         }
+        if quota_bound is not None:
+            bounds["QuotaWindowS"] = quota_bound.window
+            bounds["QuotaExcess"] = quota_bound.excess
+            bounds["QuotaSlack"] = quota_bound.slack
         document = {
             "NodeName": name,
             "Ip": "127.0.0.1",
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -16,6 +16,7 @@
     processes,
     schedule,
     store_process,
+    workspaces,
 )
 from lineworks.decisions import extra_attempts
 from lineworks.kernel import task
@@ -141,6 +142,7 @@
         self._ports = iter(self._claim.ports)
         store_port = next(self._ports)
         self._store = processes.Store(store_port, folder)
+        self._workspaces = workspaces.Workspaces(seed) if workspaces.are_played(seed) else None
         self._link_rows: list[dict[str, Any]] = []
         self._nodes = self._make_nodes(store_port, nodes_a_hall)
         self._schedule = schedule.Schedule(reactor)
@@ -161,16 +163,35 @@
         self._links = processes.Links(self._link_rows, folder)
         links = tuple(row["name"] for row in self._link_rows)
         subjects = plan.Subjects(tuple(self._places), tuple(self._nodes), processes.HALLS, links)
-        self._steps = plan.deal(seed, seconds, subjects)
-        fronts = {name: ("127.0.0.1", node.port) for name, node in self._nodes.items()}
-        self._callers = callers.Callers(
-            reactor, random.Random(seed), fronts, rate, history.call_writer(folder)
-        )
+        self._steps = [
+            step
+            for step in plan.deal(seed, seconds, subjects)
+            if self._workspaces is not None or step.kind not in plan.WORKSPACES
+        ]
+        self._callers = self._make_callers(seed, rate)
         self._configured: list[history.Configured] = []
         self._evacuated: list[history.Evacuated] = []
         self._left: list[history.Left] = []
         self._store_faults: list[tuple[float, float]] = []
 
+    def _make_callers(self, seed: int, rate: float) -> list[callers.Callers]:
+        """Make those who send at the run's rate, and the one far beyond its limit if there is."""
+        fronts = {name: ("127.0.0.1", node.port) for name, node in self._nodes.items()}
+        write = history.call_writer(self._folder)
+        usual = random.Random(seed)
+        if self._workspaces is None:
+            return [callers.Callers(self._reactor, usual, fronts, rate, write)]
+        draw = self._workspaces.sender(seed, workspaces.SENDERS)
+        draw_hot = self._workspaces.sender(seed, {workspaces.HOT: 1.0})
+        hot = random.Random(f"{seed}-hot")
+        hot_rate = workspaces.HOT_RATE
+        return [
+            callers.Callers(self._reactor, usual, fronts, rate, write, draw_key=draw),
+            callers.Callers(
+                self._reactor, hot, fronts, hot_rate, write, prefix="h", draw_key=draw_hot
+            ),
+        ]
+
     def _make_nodes(self, store_port: int, nodes_a_hall: int) -> dict[str, processes.Node]:
         nodes = {}
         for hall in processes.HALLS:
@@ -178,7 +199,10 @@
                 name = f"{hall}-{number}"
                 ports = [next(self._ports) for _ in range(4)]
                 link_port = self._make_link(f"{STORE_LINK}{name}", store_port)
-                nodes[name] = processes.Node(name, hall, ports, link_port, ALLOWANCE, self._folder)
+                bound = workspaces.BOUND if self._workspaces is not None else None
+                nodes[name] = processes.Node(
+                    name, hall, ports, link_port, ALLOWANCE, self._folder, bound
+                )
         return nodes
 
     def _make_places(self, hall: str) -> list[processes.Place]:
@@ -220,7 +244,8 @@
             await task.sleep(self._reactor, self._start_seconds)
             begin = self._reactor.seconds()
             self._write_timeline(begin)
-            self._callers.start(self._seconds)
+            for one in self._callers:
+                one.start(self._seconds)
             for step in self._steps:
                 self._reactor.callLater(step.at, self._do, step)
             await task.sleep(self._reactor, self._seconds)
@@ -231,7 +256,9 @@
 
     async def _wait_until_quiet(self) -> None:
         until = self._reactor.seconds() + callers.BUDGET + callers.PATIENCE
-        while self._callers.under_way and self._reactor.seconds() < until:
+        while self._reactor.seconds() < until:
+            if not any(one.under_way for one in self._callers):
+                break
             await task.sleep(self._reactor, POLL_SECONDS)
 
     def _end(self) -> None:
@@ -266,9 +293,16 @@
             {"Name": "bill", "PathPrefix": "/bill/", "Service": SHELF, "SloMs": 600, **once},
         ]
         version = len(self._configured) + 1
-        document = documents.configuration(version, routes, (*SERVICES, SHELF))
+        known = self._workspaces
+        document = documents.configuration(
+            version,
+            routes,
+            (*SERVICES, SHELF),
+            workspaces=known.documents if known is not None else (),
+        )
         self._store.write(documents.CONFIGURATION_KEY, document)
-        self._configured.append(history.Configured(self._reactor.seconds(), most, shards))
+        listed = known.listed if known is not None else ()
+        self._configured.append(history.Configured(self._reactor.seconds(), most, shards, listed))
 
     def _do(self, step: plan.Step) -> None:
         """Carry out a step."""
@@ -302,6 +336,10 @@
             self._begin_drill(step)
         elif step.kind is plan.Kind.CONFIGURED:
             self._configure(step.value, self._configured[-1].shards)
+        elif step.kind in plan.WORKSPACES:
+            assert self._workspaces is not None
+            self._workspaces.do(step)
+            self._configure(self._configured[-1].max_attempts, self._configured[-1].shards)
         elif step.kind is plan.Kind.RESHARDED:
             self._reshard()
         elif step.kind is plan.Kind.TARGETS_DRAIN:
@@ -309,7 +347,9 @@
             self._schedule.later(step.seconds, self._announce, step.subjects, "ready")
         elif step.kind is plan.Kind.FATAL_ASKED:
             until = self._reactor.seconds() + step.seconds
-            self._callers.ask_again(step.subjects[0], until, random.Random(step.at))
+            key = self._workspaces.listed[0].keys[0] if self._workspaces is not None else ""
+            rng = random.Random(step.at)
+            self._callers[0].ask_again(step.subjects[0], until, rng, key)
         elif step.kind is plan.Kind.HALL_EVACUATED:
             self._evacuate(step)
         elif step.kind is plan.Kind.HALL_RESTARTS:
@@ -376,6 +416,8 @@
             tuple(self._evacuated),
             tuple(self._store_faults),
             left=tuple(self._left),
+            quota_bound=workspaces.BOUND,
+            logged_keys=history.find_logged_keys(self._folder, self._configured),
         )
 
 
--- a/bench/soak/target_process.py
+++ b/bench/soak/target_process.py
@@ -10,6 +10,7 @@
 import pathlib
 import random
 import sys
+import types
 from typing import TYPE_CHECKING, Any
 
 from bench.soak import _control, history
@@ -17,7 +18,7 @@
 from lineworks.platform.standins import http_target
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
 BACK_SECONDS = 1.5
 """Seconds after which a target that ended is back under its identity."""
@@ -55,10 +56,19 @@
         attempt: str,
         has_run: bool,
         is_end: bool = False,
+        headers: Mapping[str, str] = types.MappingProxyType({}),
     ) -> None:
         at = self._reactor.seconds()
         arrival = history.Arrival(
-            attempt, target.name, target.service, at, has_run, target.hall, is_end
+            attempt,
+            target.name,
+            target.service,
+            at,
+            has_run,
+            target.hall,
+            is_end,
+            headers.get("x-tenant-name", ""),
+            headers.get("authorization", ""),
         )
         self._file.write(json.dumps(dataclasses.asdict(arrival)) + "\n")
 
@@ -66,17 +76,17 @@
 class _Runs(list[http_target.Run]):
     """Takes the runs of one target and notes them at once."""
 
-    def __init__(self, on_run: Callable[[str], None]) -> None:
+    def __init__(self, on_run: Callable[[http_target.Run], None]) -> None:
         super().__init__()
         self._on_run = on_run
 
     def append(self, run: http_target.Run) -> None:
-        self._on_run(run.attempt)
+        self._on_run(run)
 
 
 def _start(reactor: Any, place: dict[str, Any], hall: str, book: _Book) -> http_target.HttpTarget:
     target: http_target.HttpTarget
-    runs = _Runs(lambda attempt: book.note(target, attempt, True))
+    runs = _Runs(lambda run: book.note(target, run.attempt, True, headers=run.headers))
     work = _work(random.Random(place["name"]), 0.0)
     target = http_target.HttpTarget(
         _Loopback(reactor), place["name"], place["service"], hall, work, runs
--- a/bench/stops.py
+++ b/bench/stops.py
@@ -19,7 +19,7 @@
 import structlog
 
 from bench import fakes
-from bench.soak import callers, checkers, history
+from bench.soak import callers, checkers, history, knowledge
 from lineworks.decisions import extra_attempts
 from lineworks.standins import deployment
 
@@ -130,12 +130,12 @@
     """Seconds from the signal to the end of the process."""
 
     @property
-    def broken(self) -> list[checkers.Broken]:
+    def broken(self) -> list[knowledge.Broken]:
         """The promises that were broken."""
         return [*checkers.check(self.found), *sooner_than_needed(self.found)]
 
 
-def sooner_than_needed(found: history.History) -> Iterable[checkers.Broken]:
+def sooner_than_needed(found: history.History) -> Iterable[knowledge.Broken]:
     """Find tries that a stop ended without success before its end or their deadline asked for it.
 
     Silence from a target gives no reason to end an answer sooner. Here targets do nothing worse.
@@ -147,7 +147,7 @@
             is_sooner = call.ended_at < min(end, deadline)
             if call.front == span.front and call.status == 502 and is_sooner:
                 detail = f"{call.status} after {call.ended_at - call.sent_at:.2f} s"
-                yield checkers.Broken("a stop answers no sooner", call.attempt, detail)
+                yield knowledge.Broken("a stop answers no sooner", call.attempt, detail)
 
 
 def play(seed: int, event: Event | None = None) -> Stop:
