--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -44,7 +44,7 @@
     is_fatal: bool = False
     is_first: bool = False
     key: str = ""
-    workspace: str = ""
+    claimed: str = ""
     timer: Any = None
     connection: client_connection.ClientConnection | None = None
 
@@ -131,8 +131,8 @@
         attempt = f"{self._prefix}{next(self._numbers):06d}"
         budget = self._draw_budget()
         now = self._reactor.seconds()
-        key, workspace = sender
-        one = _Try(attempt, route, front, now, budget, is_fatal, key=key, workspace=workspace)
+        key, claimed = sender
+        one = _Try(attempt, route, front, now, budget, is_fatal, key=key, claimed=claimed)
         self.under_way += 1
         one.timer = self._reactor.callLater(budget + PATIENCE, self._give_up, one)
         while self._idle.get(front):
@@ -150,8 +150,9 @@
         one.connection = connection
         name = history.FATAL if one.is_fatal else "q"
         path = f"/{one.route}/{name}"
-        more = documents.caller_fields(one.key, one.workspace)
-        data = documents.caller_request("GET", path, one.attempt, one.budget, b"", more)
+        data = documents.caller_request(
+            "GET", path, one.attempt, one.budget, b"", one.key, one.claimed
+        )
         connection.send(data, False, lambda end: self._on_end(one, end))
 
     def on_no_connection(self, one: _Try, detail: str) -> None:
--- a/bench/soak/target_process.py
+++ b/bench/soak/target_process.py
@@ -56,7 +56,7 @@
         attempt: str,
         has_run: bool,
         is_end: bool = False,
-        headers: Mapping[str, str] = types.MappingProxyType({}),
+        fields: Mapping[str, str] = types.MappingProxyType({}),
     ) -> None:
         at = self._reactor.seconds()
         arrival = history.Arrival(
@@ -67,8 +67,8 @@
             has_run,
             target.hall,
             is_end,
-            headers.get("x-tenant-name", ""),
-            headers.get("authorization", ""),
+            fields.get("x-tenant-name", ""),
+            fields.get("authorization", ""),
         )
         self._file.write(json.dumps(dataclasses.asdict(arrival)) + "\n")
 
@@ -86,7 +86,7 @@
 
 def _start(reactor: Any, place: dict[str, Any], hall: str, book: _Book) -> http_target.HttpTarget:
     target: http_target.HttpTarget
-    runs = _Runs(lambda run: book.note(target, run.attempt, True, headers=run.headers))
+    runs = _Runs(lambda run: book.note(target, run.attempt, True, fields=run.fields))
     work = _work(random.Random(place["name"]), 0.0)
     target = http_target.HttpTarget(
         _Loopback(reactor), place["name"], place["service"], hall, work, runs
--- a/bench/soak/workspace_checkers.py
+++ b/bench/soak/workspace_checkers.py
@@ -93,12 +93,11 @@
     for name, rows in _first_runs(found).items():
         times = [at for at, _ in rows]
         for place, (at, attempt) in enumerate(rows):
-            begin = at - window
-            within = rows[bisect.bisect_left(times, begin) : place + 1]
-            count = sum(1 for _, other in within if sent_at[other] >= begin)
-            most = _most(found, name, begin, at)
-            if most is not None and count > most:
-                detail = f"{name}: {count} ran within {window:g} s; {most:.1f} allowed"
+            ran = rows[bisect.bisect_left(times, at - window) : place + 1]
+            sent = [sent_at[other] for _, other in ran if sent_at[other] >= at - window]
+            most = _most(found, name, min(sent, default=at), at)
+            if most is not None and len(sent) > most:
+                detail = f"{name}: {len(sent)} ran within {window:g} s; {most:.1f} allowed"
                 yield knowledge.Broken("limits of workspaces", attempt, detail)
 
 
--- a/bench/soak/workspaces.py
+++ b/bench/soak/workspaces.py
@@ -11,6 +11,7 @@
 
 from bench.soak import history, plan
 from lineworks.decisions import quota
+from lineworks.platform.standins import documents
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -88,12 +89,7 @@
     def documents(self) -> list[dict[str, Any]]:
         """The workspaces as they stand in a configuration."""
         return [
-            {
-                "Name": one.name,
-                "ApiKeys": list(one.keys),
-                "RatePerS": one.rate,
-                "Burst": one.burst,
-            }
+            documents.workspace(one.name, *one.keys, rate=one.rate or None, burst=one.burst)
             for one in self.listed
         ]
 
--- a/src/lineworks/platform/standins/documents.py
+++ b/src/lineworks/platform/standins/documents.py
@@ -146,7 +146,13 @@
 
 
 def caller_request(
-    method: str, path: str, attempt: str, budget: float, body: bytes, key: str = ""
+    method: str,
+    path: str,
+    attempt: str,
+    budget: float,
+    body: bytes,
+    key: str = "",
+    claimed: str = "",
 ) -> bytes:
     """Write a caller's request.
 
@@ -157,6 +163,7 @@
         budget: Seconds that the caller waits.
         body: Body; empty for none.
         key: API key; empty for none.
+        claimed: Name of the workspace that the caller says it belongs to; empty for none.
 
     Returns:
         Its bytes.
@@ -167,6 +174,8 @@
     )
     if key:
         head += f"Authorization: Bearer {key}\r\n"
+    if claimed:
+        head += f"X-Tenant-Name: {claimed}\r\n"
     if body:
         head += f"Content-Length: {len(body)}\r\n"
     return head.encode() + b"\r\n" + body
--- a/src/lineworks/platform/standins/http_target.py
+++ b/src/lineworks/platform/standins/http_target.py
@@ -50,6 +50,8 @@
     path: str
     body: bytes
     at: float
+    fields: dict[str, str] = dataclasses.field(default_factory=dict, compare=False)
+    """Header fields that came with it, names in lower case."""
 
 
 @dataclasses.dataclass
@@ -212,7 +214,7 @@
             self._answer(503, attempt, b"", "X-Not-Executed: 1\r\n")
             return
         now = target.host.seconds()
-        run = Run(target.name, attempt, method, path, body, now)
+        run = Run(target.name, attempt, method, path, body, now, headers)
         target.book.append(run)
         self._is_working = True
         if target.is_fatal(run):
