--- a/bench/soak/workspace_checkers.py
+++ b/bench/soak/workspace_checkers.py
@@ -4,6 +4,7 @@
 
 import bisect
 import collections
+import math
 from typing import TYPE_CHECKING
 
 from bench.soak import knowledge
@@ -20,7 +21,8 @@
 """Status that says that a workspace sends more than it may."""
 
 FAR_BELOW = 0.5
-"""Share of its limit up to which a workspace is far below it."""
+"""Share of its limit up to which a workspace is far below it, of the requests a second and of those
+besides."""
 
 MOST_REFUSED_BELOW = 0.05
 """Share of the requests of a workspace far below its limit that may be refused for it. Faults in
@@ -125,27 +127,39 @@
         These tries.
     """
     owners = _owners(found)
-    window = found.quota_bound.window
-    sent = collections.defaultdict(list)
-    for call in found.calls:
-        sent[owners.get(call.key)].append(call.sent_at)
-    refused = []
+    tries: dict[str, list[history.Call]] = collections.defaultdict(list)
     for call in found.calls:
-        name = owners.get(call.key)
-        if call.status != OVER_LIMIT or name is None:
-            continue
-        rates = [
-            one.rate
-            for configured in _possible(found, call.sent_at - window, call.ended_at)
-            for one in configured.workspaces
-            if one.name == name
-        ]
-        times = sent[name]
-        begin = bisect.bisect_left(times, call.sent_at - window)
-        count = bisect.bisect_right(times, call.ended_at) - begin
-        if count <= FAR_BELOW * min(rates, default=0.0) * window:
-            refused.append(call)
-    return refused
+        if call.key in owners:
+            tries[owners[call.key]].append(call)
+    return [call for name, calls in tries.items() for call in _refused_below(found, name, calls)]
+
+
+def _refused_below(
+    found: history.History, name: str, calls: Iterable[history.Call]
+) -> Iterable[history.Call]:
+    """Pick the refusals of a workspace that kept to a part of its limit for a whole window."""
+    window = found.quota_bound.window
+    tokens, at, over_at = math.inf, 0.0, -math.inf
+    for call in calls:
+        rate, burst = _least(found, name, call)
+        tokens = min(FAR_BELOW * burst, tokens + (call.sent_at - at) * FAR_BELOW * rate)
+        at = call.sent_at
+        if tokens < 1:
+            over_at = at
+        tokens = max(0.0, tokens - 1)
+        if call.status == OVER_LIMIT and at - over_at > window:
+            yield call
+
+
+def _least(found: history.History, name: str, call: history.Call) -> tuple[float, float]:
+    """Tell the least limit that may hold for a try: requests a second, and requests besides."""
+    limits = [
+        (one.rate or math.inf, one.burst or math.inf)
+        for configured in _possible(found, call.sent_at, call.ended_at)
+        for one in configured.workspaces
+        if one.name == name
+    ]
+    return min(limits, default=(math.inf, math.inf))
 
 
 def _owners(found: history.History) -> Mapping[str, str]:
--- a/tests/test_soak_workspaces.py
+++ b/tests/test_soak_workspaces.py
@@ -174,17 +174,23 @@
     assert found == ["limits of workspaces"] * is_broken
 
 
-@pytest.mark.parametrize(("rate", "is_broken"), [(2.0, False), (20.0, True)])
-def test_many_refusals_far_below_a_limit_are_seen(rate, is_broken):
-    # Some of 13 requests a second are refused: that is far below 20 times 5, and above 2 times 5.
-    calls, arrivals = sent(13, gap=0.2)
-    refused = [
-        dataclasses.replace(one, status=429 if place % 3 == 0 else 200)
-        for place, one in enumerate(calls)
-    ]
-    ran = [one for one, end in zip(arrivals, refused, strict=True) if end.status == 200]
-    version = configured(0.0, dataclasses.replace(NORTH, rate=rate))
-    found = promises(refused, ran, version)
+@pytest.mark.parametrize(
+    ("gap", "since", "is_broken"),
+    [
+        # Ten a second for a while is within half of 20 a second and 40 besides.
+        (0.1, 20.0, True),
+        # Thirty a second isn't, nor is anything soon after it.
+        (0.03, 20.0, False),
+        (0.1, 0.7, False),
+    ],
+)
+def test_many_refusals_far_below_a_limit_are_seen(gap, since, is_broken):
+    storm, ran = sent(60, begin=0.0, gap=0.01)
+    calls, _ = sent(60, begin=since, gap=gap)
+    calls = [dataclasses.replace(one, status=429) for one in calls[30:45]]
+    between, also_ran = sent(30, begin=since, gap=gap)
+    version = configured(0.0, dataclasses.replace(NORTH, rate=20.0, burst=40.0))
+    found = promises([*storm, *between, *calls], [*ran, *also_ran], version)
     assert found == ["no refusal below a limit"] * is_broken
 
 
