lineworks-ctl workspaces: the version in force at an instance, and its workspaces without their keys

Cause: nothing but the metrics told which configuration an instance goes by, and nothing which workspaces it knows, how many keys each has, or that a workspace's home regions don't exist. Change: a view beside the metrics like that of placements. Limits stand in lineworks-ctl quotas.

--- a/src/lineworks/decisions/workspaces.py
+++ b/src/lineworks/decisions/workspaces.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import hashlib
 import secrets
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
 _DIGEST_BYTES = 16
 
@@ -73,6 +74,11 @@
         """All workspaces."""
         return list(self._by_name.values())
 
+    @property
+    def key_counts(self) -> Mapping[str, int]:
+        """Number of keys of each workspace that has any."""
+        return collections.Counter(one.name for one in self._by_digest.values())
+
     def find(self, key: bytes) -> Workspace | None:
         """Find whose key it is.
 
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from lineworks.decisions import cold_targets, extra_attempts, mechanisms, routes
+from lineworks.decisions import access, cold_targets, extra_attempts, mechanisms, routes
 from lineworks.forwarding import (
     directory,
     evidence_exchange,
@@ -33,6 +33,7 @@
     target_calls,
     target_learning,
     tools,
+    workspace_view,
 )
 from lineworks.http1 import server_connection
 from lineworks.kernel import bounded_log, listening, loop_delay, registry
@@ -302,6 +303,10 @@
             return placement_view.answer(self._front.table, self._book, self._evacuated, age, now)
         if quota_view.is_wanted(request):
             return quota_view.answer(self._quotas, self._settings.hall)
+        if workspace_view.is_wanted(request):
+            known = access.Knowledge(self._directory.age, self._directory.is_outdated)
+            regions = set(self._settings.regions.values())
+            return workspace_view.answer(self._front.table, known, regions)
         kind = (b"Content-Type", b"text/plain; version=0.0.4")
         return server_connection.Answer(200, [kind], self._metrics.export())
 
--- /dev/null
+++ b/src/lineworks/forwarding/workspace_view.py
@@ -0,0 +1,69 @@
+"""Shows operators the workspaces in force at one instance; their keys are counted and never shown.
+
+Served beside the metrics, which only the instances' own network reaches.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from lineworks.http1 import server_connection
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from lineworks.decisions import access, routes, workspaces
+
+PATH = b"/workspaces"
+"""Path of the view (GET)."""
+
+
+def is_wanted(request: server_connection.Request) -> bool:
+    """Say whether a request is for this view.
+
+    Args:
+        request: The request.
+
+    Returns:
+        Whether its path is the view's.
+    """
+    return request.target.partition(b"?")[0] == PATH
+
+
+def answer(
+    table: routes.RouteTable | None, knowledge: access.Knowledge, regions: Collection[str]
+) -> server_connection.Answer:
+    """Answer an operator.
+
+    Args:
+        table: The configuration in force, if there is one.
+        knowledge: How good what this instance knows of the configuration is.
+        regions: Regions of the deployment.
+
+    Returns:
+        The view as JSON.
+    """
+    listed = table.workspaces.all if table is not None else []
+    counts = table.workspaces.key_counts if table is not None else {}
+    document = {
+        "version": table.version if table is not None else 0,
+        "age_seconds": round(knowledge.age, 3),
+        "is_outdated": knowledge.is_outdated,
+        "workspaces": [_row(one, counts.get(one.name, 0), regions) for one in listed],
+        "public_routes": [
+            route.name for route in (table.routes if table is not None else []) if route.is_public
+        ],
+    }
+    fields = [(b"Content-Type", b"application/json")]
+    return server_connection.Answer(200, fields, json.dumps(document).encode())
+
+
+def _row(one: workspaces.Workspace, keys: int, regions: Collection[str]) -> dict[str, Any]:
+    return {
+        "name": one.name,
+        "keys": keys,
+        "priority": one.priority,
+        "homes": sorted(one.homes),
+        "unknown_homes": sorted(one.homes - set(regions)),
+    }
--- a/src/lineworks/programs/_node_commands.py
+++ b/src/lineworks/programs/_node_commands.py
@@ -12,11 +12,12 @@
 LIFT = "lift"
 PLACEMENT = "placement"
 QUOTAS = "quotas"
+WORKSPACES = "workspaces"
 
-COMMANDS = (SUSPECTS, LIFT, PLACEMENT, QUOTAS)
+COMMANDS = (SUSPECTS, LIFT, PLACEMENT, QUOTAS, WORKSPACES)
 """All of them; they need no secret."""
 
-WITHOUT_ARGUMENT = (SUSPECTS, PLACEMENT, QUOTAS)
+WITHOUT_ARGUMENT = (SUSPECTS, PLACEMENT, QUOTAS, WORKSPACES)
 """Those that take no argument."""
 
 
@@ -49,6 +50,7 @@
         LIFT: lambda: f"lifted {arguments[1]}",
         PLACEMENT: lambda: _placement_lines(reply),
         QUOTAS: lambda: _quota_lines(reply),
+        WORKSPACES: lambda: _workspace_lines(reply),
     }
     return writers[arguments[0]]()
 
@@ -105,3 +107,22 @@
         for row in reply["refusals"]
     ]
     return "\n".join(lines) or "no workspace has a quota"
+
+
+def _workspace_lines(reply: dict[str, Any]) -> str:
+    newer = ", a peer has a newer one" if reply["is_outdated"] else ""
+    age = reply["age_seconds"]
+    lines = [f"configuration {reply['version']}, known to be the newest {age} s ago{newer}"]
+    if not reply["workspaces"]:
+        lines.append("no workspaces: requests need no key")
+        return "\n".join(lines)
+    public = ", ".join(reply["public_routes"]) or "none"
+    lines.append(f"routes that need no key: {public}")
+    for row in reply["workspaces"]:
+        priority = "that of the route" if row["priority"] is None else row["priority"]
+        homes = f"only in {', '.join(row['homes'])}" if row["homes"] else "in any region"
+        lines.append(f"{row['name']}: keys {row['keys']}, priority {priority}, {homes}")
+        if row["unknown_homes"]:
+            unknown = ", ".join(row["unknown_homes"])
+            lines.append(f"  the deployment has no region {unknown}")
+    return "\n".join(lines)
--- a/src/lineworks/programs/ctl.py
+++ b/src/lineworks/programs/ctl.py
@@ -26,6 +26,8 @@
     suspects       list the requests under which targets ended, and which are refused; give the
                    metrics address of an instance on the users' platform by --node
     lift CONTENT   let a refused request have one careful trial, on all instances
+    workspaces     print the workspaces in force at the instance at --node and the version of its
+                   configuration: counts of keys, priorities, home regions (limits: see quotas)
     placement      print which routes have home regions and lack targets there, which halls are
                    evacuated, and what cold targets get, as the instance at --node knows it
     quotas         print the quotas of workspaces, who holds their tokens in the data hall of
