--- a/tests/test_api_keys.py
+++ b/tests/test_api_keys.py
@@ -7,7 +7,9 @@
 import pytest
 import structlog
 
-from lineworks.decisions import access
+from lineworks.decisions import access, positions
+from lineworks.http1 import server_connection
+from lineworks.platform import store_items
 from lineworks.platform.standins import documents
 from lineworks.standins import deployment
 from lineworks.wire import node_frames
@@ -171,6 +173,18 @@
         assert all(key.encode() not in exported for key in (NORTH, SOUTH, OTHER, "sk-old"))
 
 
+def test_no_key_stands_in_what_is_shown_of_requests_and_documents():
+    document = NORTH.encode()
+    fields = [(b"authorization", b"Bearer " + document)]
+    for shown in (
+        server_connection.Request(b"GET", b"/", fields, b"", 0.0),
+        node_frames.TableUpdate(1, document, 0),
+        store_items.Item("op/config", document, positions.ABSENT),
+        store_items.Change("op/config", positions.ABSENT, document),
+    ):
+        assert NORTH not in repr(shown)
+
+
 def test_an_added_key_is_in_force_everywhere():
     world = build()
     assert statuses(world, OTHER) == {401}
@@ -281,6 +295,29 @@
     assert ask(world, "akl-1", key=NORTH).status == 200
 
 
+@pytest.mark.parametrize(("is_strict", "expected"), [(False, {200, 401}), (True, {503, 401})])
+def test_an_instance_that_stood_still_hears_soon_of_a_key_taken_away(is_strict, expected):
+    world = build(revocation=access.Revocation(is_strict=is_strict, seconds=5.0))
+    host = world.host_of("akl-1")
+    host.freeze()
+    world.run(2.0)
+    world.workspaces = listed(north=())
+    world.configure(ROUTES)
+    world.run(8.0)
+    host.wake()
+    first = world.ask("akl-1", "/read/q", key=NORTH)
+    world.run(IN_FORCE)
+    assert first.status in expected
+    assert statuses(world, NORTH) == {401}
+
+
+def test_home_regions_that_do_not_exist_are_told_by_workspace():
+    with structlog.testing.capture_logs() as lines:
+        build(listed(homes=("akl", "nowhere")))
+    told = [line for line in lines if line["event"] == "unknown_home_regions"]
+    assert {(line["workspace"], *line["regions"]) for line in told} == {("north", "nowhere")}
+
+
 def test_a_key_that_peers_know_already_is_refused_as_not_run_and_found_at_once():
     world = build()
     cut(world, "akl-1", deployment.STORE_ADDRESS, world.address_of("akl-2"))
