Soak: both values of strict revocation, and a short run with workspaces in the tests

Seeds that four divides are strict: no instance, also none that was frozen or cut off, may run a key that was taken away after the bound.

--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 from bench.soak import processes
-from lineworks.decisions import quota
+from lineworks.decisions import access, quota
 
 if TYPE_CHECKING:
     import pathlib
@@ -237,6 +237,12 @@
     quota_bound: quota.QuotaBound = quota.QuotaBound()
     """What all instances together may let through beyond a workspace's limit."""
 
+    revocation: access.Revocation = access.Revocation()
+    """What holds for keys that were taken away while an instance heard nothing."""
+
+    older_copies: tuple[tuple[float, float], ...] = ()
+    """Beginning and end of each return of the store from an older copy."""
+
     logged_keys: tuple[str, ...] = ()
     """Keys that stand in an instance's log, each with the log's name."""
 
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from lineworks.decisions import extra_attempts, quota
+    from lineworks.decisions import access, extra_attempts, quota
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 NODE_PROGRAM = ROOT / "src" / "lineworks_node.py"
@@ -274,6 +274,7 @@
         allowance: extra_attempts.Allowance,
         folder: pathlib.Path,
         quota_bound: quota.QuotaBound | None = None,
+        revocation: access.Revocation | None = None,
     ) -> None:
         """Write its settings; `start` starts it.
 
@@ -285,6 +286,7 @@
             allowance: Attempts beyond the first that a service may get.
             folder: The run's folder.
             quota_bound: What may be let through beyond a limit; None where there are no limits.
+            revocation: What holds for keys that were taken away; None where there are no keys.
         """
         self.name = name
         self.port = ports[0]
@@ -301,6 +303,9 @@
             bounds["QuotaWindowS"] = quota_bound.window
             bounds["QuotaExcess"] = quota_bound.excess
             bounds["QuotaSlack"] = quota_bound.slack
+        if revocation is not None:
+            bounds["StrictRevoke"] = revocation.is_strict
+            bounds["RevokeMs"] = revocation.seconds * 1000
         document = {
             "NodeName": name,
             "Ip": "127.0.0.1",
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -18,7 +18,7 @@
     store_process,
     workspaces,
 )
-from lineworks.decisions import extra_attempts
+from lineworks.decisions import access, extra_attempts
 from lineworks.kernel import task
 from lineworks.platform.standins import documents
 
@@ -173,6 +173,7 @@
         self._evacuated: list[history.Evacuated] = []
         self._left: list[history.Left] = []
         self._store_faults: list[tuple[float, float]] = []
+        self._older: list[tuple[float, float]] = []
 
     def _make_callers(self, seed: int, rate: float) -> list[callers.Callers]:
         """Make those who send at the run's rate, and the one far beyond its limit if there is."""
@@ -194,15 +195,17 @@
 
     def _make_nodes(self, store_port: int, nodes_a_hall: int) -> dict[str, processes.Node]:
         nodes = {}
+        known = self._workspaces
+        bounds = (workspaces.BOUND, known.revocation) if known is not None else ()
         for hall in processes.HALLS:
             for number in range(1, nodes_a_hall + 1):
                 name = f"{hall}-{number}"
                 ports = [next(self._ports) for _ in range(4)]
                 link_port = self._make_link(f"{STORE_LINK}{name}", store_port)
-                bound = workspaces.BOUND if self._workspaces is not None else None
-                nodes[name] = processes.Node(
-                    name, hall, ports, link_port, ALLOWANCE, self._folder, bound
+                node = processes.Node(
+                    name, hall, ports, link_port, ALLOWANCE, self._folder, *bounds
                 )
+                nodes[name] = node
         return nodes
 
     def _make_places(self, hall: str) -> list[processes.Place]:
@@ -313,6 +316,8 @@
             is_drill = step.kind is plan.Kind.STORE_OLDER
             more = store_process.LOST_SECONDS + REWRITTEN_SECONDS if is_drill else 0.0
             self._store_faults.append((now, now + step.seconds + more))
+            if is_drill:
+                self._older.append(self._store_faults[-1])
         if step.kind in TARGET_FAULTS:
             seconds, faults = TARGET_FAULTS[step.kind]
             self._set_faults(step.subjects, seconds, faults)
@@ -405,6 +410,7 @@
         ]
 
     def _history(self) -> history.History:
+        known = self._workspaces
         return history.History(
             history.read_calls(self._folder),
             history.read_arrivals(self._folder),
@@ -417,6 +423,8 @@
             tuple(self._store_faults),
             left=tuple(self._left),
             quota_bound=workspaces.BOUND,
+            revocation=known.revocation if known is not None else access.Revocation(),
+            older_copies=tuple(self._older),
             logged_keys=history.find_logged_keys(self._folder, self._configured),
         )
 
--- a/bench/soak/workspace_checkers.py
+++ b/bench/soak/workspace_checkers.py
@@ -28,6 +28,9 @@
 """Share of the requests of a workspace far below its limit that may be refused for it. Faults in
 series may leave a hall without a holder for a while, so it isn't nothing."""
 
+WRITE_SECONDS = 0.5
+"""Seconds that the operators' write may take to be in the store, on a busy machine."""
+
 ALWAYS_ALLOWED = 3
 """Such refusals that are too few for a share."""
 
@@ -75,6 +78,24 @@
             yield knowledge.Broken("keys that were taken away", call.attempt, detail)
 
 
+def strictly_taken_keys(found: history.History) -> Iterable[knowledge.Broken]:
+    """Find requests that ran too long after their key was taken away, where that is strict.
+
+    No instance is excused, also not one that was frozen or cut off. Only a store that came back
+    from an older copy meanwhile may have shown the key again.
+    """
+    if not found.revocation.is_strict:
+        return
+    taken = _taken(found)
+    for call, arrival in _runs(found):
+        at = taken.get(call.key)
+        if at is None or call.sent_at <= at + found.revocation.seconds + WRITE_SECONDS:
+            continue
+        if not any(begin < call.sent_at and end > at for begin, end in found.older_copies):
+            detail = f"{call.front}, {arrival.target}, sent {call.sent_at - at:.2f} s after"
+            yield knowledge.Broken("strict revocation", call.attempt, detail)
+
+
 def proper_keys(found: history.History) -> Iterable[knowledge.Broken]:
     """Find requests that were refused for their key though it had long been in force."""
     for call in found.calls:
@@ -236,6 +257,7 @@
     told_workspaces,
     unknown_keys,
     taken_keys,
+    strictly_taken_keys,
     proper_keys,
     limits,
     below_limits,
--- a/bench/soak/workspaces.py
+++ b/bench/soak/workspaces.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from bench.soak import history, plan
-from lineworks.decisions import quota
+from lineworks.decisions import access, quota
 from lineworks.platform.standins import documents
 
 if TYPE_CHECKING:
@@ -31,6 +31,9 @@
 BOUND = quota.QuotaBound(window=5.0, excess=0.1, slack=20.0)
 """What all instances together may let through beyond a limit."""
 
+REVOKE_SECONDS = 5.0
+"""Seconds within which a key that was taken away must be refused, where that is strict."""
+
 KEYS = 2
 """Keys that a workspace begins with."""
 
@@ -62,6 +65,18 @@
     return seed % 2 == 0
 
 
+def is_strict(seed: int) -> bool:
+    """Say whether keys count no more at instances that have heard nothing for a while.
+
+    Args:
+        seed: Seed of a run with workspaces.
+
+    Returns:
+        Whether revocation is strict.
+    """
+    return seed % 4 == 0
+
+
 class Workspaces:
     """The workspaces of one run, as its operators have them."""
 
@@ -72,6 +87,8 @@
             seed: Seed of the run.
         """
         self._rng = random.Random(f"{seed}-workspaces")
+        self.revocation = access.Revocation(is_strict(seed), REVOKE_SECONDS)
+        """What holds for keys that were taken away while an instance heard nothing."""
         names = (OPEN, SMALL, HOT)
         self._keys = {name: [self._make_key() for _ in range(KEYS)] for name in names}
         self._limits = dict(LIMITS)
--- a/tests/test_soak_workspaces.py
+++ b/tests/test_soak_workspaces.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
+import subprocess
+import sys
 
 import pytest
 
 from bench.soak import checkers, history, workspace_checkers, workspaces
 from bench.soak import plan as plans
-from lineworks.decisions import quota
+from lineworks.decisions import access, quota
 from tests import test_soak
 
+SEED, SECONDS = 16, 12
+"""Seed and length of a run in which keys are added and taken away, and a limit changes."""
+
 NORTH = history.Workspace("north", ("n1", "n2"), rate=2.0, burst=2.0)
 SOUTH = history.Workspace("south", ("s1",))
 BOUND = quota.QuotaBound(window=5.0, excess=0.5, slack=1.0)
@@ -94,6 +100,29 @@
     assert found == ["keys that were taken away"] * is_broken
 
 
+@pytest.mark.parametrize(
+    ("sent_at", "more", "is_broken"),
+    [
+        (15.4, {}, False),
+        (15.6, {}, True),
+        # Instances that were frozen, or whose store was away, are not excused.
+        (15.6, {"disturbed": (history.Span("n1", 9.0, 15.0),)}, True),
+        (15.6, {"store_faults": ((10.5, 15.0),)}, True),
+        (15.6, {"older_copies": ((11.0, 13.0),), "store_faults": ((11.0, 13.0),)}, False),
+    ],
+)
+def test_a_key_that_runs_too_long_under_strict_revocation_is_seen(sent_at, more, is_broken):
+    found = promises(
+        [call("a", sent_at=sent_at)],
+        [arrival("a", at=sent_at + 0.05)],
+        configured(0.0, NORTH),
+        configured(10.0, WITHOUT_N1),
+        revocation=access.Revocation(True, 5.0),
+        **more,
+    )
+    assert ("strict revocation" in found) == is_broken
+
+
 @pytest.mark.parametrize(
     ("sent_at", "key", "more", "is_broken"),
     [
@@ -227,6 +256,28 @@
         assert one.listed[-1].rate == rate
 
 
+def test_a_short_run_with_workspaces_keeps_every_promise(tmp_path):
+    arguments = ["--seed", str(SEED), "--seconds", str(SECONDS), "--folder", str(tmp_path)]
+    done = subprocess.run(
+        [sys.executable, "-m", "bench.soak", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=test_soak.RUN_SECONDS,
+        check=False,
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert "refused while far below their limit" in done.stdout
+    calls = history.read_calls(tmp_path / f"seed-{SEED}")
+    statuses = collections.Counter(call.status for call in calls)
+    assert {200, 401, 429} <= set(statuses)
+    assert statuses[200] > len(calls) / 3
+
+
+def test_the_short_run_deals_all_changes_of_workspaces():
+    dealt = {step.kind for step in plans.deal(SEED, SECONDS, test_soak.SUBJECTS)}
+    assert set(plans.WORKSPACES) <= dealt
+
+
 def test_seeds_that_have_no_workspaces_deal_no_change_of_them():
     assert not workspaces.are_played(1)
     assert workspaces.are_played(2)
