Heartbeats: encoded once for all links, decoded only when they say something else

Change: a broadcast and the heartbeats are encoded once; a link keeps the bytes of the last heartbeat and hands on what it read from them when the same bytes come again. What is sent, and when, is as before, and so are silence and versions.

--- a/src/lineworks/services/peer_link.py
+++ b/src/lineworks/services/peer_link.py
@@ -84,6 +84,8 @@
         self._deflater = deflate.Deflater(deflate.LEVEL if owner.compresses else deflate.STORED)
         self._inflater = deflate.Inflater(codec.MAX_FRAME)
         self._is_dead = False
+        self._beat_data = b""
+        self._beat: frames.Frame | None = None
         self.hello: frames.Hello | None = None
         self.heard_at = 0.0
 
@@ -99,7 +101,15 @@
         Args:
             frame: The frame.
         """
-        self.sendString(self._deflater.deflate(codec.encode(frame, self._owner.now)))
+        self.send_encoded(codec.encode(frame, self._owner.now))
+
+    def send_encoded(self, data: bytes) -> None:
+        """Send a frame that is encoded already.
+
+        Args:
+            data: What `codec.encode` made of it, just now.
+        """
+        self.sendString(self._deflater.deflate(data))
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Take in one frame.
@@ -111,7 +121,7 @@
             return
         self.heard_at = self._owner.now
         try:
-            frame = codec.decode(self._inflater.inflate(string), self.heard_at)
+            frame = self._decode(self._inflater.inflate(string))
         except codec.MalformedFrameError as error:
             self.close(f"malformed frame: {error}")
             return
@@ -120,6 +130,15 @@
         else:
             self._owner.on_frame(self, frame)
 
+    def _decode(self, data: bytes) -> frames.Frame:
+        """Read a frame; most are heartbeats that say the same as the last one."""
+        if self._beat is not None and data == self._beat_data:
+            return self._beat
+        frame = codec.decode(data, self.heard_at)
+        if isinstance(frame, frames.Heartbeat):
+            self._beat_data, self._beat = data, frame
+        return frame
+
     def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
         """Close the link, because a frame is too long.
 
--- a/src/lineworks/services/peer_links.py
+++ b/src/lineworks/services/peer_links.py
@@ -15,7 +15,7 @@
 from twisted.internet import protocol
 
 from lineworks.services import peer_link
-from lineworks.wire import frames
+from lineworks.wire import codec, frames
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -166,8 +166,9 @@
         Args:
             frame: The frame.
         """
+        data = codec.encode(frame, self.now)
         for link in self._links.values():
-            link.send(frame)
+            link.send_encoded(data)
 
     def make_hello(self, nonce: bytes) -> frames.Hello:
         """Answer a challenge.
@@ -324,12 +325,13 @@
 
     def _beat(self) -> None:
         self._timer = self._reactor.callLater(self.heartbeat_seconds, self._beat)
-        heartbeat = self.make_heartbeat()
+        data = codec.encode(self.make_heartbeat(), self.now)
+        silent_at = self.now - max(SILENCE_SECONDS, 2 * self.heartbeat_seconds + 0.5)
         for link in list(self._links.values()):
-            if self.now - link.heard_at > max(SILENCE_SECONDS, 2 * self.heartbeat_seconds + 0.5):
+            if link.heard_at < silent_at:
                 link.close("silent: no frame in time")
             else:
-                link.send(heartbeat)
+                link.send_encoded(data)
 
 
 class _DialFactory(protocol.ClientFactory):
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -148,6 +148,31 @@
     assert got == ["q-1"]
 
 
+def test_a_heartbeat_is_encoded_once_and_read_again_only_when_it_says_something_else(
+    clock, monkeypatch
+):
+    """Most of what a large fleet at rest sends and reads are heartbeats that say the same."""
+    encoded, decoded, heard = [], [], []
+    a = peer_links.PeerLinks(clock, "a", "h", "inc-a", b"s")
+    a.handle(frames.Heartbeat, lambda link, frame: None)
+    pairs = []
+    for name in ("b", "c", "d"):
+        peer = peer_links.PeerLinks(clock, name, "h", f"inc-{name}", b"s")
+        peer.handle(frames.Heartbeat, lambda link, frame: heard.append(frame.config_version))
+        pairs.append(_connect(a, peer))
+    monkeypatch.setattr(codec, "encode", _counting(codec.encode, encoded))
+    monkeypatch.setattr(codec, "decode", _counting(codec.decode, decoded))
+    a.start()
+    for version in (0, 0, 7):
+        a.make_heartbeat = lambda version=version: frames.Heartbeat(False, version, "")
+        clock.advance(1.0)
+        for pair in pairs:
+            _carry(pair)
+    assert heard == [0, 0, 0] * 3 + [7, 7, 7]
+    assert len(encoded) == 3
+    assert len(decoded) == 3
+
+
 def test_when_both_dial_both_keep_the_lower_names_connection(clock):
     """The second connection goes without either side being told that the peer is down."""
     a = peer_links.PeerLinks(clock, "a", "h", "inc-a", b"s")
@@ -193,6 +218,12 @@
     ends = (peer_link.PeerLink(dialler, is_dialler=True), peer_link.PeerLink(other))
     for end in ends:
         end.makeConnection(_Transport())
+    _carry(ends)
+    return ends
+
+
+def _carry(ends):
+    """Carry the bytes of one connection until nothing moves."""
     moved = True
     while moved:
         moved = False
@@ -202,4 +233,13 @@
             if data:
                 receiver.dataReceived(data)
                 moved = True
-    return ends
+
+
+def _counting(call, made):
+    """Let each call of a function be noted."""
+
+    def count(*args):
+        made.append(args)
+        return call(*args)
+
+    return count
