Merging: sort the records instead of picking the greatest one by one

Each part of a search went through heapq.nlargest, whose loop runs in Python, for some records. Equal records count as before.

--- a/src/lineworks/decisions/parts.py
+++ b/src/lineworks/decisions/parts.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import dataclasses
-import heapq
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -55,7 +54,8 @@
     Returns:
         They, falling.
     """
-    return tuple(heapq.nlargest(top, records))
+    # Records are few and compare fast; picking the greatest one by one takes several times as long.
+    return tuple(sorted(records, reverse=True)[:top])
 
 
 def merge(parts: Sequence[Part], top: int) -> Part:
