Choosing targets: fewer calls for each candidate

Change: room is looked at before names, the limit and the averages are plain attributes instead of properties, the best candidate is found by a loop instead of a key made of two calls, and the load that others reported is only aged where there is any. The same target is chosen with the same draws.

--- a/src/lineworks/decisions/estimators.py
+++ b/src/lineworks/decisions/estimators.py
@@ -88,12 +88,9 @@
             weight: Share (0 to 1) that a new sample gets.
         """
         self._weight = weight
-        self._value: float | None = None
-
-    @property
-    def value(self) -> float:
+        self._has_samples = False
+        self.value = 0.0
         """The average so far; 0 without samples."""
-        return self._value or 0.0
 
     def record(self, sample: float) -> None:
         """Add one sample.
@@ -101,10 +98,11 @@
         Args:
             sample: Any number.
         """
-        if self._value is None:
-            self._value = sample
+        if self._has_samples:
+            self.value += self._weight * (sample - self.value)
         else:
-            self._value += self._weight * (sample - self._value)
+            self._has_samples = True
+            self.value = sample
 
 
 class Budget:
--- a/src/lineworks/decisions/limits.py
+++ b/src/lineworks/decisions/limits.py
@@ -22,24 +22,26 @@
             connection_share: Connections that this gatherer may hold to it.
         """
         self._ceiling = float(max(1, min(connection_share, slots + _QUEUE_ALLOWANCE)))
-        self._value = float(max(1, min(connection_share, slots)))
-
-    @property
-    def value(self) -> int:
+        self._exact = float(max(1, min(connection_share, slots)))
+        self.value = int(self._exact)
         """The limit now, at least 1."""
-        return int(self._value)
 
     def on_success(self) -> None:
         """Grow by one attempt for each `value` successes."""
-        self._value = min(self._ceiling, self._value + 1.0 / self._value)
+        if self._exact < self._ceiling:
+            self._set(min(self._ceiling, self._exact + 1.0 / self._exact))
 
     def on_refused(self) -> None:
         """Shrink after the target shed a request or refused a connection."""
-        self._value = max(_MIN_LIMIT, self._value * _TARGET_SHRINK)
+        self._set(max(_MIN_LIMIT, self._exact * _TARGET_SHRINK))
 
     def restart_cold(self) -> None:
         """Begin the ramp again, because the target restarted or re-loads its index."""
-        self._value = _RAMP_START
+        self._set(_RAMP_START)
+
+    def _set(self, exact: float) -> None:
+        self._exact = exact
+        self.value = int(exact)
 
 
 class QueryLimit:
--- a/src/lineworks/forwarding/target_book.py
+++ b/src/lineworks/forwarding/target_book.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 from lineworks.decisions import (
@@ -224,13 +225,12 @@
         self, service: str, now: float, excluded: Collection[str], homes: Collection[str]
     ) -> list[target_state.TargetState]:
         """List the targets with room that are not resting, stalled or not."""
-        able = [
-            state
-            for state in self._open(service, homes)
-            if state.id not in excluded
-            and state.replica.rest_until <= now
-            and state.replica.in_flight < state.replica.limit.value
-        ]
+        able = []
+        for state in self._open(service, homes):
+            replica = state.replica
+            has_room = replica.in_flight < replica.limit.value and replica.rest_until <= now
+            if has_room and replica.target.name not in excluded:
+                able.append(state)
         if self._bounds_cold:
             return [state for state in able if self._has_cold_share(state, now)]
         return able
@@ -364,8 +364,12 @@
         if len(able) == 1:
             return able[0]
         usual = self.service_time(able[0].replica.target.service)
-        draw = self._rng.random
-        return min(able, key=lambda state: (self._expected(state, now, usual), draw()))
+        best, least, lot = able[0], math.inf, math.inf
+        for state in able:
+            expected, drawn = self._expected(state, now, usual), self._rng.random()
+            if expected < least or (expected == least and drawn < lot):
+                best, least, lot = state, expected, drawn
+        return best
 
     def rated(
         self,
@@ -424,7 +428,9 @@
         if self.sightings.has_told:
             told = self.sightings.told_seconds(target.name, state.noted_at, now, usual)
             expected = max(expected, told)
-        load = replica.load(now) if self._knows_load else 0.0
+        load = 0.0
+        if self._knows_load:
+            load = replica.load(now) if replica.foreign else replica.in_flight
         slots = target.slots
         if load + 1 > slots:
             expected += (load + 1 - slots) / slots * usual
