--- a/tests/test_quota_keeper.py
+++ b/tests/test_quota_keeper.py
@@ -1,4 +1,4 @@
-"""Quotas over whole fleets: real holders and keepers on links in memory, 91 instances in 6 halls."""
+"""Quotas over whole fleets: holders and keepers on links in memory, 91 instances in 6 halls."""
 
 from __future__ import annotations
 
@@ -207,7 +207,6 @@
     before = sum(map(len, fleet.refused.values()))
     fleet.load(rates, 20.0)
     refused = sum(map(len, fleet.refused.values())) - before
-    print(trouble.__name__, refused, sum(map(len, fleet.admitted.values())))
     assert fleet.worst_excess() <= 0
     assert refused <= (5 if trouble is kill_all else 60)
 
