--- a/src/lineworks/decisions/routes.py
+++ b/src/lineworks/decisions/routes.py
@@ -145,7 +145,7 @@
         self.workspaces = found or workspaces.Workspaces()
         self.services: Mapping[str, ServiceSpec] = {spec.name: spec for spec in services}
         self._by_host: dict[str, list[Route]] = {}
-        self._for_workspaces: dict[tuple[str, str], Route] = {}
+        self._for_workspaces: dict[tuple[str, str, str], Route] = {}
         for route in routes:
             self._by_host.setdefault(route.host, []).append(route)
         for listed in self._by_host.values():
@@ -182,7 +182,7 @@
             The route, with the workspace's priority where it has one and with the home regions that
             both allow.
         """
-        key = (route.name, workspace.name)
+        key = (route.host, route.prefix, workspace.name)
         found = self._for_workspaces.get(key)
         if found is None:
             found = self._for_workspaces[key] = dataclasses.replace(
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -322,6 +322,9 @@
         return server_connection.Answer(200, [kind], self._metrics.export())
 
     def _on_table(self, table: routes.RouteTable) -> None:
+        before = self._front.table
+        if before is not None and before.workspaces.is_used and not table.workspaces.is_used:
+            _log.warning("keys_no_longer_needed", version=table.version, before=before.version)
         self._front.set_table(table)
         self._quotas.set_workspaces(table.workspaces.all)
         self._warn_of_unknown_homes(table)
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 
 from lineworks.decisions import access, routes, verdict, workspaces
@@ -122,3 +124,11 @@
     other = access.judge(known, listed[1], KNOWN, FRESH, LENIENT).route
     assert first is again
     assert (first.name, other.name) == ("read", "write")
+
+
+def test_two_routes_of_one_name_stay_apart_for_a_workspace():
+    first, second = route("one"), dataclasses.replace(route("two"), name="one")
+    found = table(first, second)
+    for asked in (first, second):
+        answer = access.judge(found, asked, KNOWN, FRESH, LENIENT)
+        assert answer.route.prefix == asked.prefix
