--- a/src/lineworks/decisions/quota.py
+++ b/src/lineworks/decisions/quota.py
@@ -53,9 +53,12 @@
 RATE_SECONDS = 10.0
 """Seconds over which the rate of requests is learnt."""
 
-LEAST_DEPTH = 2.0
-"""Tokens that all halls together can save, where the bound has room for them: with less, no request
-could be admitted while a hall is lost."""
+LEAST_DEPTH = 2.4
+"""Tokens that all halls together can save, where the bound has room for them: two parts, so that
+the loss of one hall doesn't stop a workspace."""
+
+LEAST_PART = 1.1
+"""Tokens that a hall with a part can save at least: one, and some so that it goes on earning."""
 
 _ROUNDING = 1e-3
 """Part of a token that may be lacking: moved tokens are rounded down. It stays owed."""
@@ -109,11 +112,19 @@
     depth: float
     """Tokens that it saves at most."""
 
+    holders: int = 1
+    """Halls that have such a part; the others have none, and ask these."""
+
+
+NO_PART = Part(0.0, 0.0)
+"""What a hall has of a quota too small to be divided among all."""
+
 
 def part_of(quota: workspaces.Quota, bound: QuotaBound, halls: int) -> Part:
     """Divide a quota.
 
-    Where the bound leaves no room for `LIVES` lives beside the rate, the rate is lowered.
+    Where the bound leaves no room for `LIVES` lives beside the rate, the rate is lowered. A hall
+    that saves less than a token could admit nothing alone, so a small quota is divided among fewer.
 
     Args:
         quota: The quota of all instances together.
@@ -121,14 +132,15 @@
         halls: Number of data halls.
 
     Returns:
-        The part of each hall.
+        The part of each hall that has one.
     """
     most = bound.most(quota)
     seconds = bound.window + TRANSIT_SECONDS
     least = min(LEAST_DEPTH, most / (2 * LIVES))
     depth = max((most - quota.rate * seconds) / LIVES, least)
     rate = min(quota.rate, (most - LIVES * depth) / seconds)
-    return Part(rate / halls, depth / halls)
+    holders = max(1, min(halls, int(depth / LEAST_PART)))
+    return Part(rate / holders, depth / holders, holders)
 
 
 class Bucket:
--- a/src/lineworks/forwarding/quota_holder.py
+++ b/src/lineworks/forwarding/quota_holder.py
@@ -14,11 +14,11 @@
 import math
 from typing import TYPE_CHECKING, Any
 
-from lineworks.decisions import quota
+from lineworks.decisions import ownership, quota
 from lineworks.wire import node_frames
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping, Sequence
 
     from lineworks.decisions import workspaces
     from lineworks.forwarding import quota_ranks
@@ -115,7 +115,8 @@
             bound: What all instances together may let through beyond a quota.
         """
         self._reactor = reactor
-        self._others = sorted(set(halls) - {hall})
+        self._hall = hall
+        self._halls = sorted({*halls, hall})
         self._links = links
         self._ranks = ranks
         self._bound = bound
@@ -156,7 +157,7 @@
             limit = self._limits.get(name)
             if limit is not None and limit != held.limit:
                 held.limit = limit
-                held.bucket.set_part(self._part(limit), now)
+                held.bucket.set_part(self._part(name, limit), now)
 
     def ask(self, workspace: str, reply: Callable[[Answer], None]) -> Callable[[], None] | None:
         """Ask for a token.
@@ -214,8 +215,17 @@
             self.counts["returned"] += 1
             held.bucket.put_back(now)
 
-    def _part(self, limit: workspaces.Quota) -> quota.Part:
-        return quota.part_of(limit, self._bound, len(self._others) + 1)
+    def _part(self, workspace: str, limit: workspaces.Quota) -> quota.Part:
+        """Tell what this hall has of a quota."""
+        found = quota.part_of(limit, self._bound, len(self._halls))
+        return found if self._hall in self._halls_with_part(workspace, found) else quota.NO_PART
+
+    def _halls_with_part(self, workspace: str, part: quota.Part) -> Sequence[str]:
+        return ownership.owners(f"quota {workspace}", self._halls, part.holders)
+
+    def _has_part(self, workspace: str, hall: str) -> bool:
+        found = quota.part_of(self._limits[workspace], self._bound, len(self._halls))
+        return hall in self._halls_with_part(workspace, found)
 
     def _find(self, workspace: str) -> _Held | None:
         """Find the tokens of a workspace, or begin to hold them."""
@@ -225,7 +235,7 @@
         if held is None:
             now = self._reactor.seconds()
             limit = self._limits[workspace]
-            held = _Held(quota.Bucket(self._part(limit), now), limit, now)
+            held = _Held(quota.Bucket(self._part(workspace, limit), now), limit, now)
             held.bucket.set_share(self._ranks.share(workspace), now)
             self._held[workspace] = held
             self.counts["lives"] += 1
@@ -270,6 +280,9 @@
 
     def _runs_low(self, held: _Held, now: float) -> bool:
         """Say whether requests come faster than the next token, so that one would have to wait."""
+        if held.bucket.part is quota.NO_PART:
+            # What is asked for ahead of need could not be kept.
+            return False
         return held.bucket.seconds_until_next(now) * held.rate.value(now) > 1
 
     def _pull(self, workspace: str, held: _Held, now: float) -> None:
@@ -281,7 +294,9 @@
 
     def _ask_halls(self, workspace: str, held: _Held, now: float) -> None:
         """Ask each hall for a part of what is lacking."""
-        asked = [self._ranks.foreign_holder(workspace, hall) for hall in self._others]
+        found = quota.part_of(held.limit, self._bound, len(self._halls))
+        halls = [hall for hall in self._halls_with_part(workspace, found) if hall != self._hall]
+        asked = [self._ranks.foreign_holder(workspace, hall) for hall in halls]
         names = [name for name in asked if name is not None]
         rate = held.rate.value(now)
         wanted = quota.wanted(held.bucket.tokens(now), len(held.waiting), rate)
@@ -331,16 +346,19 @@
             self._grant(held.waiting.pop(0).reply)
 
     def _on_pull(self, link: Any, frame: node_frames.QuotaPull) -> None:
-        amount = self._give(frame.workspace, frame.amount)
+        amount = self._give(frame.workspace, frame.amount, link.hello.hall)
         link.send(node_frames.QuotaShare(frame.number, amount))
 
-    def _give(self, workspace: str, amount: float) -> float:
+    def _give(self, workspace: str, amount: float, hall: str) -> float:
         """Take tokens for another hall from those held here, unless the own hall lacks some."""
         held = self._find(workspace) if workspace in self._limits else None
         now = self._reactor.seconds()
         if held is None or held.waiting or now - held.refused_at < AHEAD_PAUSE:
             return 0.0
         held.acted_at = now
+        if not self._has_part(workspace, hall):
+            # It has no tokens of its own that a part of one could be added to.
+            return held.bucket.give(now, int(min(amount, held.bucket.tokens(now))), 1.0)
         is_quiet = now - held.asked_at > QUIET_SECONDS
         return held.bucket.give(now, amount, 1.0 if is_quiet else 0.5)
 
--- a/src/lineworks/standins/deployment.py
+++ b/src/lineworks/standins/deployment.py
@@ -12,7 +12,7 @@
 
 from twisted.internet import defer, protocol
 
-from lineworks.decisions import cold_targets, extra_attempts, mechanisms
+from lineworks.decisions import cold_targets, extra_attempts, mechanisms, quota
 from lineworks.forwarding import node
 from lineworks.http1 import client_connection
 from lineworks.models import node_settings
@@ -102,6 +102,8 @@
         """Requests a second that a cold target handles; 0 for no bound."""
         self.cold_bound = cold_targets.ColdBound(1.5, 5.0)
         """What cold targets may get from all instances together."""
+        self.quota_bound = quota.QuotaBound(5.0, 0.1, 20.0)
+        """What all instances together may let through beyond a quota."""
         self.keeps_identities = False
         """Whether targets that start again do so under the identity that they had."""
         self.has_proxies = False
@@ -242,6 +244,7 @@
             allowance=self.allowance,
             stop_seconds=6.0,
             cold_bound=self.cold_bound,
+            quota_bound=self.quota_bound,
             without=self.without,
         )
         started = node.Node(host, settings, rng=random.Random(self.rng.getrandbits(64)))
--- /dev/null
+++ b/tests/test_quota_deployment.py
@@ -0,0 +1,132 @@
+"""Quotas in a whole deployment in memory: what callers, targets and operators see of them."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from lineworks.decisions import access, quota, workspaces
+from lineworks.programs import _node_commands
+from tests import test_forwarding, test_home_regions
+
+LIMITED = workspaces.Workspace("clinic", quota=workspaces.Quota(2.0, 2.0))
+
+
+@pytest.fixture
+def world(monkeypatch):
+    monkeypatch.setattr(access, "judge", lambda known, route, *more: access.Access(route, LIMITED))
+    made = test_home_regions.build(routes=[test_forwarding.READ])
+    for node in made.nodes.values():
+        node._quotas.set_workspaces([LIMITED])
+    return made
+
+
+def ask_often(world, seconds, between=0.02):
+    names = sorted(world.nodes)
+    replies = []
+    for number in range(round(seconds / between)):
+        replies.append(world.ask(names[number % len(names)], test_forwarding.READ["PathPrefix"]))
+        world.run(between)
+    world.run(1.0)
+    return replies
+
+
+def worst_window(world):
+    times = sorted(run.at for run in world.runs)
+    return max(sum(at <= other < at + 5.0 for other in times) for at in times)
+
+
+def test_what_is_over_a_quota_is_told_so_and_reaches_no_target(world):
+    replies = ask_often(world, 15.0)
+    served = [reply for reply in replies if reply.status == 200]
+    refused = [reply for reply in replies if reply.status == 429]
+    assert len(served) + len(refused) == len(replies)
+    assert len(world.runs) == len(served)
+    assert worst_window(world) <= world.quota_bound.most(LIMITED.quota)
+    assert len(served) >= 0.95 * 2.0 * 15.0
+    assert all(float(reply.headers["retry-after"]) > 0 for reply in refused)
+    assert max(reply.seconds for reply in refused) < 0.1
+
+
+def test_it_holds_while_the_halls_are_cut_and_all_instances_start_again(world):
+    ask_often(world, 4.0)
+    for name in world.nodes:
+        for other in world.nodes:
+            if name[:3] != other[:3]:
+                world.network.cut(world.address_of(name), world.address_of(other))
+    ask_often(world, 4.0)
+    world.network.heal()
+    for name in list(world.nodes):
+        world.host_of(name).kill()
+        world.add_node(name, name[:3])
+        world.nodes[name]._quotas.set_workspaces([LIMITED])
+        world.nodes[name]._quotas.set_workspaces = lambda listed: None
+    ask_often(world, 6.0)
+    assert worst_window(world) <= world.quota_bound.most(LIMITED.quota)
+
+
+def test_requests_without_a_quota_cause_no_message(monkeypatch):
+    made = test_home_regions.build(routes=[test_forwarding.READ])
+    replies = ask_often(made, 2.0)
+    assert {reply.status for reply in replies} == {200}
+    assert not any(
+        node._quotas.counts or node._quotas.holder.counts for node in made.nodes.values()
+    )
+
+
+def test_a_request_that_finds_no_target_gives_its_token_back(world):
+    for target in test_forwarding.targets_of(world, "shelf"):
+        world.withdraw(target)
+    world.run(3.0)
+    replies = ask_often(world, 3.0)
+    assert {reply.status for reply in replies} == {503}
+
+
+def test_operators_see_limits_holders_and_refusals(world):
+    ask_often(world, 5.0)
+    found = {}
+    for name in world.nodes:
+        reply = world.send(name, b"GET /quotas HTTP/1.1\r\nHost: x\r\n\r\n", 7381)
+        world.run(0.2)
+        found[name] = json.loads(reply.body)
+    some = next(iter(found.values()))
+    assert some["limits"][0]["workspace"] == "clinic"
+    assert some["limits"][0]["holders"]
+    assert any(view["held"] for view in found.values())
+    refusals = [row for view in found.values() for row in view["refusals"]]
+    assert {(row["workspace"], row["reason"]) for row in refusals} == {("clinic", "over_quota")}
+    texts = [_node_commands.text_of(["quotas"], view) for view in found.values()]
+    assert all("clinic: 2.0 a second and 2.0 besides" in text for text in texts)
+    assert any("of the hall's rate" in text for text in texts)
+    assert any("refused: clinic" in text for text in texts)
+    reply = world.send("akl-1", b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n", 7381)
+    world.run(0.2)
+    assert b"lineworks_quotas" in reply.body
+    assert b"clinic" in reply.body
+
+
+def test_the_view_is_empty_without_quotas():
+    made = test_home_regions.build(routes=[test_forwarding.READ])
+    reply = made.send("akl-1", b"GET /quotas HTTP/1.1\r\nHost: x\r\n\r\n", 7381)
+    made.run(0.2)
+    view = json.loads(reply.body)
+    assert view["limits"] == view["held"] == view["refusals"] == []
+    assert _node_commands.text_of(["quotas"], view) == "no workspace has a quota"
+
+
+def test_refusals_are_counted_for_a_bounded_number_of_workspaces(world, monkeypatch):
+    from lineworks.forwarding import quota_keeper
+
+    monkeypatch.setattr(quota_keeper, "MOST_NAMED", 3)
+    keeper = next(iter(world.nodes.values()))._quotas
+    limit = workspaces.Quota(0.0, 0.0)
+    many = [workspaces.Workspace(f"w{number}", quota=limit) for number in range(9)]
+    for node in world.nodes.values():
+        node._quotas._holder._bound = quota.QuotaBound(5.0, 0.0, 0.0)
+        node._quotas.set_workspaces(many)
+    for one in many:
+        keeper.admit(one, lambda admission: None)
+    world.run(0.5)
+    assert sum(keeper.refusals.values()) == 9
+    assert len(keeper.refusals) <= 4
