--- a/src/lineworks/decisions/fair_shares.py
+++ b/src/lineworks/decisions/fair_shares.py
@@ -41,6 +41,10 @@
 one, because shards fail under whoever asks just then; below two, because one of two workspaces
 could never reach that."""
 
+LEAST_OF_USUAL = 0.5
+"""Part of the usual time of a service that a request takes at least: the usual time holds pauses
+and waiting at targets, which it may be spared."""
+
 _TRACE = 0.05
 """Requests below which a workspace is forgotten: one that asked once has left for good, or asks
 less than once in 43 seconds."""
@@ -230,6 +234,19 @@
         return self._served.of(claim.workspace) / asked < least * often
 
 
+def latest_start(due: float, usual: float) -> float:
+    """Tell until when a request can be sent and still be in time.
+
+    Args:
+        due: When its answer is due, in seconds.
+        usual: How long its service usually takes, in seconds; 0 when unknown.
+
+    Returns:
+        A time, in seconds.
+    """
+    return due - LEAST_OF_USUAL * usual
+
+
 def spread_pause(pause: float, draw: float) -> float:
     """Spread the return of callers that are refused at one moment.
 
--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -103,7 +103,7 @@
         self._book = book
         self._calls = calls
         self._jobs: dict[tuple[str, int], _Job] = {}
-        self._line = waiting_line.WaitingLine(reactor)
+        self._line = waiting_line.WaitingLine(reactor, ROOM_PAUSE)
         self._log = bounded_log.BoundedLog(reactor, "gatherer", FAILURES_PER_SECOND)
 
     @property
@@ -163,7 +163,11 @@
     def _claim(self, query: node_frames.GatherQuery, now: float) -> fair_shares.Claim:
         usual = max(map(self._book.service_time, query.services))
         return fair_shares.Claim(
-            query.workspace, query.priority, now, query.due - usual, query.has_quota
+            query.workspace,
+            query.priority,
+            now,
+            fair_shares.latest_start(query.due, usual),
+            query.has_quota,
         )
 
     def _is_behind(self, job: _Job, service: str) -> bool:
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -24,6 +24,7 @@
     quota_keeper,
     registration,
     request_log,
+    search,
     suspect_exchange,
     suspect_view,
     target_book,
@@ -149,7 +150,7 @@
             tools.HedgeTimes(),
             self._counters,
             bounded_log.BoundedLog(reactor, "hedges", tools.HEDGE_LINES_PER_SECOND),
-            waiting_line.WaitingLine(reactor, self._rng.random),
+            waiting_line.WaitingLine(reactor, search.ROOM_PAUSE, self._rng.random),
             without,
         )
         self._request_log = request_log.RequestLog(reactor, self._metrics)
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -108,7 +108,11 @@
         self._given_up: set[int] = set()
         usual = max(map(shared.book.service_time, route.shards), default=0.0)
         self._claim = fair_shares.Claim(
-            call.workspace, route.priority, arrived, due - usual, call.has_quota
+            call.workspace,
+            route.priority,
+            arrived,
+            fair_shares.latest_start(due, usual),
+            call.has_quota,
         )
         self._leave_line: Callable[[], None] = lambda: None
 
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -78,7 +78,7 @@
             call.workspace,
             route.priority,
             arrived,
-            arrived + route.aim - shared.book.service_time(service),
+            fair_shares.latest_start(arrived + route.aim, shared.book.service_time(service)),
             call.has_quota,
         )
         self._leave_line: Callable[[], None] = lambda: None
--- a/src/lineworks/forwarding/waiting_line.py
+++ b/src/lineworks/forwarding/waiting_line.py
@@ -15,9 +15,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
-LOOK_SECONDS = 0.005
-"""Seconds between looks for room: a sixth of a usual service time."""
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Place:
@@ -31,14 +28,18 @@
 class WaitingLine:
     """Those that wait at one front, or at one gatherer."""
 
-    def __init__(self, reactor: Any, draw: Callable[[], float] = lambda: 0.5) -> None:
+    def __init__(
+        self, reactor: Any, look_seconds: float, draw: Callable[[], float] = lambda: 0.5
+    ) -> None:
         """Start with nobody waiting, and no order.
 
         Args:
             reactor: Twisted's reactor.
+            look_seconds: Seconds between looks for room.
             draw: Draws from 0 to 1, to spread the return of callers that are refused.
         """
         self._reactor = reactor
+        self._look_seconds = look_seconds
         self._draw = draw
         self._places: list[_Place] = []
         self._timer: Any = None
@@ -105,7 +106,7 @@
         place = _Place(claim, frozenset(services), look)
         self._places.append(place)
         if self._timer is None:
-            self._timer = self._reactor.callLater(LOOK_SECONDS, self._look)
+            self._timer = self._reactor.callLater(self._look_seconds, self._look)
 
         def leave() -> None:
             if place in self._places:
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -12,6 +12,8 @@
 
 from lineworks.decisions import fair_shares
 from lineworks.forwarding import waiting_line
+from lineworks.platform.standins import documents
+from tests import test_forwarding
 
 SERVICE_SECONDS = 0.05
 WAIT_SECONDS = 0.2
@@ -228,7 +230,7 @@
 
     def build(self):
         clock = task.Clock()
-        line = waiting_line.WaitingLine(clock)
+        line = waiting_line.WaitingLine(clock, 0.01)
         line.is_fair = True
         tried = []
 
@@ -270,7 +272,56 @@
 
     def test_callers_that_are_refused_come_back_spread(self):
         draws = iter((0.0, 0.5, 1.0))
-        line = waiting_line.WaitingLine(task.Clock(), lambda: next(draws))
+        line = waiting_line.WaitingLine(task.Clock(), 0.01, lambda: next(draws))
         assert line.retry_after(0.2) is None
         line.is_fair = True
         assert [line.retry_after(0.2) for _ in range(3)] == pytest.approx([0.1, 0.2, 0.3])
+
+
+def _play_reads(is_fair):
+    """Let a hot workspace send 300 reads a second through one instance, seven others ten each.
+
+    Their three targets have room for some 200 of the 370.
+    """
+    names = ["hot"] + [f"w{number}" for number in range(7)]
+    world = test_forwarding.build()
+    world.workspaces = [documents.workspace(name, f"key-{name}") for name in names]
+    world.configure([test_forwarding.READ])
+    world.run(2.0)
+    line = world.nodes["akl-1"]._front._shared.line
+    assert line.is_fair
+    line.is_fair = is_fair
+    senders = [Sender("hot", 300.0)] + [Sender(name, 10.0) for name in names[1:]]
+    begin = world.clock.seconds()
+    replies = collections.defaultdict(list)
+    for at, sender in _arrivals(senders, 2.0, random.Random(1)):
+        world.clock.run_until(begin + at)
+        replies[sender.name].append(world.ask("akl-1", "/read/x", key=f"key-{sender.name}"))
+    world.run(2.0)
+    assert {reply.status for found in replies.values() for reply in found} == {200, 503}
+    return {
+        name: sum(reply.status == 200 for reply in found) / len(found)
+        for name, found in replies.items()
+    }
+
+
+def test_a_hot_workspace_pushes_nobody_out_at_an_instance():
+    shares = _play_reads(is_fair=True)
+    hot = shares.pop("hot")
+    assert min(shares.values()) >= 0.95
+    assert hot >= 0.3
+    as_they_come = _play_reads(is_fair=False)
+    assert min(as_they_come.values()) < 0.8
+
+
+def test_without_workspaces_nothing_waits_in_an_order():
+    world = test_forwarding.build()
+    replies = [world.ask("akl-1", "/read/x") for _ in range(60)]
+    line = world.nodes["akl-1"]._front._shared.line
+    for _ in range(30):
+        world.run(0.005)
+        assert line.length == 0
+    assert not line.is_fair
+    assert {reply.status for reply in replies} >= {200}
+    refused = [reply for reply in replies if reply.status == 503]
+    assert {reply.headers["retry-after"] for reply in refused} <= {"0.25"}
