--- a/src/lineworks/forwarding/metrics.py
+++ b/src/lineworks/forwarding/metrics.py
@@ -20,6 +20,11 @@
 MAX_ROUTES = 50
 """Routes that get a label of their own; later ones are counted as `other`."""
 
+MAX_WORKSPACES = 100
+"""Workspaces that get a label of their own; later ones are counted as `other`."""
+
+_OTHER = "other"
+
 BUCKETS = (0.01, 0.025, 0.05, 0.084, 0.111, 0.132, 0.2, 0.233, 0.4, 0.7, 1.0, 2.0, 6.0)
 """Upper bounds of the histogram's buckets in seconds: the aims and deadlines of the users' sheets,
 and round figures between them."""
@@ -56,44 +61,78 @@
     def __init__(self) -> None:
         self._routes: set[str] = set()
         self._times: dict[str, _Times] = {}
+        self._workspaces: set[str] = set()
+        self._workspace_times: dict[str, _Times] = {}
+        self._workspace_ends: collections.Counter[tuple[str, str, str]] = collections.Counter()
         self._ends: collections.Counter[tuple[str, str, str]] = collections.Counter()
         self._missing: collections.Counter[str] = collections.Counter()
         self._over_limit: collections.Counter[str] = collections.Counter()
         self._reads: list[Callable[[], Mapping[str, Mapping[str, float]]]] = []
 
-    def on_end(self, route: routes.Route | None, found: outcome.Outcome, seconds: float) -> None:
+    def on_end(
+        self,
+        route: routes.Route | None,
+        found: outcome.Outcome,
+        seconds: float,
+        workspace: str | None = None,
+    ) -> None:
         """Count a request.
 
         Args:
             route: Its route, if one was found.
             found: How it ended.
             seconds: How long it took.
+            workspace: Name of its workspace, if it has one.
         """
+        status, reason = str(found.answer.status), found.verdict.reason.value
+        if workspace is not None:
+            self._count_workspace(workspace, status, reason, seconds)
         label = self._label(route)
         times = self._times.get(label)
         if times is None:
             times = self._times[label] = _Times()
         times.record(seconds)
-        self._ends[(label, str(found.answer.status), found.verdict.reason.value)] += 1
+        self._ends[(label, status, reason)] += 1
         if found.covered < found.total:
             self._missing[label] += found.total - found.covered
         if found.over_limit:
             self._over_limit[label] += 1
 
-    def on_caller_gone(self, route: routes.Route) -> None:
+    def _count_workspace(
+        self, workspace: str, status: str, reason: str, seconds: float | None = None
+    ) -> None:
+        if workspace not in self._workspaces:
+            if len(self._workspaces) >= MAX_WORKSPACES:
+                workspace = _OTHER
+            else:
+                self._workspaces.add(workspace)
+        self._workspace_ends[(workspace, status, reason)] += 1
+        if seconds is not None:
+            times = self._workspace_times.get(workspace)
+            if times is None:
+                times = self._workspace_times[workspace] = _Times()
+            times.record(seconds)
+
+    def on_caller_gone(self, route: routes.Route, workspace: str | None = None) -> None:
         """Count a request whose caller left.
 
         Args:
             route: Its route.
+            workspace: Name of its workspace, if it has one.
         """
+        if workspace is not None:
+            self._count_workspace(workspace, "0", "cancelled")
         self._ends[(self._label(route), "0", "cancelled")] += 1
 
-    def on_cut(self, route: routes.Route) -> None:
+    def on_cut(self, route: routes.Route, workspace: str | None = None) -> None:
         """Count a request that the end of this process cut.
 
         Args:
             route: Its route.
+            workspace: Name of its workspace, if it has one.
         """
+        if workspace is not None:
+            self._count_workspace(workspace, "0", "cut")
         self._ends[(self._label(route), "0", "cut")] += 1
 
     def collect_from(self, read: Callable[[], Mapping[str, Mapping[str, float]]]) -> None:
@@ -147,9 +186,31 @@
         for route, count in self._over_limit.items():
             over_limit.add_metric((route,), float(count))
         yield over_limit
+        if self._workspaces:
+            yield from self._by_workspace()
         for read in self._reads:
             yield from _gauges(read())
 
+    def _by_workspace(self) -> Iterable[Any]:
+        from prometheus_client import core
+
+        ends = core.CounterMetricFamily(
+            "lineworks_workspace_requests",
+            "Requests of workspaces by how they ended.",
+            labels=("workspace", "status", "reason"),
+        )
+        for labels, count in self._workspace_ends.items():
+            ends.add_metric(labels, float(count))
+        yield ends
+        seconds = core.HistogramMetricFamily(
+            "lineworks_workspace_seconds",
+            "Time from a request's first byte to its answer, by workspace.",
+            labels=("workspace",),
+        )
+        for workspace, times in self._workspace_times.items():
+            seconds.add_metric((workspace,), times.cumulative(), times.total)
+        yield seconds
+
     def describe(self) -> Iterable[Any]:
         """Tell the Prometheus library nothing beforehand, so that it asks only on export."""
         return ()
@@ -159,7 +220,7 @@
             return "none"
         if route.name not in self._routes:
             if len(self._routes) >= MAX_ROUTES:
-                return "other"
+                return _OTHER
             self._routes.add(route.name)
         return route.name
 
--- a/src/lineworks/forwarding/request_log.py
+++ b/src/lineworks/forwarding/request_log.py
@@ -87,7 +87,7 @@
         seconds = self._reactor.seconds() - request.arrived
         is_late = route is not None and seconds > route.aim
         is_partial = found.covered < found.total
-        self._counts.on_end(route, found, seconds)
+        self._counts.on_end(route, found, seconds, _name(workspace))
         is_good = found.answer.status == 200 and not is_late and not is_partial
         log = self._good if is_good else self._bad
         log.info(
@@ -146,7 +146,7 @@
             known: What is known of it.
             workspace: On whose behalf it came, if that is known.
         """
-        self._counts.on_cut(route)
+        self._counts.on_cut(route, _name(workspace))
         seconds = self._reactor.seconds() - request.arrived
         self._cut.info(
             "cut_at_end",
@@ -185,7 +185,7 @@
             route: The route.
             workspace: On whose behalf it came, if that is known.
         """
-        self._counts.on_caller_gone(route)
+        self._counts.on_caller_gone(route, _name(workspace))
         seconds = self._reactor.seconds() - request.arrived
         self._bad.info(
             "caller_gone",
--- a/src/lineworks/programs/_losses.py
+++ b/src/lineworks/programs/_losses.py
@@ -31,6 +31,10 @@
 _SERVICE = re.compile(r"^\S+: ")
 _PREFIX = re.compile(r"^\s*(-?\d+\.\d+)\s+(\S+)\s+\{")
 _UNKNOWN = "?"
+_NOT_OWED = (401, 404, 429)
+"""Answers to an unknown key, to an unknown route, and to what is over a quota."""
+
+_NO_WORKSPACE = "none"
 
 _CUT = "cut by the end of the process"
 
@@ -45,6 +49,9 @@
     route: str
     """Its route; a question mark where none was known yet."""
 
+    workspace: str
+    """Its workspace; empty where the line names none."""
+
     hall: str
     """Data hall of its instance."""
 
@@ -108,8 +115,8 @@
         return None
 
     def _judge(self, instance: str, at: float, fields: dict[str, Any]) -> Loss | None:
-        """Say what a request lost; an unknown route is no loss, since nobody owes an answer."""
-        if fields.get("status") == 404:
+        """Say what a request lost; nothing where nobody owes an answer."""
+        if fields.get("status") in _NOT_OWED:
             return None
         if fields.get("status") != 200:
             self._failed.add(str(fields.get("id")))
@@ -130,6 +137,7 @@
         return Loss(
             identity=str(fields.get("id", _UNKNOWN)),
             route=str(fields.get("route") or _UNKNOWN),
+            workspace=str(fields.get("workspace") or ""),
             hall=self._halls.get(instance, _UNKNOWN),
             second=int(at // 1),
             reason=reason,
@@ -152,6 +160,8 @@
     if left_out:
         lines.append(f"{left_out} lines on requests were left out for their number")
     lines += _table("route", losses, lambda loss: loss.route)
+    if any(loss.workspace for loss in losses):
+        lines += _table("workspace", losses, lambda loss: loss.workspace or _NO_WORKSPACE)
     lines += _table("hall", losses, lambda loss: loss.hall)
     lines += _table("reason", losses, lambda loss: loss.reason)
     lines += _table("second", losses, lambda loss: f"{loss.second:5d}", is_ordered=True)
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -4,14 +4,16 @@
 
 import collections
 import dataclasses
+import functools
 import heapq
 import random
+from unittest import mock
 
 import pytest
 from twisted.internet import task
 
-from lineworks.decisions import fair_shares
-from lineworks.forwarding import waiting_line
+from lineworks.decisions import extra_attempts, fair_shares
+from lineworks.forwarding import tools, waiting_line
 from lineworks.platform.standins import documents
 from tests import test_forwarding
 
@@ -225,6 +227,29 @@
         assert not shares.spent_far_more("hot", "t", 0.0)
 
 
+def _spend_all(is_fair):
+    """Let a hot workspace take all extra attempts that it gets, then a calm one."""
+    line = waiting_line.WaitingLine(task.Clock(), 0.01)
+    line.is_fair = is_fair
+    extra = extra_attempts.ExtraAttempts(extra_attempts.Allowance(), 0.0)
+    shared = mock.create_autospec(tools.Tools, instance=True)
+    shared.line, shared.extra, shared.counters = line, extra, tools.Counters()
+    shared.spent_far_more = functools.partial(tools.Tools.spent_far_more, shared)
+    for name in ("hot", "calm"):
+        line.note_served(name)
+    for _ in range(200):
+        extra.note_request("s", 0.0)
+    spend = functools.partial(tools.Tools.may_spend, shared, "s", 0.0)
+    return [sum(spend(workspace=name) for _ in range(100)) for name in ("hot", "calm")]
+
+
+def test_the_last_extra_attempts_are_left_to_the_calm_one():
+    assert _spend_all(is_fair=False) == [38, 0]
+    hot, calm = _spend_all(is_fair=True)
+    assert hot + calm == 38
+    assert calm >= 9
+
+
 class TestWaitingLine:
     """Those that wait, on a clock of the test's own."""
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -9,7 +9,11 @@
 from structlog.testing import capture_logs
 from twisted.internet import task
 
+from lineworks.decisions import verdict
+from lineworks.forwarding import metrics, outcome
+from lineworks.http1 import server_connection
 from lineworks.kernel import bounded_log
+from lineworks.platform.standins import documents
 from lineworks.programs import _node_logs, _timeline, ctl
 from tests import test_forwarding
 
@@ -157,6 +161,41 @@
     assert "lineworks_store_calls" in text
 
 
+def test_metrics_tell_how_each_workspace_is_served():
+    world = test_forwarding.build()
+    world.workspaces = [documents.workspace("north", "k1"), documents.workspace("south", "k2")]
+    world.configure([test_forwarding.READ])
+    world.run(2.0)
+    for key in ("k1", "k1", "k2", "unknown"):
+        world.ask("akl-1", "/read/x", key=key)
+    world.run(0.5)
+    text = read_metrics(world, "akl-1")
+    for name, count in (("north", 2.0), ("south", 1.0)):
+        labels = f'reason="ok",status="200",workspace="{name}"'
+        assert f"lineworks_workspace_requests_total{{{labels}}} {count}" in text
+        assert f'lineworks_workspace_seconds_count{{workspace="{name}"}} {count}' in text
+    assert "unknown" not in text.replace("unknown_key", "")
+
+
+def test_metrics_name_a_bounded_number_of_workspaces():
+    counts = metrics.RequestMetrics()
+    found = outcome.Outcome(server_connection.Answer(200), verdict.OK)
+    for number in range(metrics.MAX_WORKSPACES + 5):
+        counts.on_end(None, found, 0.1, f"w{number}")
+    text = counts.export().decode()
+    assert text.count("lineworks_workspace_requests_total{") == metrics.MAX_WORKSPACES + 1
+    assert (
+        'lineworks_workspace_requests_total{reason="ok",status="200",workspace="other"} 5' in text
+    )
+
+
+def test_without_workspaces_no_metric_tells_of_any():
+    world = test_forwarding.build()
+    world.ask("akl-1", "/read/x")
+    world.run(0.5)
+    assert "lineworks_workspace" not in read_metrics(world, "akl-1")
+
+
 def test_metrics_tell_the_load_of_the_process_and_what_is_left_of_the_extra_attempts():
     world = test_forwarding.build()
     world.ask("akl-1", "/search/q")
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -37,6 +37,29 @@
     assert found == []
 
 
+def test_nothing_is_owed_to_unknown_keys_and_beyond_a_quota():
+    found, _ = read(
+        STARTED,
+        request("q1", status=401, reason="unknown_key"),
+        request("q2", status=429, reason="over_quota", workspace="north"),
+    )
+    assert found == []
+
+
+def test_losses_are_told_by_workspace_where_lines_name_one():
+    found, _ = read(
+        STARTED,
+        request("q1", status=503, reason="no_replica", workspace="north"),
+        request("q2", ms=300.0, workspace=None),
+    )
+    assert [loss.workspace for loss in found] == ["north", ""]
+    text = "\n".join(_losses.write(found, 0))
+    assert "workspace, with examples" in text
+    assert "north: q1" in text
+    assert "none: q2" in text
+    assert "workspace" not in "\n".join(_losses.write(found[1:], 0))
+
+
 def test_what_is_lost_by_failure_lateness_and_missing_shards():
     found, _ = read(
         STARTED,
