True verdicts: no refusal after the target of a trial ran the search

Cause: a search that found no room for the rest of its shards after its trial had been answered with a failure was refused as not run (503), though that target had run it.

Change: what is known of its attempts is told. The test fails without it (503 instead of 502).

--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -193,7 +193,9 @@
         if not self._sent.count:
             line.note_refused(self._call.workspace)
         detail = f"{open_shards} of {len(self._shards)} shards have a target with room"
-        found = outcome.no_target(self._route, detail)
+        # The target of a trial may have run it.
+        certainty = self._what_is_known().certainty
+        found = dataclasses.replace(outcome.no_target(self._route, detail), certainty=certainty)
         self._finish_without(found, line.retry_after(outcome.RETRY_AFTER))
 
     def _wait_for_room(self) -> None:
--- a/tests/test_true_verdicts.py
+++ b/tests/test_true_verdicts.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lineworks.decisions import suspects
 from tests import test_forwarding
 
 
@@ -79,3 +80,21 @@
     world.run(1.0)
     assert world.runs_of("r1")
     assert reply.status == 504
+
+
+def test_a_search_that_ran_at_the_target_of_a_trial_is_no_refusal_where_others_are_gone(
+    monkeypatch,
+):
+    world = test_forwarding.build()
+    shared = world.nodes["akl-1"]._front._shared
+    monkeypatch.setattr(shared.suspects, "judge", lambda content: suspects.Judgement.TRIAL)
+    for target in test_forwarding.targets_of(world, test_forwarding.SHARDS[0]):
+        target.faults.status = 500
+        target.work = lambda: 1.0
+    reply = world.ask("akl-1", "/search/q", attempt="q1")
+    for service in test_forwarding.SHARDS[1:]:
+        for target in test_forwarding.targets_of(world, service):
+            world.withdraw(target)
+    world.run(3.0)
+    assert len(world.runs_of("q1")) == 1
+    assert reply.status == 502
