--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -108,7 +108,11 @@
         self._given_up: set[int] = set()
         usual = max(map(shared.book.service_time, route.shards), default=0.0)
         self._claim = fair_shares.Claim(
-            call.workspace, route.priority, arrived, due - usual, call.has_quota
+            call.workspace,
+            route.priority,
+            arrived,
+            fair_shares.latest_start(due, usual),
+            call.has_quota,
         )
         self._leave_line: Callable[[], None] = lambda: None
 
@@ -189,7 +193,9 @@
         if not self._sent.count:
             line.note_refused(self._call.workspace)
         detail = f"{open_shards} of {len(self._shards)} shards have a target with room"
-        found = outcome.no_target(self._route, detail)
+        # The target of a trial may have run it.
+        certainty = self._what_is_known().certainty
+        found = dataclasses.replace(outcome.no_target(self._route, detail), certainty=certainty)
         self._finish_without(found, line.retry_after(outcome.RETRY_AFTER))
 
     def _wait_for_room(self) -> None:
