Reading answers: one parser a connection, header fields sorted once

Change: a connection keeps its parser from answer to answer (whatever comes between two of them closes it, as before); the fields of an answer are put into a table once instead of at each of four reads; framing and the expected header are found without building sets and lists.

--- a/src/lineworks/http1/client_connection.py
+++ b/src/lineworks/http1/client_connection.py
@@ -26,6 +26,8 @@
 IDLE_MARGIN = 1.0
 """Seconds before the server's own limit at which a connection is given up."""
 
+_FRAMING = frozenset((b"content-length", b"transfer-encoding"))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
@@ -40,10 +42,12 @@
     body: bytes
     """The body."""
 
-    @property
-    def headers(self) -> Mapping[bytes, bytes]:
-        """The fields by name; of fields with the same name the last."""
-        return dict(self.fields)
+    headers: Mapping[bytes, bytes] = dataclasses.field(init=False, repr=False, compare=False)
+    """The fields by name; of fields with the same name the last."""
+
+    def __post_init__(self) -> None:
+        """Sort the fields by name once: several readers look for theirs."""
+        object.__setattr__(self, "headers", dict(self.fields))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -188,8 +192,7 @@
     def on_headers_complete(self) -> None:
         """Note how the body is framed."""
         status = self._parser.get_status_code()
-        names = {name for name, _ in self._fields}
-        is_framed = b"content-length" in names or b"transfer-encoding" in names
+        is_framed = any(name in _FRAMING for name, _ in self._fields)
         self._ends_with_connection = not is_framed and status >= 200 and status not in (204, 304)
 
     def on_body(self, data: bytes) -> None:
@@ -223,7 +226,9 @@
         self._whole = self._response()
 
     def _begin(self) -> None:
-        self._parser = httptools.HttpResponseParser(self)
+        # One parser reads all answers: what comes between two of them closes the connection.
+        if self._parser is None:
+            self._parser = httptools.HttpResponseParser(self)
         self._whole = None
         self._begin_next()
 
@@ -243,10 +248,13 @@
         if self._expect is None:
             return False
         name, value = self._expect
-        found = [text for field, text in self._fields if field == name]
-        if not found:
-            return not 400 <= self._parser.get_status_code() < 500
-        return any(text != value for text in found)
+        is_found = False
+        for field, text in self._fields:
+            if field == name:
+                is_found = True
+                if text != value:
+                    return True
+        return not is_found and not 400 <= self._parser.get_status_code() < 500
 
     def _note_reuse(self, status: int) -> None:
         is_early = self._has_body and status >= 300
