--- a/src/lineworks/decisions/replicas.py
+++ b/src/lineworks/decisions/replicas.py
@@ -217,7 +217,23 @@
         self.is_leaving = self.is_leaving or report.is_leaving
         self.disbelieved = {s: until for s, until in self.disbelieved.items() if until > now}
         self.holds = report.holds.difference(self.disbelieved)
-        claimed = max(0, report.busy + report.queue - self.in_flight)
+        self._note_load(now, report.busy + report.queue)
+
+    def on_load(self, now: float, incarnation: str, requests: int) -> None:
+        """Take in what a target that tells nothing else says of its load.
+
+        Args:
+            now: The present, in seconds.
+            incarnation: Identity of its process.
+            requests: Those in work and those that wait.
+        """
+        if incarnation == self.incarnation:
+            self._note_load(now, requests)
+        else:
+            self.on_report(now, Report(incarnation, frozenset(), requests))
+
+    def _note_load(self, now: float, requests: int) -> None:
+        claimed = max(0, requests - self.in_flight)
         self.foreign = min(float(claimed), FOREIGN_LOAD_CAP * self.target.slots)
         self.reported_at = now
 
--- a/src/lineworks/forwarding/target_learning.py
+++ b/src/lineworks/forwarding/target_learning.py
@@ -7,7 +7,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from lineworks.decisions import hall_ways, replicas, verdict
+from lineworks.decisions import hall_ways, verdict
 from lineworks.kernel import bounded_log
 from lineworks.platform import headers
 
@@ -103,8 +103,7 @@
         """Take in what a target says of itself in an answer."""
         load = headers.read_load(response.headers)
         if load is not None:
-            report = replicas.Report(state.id, frozenset(), load.running, load.waiting)
-            state.replica.on_report(now, report)
+            state.replica.on_load(now, state.id, load.running + load.waiting)
             if load.pace is not None:
                 state.pace = load.pace
                 state.pace_at = now
--- a/src/lineworks/platform/headers.py
+++ b/src/lineworks/platform/headers.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -31,6 +32,8 @@
 _MOST_DIGITS = 9
 _PROMISES = frozenset((408, 421, 429, 503))
 _MOST_BUDGET = 600_000
+_MOST_KNOWN = 1024  # Reports of load that are kept with what they say.
+_LONGEST_KNOWN = 32  # Bytes of such a report: anybody may write longer ones.
 
 CALLER = b"authorization"
 """Says who asks; it holds the API key where requests need one."""
@@ -171,7 +174,15 @@
     Returns:
         The report, or None where there is none that can be read.
     """
-    parts = found.get(_LOAD, b"").split(b",")
+    value = found.get(_LOAD)
+    if value is None:
+        return None
+    # Most targets say one of a few things, again and again.
+    return _known_load(value) if len(value) <= _LONGEST_KNOWN else _load_of(value)
+
+
+def _load_of(value: bytes) -> LoadReport | None:
+    parts = value.split(b",")
     running, waiting = _whole(parts, 0), _whole(parts, 1)
     if running is None or waiting is None:
         return None
@@ -181,6 +192,9 @@
     return LoadReport(running, waiting, pace / _USUAL_PACE if pace and is_sound else None)
 
 
+_known_load = functools.lru_cache(_MOST_KNOWN)(_load_of)
+
+
 def read_cold_seconds(found: Mapping[bytes, bytes]) -> float | None:
     """Read how long a target will still be cold.
 
@@ -190,7 +204,8 @@
     Returns:
         Seconds, 0 for a warm one; None where the answer does not tell, or no whole number.
     """
-    left = _whole([found.get(_COLD, b"")], 0)
+    value = found.get(_COLD)
+    left = None if value is None else _whole([value], 0)
     return None if left is None else min(left, _MOST_BUDGET) / 1000
 
 
