Quotas: a holder without the configuration grants nothing; a hall that lost its holders asks those of another

Cause: QuotaHolder.ask took a workspace without a limit for one that needs none, also before it knew any configuration; all of a hall asked it under its old name (53 ran in a window of 33). It now grants only where its configuration is newer than the one that it is asked by. And only the first three listed instances of a hall hold tokens while a lost one stays listed for its lease: 10 of 10 requests were refused; the holder of another hall is asked instead, which makes no new life.

--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -327,7 +327,7 @@
         if before is not None and before.workspaces.is_used and not table.workspaces.is_used:
             _log.warning("keys_no_longer_needed", version=table.version, before=before.version)
         self._front.set_table(table)
-        self._quotas.set_workspaces(table.workspaces.all)
+        self._quotas.set_workspaces(table.workspaces.all, table.version)
         self._warn_of_unknown_homes(table)
         self._on_targets()
         self._links.broadcast(self._heartbeat())
--- a/src/lineworks/forwarding/quota_holder.py
+++ b/src/lineworks/forwarding/quota_holder.py
@@ -121,6 +121,7 @@
         self._ranks = ranks
         self._bound = bound
         self._limits: dict[str, workspaces.Quota] = {}
+        self._version = -1
         self._held: dict[str, _Held] = {}
         self._numbers = itertools.count(1)
         self._pulls: dict[int, tuple[str, float]] = {}
@@ -145,13 +146,15 @@
         now = self._reactor.seconds()
         return {name: held.bucket.tokens(now) for name, held in self._held.items()}
 
-    def set_limits(self, limits: Mapping[str, workspaces.Quota]) -> None:
+    def set_limits(self, limits: Mapping[str, workspaces.Quota], version: int = 0) -> None:
         """Put limits in force. Tokens of workspaces that are gone are kept for a window.
 
         Args:
             limits: Limits by workspace.
+            version: Version of their configuration.
         """
         self._limits = dict(limits)
+        self._version = version
         now = self._reactor.seconds()
         for name, held in self._held.items():
             limit = self._limits.get(name)
@@ -159,20 +162,21 @@
                 held.limit = limit
                 held.bucket.set_part(self._part(name, limit), now)
 
-    def ask(self, workspace: str, reply: Callable[[Answer], None]) -> Callable[[], None] | None:
+    def ask(
+        self, workspace: str, version: int, reply: Callable[[Answer], None]
+    ) -> Callable[[], None] | None:
         """Ask for a token.
 
         Args:
             workspace: Name of the workspace.
+            version: Version of the configuration by which it has a limit.
             reply: Takes the answer, once; it may be called before this function returns.
 
         Returns:
             A function that withdraws the question; None when it is answered.
         """
         if workspace not in self._limits:
-            # By the configuration in force here it has no limit, or no longer one.
-            self.counts["without_limit"] += 1
-            reply(Answer(quota.Decision.GRANTED))
+            reply(Answer(self._decide_without_limit(version)))
             return None
         held = self._find(workspace)
         if held is None:
@@ -202,6 +206,18 @@
 
         return withdraw if waiter in held.waiting else None
 
+    def _decide_without_limit(self, version: int) -> quota.Decision:
+        """Decide on a workspace that has no limit by the configuration in force here.
+
+        Only a newer configuration than the one asked by says that it has none any more. An instance
+        that has just started knows none at all.
+        """
+        if self._version <= version:
+            self.counts["limit_unknown"] += 1
+            return quota.Decision.UNSURE
+        self.counts["without_limit"] += 1
+        return quota.Decision.GRANTED
+
     def put_back(self, workspace: str, granted_at: float) -> None:
         """Take back the token of a request that certainly did not run.
 
--- a/src/lineworks/forwarding/quota_keeper.py
+++ b/src/lineworks/forwarding/quota_keeper.py
@@ -29,7 +29,8 @@
 again. It may wait for other halls meanwhile (`quota_holder.PULL_WAIT`)."""
 
 MOST_ASKS = 2
-"""Holders that are asked for one request at most."""
+"""Holders of the own hall that are asked for one request at most; one of another hall is asked
+besides."""
 
 UNSURE_RETRY_AFTER = 0.1
 """Seconds after which a caller may ask again where no holder answered: another instance may hear
@@ -108,6 +109,7 @@
         self._holder = holder
         self._log = bounded_log.BoundedLog(reactor, "quotas", LINES_PER_SECOND)
         self._numbers = itertools.count(1)
+        self._version = 0
         self._questions: dict[int, _Question] = {}
         # What others were granted lately: (their process, number) with workspace and time.
         self._grants: collections.OrderedDict[tuple[str, int], tuple[str, float]] = (
@@ -137,13 +139,16 @@
         """Log lines that were left out."""
         return self._log.left_out_in_all
 
-    def set_workspaces(self, listed: Iterable[workspaces.Workspace]) -> None:
+    def set_workspaces(self, listed: Iterable[workspaces.Workspace], version: int = 0) -> None:
         """Put the limits of a configuration in force.
 
         Args:
             listed: Its workspaces.
+            version: Its version.
         """
-        self._holder.set_limits({one.name: one.quota for one in listed if one.quota is not None})
+        self._version = version
+        limits = {one.name: one.quota for one in listed if one.quota is not None}
+        self._holder.set_limits(limits, version)
 
     def admit(
         self,
@@ -181,13 +186,10 @@
     def _ask_next(self, question: _Question) -> None:
         """Ask the best holder that wasn't asked yet."""
         now = self._reactor.seconds()
-        left = [
-            name for name in self._ranks.holders(question.workspace) if name not in question.tried
-        ]
-        if not left or len(question.tried) >= MOST_ASKS or now >= question.until:
+        name = self._choose(question)
+        if name is None or now >= question.until:
             self._refuse_unsure(question)
             return
-        name = left[0]
         question.tried.append(name)
         question.sent_at = now
         if name == self._name:
@@ -195,13 +197,31 @@
             return
         question.number = next(self._numbers)
         self._questions[question.number] = question
-        if not self._links.send(name, node_frames.QuotaAsk(question.number, question.workspace)):
+        ask = node_frames.QuotaAsk(question.number, question.workspace, self._version)
+        if not self._links.send(name, ask):
             del self._questions[question.number]
             self._ask_next(question)
             return
         wait = min(ASK_SECONDS, question.until - now)
         question.timer = self._reactor.callLater(wait, self._on_timeout, question)
 
+    def _choose(self, question: _Question) -> str | None:
+        """Choose whom to ask: the holders of the own hall, then one of another hall.
+
+        A hall that lost all its holders at once would refuse everything else, until the list of
+        instances no longer names them.
+        """
+        if len(question.tried) < MOST_ASKS:
+            for name in self._ranks.holders(question.workspace):
+                if name not in question.tried:
+                    return name
+        if len(question.tried) > MOST_ASKS:
+            return None
+        for name in self._ranks.foreign_holders(question.workspace):
+            if name not in question.tried:
+                return name
+        return None
+
     def _ask_own(self, question: _Question) -> None:
         def reply(answer: quota_holder.Answer) -> None:
             question.withdraw_own = None
@@ -212,7 +232,7 @@
                 lambda: self._holder.put_back(question.workspace, granted_at),
             )
 
-        withdraw = self._holder.ask(question.workspace, reply)
+        withdraw = self._holder.ask(question.workspace, self._version, reply)
         if not question.is_over:
             question.withdraw_own = withdraw
 
@@ -307,7 +327,7 @@
                 self._note_grant((link.hello.incarnation, frame.number), frame.workspace)
             link.send(node_frames.QuotaGrant(frame.number, answer.decision, answer.retry_after))
 
-        self._holder.ask(frame.workspace, reply)
+        self._holder.ask(frame.workspace, frame.version, reply)
 
     def _note_grant(self, key: tuple[str, int], workspace: str) -> None:
         now = self._reactor.seconds()
--- a/src/lineworks/forwarding/quota_ranks.py
+++ b/src/lineworks/forwarding/quota_ranks.py
@@ -92,6 +92,20 @@
         ranked = self.order(workspace, self._peers.able(hall))
         return ranked[0] if ranked else None
 
+    def foreign_holders(self, workspace: str) -> list[str]:
+        """List whom to ask in other halls, one in each, when nobody in this one answers.
+
+        Args:
+            workspace: Name of the workspace.
+
+        Returns:
+            Their names; those of every workspace in an order of its own.
+        """
+        halls = {link.hello.hall for link in self._links.up.values() if link.hello is not None}
+        halls.discard(self._hall)
+        found = [self.foreign_holder(workspace, hall) for hall in self.order(workspace, halls)]
+        return [name for name in found if name is not None]
+
     def may_hold(self, workspace: str) -> bool:
         """Say whether this instance is one of those that may hold a workspace's tokens.
 
--- a/src/lineworks/wire/_quota_codec.py
+++ b/src/lineworks/wire/_quota_codec.py
@@ -19,10 +19,11 @@
     body = builder.init("quotaAsk")
     body.number = frame.number
     body.workspace = frame.workspace
+    body.version = frame.version
 
 
 def _read_ask(body: Any, now: float) -> node_frames.QuotaAsk:
-    return node_frames.QuotaAsk(body.number, body.workspace)
+    return node_frames.QuotaAsk(body.number, body.workspace, body.version)
 
 
 def _write_grant(builder: Any, frame: node_frames.QuotaGrant, now: float) -> None:
--- a/src/lineworks/wire/node_frames.py
+++ b/src/lineworks/wire/node_frames.py
@@ -235,6 +235,9 @@
     workspace: str
     """Name of the workspace."""
 
+    version: int = 0
+    """Version of the configuration by which it has a limit."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuotaGrant:
--- a/src/lineworks/wire/peer.capnp
+++ b/src/lineworks/wire/peer.capnp
@@ -183,7 +183,7 @@
   attempts @8 :List(Text);
 }
 
-struct QuotaAsk { number @0 :UInt64; workspace @1 :Text; }
+struct QuotaAsk { number @0 :UInt64; workspace @1 :Text; version @2 :UInt64; }
 
 # Decisions as in decisions/quota.py.
 struct QuotaGrant { number @0 :UInt64; decision @1 :UInt8; retryAfter @2 :UInt32; }
