--- a/src/lineworks/decisions/quota.py
+++ b/src/lineworks/decisions/quota.py
@@ -159,6 +159,9 @@
         self._share = 1.0
         # Tokens from other halls that had no room: each with when they end.
         self._moved: list[tuple[float, float]] = []
+        # When the tokens were granted that may yet be given back. They keep their room: otherwise
+        # requests that fail and come back would save more and more tokens outside the bucket.
+        self._granted: list[float] = []
 
     @property
     def part(self) -> Part:
@@ -195,16 +198,25 @@
                 self._moved.insert(0, (ends, amount - left))
             left -= min(amount, left)
         self._tokens -= left
+        self._granted.append(now)
         return True
 
-    def put_back(self, now: float) -> None:
+    def put_back(self, granted_at: float, now: float) -> bool:
         """Take a token back whose request certainly did not run.
 
         Args:
-            now: The present, in seconds; within `RETURN_SECONDS` of the grant.
+            granted_at: When it was granted, in seconds.
+            now: The present, in seconds.
+
+        Returns:
+            Whether it still counted.
         """
         self._advance(now)
-        self._tokens = min(self._part.depth, self._tokens + 1)
+        if granted_at not in self._granted:
+            return False
+        self._granted.remove(granted_at)
+        self._fill(1.0)
+        return True
 
     def give(self, now: float, wanted: float, most: float = 0.5) -> float:
         """Hand tokens over to another hall.
@@ -234,8 +246,7 @@
         ends = asked_at + MOVE_SECONDS
         if amount <= 0 or ends <= now:
             return
-        kept = min(amount, self._part.depth - self._tokens)
-        self._tokens += kept
+        kept = self._fill(amount)
         if amount > kept:
             self._moved.append((ends, amount - kept))
             self._moved.sort()
@@ -276,9 +287,16 @@
         self._advance(now)
         self._share = share
 
+    def _fill(self, amount: float) -> float:
+        """Add tokens as far as there is room, and tell how many."""
+        room = self._part.depth - len(self._granted) - self._tokens
+        added = max(0.0, min(amount, room))
+        self._tokens += added
+        return added
+
     def _advance(self, now: float) -> None:
-        earned = max(0.0, now - self._at) * self._part.rate * self._share
-        self._tokens = min(self._part.depth, self._tokens + earned)
+        self._granted = [at for at in self._granted if now - at <= RETURN_SECONDS]
+        self._fill(max(0.0, now - self._at) * self._part.rate * self._share)
         self._at = max(self._at, now)
         if self._moved:
             self._moved = [(ends, amount) for ends, amount in self._moved if ends > now]
--- a/src/lineworks/forwarding/quota_holder.py
+++ b/src/lineworks/forwarding/quota_holder.py
@@ -62,6 +62,9 @@
     retry_after: float = 0.0
     """Seconds after which the caller may ask again, where there is no token."""
 
+    granted_at: float = 0.0
+    """When it was granted, in seconds on the holder's clock."""
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Waiter:
@@ -183,7 +186,7 @@
         rate = held.rate.value(now)
         held.rate.note(now)
         if not held.waiting and held.bucket.take(now):
-            self._grant(reply)
+            self._grant(reply, now)
             # A first request after a quiet time says nothing of when the next one comes.
             if rate > 0:
                 self._pull_ahead(workspace, held, now)
@@ -211,9 +214,8 @@
         """
         now = self._reactor.seconds()
         held = self._held.get(workspace)
-        if held is not None and now - granted_at <= quota.RETURN_SECONDS:
+        if held is not None and held.bucket.put_back(granted_at, now):
             self.counts["returned"] += 1
-            held.bucket.put_back(now)
 
     def _part(self, workspace: str, limit: workspaces.Quota) -> quota.Part:
         """Tell what this hall has of a quota."""
@@ -257,9 +259,9 @@
         if self._held:
             self._timer = self._reactor.callLater(quota.CHECK_SECONDS, self._check)
 
-    def _grant(self, reply: Callable[[Answer], None]) -> None:
+    def _grant(self, reply: Callable[[Answer], None], now: float) -> None:
         self.counts["granted"] += 1
-        reply(Answer(quota.Decision.GRANTED))
+        reply(Answer(quota.Decision.GRANTED, granted_at=now))
 
     def _refuse(self, held: _Held, reply: Callable[[Answer], None], now: float) -> None:
         """Refuse, and tell when there is a token that no caller was told of yet."""
@@ -343,7 +345,7 @@
 
     def _serve_waiting(self, held: _Held, now: float) -> None:
         while held.waiting and held.bucket.take(now):
-            self._grant(held.waiting.pop(0).reply)
+            self._grant(held.waiting.pop(0).reply, now)
 
     def _on_pull(self, link: Any, frame: node_frames.QuotaPull) -> None:
         amount = self._give(frame.workspace, frame.amount, link.hello.hall)
--- a/src/lineworks/forwarding/quota_keeper.py
+++ b/src/lineworks/forwarding/quota_keeper.py
@@ -205,11 +205,10 @@
     def _ask_own(self, question: _Question) -> None:
         def reply(answer: quota_holder.Answer) -> None:
             question.withdraw_own = None
-            granted_at = self._reactor.seconds()
             self._take_answer(
                 question,
                 answer,
-                lambda: self._holder.put_back(question.workspace, granted_at),
+                lambda: self._holder.put_back(question.workspace, answer.granted_at),
             )
 
         withdraw = self._holder.ask(question.workspace, reply)
@@ -304,13 +303,13 @@
     def _on_ask(self, link: Any, frame: node_frames.QuotaAsk) -> None:
         def reply(answer: quota_holder.Answer) -> None:
             if answer.decision is quota.Decision.GRANTED:
-                self._note_grant((link.hello.incarnation, frame.number), frame.workspace)
+                key = (link.hello.incarnation, frame.number)
+                self._note_grant(key, frame.workspace, answer.granted_at)
             link.send(node_frames.QuotaGrant(frame.number, answer.decision, answer.retry_after))
 
         self._holder.ask(frame.workspace, reply)
 
-    def _note_grant(self, key: tuple[str, int], workspace: str) -> None:
-        now = self._reactor.seconds()
+    def _note_grant(self, key: tuple[str, int], workspace: str, now: float) -> None:
         self._grants[key] = (workspace, now)
         while self._grants:
             oldest = next(iter(self._grants))
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -91,13 +91,38 @@
 
 def test_a_token_given_back_never_exceeds_the_depth():
     bucket = quota.Bucket(quota.Part(0.0, 2.0), 0.0)
-    bucket.put_back(0.0)
+    bucket.put_back(0.0, 0.0)
     assert bucket.tokens(0.0) == 2.0
     bucket.take(0.0)
-    bucket.put_back(0.0)
+    bucket.put_back(0.0, 0.0)
     assert bucket.tokens(0.0) == 2.0
 
 
+def test_requests_that_fail_and_come_back_save_no_tokens_outside_the_bucket():
+    bucket = quota.Bucket(quota.Part(10.0, 2.0), 0.0)
+    under_way = []
+    for step in range(300):
+        now = step * 0.1
+        for at in under_way[:]:
+            if now - at >= 0.1:
+                under_way.remove(at)
+                bucket.put_back(at, now)
+                under_way += [now] * bucket.take(now)
+        while bucket.take(now):
+            under_way.append(now)
+    assert len(under_way) <= 2 + 10.0 * quota.RETURN_SECONDS
+
+
+def test_a_token_is_given_back_once_and_not_late():
+    bucket = quota.Bucket(quota.Part(0.0, 2.0), 0.0)
+    bucket.take(0.0)
+    assert bucket.put_back(0.0, 0.1)
+    assert not bucket.put_back(0.0, 0.1)
+    bucket.take(1.0)
+    assert not bucket.put_back(1.0, 1.1 + quota.RETURN_SECONDS)
+    assert bucket.tokens(2.0) == 1.0
+
+
 def test_a_lower_limit_cuts_the_tokens_and_a_higher_one_begins_no_new_life():
     bucket = quota.Bucket(quota.Part(1.0, 6.0), 0.0)
     bucket.set_part(quota.Part(0.5, 2.0), 0.0)
@@ -170,11 +195,12 @@
             self.later(delay, lambda: asker.add(given, asked_at, self.now))
 
     def put_back(self, place, delay):
-        """Give the latest token back that was spent at a hall, if it is not too late."""
+        """Give the latest token back that was spent at a hall, perhaps too late."""
         mine = [row for row in self.spent if row[1] is self.buckets[place]]
-        if mine and self.now + delay - mine[-1][0] <= quota.RETURN_SECONDS:
+        if mine:
+            at, bucket = mine[-1]
             self.spent.remove(mine[-1])
-            self.later(delay, lambda: mine[-1][1].put_back(self.now))
+            self.later(delay, lambda: bucket.put_back(at, self.now))
 
     def restart(self, place):
         """Begin a new life, where the window has not seen too many."""
--- a/tests/test_quota_keeper.py
+++ b/tests/test_quota_keeper.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import statistics
 
 import pytest
@@ -239,13 +240,20 @@
     assert [reason for _, reason in fleet.refused["w"]] == [UNSURE]
 
 
-def test_a_token_that_was_given_back_serves_another_request():
+@pytest.mark.parametrize("is_holder", [True, False])
+def test_a_token_that_was_given_back_serves_another_request(monkeypatch, is_holder):
+    ticks = itertools.count()
+    monkeypatch.setattr(
+        quota_fleet.Reactor, "seconds", lambda self: self.clock.seconds() + next(ticks) * 1e-9
+    )
     fleet = one_workspace(0.0, burst=5.0)
-    name = next(iter(fleet.instances))
+    holder = holder_of(fleet)
+    other = next(n for n in fleet.instances if n.startswith("b1") and n != holder)
     for _ in range(60):
-        fleet.ask("w", name, returns=True)
+        fleet.ask("w", holder if is_holder else other, returns=True)
         fleet.run(0.05)
     assert not fleet.refused["w"]
+    assert fleet.instances[holder].holder.counts["returned"] == 60
 
 
 def test_a_caller_that_left_costs_no_token():
