--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -242,3 +242,49 @@
     case.gatherer.on_cancel("front-1", node_frames.GatherCancel(7, ()))
     assert case.gatherer.is_idle
     assert not case.clock.getDelayedCalls()
+
+
+def _later_query(number, workspace, priority, is_fair):
+    return node_frames.GatherQuery(
+        number,
+        ("s0",),
+        b"",
+        b"",
+        workspace.encode(),
+        2,
+        b"",
+        deadline=2.0,
+        flush_at=0.5,
+        is_fair=is_fair,
+        workspace=workspace,
+        priority=priority,
+        due=1.0,
+    )
+
+
+@pytest.mark.parametrize(("is_fair", "expected"), [(True, b"urgent"), (False, b"patient")])
+def test_room_at_a_full_target_goes_to_the_most_urgent_query_that_waits(is_fair, expected):
+    case = Case(shards=1, full=("s0",))
+    case.gatherer.on_cancel("front-1", node_frames.GatherCancel(7))
+    sent = []
+    case.calls.send = lambda state, call, on_end: sent.append(call.attempt) or (lambda: False)
+    for number, (workspace, priority) in enumerate((("patient", 2), ("urgent", 0))):
+        query = _later_query(number + 8, workspace, priority, is_fair)
+        case.gatherer.on_query("front-1", query, case.sent.append)
+    case.make_room("s0")
+    # The stand-in for calls takes no slot, so the first one to be sent tells the order.
+    case.clock.advance(0.006)
+    assert sent[0] == expected
+
+
+def test_a_newcomer_at_a_gatherer_does_not_pass_a_more_urgent_query():
+    case = Case(shards=1, full=("s0",))
+    case.gatherer.on_cancel("front-1", node_frames.GatherCancel(7))
+    sent = []
+    case.calls.send = lambda state, call, on_end: sent.append(call.attempt) or (lambda: False)
+    case.gatherer.on_query("front-1", _later_query(8, "urgent", 0, True), case.sent.append)
+    case.make_room("s0")
+    case.gatherer.on_query("front-1", _later_query(9, "patient", 2, True), case.sent.append)
+    assert sent == []
+    case.clock.advance(0.006)
+    assert sent == [b"urgent", b"patient"]
