Requests, answers and messages leave when they are written, not after the reactor's turn

Cause: Twisted keeps what is written until everything that arrived together has been dealt with. The calls of a search left only after the last of them had been chosen and written, the queries to gatherers as well, though they were sent first so that others work meanwhile; a gatherer's parts and a caller's answer waited for the rest of the answers read in the same turn. On a third of a core that is many milliseconds. Change: kernel/prompt_write.py hands the system at once what it takes; the rest leaves in order as before, and a connection that fails is left to the reactor. Used for requests to targets, answers to callers and messages between instances.

--- a/src/lineworks/http1/client_connection.py
+++ b/src/lineworks/http1/client_connection.py
@@ -14,6 +14,8 @@
 from twisted.internet import error as net_error
 from twisted.internet import protocol
 
+from lineworks.kernel import prompt_write
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
@@ -139,7 +141,7 @@
         self._expect = expect
         self._has_body = has_body
         self._begin()
-        self.transport.write(data)
+        prompt_write.write(self.transport, data)
 
     def abort(self) -> None:
         """Close at once and report nothing."""
--- a/src/lineworks/http1/server_connection.py
+++ b/src/lineworks/http1/server_connection.py
@@ -14,7 +14,7 @@
 from twisted.internet import error, protocol
 
 from lineworks.http1 import fields as http_fields
-from lineworks.kernel import tcp_info
+from lineworks.kernel import prompt_write, tcp_info
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -290,7 +290,7 @@
             return
         # Requests that were sent ahead and read are answered, too, before the connection closes.
         is_last = not self._waiting and (self._must_close or self._server.is_closing())
-        self.transport.write(_encode(answer, is_last, request.method == b"HEAD"))
+        prompt_write.write(self.transport, _encode(answer, is_last, request.method == b"HEAD"))
         self.is_busy = False
         if is_last:
             self._is_broken = True
--- a/src/lineworks/services/peer_link.py
+++ b/src/lineworks/services/peer_link.py
@@ -5,11 +5,13 @@
 import hashlib
 import hmac
 import os
+import struct
 from typing import TYPE_CHECKING, Any, Protocol
 
 import structlog
 from twisted.protocols import basic
 
+from lineworks.kernel import prompt_write
 from lineworks.wire import codec, deflate, frames
 
 if TYPE_CHECKING:
@@ -109,7 +111,9 @@
         Args:
             data: What `codec.encode` made of it, just now.
         """
-        self.sendString(self._deflater.deflate(data))
+        packed = self._deflater.deflate(data)
+        # At once: what a gatherer does should not wait for the calls that follow its query.
+        prompt_write.write(self.transport, struct.pack(self.structFormat, len(packed)) + packed)
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Take in one frame.
