--- a/src/lineworks/decisions/quota.py
+++ b/src/lineworks/decisions/quota.py
@@ -159,9 +159,10 @@
         self._share = 1.0
         # Tokens from other halls that had no room: each with when they end.
         self._moved: list[tuple[float, float]] = []
-        # When the tokens were granted that may yet be given back. They keep their room: otherwise
-        # requests that fail and come back would save more and more tokens outside the bucket.
-        self._granted: list[float] = []
+        # What may yet be given back: when it was granted, and how much of it still counts. Together
+        # with the tokens it is never more than the depth: otherwise requests that fail and come
+        # back would save more and more tokens outside the bucket.
+        self._granted: list[tuple[float, float]] = []
 
     @property
     def part(self) -> Part:
@@ -198,7 +199,8 @@
                 self._moved.insert(0, (ends, amount - left))
             left -= min(amount, left)
         self._tokens -= left
-        self._granted.append(now)
+        self._granted.append((now, 1.0))
+        self._trim()
         return True
 
     def put_back(self, granted_at: float, now: float) -> bool:
@@ -212,11 +214,12 @@
             Whether it still counted.
         """
         self._advance(now)
-        if granted_at not in self._granted:
-            return False
-        self._granted.remove(granted_at)
-        self._fill(1.0)
-        return True
+        for place, (at, amount) in enumerate(self._granted):
+            if at == granted_at:
+                del self._granted[place]
+                self._fill(amount)
+                return True
+        return False
 
     def give(self, now: float, wanted: float, most: float = 0.5) -> float:
         """Hand tokens over to another hall.
@@ -289,13 +292,22 @@
 
     def _fill(self, amount: float) -> float:
         """Add tokens as far as there is room, and tell how many."""
-        room = self._part.depth - len(self._granted) - self._tokens
-        added = max(0.0, min(amount, room))
+        added = max(0.0, min(amount, self._part.depth - self._tokens))
         self._tokens += added
+        self._trim()
         return added
 
+    def _trim(self) -> None:
+        """Let go of what would be given back to a full bucket, the oldest first."""
+        over = self._tokens + sum(amount for _, amount in self._granted) - self._part.depth
+        while over > 0 and self._granted:
+            at, amount = self._granted.pop(0)
+            if amount > over:
+                self._granted.insert(0, (at, amount - over))
+            over -= amount
+
     def _advance(self, now: float) -> None:
-        self._granted = [at for at in self._granted if now - at <= RETURN_SECONDS]
+        self._granted = [row for row in self._granted if now - row[0] <= RETURN_SECONDS]
         self._fill(max(0.0, now - self._at) * self._part.rate * self._share)
         self._at = max(self._at, now)
         if self._moved:
