--- a/bench/search_path.py
+++ b/bench/search_path.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections
+import gc
 import pathlib
 import random
 import signal
@@ -20,6 +21,7 @@
 
 import lineworks
 from bench import fakes
+from lineworks.programs import node
 from lineworks.standins import deployment
 
 if TYPE_CHECKING:
@@ -194,6 +196,10 @@
         Microseconds for one sub-query by step, without what the instances do at rest.
     """
     bench = Bench(shards)
+    # As a process does; the instances of a whole deployment would be looked through otherwise.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(node.GC_THRESHOLD)
     sampler, resting = Sampler(), Sampler()
     resting.start()
     bench.rest(searches)
