--- a/src/lineworks/standins/deployment.py
+++ b/src/lineworks/standins/deployment.py
@@ -103,12 +103,12 @@
         self.workspaces: list[dict[str, Any]] = []
         """Workspaces of the configurations written from now on, as `documents.workspace` writes
         them; none where no request needs a key."""
-        self.quota_bound = quota.QuotaBound(5.0, 0.1, 20.0)
-        """What instances that start from now on may let through beyond quotas."""
         self.revocation = access.Revocation()
         """What holds at them for keys that were taken away while they heard nothing."""
         self.cold_bound = cold_targets.ColdBound(1.5, 5.0)
         """What cold targets may get from all instances together."""
+        self.quota_bound = quota.QuotaBound(5.0, 0.1, 20.0)
+        """What all instances together may let through beyond a quota."""
         self.keeps_identities = False
         """Whether targets that start again do so under the identity that they had."""
         self.has_proxies = False
