--- a/src/lineworks/decisions/quota.py
+++ b/src/lineworks/decisions/quota.py
@@ -159,6 +159,10 @@
         self._share = 1.0
         # Tokens from other halls that had no room: each with when they end.
         self._moved: list[tuple[float, float]] = []
+        # What may yet be given back: when it was granted, and how much of it still counts. Together
+        # with the tokens it is never more than the depth: otherwise requests that fail and come
+        # back would save more and more tokens outside the bucket.
+        self._granted: list[tuple[float, float]] = []
 
     @property
     def part(self) -> Part:
@@ -195,16 +199,27 @@
                 self._moved.insert(0, (ends, amount - left))
             left -= min(amount, left)
         self._tokens -= left
+        self._granted.append((now, 1.0))
+        self._trim()
         return True
 
-    def put_back(self, now: float) -> None:
+    def put_back(self, granted_at: float, now: float) -> bool:
         """Take a token back whose request certainly did not run.
 
         Args:
-            now: The present, in seconds; within `RETURN_SECONDS` of the grant.
+            granted_at: When it was granted, in seconds.
+            now: The present, in seconds.
+
+        Returns:
+            Whether it still counted.
         """
         self._advance(now)
-        self._tokens = min(self._part.depth, self._tokens + 1)
+        for place, (at, amount) in enumerate(self._granted):
+            if at == granted_at:
+                del self._granted[place]
+                self._fill(amount)
+                return True
+        return False
 
     def give(self, now: float, wanted: float, most: float = 0.5) -> float:
         """Hand tokens over to another hall.
@@ -234,8 +249,7 @@
         ends = asked_at + MOVE_SECONDS
         if amount <= 0 or ends <= now:
             return
-        kept = min(amount, self._part.depth - self._tokens)
-        self._tokens += kept
+        kept = self._fill(amount)
         if amount > kept:
             self._moved.append((ends, amount - kept))
             self._moved.sort()
@@ -276,9 +290,25 @@
         self._advance(now)
         self._share = share
 
+    def _fill(self, amount: float) -> float:
+        """Add tokens as far as there is room, and tell how many."""
+        added = max(0.0, min(amount, self._part.depth - self._tokens))
+        self._tokens += added
+        self._trim()
+        return added
+
+    def _trim(self) -> None:
+        """Let go of what would be given back to a full bucket, the oldest first."""
+        over = self._tokens + sum(amount for _, amount in self._granted) - self._part.depth
+        while over > 0 and self._granted:
+            at, amount = self._granted.pop(0)
+            if amount > over:
+                self._granted.insert(0, (at, amount - over))
+            over -= amount
+
     def _advance(self, now: float) -> None:
-        earned = max(0.0, now - self._at) * self._part.rate * self._share
-        self._tokens = min(self._part.depth, self._tokens + earned)
+        self._granted = [row for row in self._granted if now - row[0] <= RETURN_SECONDS]
+        self._fill(max(0.0, now - self._at) * self._part.rate * self._share)
         self._at = max(self._at, now)
         if self._moved:
             self._moved = [(ends, amount) for ends, amount in self._moved if ends > now]
