Quotas: a burst within the limit is saved for; later lives of a hall begin with less

Cause: what halls can save was divided by three lives, so of a burst of 20 within a limit of 2/s and 20 eight were refused. The first life of a hall in a window now saves for the burst, and one that stands in for another, or whose process is younger than a window, begins with what is left.

--- a/src/lineworks/decisions/quota.py
+++ b/src/lineworks/decisions/quota.py
@@ -53,6 +53,10 @@
 RATE_SECONDS = 10.0
 """Seconds over which the rate of requests is learnt."""
 
+BURST_ROOM = 1.2
+"""Multiple of a quota's burst that halls save for it together: what lies in other halls than the
+requests takes some messages to come."""
+
 LEAST_DEPTH = 2.4
 """Tokens that all halls together can save, where the bound has room for them: two parts, so that
 the loss of one hall doesn't stop a workspace."""
@@ -115,6 +119,9 @@
     holders: int = 1
     """Halls that have such a part; the others have none, and ask these."""
 
+    later: float | None = None
+    """Tokens that a later life begins with; None for the whole depth."""
+
 
 NO_PART = Part(0.0, 0.0)
 """What a hall has of a quota too small to be divided among all."""
@@ -123,8 +130,10 @@
 def part_of(quota: workspaces.Quota, bound: QuotaBound, halls: int) -> Part:
     """Divide a quota.
 
-    Where the bound leaves no room for `LIVES` lives beside the rate, the rate is lowered. A hall
-    that saves less than a token could admit nothing alone, so a small quota is divided among fewer.
+    A burst within the quota is saved for as far as the bound has room for it beside later lives,
+    which then begin with less. Where it leaves no room for `LIVES` lives beside the rate, the rate
+    is lowered. A hall that saves less than a token could admit nothing alone, so a small quota is
+    divided among fewer.
 
     Args:
         quota: The quota of all instances together.
@@ -137,24 +146,28 @@
     most = bound.most(quota)
     seconds = bound.window + TRANSIT_SECONDS
     least = min(LEAST_DEPTH, most / (2 * LIVES))
-    depth = max((most - quota.rate * seconds) / LIVES, least)
-    rate = min(quota.rate, (most - LIVES * depth) / seconds)
-    holders = max(1, min(halls, int(depth / LEAST_PART)))
-    return Part(rate / holders, depth / holders, holders)
+    room = most - quota.rate * seconds
+    later = max(room / LIVES, least)
+    rate = min(quota.rate, (most - LIVES * later) / seconds)
+    depth = max(later, min(BURST_ROOM * quota.burst, room - (LIVES - 1) * least))
+    later = min(later, max(least, (room - depth) / (LIVES - 1)))
+    holders = max(1, min(halls, int(later / LEAST_PART)))
+    return Part(rate / holders, depth / holders, holders, later / holders)
 
 
 class Bucket:
     """The tokens of a workspace in one hall."""
 
-    def __init__(self, part: Part, now: float) -> None:
-        """Start full.
+    def __init__(self, part: Part, now: float, is_first: bool = True) -> None:
+        """Start full, or with what a later life begins with.
 
         Args:
             part: What the hall has of the quota.
             now: The present, in seconds.
+            is_first: Whether no other life of the hall can have acted within the window.
         """
         self._part = part
-        self._tokens = part.depth
+        self._tokens = part.depth if is_first or part.later is None else part.later
         self._at = now
         self._share = 1.0
         # Tokens from other halls that had no room: each with when they end.
--- a/src/lineworks/forwarding/quota_holder.py
+++ b/src/lineworks/forwarding/quota_holder.py
@@ -123,6 +123,7 @@
         self._links = links
         self._ranks = ranks
         self._bound = bound
+        self._started_at = reactor.seconds()
         self._limits: dict[str, workspaces.Quota] = {}
         self._version = -1
         self._held: dict[str, _Held] = {}
@@ -253,7 +254,8 @@
         if held is None:
             now = self._reactor.seconds()
             limit = self._limits[workspace]
-            held = _Held(quota.Bucket(self._part(workspace, limit), now), limit, now)
+            is_first = self._is_first(workspace, now)
+            held = _Held(quota.Bucket(self._part(workspace, limit), now, is_first), limit, now)
             held.bucket.set_share(self._ranks.share(workspace), now)
             self._held[workspace] = held
             self.counts["lives"] += 1
@@ -261,6 +263,15 @@
                 self._timer = self._reactor.callLater(quota.CHECK_SECONDS, self._check)
         return held
 
+    def _is_first(self, workspace: str, now: float) -> bool:
+        """Say whether no other life of the hall can have acted within the window.
+
+        An instance that stands in for one with a better rank, or that started within the window,
+        can't know.
+        """
+        is_old = now - self._started_at > self._bound.window + quota.TRANSIT_SECONDS
+        return is_old and self._ranks.is_first(workspace)
+
     def _check(self) -> None:
         """Look who is heard of, and forget what was not used for a window."""
         self._timer = None
--- a/src/lineworks/forwarding/quota_ranks.py
+++ b/src/lineworks/forwarding/quota_ranks.py
@@ -117,6 +117,17 @@
         """
         return self._name in self._first(workspace)
 
+    def is_first(self, workspace: str) -> bool:
+        """Say whether this instance has the best rank of all that are known of the hall.
+
+        Args:
+            workspace: Name of the workspace.
+
+        Returns:
+            Whether it has.
+        """
+        return self._name in self._first(workspace)[:1]
+
     def share(self, workspace: str) -> float:
         """Say how much of the hall's rate this instance earns for a workspace.
 
