--- a/bench/soak/knowledge.py
+++ b/bench/soak/knowledge.py
@@ -1,4 +1,4 @@
-"""Who may know what by when: by it checkers hold instances only against what reached them."""
+"""By when an instance must know of a change: checkers hold it only to what has reached it."""
 
 from __future__ import annotations
 
--- a/bench/soak/workspace_checkers.py
+++ b/bench/soak/workspace_checkers.py
@@ -28,12 +28,12 @@
 """Share of the requests of a workspace far below its limit that may be refused for it. Faults in
 series may leave a hall without a holder for a while, so it isn't nothing."""
 
-WRITE_SECONDS = 0.5
-"""Seconds that the operators' write may take to be in the store, on a busy machine."""
-
 ALWAYS_ALLOWED = 3
 """Such refusals that are too few for a share."""
 
+WRITE_SECONDS = 0.5
+"""Seconds that the operators' write may take to be in the store, on a busy machine."""
+
 
 def keys_stay_inside(found: history.History) -> Iterable[knowledge.Broken]:
     """Find targets that were shown a key, and logs that hold one."""
