--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -306,7 +306,7 @@
     """
     return {
         str(shards): min(
-            (search_path.measure(shards) for _ in range(3)), key=lambda round: sum(round.values())
+            (search_path.measure(shards) for _ in range(3)), key=lambda found: sum(found.values())
         )
         for shards in search_path.FANOUTS
     }
