Tests of quotas: instances that started again put their configuration in force

The stand-in for set_workspaces took one argument and is called with two since questions carry a version. It raised in the instances that had started again, so they knew no target and the last load of the test ran nothing. The test now also asks that something is served there. Two docstrings told how a fault was found; they now say what is kept.

--- a/tests/test_quota_deployment.py
+++ b/tests/test_quota_deployment.py
@@ -61,8 +61,8 @@
         world.host_of(name).kill()
         world.add_node(name, name[:3])
         world.nodes[name]._quotas.set_workspaces([LIMITED])
-        world.nodes[name]._quotas.set_workspaces = lambda listed: None
-    ask_often(world, 6.0)
+        world.nodes[name]._quotas.set_workspaces = lambda *told: None
+    assert 200 in {reply.status for reply in ask_often(world, 6.0)}
     assert worst_window(world) <= world.quota_bound.most(LIMITED.quota)
 
 
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -24,7 +24,7 @@
 
 
 def test_who_reads_for_a_hall_is_looked_up_only_when_the_knowledge_gets_old(monkeypatch):
-    """Looking at all links in each tick took a third of the time of a large fleet at rest."""
+    """Looking at all links in each tick would take much of what a large fleet at rest costs."""
     world = _linked()
     lookups = collections.Counter()
     acts_for_hall = hall_peers.acts_for_hall
@@ -39,7 +39,7 @@
 
 
 def test_a_fleet_that_waits_for_its_first_configuration_asks_the_store_seldom():
-    """Each instance asked in each tick: a quiet day made 1,468 calls instead of 719."""
+    """Otherwise each instance would ask in each tick, and the store has a price for calls."""
     world = deployment.Deployment(fakes.VirtualClock())
     world.add_target("billing", "akl")
     for hall in deployment.HALLS:
