--- a/src/lineworks/decisions/quota.py
+++ b/src/lineworks/decisions/quota.py
@@ -6,10 +6,11 @@
 what is moved, granted or given back counts for a short time only, from the moment at which it was
 asked for.
 
-A holder that starts again, or takes over, begins with a full bucket: a new life. So what is spent
-in any window is at most what all lives that act within it began with, what the halls earned in it,
-and what was outside the buckets when it began: `part_of` makes this fit the bound for `LIVES` lives
-a hall.
+A holder that starts again, or takes over, begins a new life of the bucket: a full one where no
+other life of the hall can have acted within the window, else one with less. So what is spent in any
+window is at most what all lives that act within it began with, what the halls earned in it, and
+what was outside the buckets when it began: `part_of` makes this fit the bound for `LIVES` lives a
+hall.
 """
 
 from __future__ import annotations
--- a/src/lineworks/forwarding/quota_keeper.py
+++ b/src/lineworks/forwarding/quota_keeper.py
@@ -1,7 +1,8 @@
 """Asks whether a request is within the quota of its workspace.
 
 The tokens of a workspace are held by one instance of each data hall (`quota_holder`). An instance
-asks the one of its own hall; where that doesn't answer it asks the next by rank, once.
+asks the one of its own hall; where that doesn't answer it asks the next by rank, then holders of
+other halls.
 """
 
 from __future__ import annotations
@@ -29,8 +30,8 @@
 again. It may wait for other halls meanwhile (`quota_holder.PULL_WAIT`)."""
 
 MOST_ASKS = 2
-"""Holders of the own hall that are asked for one request at most; one of another hall is asked
-besides."""
+"""Holders of the own hall that are asked for one request at most; with those of other halls it is
+one more in all."""
 
 UNSURE_RETRY_AFTER = 0.1
 """Seconds after which a caller may ask again where no holder answered: another instance may hear
@@ -206,7 +207,7 @@
         question.timer = self._reactor.callLater(wait, self._on_timeout, question)
 
     def _choose(self, question: _Question) -> str | None:
-        """Choose whom to ask: the holders of the own hall, then one of another hall.
+        """Choose whom to ask: the holders of the own hall, then those of other halls.
 
         A hall that lost all its holders at once would refuse everything else, until the list of
         instances no longer names them.
