--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -97,11 +97,7 @@
         self._links = processes.Links(self._link_rows, folder)
         links = tuple(row["name"] for row in self._link_rows)
         subjects = plan.Subjects(tuple(self._places), tuple(self._nodes), processes.HALLS, links)
-        self._steps = [
-            step
-            for step in plan.deal(seed, seconds, subjects)
-            if self._workspaces is not None or step.kind not in plan.WORKSPACES
-        ]
+        self._steps = workspaces.steps_of(seed, plan.deal(seed, seconds, subjects))
         self._callers = self._make_callers(seed, rate)
         parts = actions.Parts(
             self._store,
--- a/bench/soak/workspaces.py
+++ b/bench/soak/workspaces.py
@@ -14,7 +14,7 @@
 from lineworks.platform.standins import documents
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 OPEN, SMALL, HOT = "open", "small", "hot"
 """Workspaces: without a limit, far below its limit, and far beyond it."""
@@ -77,6 +77,19 @@
     return seed % 4 == 0
 
 
+def steps_of(seed: int, steps: Iterable[plan.Step]) -> list[plan.Step]:
+    """Leave out what changes workspaces, where a run has none.
+
+    Args:
+        seed: Seed of the run.
+        steps: Steps that were dealt.
+
+    Returns:
+        Those that the run carries out.
+    """
+    return [step for step in steps if are_played(seed) or step.kind not in plan.WORKSPACES]
+
+
 class Workspaces:
     """The workspaces of one run, as its operators have them."""
 
--- a/tests/test_soak_workspaces.py
+++ b/tests/test_soak_workspaces.py
@@ -278,6 +278,12 @@
     assert set(plans.WORKSPACES) <= dealt
 
 
-def test_seeds_that_have_no_workspaces_deal_no_change_of_them():
-    assert not workspaces.are_played(1)
-    assert workspaces.are_played(2)
+@pytest.mark.parametrize(("seed", "has_changes"), [(1, False), (2, True)])
+def test_seeds_that_have_no_workspaces_play_no_change_of_them(seed, has_changes):
+    assert workspaces.are_played(seed) is has_changes
+    dealt = plans.deal(seed, 60.0, test_soak.SUBJECTS)
+    changes = [step for step in dealt if step.kind in plans.WORKSPACES]
+    assert changes
+    left_out = set() if has_changes else set(changes)
+    kept = [step for step in dealt if step not in left_out]
+    assert workspaces.steps_of(seed, dealt) == kept
