--- a/src/lineworks/decisions/quota.py
+++ b/src/lineworks/decisions/quota.py
@@ -6,10 +6,11 @@
 what is moved, granted or given back counts for a short time only, from the moment at which it was
 asked for.
 
-A holder that starts again, or takes over, begins with a full bucket: a new life. So what is spent
-in any window is at most what all lives that act within it began with, what the halls earned in it,
-and what was outside the buckets when it began: `part_of` makes this fit the bound for `LIVES` lives
-a hall.
+A holder that starts again, or takes over, begins a new life: with a full bucket where no other life
+of its hall can have acted within the window, else with what its part says. So what is spent in any
+window is at most what all lives that act within it began with, what the halls earned in it, and
+what was outside the buckets when it began: `part_of` makes this fit the bound for `LIVES` lives a
+hall.
 """
 
 from __future__ import annotations
@@ -64,8 +65,8 @@
 LEAST_PART = 1.1
 """Tokens that a hall with a part can save at least: one, and some so that it goes on earning."""
 
-_ROUNDING = 1e-3
-"""Part of a token that may be lacking: moved tokens are rounded down. It stays owed."""
+_WHOLE = 1 - 1e-3
+"""Tokens that count as a whole one, since moved tokens are rounded down. What lacks stays owed."""
 
 
 class Decision(enum.IntEnum):
@@ -131,9 +132,9 @@
     """Divide a quota.
 
     A burst within the quota is saved for as far as the bound has room for it beside later lives,
-    which then begin with less. Where it leaves no room for `LIVES` lives beside the rate, the rate
-    is lowered. A hall that saves less than a token could admit nothing alone, so a small quota is
-    divided among fewer.
+    which then begin with less. Where the bound leaves no room for `LIVES` lives beside the rate,
+    the rate is lowered. A hall that saves less than a token could admit nothing alone, so a small
+    quota is divided among fewer.
 
     Args:
         quota: The quota of all instances together.
@@ -145,12 +146,13 @@
     """
     most = bound.most(quota)
     seconds = bound.window + TRANSIT_SECONDS
-    least = min(LEAST_DEPTH, most / (2 * LIVES))
     room = most - quota.rate * seconds
-    later = max(room / LIVES, least)
-    rate = min(quota.rate, (most - LIVES * later) / seconds)
-    depth = max(later, min(BURST_ROOM * quota.burst, room - (LIVES - 1) * least))
-    later = min(later, max(least, (room - depth) / (LIVES - 1)))
+    least = min(LEAST_DEPTH, most / (2 * LIVES))
+    # What each life begins with where all begin alike.
+    alike = max(room / LIVES, least)
+    rate = min(quota.rate, (most - LIVES * alike) / seconds)
+    depth = max(alike, min(BURST_ROOM * quota.burst, room - (LIVES - 1) * least))
+    later = min(alike, max(least, (room - depth) / (LIVES - 1)))
     holders = max(1, min(halls, int(later / LEAST_PART)))
     return Part(rate / holders, depth / holders, holders, later / holders)
 
@@ -170,7 +172,7 @@
         self._tokens = part.depth if is_first or part.later is None else part.later
         self._at = now
         self._share = 1.0
-        # Tokens from other halls that had no room: each with when they end.
+        # Tokens from other halls that had no room: when they end, and how many.
         self._moved: list[tuple[float, float]] = []
         # What may yet be given back: when it was granted, and how much of it still counts. Together
         # with the tokens it is never more than the depth: otherwise requests that fail and come
@@ -203,15 +205,9 @@
         Returns:
             Whether there was one.
         """
-        if self.tokens(now) < 1 - _ROUNDING:
+        if self.tokens(now) < _WHOLE:
             return False
-        left = 1.0
-        while self._moved and left > 0:
-            ends, amount = self._moved.pop(0)
-            if amount > left:
-                self._moved.insert(0, (ends, amount - left))
-            left -= min(amount, left)
-        self._tokens -= left
+        self._tokens -= _remove(self._moved, 1.0)
         self._granted.append((now, 1.0))
         self._trim()
         return True
@@ -276,11 +272,11 @@
         Returns:
             Seconds; infinite when it never will.
         """
-        lacking = 1 - _ROUNDING - self.tokens(now)
+        lacking = _WHOLE - self.tokens(now)
         if lacking <= 0:
             return 0.0
         rate = self._part.rate * self._share
-        return lacking / rate if rate > 0 and self._part.depth >= 1 - _ROUNDING else math.inf
+        return lacking / rate if rate > 0 and self._part.depth >= _WHOLE else math.inf
 
     def set_part(self, part: Part, now: float) -> None:
         """Change the limit; this begins no new life.
@@ -313,13 +309,10 @@
     def _trim(self) -> None:
         """Let go of what would be given back to a full bucket, the oldest first."""
         over = self._tokens + sum(amount for _, amount in self._granted) - self._part.depth
-        while over > 0 and self._granted:
-            at, amount = self._granted.pop(0)
-            if amount > over:
-                self._granted.insert(0, (at, amount - over))
-            over -= amount
+        _remove(self._granted, over)
 
     def _advance(self, now: float) -> None:
+        """Earn what is due by now, and forget what no longer counts."""
         self._granted = [row for row in self._granted if now - row[0] <= RETURN_SECONDS]
         self._fill(max(0.0, now - self._at) * self._part.rate * self._share)
         self._at = max(self._at, now)
@@ -327,6 +320,24 @@
             self._moved = [(ends, amount) for ends, amount in self._moved if ends > now]
 
 
+def _remove(rows: list[tuple[float, float]], wanted: float) -> float:
+    """Take tokens out of rows of (time, tokens), the first ones first.
+
+    Args:
+        rows: The rows; those that are used up are left out afterwards.
+        wanted: Tokens, fractions included.
+
+    Returns:
+        Tokens that were lacking.
+    """
+    while rows and wanted > 0:
+        at, amount = rows.pop(0)
+        if amount > wanted:
+            rows.insert(0, (at, amount - wanted))
+        wanted -= min(amount, wanted)
+    return wanted
+
+
 class AskRate:
     """How often a workspace was asked for lately."""
 
--- a/src/lineworks/forwarding/quota_holder.py
+++ b/src/lineworks/forwarding/quota_holder.py
@@ -14,14 +14,14 @@
 import math
 from typing import TYPE_CHECKING, Any
 
-from lineworks.decisions import ownership, quota
+from lineworks.decisions import quota
+from lineworks.forwarding import quota_ranks
 from lineworks.wire import node_frames
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping, Sequence
 
     from lineworks.decisions import workspaces
-    from lineworks.forwarding import quota_ranks
     from lineworks.services import peer_links
 
 PULL_WAIT = 0.045
@@ -68,8 +68,13 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Waiter:
+    """A request that waits for tokens of other halls."""
+
     reply: Callable[[Answer], None]
+    """Takes the answer, once."""
+
     until: float
+    """Until when it waits, in seconds."""
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -77,22 +82,49 @@
     """The tokens of one workspace."""
 
     bucket: quota.Bucket
+    """The tokens."""
+
     limit: workspaces.Quota
+    """The limit of the workspace, for all instances together."""
+
     acted_at: float
+    """When a front or another hall asked for tokens last, in seconds."""
+
     rate: quota.AskRate = dataclasses.field(default_factory=quota.AskRate)
+    """How often fronts ask."""
+
     waiting: list[_Waiter] = dataclasses.field(default_factory=list)
+    """Requests that wait, the first one first."""
+
     asked_at: float = -math.inf
+    """When a front asked last, in seconds."""
+
     refused_at: float = -math.inf
-    # When the next token is free that no refused caller was told of yet.
+    """When a request was refused last, in seconds."""
+
     free_at: float = -math.inf
-    # The pull under way: who has not answered.
+    """When the next token is free that no refused caller was told of yet, in seconds."""
+
     owing: set[str] = dataclasses.field(default_factory=set)
+    """Instances that haven't answered the pull under way; empty where there is none."""
+
     pull: int = 0
+    """Number of the latest message of the latest pull."""
+
     brought: float = 0.0
+    """Tokens that the latest pull brought so far."""
+
     rounds: int = 0
+    """Times that halls were asked in the latest pull."""
+
     pause: float = LEAST_PAUSE
+    """Seconds without pulls after the next one that brings too little."""
+
     may_pull_at: float = -math.inf
+    """When other halls may be asked again, in seconds."""
+
     may_pull_ahead_at: float = -math.inf
+    """The same where no request waits."""
 
 
 class QuotaHolder:
@@ -164,7 +196,7 @@
             limit = self._limits.get(name)
             if limit is not None and limit != held.limit:
                 held.limit = limit
-                held.bucket.set_part(self._part(name, limit), now)
+                held.bucket.set_part(self._own_part(name, limit), now)
 
     def ask(
         self, workspace: str, version: int, reply: Callable[[Answer], None]
@@ -234,17 +266,15 @@
         if held is not None and held.bucket.put_back(granted_at, now):
             self.counts["returned"] += 1
 
-    def _part(self, workspace: str, limit: workspaces.Quota) -> quota.Part:
+    def _own_part(self, workspace: str, limit: workspaces.Quota) -> quota.Part:
         """Tell what this hall has of a quota."""
-        found = quota.part_of(limit, self._bound, len(self._halls))
-        return found if self._hall in self._halls_with_part(workspace, found) else quota.NO_PART
-
-    def _halls_with_part(self, workspace: str, part: quota.Part) -> Sequence[str]:
-        return ownership.owners(f"quota {workspace}", self._halls, part.holders)
+        part, halls = self._divide(workspace, limit)
+        return part if self._hall in halls else quota.NO_PART
 
-    def _has_part(self, workspace: str, hall: str) -> bool:
-        found = quota.part_of(self._limits[workspace], self._bound, len(self._halls))
-        return hall in self._halls_with_part(workspace, found)
+    def _divide(self, workspace: str, limit: workspaces.Quota) -> tuple[quota.Part, Sequence[str]]:
+        """Tell what a hall has of a quota, and which halls have it."""
+        part = quota.part_of(limit, self._bound, len(self._halls))
+        return part, quota_ranks.by_hash(workspace, self._halls)[: part.holders]
 
     def _find(self, workspace: str) -> _Held | None:
         """Find the tokens of a workspace, or begin to hold them."""
@@ -254,8 +284,9 @@
         if held is None:
             now = self._reactor.seconds()
             limit = self._limits[workspace]
-            is_first = self._is_first(workspace, now)
-            held = _Held(quota.Bucket(self._part(workspace, limit), now, is_first), limit, now)
+            part = self._own_part(workspace, limit)
+            bucket = quota.Bucket(part, now, self._is_first_life(workspace, now))
+            held = _Held(bucket, limit, now)
             held.bucket.set_share(self._ranks.share(workspace), now)
             self._held[workspace] = held
             self.counts["lives"] += 1
@@ -263,14 +294,14 @@
                 self._timer = self._reactor.callLater(quota.CHECK_SECONDS, self._check)
         return held
 
-    def _is_first(self, workspace: str, now: float) -> bool:
+    def _is_first_life(self, workspace: str, now: float) -> bool:
         """Say whether no other life of the hall can have acted within the window.
 
         An instance that stands in for one with a better rank, or that started within the window,
         can't know.
         """
         is_old = now - self._started_at > self._bound.window + quota.TRANSIT_SECONDS
-        return is_old and self._ranks.is_first(workspace)
+        return is_old and self._ranks.is_best(workspace)
 
     def _check(self) -> None:
         """Look who is heard of, and forget what was not used for a window."""
@@ -323,9 +354,9 @@
 
     def _ask_halls(self, workspace: str, held: _Held, now: float) -> None:
         """Ask each hall for a part of what is lacking."""
-        found = quota.part_of(held.limit, self._bound, len(self._halls))
-        halls = [hall for hall in self._halls_with_part(workspace, found) if hall != self._hall]
-        asked = [self._ranks.foreign_holder(workspace, hall) for hall in halls]
+        _, halls = self._divide(workspace, held.limit)
+        others = [hall for hall in halls if hall != self._hall]
+        asked = [self._ranks.foreign_holder(workspace, hall) for hall in others]
         names = [name for name in asked if name is not None]
         rate = held.rate.value(now)
         wanted = quota.wanted(held.bucket.tokens(now), len(held.waiting), rate)
@@ -344,6 +375,7 @@
         self._reactor.callLater(wait, self._on_pull_over, workspace, held, held.pull)
 
     def _on_pull_over(self, workspace: str, held: _Held, number: int) -> None:
+        """Go on without the halls that did not answer in time."""
         if held.pull == number and held.owing:
             self.counts["unanswered"] += len(held.owing)
             held.owing.clear()
@@ -352,7 +384,6 @@
     def _end_round(self, workspace: str, held: _Held, now: float) -> None:
         """Ask more halls where that is needed and of use, or refuse those that still wait."""
         self._serve_waiting(held, now)
-        is_lacking = bool(held.waiting) or self._runs_low(held, now)
         has_time = all(waiter.until > now for waiter in held.waiting)
         is_of_use = held.brought >= LEAST_BROUGHT and held.rounds < MOST_ROUNDS
         if held.waiting and has_time and is_of_use:
@@ -362,7 +393,7 @@
             self.counts["pulls_in_vain"] += 1
             held.may_pull_at = now + held.pause
             held.pause = min(MOST_PAUSE, 2 * held.pause)
-        elif is_lacking:
+        elif self._runs_low(held, now):
             held.may_pull_ahead_at = now + AHEAD_PAUSE
         if held.brought >= 1 or not held.waiting:
             held.pause = LEAST_PAUSE
@@ -371,6 +402,7 @@
             self._refuse(held, waiter.reply, now)
 
     def _serve_waiting(self, held: _Held, now: float) -> None:
+        """Grant tokens to those that wait, as far as there are any."""
         while held.waiting and held.bucket.take(now):
             self._grant(held.waiting.pop(0).reply, now)
 
@@ -379,19 +411,21 @@
         link.send(node_frames.QuotaShare(frame.number, amount))
 
     def _give(self, workspace: str, amount: float, hall: str) -> float:
-        """Take tokens for another hall from those held here, unless the own hall lacks some."""
+        """Take tokens for another hall out of those held here, unless this hall lacks some."""
         held = self._find(workspace) if workspace in self._limits else None
         now = self._reactor.seconds()
         if held is None or held.waiting or now - held.refused_at < AHEAD_PAUSE:
             return 0.0
         held.acted_at = now
-        if not self._has_part(workspace, hall):
+        _, halls = self._divide(workspace, self._limits[workspace])
+        if hall not in halls:
             # It has no tokens of its own that a part of one could be added to.
             return held.bucket.give(now, int(min(amount, held.bucket.tokens(now))), 1.0)
         is_quiet = now - held.asked_at > QUIET_SECONDS
         return held.bucket.give(now, amount, 1.0 if is_quiet else 0.5)
 
     def _on_share(self, link: Any, frame: node_frames.QuotaShare) -> None:
+        """Take in tokens; those of an earlier pull count as well."""
         workspace, asked_at = self._pulls.get(frame.number, ("", 0.0))
         held = self._held.get(workspace)
         if held is None:
--- a/src/lineworks/forwarding/quota_keeper.py
+++ b/src/lineworks/forwarding/quota_keeper.py
@@ -25,8 +25,8 @@
     from lineworks.services import peer_links
 
 ASK_SECONDS = quota.GRANT_SECONDS
-"""Seconds that an answer of a holder is waited for; then it is passed over until it is heard of
-again. It may wait for other halls meanwhile (`quota_holder.PULL_WAIT`)."""
+"""Seconds that an answer of a holder is waited for; then the holder is passed over until it is
+heard of again. It may wait for other halls meanwhile (`quota_holder.PULL_WAIT`)."""
 
 MOST_ASKS = 2
 """Holders of the own hall that are asked for one request at most; one of another hall is asked
@@ -40,14 +40,14 @@
 """Workspaces whose refusals are counted apart; the rest together."""
 
 OTHERS = "(others)"
-"""What the rest is called."""
+"""Name under which the refusals of the rest are counted."""
 
 LINES_PER_SECOND = 5.0
 """Log lines a second for refusals."""
 
 
-def _keep() -> None:
-    """Give nothing back."""
+def _give_nothing_back() -> None:
+    """Do nothing, because there is no token to give back."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,7 +60,7 @@
     retry_after: float = 0.0
     """Seconds after which its caller may ask again, where it may not."""
 
-    give_back: Callable[[], None] = _keep
+    give_back: Callable[[], None] = _give_nothing_back
     """Gives its place to another request, where it was admitted and certainly did not run."""
 
 
@@ -69,14 +69,31 @@
     """A request whose token is being asked for."""
 
     workspace: str
+    """Name of its workspace."""
+
     on_end: Callable[[Admission], None]
+    """Takes the answer, once."""
+
     until: float
+    """Time by which the answer is of use, in seconds."""
+
     tried: list[str] = dataclasses.field(default_factory=list)
+    """Holders that were asked, the latest one last."""
+
     number: int = 0
+    """Number of the latest `QuotaAsk`; 0 before the first."""
+
     sent_at: float = 0.0
+    """When a holder was asked last, in seconds."""
+
     timer: Any = None
+    """Runs while another instance is asked."""
+
     withdraw_own: Callable[[], None] | None = None
+    """Withdraws the question while this instance's own holder has it."""
+
     is_over: bool = False
+    """Whether it is answered or withdrawn."""
 
 
 class QuotaKeeper:
@@ -111,7 +128,7 @@
         self._numbers = itertools.count(1)
         self._version = 0
         self._questions: dict[int, _Question] = {}
-        # What others were granted lately: (their process, number) with workspace and time.
+        # What others were granted lately: workspace and time in seconds by (process, number).
         self._grants: collections.OrderedDict[tuple[str, int], tuple[str, float]] = (
             collections.OrderedDict()
         )
@@ -223,6 +240,8 @@
         return None
 
     def _ask_own(self, question: _Question) -> None:
+        """Ask the holder of this instance, without a message."""
+
         def reply(answer: quota_holder.Answer) -> None:
             question.withdraw_own = None
             self._take_answer(
@@ -238,6 +257,7 @@
     def _take_answer(
         self, question: _Question, answer: quota_holder.Answer, give_back: Callable[[], None]
     ) -> None:
+        """Act on what a holder says; `give_back` returns a token that it granted."""
         if answer.decision is quota.Decision.UNSURE:
             self.counts["not_held"] += 1
             self._ask_next(question)
@@ -279,6 +299,7 @@
         question.on_end(admission)
 
     def _close(self, question: _Question) -> None:
+        """Expect no answer any more."""
         question.is_over = True
         self._questions.pop(question.number, None)
         if question.timer is not None and question.timer.active():
@@ -295,6 +316,7 @@
         self._ask_next(question)
 
     def _on_down(self, name: str) -> None:
+        """Ask the next holder what a lost one was asked."""
         lost = [one for one in self._questions.values() if one.tried[-1] == name]
         for question in lost:
             if not question.is_over:
@@ -330,6 +352,7 @@
         self._holder.ask(frame.workspace, frame.version, reply)
 
     def _note_grant(self, key: tuple[str, int], workspace: str, now: float) -> None:
+        """Remember a grant for as long as its token can be given back."""
         self._grants[key] = (workspace, now)
         while self._grants:
             oldest = next(iter(self._grants))
--- a/src/lineworks/forwarding/quota_ranks.py
+++ b/src/lineworks/forwarding/quota_ranks.py
@@ -30,7 +30,7 @@
 
 
 class QuotaRanks:
-    """Ranks the instances of halls for workspaces, by what this one knows."""
+    """Ranks the instances of halls for workspaces, by what this instance knows."""
 
     def __init__(
         self,
@@ -117,7 +117,7 @@
         """
         return self._name in self._first(workspace)
 
-    def is_first(self, workspace: str) -> bool:
+    def is_best(self, workspace: str) -> bool:
         """Say whether this instance has the best rank of all that are known of the hall.
 
         Args:
@@ -149,6 +149,7 @@
         return quota.earned_share(rank, silent, heard, len(known))
 
     def _first(self, workspace: str) -> Sequence[str]:
+        """Name those that may hold tokens, the best first; nobody while no instance is known."""
         if not self._members() and not self._links.up:
             return ()
         return self.order(workspace, self._known())[: quota.LIVES]
@@ -163,6 +164,7 @@
         return names
 
     def _silence(self, name: str) -> float:
+        """Tell for how many seconds nothing was heard of an instance."""
         now: float = self._reactor.seconds()
         link = self._links.up.get(name)
         if link is not None:
--- a/src/lineworks/forwarding/waiting_line.py
+++ b/src/lineworks/forwarding/waiting_line.py
@@ -21,8 +21,13 @@
     """One that waits."""
 
     claim: fair_shares.Claim
+    """What decides about its place."""
+
     services: frozenset[str]
+    """Services at which it wants room."""
+
     look: Callable[[], None]
+    """Looks for room."""
 
 
 class WaitingLine:
@@ -127,6 +132,7 @@
         return fair_shares.spread_pause(pause, self._draw()) if self.is_fair else None
 
     def _look(self) -> None:
+        """Let all that wait look for room, in the order of fair shares."""
         self._timer = None
         waiting, self._places = self._places, []
         now = self._reactor.seconds()
