--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -26,6 +26,7 @@
     gatherers,
     gathering,
     metrics,
+    operator_answers,
     placement_view,
     planned_stop,
     quota_holder,
@@ -308,14 +309,15 @@
         return server_connection.Answer(200 if self.is_ready else 503)
 
     def _on_metrics(self, request: server_connection.Request) -> server_connection.Answer:
-        if suspect_view.is_wanted(request):
+        path = operator_answers.path_of(request)
+        if path in (suspect_view.PATH, suspect_view.LIFT_PATH):
             return suspect_view.answer(request, self._suspects, self._reactor.seconds())
-        if placement_view.is_wanted(request):
+        if path == placement_view.PATH:
             age, now = self._directory.age, self._reactor.seconds()
             return placement_view.answer(self._front.table, self._book, self._evacuated, age, now)
-        if quota_view.is_wanted(request):
+        if path == quota_view.PATH:
             return quota_view.answer(self._quotas, self._settings.hall)
-        if workspace_view.is_wanted(request):
+        if path == workspace_view.PATH:
             known = access.Knowledge(self._directory.age, self._directory.is_outdated)
             regions = set(self._settings.regions.values())
             return workspace_view.answer(self._front.table, known, regions)
--- a/src/lineworks/forwarding/placement_view.py
+++ b/src/lineworks/forwarding/placement_view.py
@@ -5,33 +5,21 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING, Any
 
-from lineworks.http1 import server_connection
+from lineworks.forwarding import operator_answers
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
     from lineworks.decisions import routes
     from lineworks.forwarding import target_book
+    from lineworks.http1 import server_connection
 
 PATH = b"/placement"
 """Path of the view (GET)."""
 
 
-def is_wanted(request: server_connection.Request) -> bool:
-    """Say whether a request is for this view.
-
-    Args:
-        request: The request.
-
-    Returns:
-        Whether its path is the view's.
-    """
-    return request.target.partition(b"?")[0] == PATH
-
-
 def answer(
     table: routes.RouteTable | None,
     book: target_book.TargetBook,
@@ -68,8 +56,7 @@
             if state.is_bounded(now)
         ],
     }
-    fields = [(b"Content-Type", b"application/json")]
-    return server_connection.Answer(200, fields, json.dumps(document).encode())
+    return operator_answers.as_json(document)
 
 
 def _homes(route: routes.Route, book: target_book.TargetBook) -> dict[str, Any]:
--- a/src/lineworks/forwarding/quota_view.py
+++ b/src/lineworks/forwarding/quota_view.py
@@ -5,30 +5,18 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING
 
-from lineworks.http1 import server_connection
+from lineworks.forwarding import operator_answers
 
 if TYPE_CHECKING:
     from lineworks.forwarding import quota_keeper
+    from lineworks.http1 import server_connection
 
 PATH = b"/quotas"
 """Path of the view (GET)."""
 
 
-def is_wanted(request: server_connection.Request) -> bool:
-    """Say whether a request is for this view.
-
-    Args:
-        request: The request.
-
-    Returns:
-        Whether its path is the view's.
-    """
-    return request.target.partition(b"?")[0] == PATH
-
-
 def answer(keeper: quota_keeper.QuotaKeeper, hall: str) -> server_connection.Answer:
     """Answer an operator.
 
@@ -64,5 +52,4 @@
             for (name, reason), count in sorted(keeper.refusals.items())
         ],
     }
-    fields = [(b"Content-Type", b"application/json")]
-    return server_connection.Answer(200, fields, json.dumps(document).encode())
+    return operator_answers.as_json(document)
--- a/src/lineworks/forwarding/suspect_view.py
+++ b/src/lineworks/forwarding/suspect_view.py
@@ -6,15 +6,15 @@
 
 from __future__ import annotations
 
-import json
 import urllib.parse
 from typing import TYPE_CHECKING, Any
 
-from lineworks.http1 import server_connection
+from lineworks.forwarding import operator_answers
 
 if TYPE_CHECKING:
     from lineworks.decisions import suspects
     from lineworks.forwarding import suspect_exchange
+    from lineworks.http1 import server_connection
 
 PATH = b"/suspects"
 """Path of the list (GET)."""
@@ -23,18 +23,6 @@
 """Path that lifts one refusal (POST), with its fingerprint as `content` in the query."""
 
 
-def is_wanted(request: server_connection.Request) -> bool:
-    """Say whether a request is for the suspects.
-
-    Args:
-        request: The request.
-
-    Returns:
-        Whether its path is one of theirs.
-    """
-    return request.target.partition(b"?")[0] in (PATH, LIFT_PATH)
-
-
 def answer(
     request: server_connection.Request, exchange: suspect_exchange.SuspectExchange, now: float
 ) -> server_connection.Answer:
@@ -50,13 +38,14 @@
     """
     path, _, query = request.target.partition(b"?")
     if path == PATH:
-        return _json(200, {"suspects": [_row(record, now) for record in exchange.records]})
+        rows = [_row(record, now) for record in exchange.records]
+        return operator_answers.as_json({"suspects": rows})
     if request.method != b"POST":
-        return _json(405, {"detail": "lift by POST"})
+        return operator_answers.as_json({"detail": "lift by POST"}, 405)
     wanted = urllib.parse.parse_qs(query.decode("latin-1")).get("content", [""])[0]
     if exchange.lift(wanted):
-        return _json(200, {"lifted": wanted})
-    return _json(404, {"detail": f"not refused here: {wanted[:80]!r}"})
+        return operator_answers.as_json({"lifted": wanted})
+    return operator_answers.as_json({"detail": f"not refused here: {wanted[:80]!r}"}, 404)
 
 
 def _row(record: suspects.Record, now: float) -> dict[str, Any]:
@@ -74,8 +63,3 @@
             for end in record.ends
         ],
     }
-
-
-def _json(status: int, document: Any) -> server_connection.Answer:
-    fields = [(b"Content-Type", b"application/json")]
-    return server_connection.Answer(status, fields, json.dumps(document).encode())
--- a/src/lineworks/forwarding/workspace_view.py
+++ b/src/lineworks/forwarding/workspace_view.py
@@ -5,32 +5,20 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING, Any
 
-from lineworks.http1 import server_connection
+from lineworks.forwarding import operator_answers
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
     from lineworks.decisions import access, routes, workspaces
+    from lineworks.http1 import server_connection
 
 PATH = b"/workspaces"
 """Path of the view (GET)."""
 
 
-def is_wanted(request: server_connection.Request) -> bool:
-    """Say whether a request is for this view.
-
-    Args:
-        request: The request.
-
-    Returns:
-        Whether its path is the view's.
-    """
-    return request.target.partition(b"?")[0] == PATH
-
-
 def answer(
     table: routes.RouteTable | None, knowledge: access.Knowledge, regions: Collection[str]
 ) -> server_connection.Answer:
@@ -55,8 +43,7 @@
             route.name for route in (table.routes if table is not None else []) if route.is_public
         ],
     }
-    fields = [(b"Content-Type", b"application/json")]
-    return server_connection.Answer(200, fields, json.dumps(document).encode())
+    return operator_answers.as_json(document)
 
 
 def _row(one: workspaces.Workspace, keys: int, regions: Collection[str]) -> dict[str, Any]:
