--- a/src/lineworks/decisions/gather_rate.py
+++ b/src/lineworks/decisions/gather_rate.py
@@ -1,11 +1,11 @@
 """Which instances ask a hall's targets for a search, where instances differ in processor and link.
 
-The load pattern: a few instances have several times the processor and the link of all others, and
-searches arrive at any of them. A search over a hundred shards that arrives at a small one takes
-more time in its processor and on its link than at the targets. The large ones then ask the
-targets, and the small one only merges what they bring. Which of them is drawn at random, the more
-likely the faster it is and the less it already does for this instance. So none of them gets all
-work, and a smaller one takes over where the large ones are busy or gone.
+A few instances have several times the processor and the link of all others, and searches arrive at
+any of them. A search over a hundred shards that arrives at a small one takes more time in its
+processor and on its link than at the targets. The large ones then ask the targets, and the small
+one only merges what they bring. Which of them asks is drawn at random, the more likely the faster
+it is and the less it already does for this instance. So none gets all work, and a smaller one takes
+over where the large ones are busy or gone.
 
 Instances that are much alike, or of which nothing is known, are treated alike.
 """
@@ -129,8 +129,8 @@
     pieces = []
     begin = 0
     share = 0.0
-    for found in rates:
-        share += found
+    for one in rates:
+        share += one
         end = round(len(items) * share / total)
         pieces.append(list(items[begin:end]))
         begin = end
--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -203,11 +203,12 @@
         if is_unsure or is_cut_off or now - self._ahead_since >= BEHIND_SECONDS:
             self._pull()
 
-    def hurry(self) -> None:
-        """Ask a peer that is ahead at once, because a caller waits for what it has."""
+    def pull_at_once(self) -> None:
+        """Ask a peer that is ahead for what it has, because a caller is refused for lack of it."""
         self._pull()
 
     def _pull(self) -> None:
+        """Ask a peer that is ahead, unless one was asked just now."""
         now = self._reactor.seconds()
         if self._ahead is None or now < self._pulled_at + PULL_PAUSE:
             return
@@ -237,7 +238,7 @@
             return False
         if not self.is_complete and not self._is_unconfigured:
             return True
-        # First, since it is cheap: who reads is found by looking at every link.
+        # Age first: who reads is found by looking at every link.
         age = self.age
         if age < (POLL_SECONDS if self.is_complete else BLIND_PAUSE):
             return False
@@ -474,8 +475,8 @@
 
     def _on_success(self) -> None:
         self._failures = 0
-        # There is nothing more to be had; whoever reads for the hall will tell. Asked in each tick,
-        # the store got the more calls the faster the instances were.
+        # The store holds no configuration: more calls would bring nothing, and whoever reads for
+        # the hall will tell of one.
         self._is_unconfigured = self._table is None
         self._note_return()
 
--- a/src/lineworks/forwarding/gatherers.py
+++ b/src/lineworks/forwarding/gatherers.py
@@ -78,7 +78,7 @@
         return self._own_rate
 
     def ranked(self, hall: str) -> list[str]:
-        """List the gatherers of a hall that are heard of, those to be asked first before the rest.
+        """List the gatherers of a hall that are heard of, in the order in which to ask them.
 
         Args:
             hall: The hall.
@@ -108,14 +108,20 @@
 
         Args:
             name: The gatherer.
+
+        Returns:
+            Whether it is; False where either rate is unknown.
         """
         return gather_rate.is_faster(self.rate(name), self._own_rate)
 
-    def is_slow_in(self, hall: str) -> bool:
+    def has_faster(self, hall: str) -> bool:
         """Say whether a gatherer of a hall is much faster than this instance.
 
         Args:
             hall: The hall.
+
+        Returns:
+            Whether any of those that are heard of is.
         """
         return any(self.is_faster(name) for name in self.able(hall))
 
--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -161,6 +161,7 @@
             self._close(key)
 
     def _claim(self, query: node_frames.GatherQuery, now: float) -> fair_shares.Claim:
+        """Tell what decides about a query's place among those that wait for room."""
         usual = max(map(self._book.service_time, query.services))
         return fair_shares.Claim(
             query.workspace,
@@ -171,10 +172,11 @@
         )
 
     def _is_behind(self, job: _Job, service: str) -> bool:
+        """Say whether others that wait for a service go before a job."""
         return job.claim is not None and self._line.is_behind(job.claim, (service,))
 
     def _place(
-        self, key: tuple[str, int], job: _Job, shard: int, now: float, is_turn: bool = False
+        self, key: tuple[str, int], job: _Job, shard: int, now: float, is_its_turn: bool = False
     ) -> None:
         """Ask a target of a shard; wait for room until the front looks at what is late.
 
@@ -183,12 +185,12 @@
             job: The job.
             shard: Position of the shard.
             now: The present, in seconds.
-            is_turn: Whether those that go before it have looked for room already.
+            is_its_turn: Whether those that go before it have looked for room already.
         """
         service = job.query.services[shard]
         state = None
         may_wait = now + ROOM_PAUSE < job.query.flush_at
-        is_next = is_turn or not may_wait or not self._is_behind(job, service)
+        is_next = is_its_turn or not may_wait or not self._is_behind(job, service)
         if is_next and not job.holds:
             state = self._book.choose_in(self._hall, service, now, not job.is_merging)
         if state is not None:
@@ -221,7 +223,7 @@
         now = self._reactor.seconds()
         waiting, job.waiting = job.waiting, []
         for shard in waiting:
-            self._place(key, job, shard, now, is_turn=True)
+            self._place(key, job, shard, now, is_its_turn=True)
         self._look_again(key, job)
         if not job.is_open:
             self._finish(key)
@@ -340,7 +342,7 @@
     def _hand_back(self, key: tuple[str, int]) -> None:
         """Stop all work on a query, and send what is in and what became of the rest.
 
-        Fronts that heard nothing of a query at its deadline had to take it that it had run.
+        A front that hears nothing of a query by its deadline can't say that it did not run.
         """
         job = self._jobs[key]
         for shard, stop in job.running.items():
--- a/src/lineworks/forwarding/metrics.py
+++ b/src/lineworks/forwarding/metrics.py
@@ -31,7 +31,7 @@
 
 
 class _Times:
-    """How long the requests of one route took."""
+    """How long the requests of one route, or of one workspace, took."""
 
     __slots__ = ("buckets", "total")
 
@@ -88,10 +88,7 @@
         if workspace is not None:
             self._count_workspace(workspace, status, reason, seconds)
         label = self._label(route)
-        times = self._times.get(label)
-        if times is None:
-            times = self._times[label] = _Times()
-        times.record(seconds)
+        _record(self._times, label, seconds)
         self._ends[(label, status, reason)] += 1
         if found.covered < found.total:
             self._missing[label] += found.total - found.covered
@@ -101,17 +98,10 @@
     def _count_workspace(
         self, workspace: str, status: str, reason: str, seconds: float | None = None
     ) -> None:
-        if workspace not in self._workspaces:
-            if len(self._workspaces) >= MAX_WORKSPACES:
-                workspace = _OTHER
-            else:
-                self._workspaces.add(workspace)
-        self._workspace_ends[(workspace, status, reason)] += 1
+        label = _labelled(self._workspaces, workspace, MAX_WORKSPACES)
+        self._workspace_ends[(label, status, reason)] += 1
         if seconds is not None:
-            times = self._workspace_times.get(workspace)
-            if times is None:
-                times = self._workspace_times[workspace] = _Times()
-            times.record(seconds)
+            _record(self._workspace_times, label, seconds)
 
     def on_caller_gone(self, route: routes.Route, workspace: str | None = None) -> None:
         """Count a request whose caller left.
@@ -156,22 +146,13 @@
         """Tell all metrics to the Prometheus library."""
         from prometheus_client import core
 
-        seconds = core.HistogramMetricFamily(
+        yield _histogram(
             "lineworks_request_seconds",
             "Time from a request's first byte to its answer.",
-            labels=("route",),
-        )
-        for route, times in self._times.items():
-            seconds.add_metric((route,), times.cumulative(), times.total)
-        yield seconds
-        ends = core.CounterMetricFamily(
-            "lineworks_requests",
-            "Requests by how they ended.",
-            labels=("route", "status", "reason"),
+            "route",
+            self._times,
         )
-        for labels, count in self._ends.items():
-            ends.add_metric(labels, float(count))
-        yield ends
+        yield _ends("lineworks_requests", "Requests by how they ended.", "route", self._ends)
         missing = core.CounterMetricFamily(
             "lineworks_missing_shards", "Shards that answers left out.", labels=("route",)
         )
@@ -192,24 +173,18 @@
             yield from _gauges(read())
 
     def _by_workspace(self) -> Iterable[Any]:
-        from prometheus_client import core
-
-        ends = core.CounterMetricFamily(
+        yield _ends(
             "lineworks_workspace_requests",
             "Requests of workspaces by how they ended.",
-            labels=("workspace", "status", "reason"),
+            "workspace",
+            self._workspace_ends,
         )
-        for labels, count in self._workspace_ends.items():
-            ends.add_metric(labels, float(count))
-        yield ends
-        seconds = core.HistogramMetricFamily(
+        yield _histogram(
             "lineworks_workspace_seconds",
             "Time from a request's first byte to its answer, by workspace.",
-            labels=("workspace",),
+            "workspace",
+            self._workspace_times,
         )
-        for workspace, times in self._workspace_times.items():
-            seconds.add_metric((workspace,), times.cumulative(), times.total)
-        yield seconds
 
     def describe(self) -> Iterable[Any]:
         """Tell the Prometheus library nothing beforehand, so that it asks only on export."""
@@ -218,11 +193,48 @@
     def _label(self, route: routes.Route | None) -> str:
         if route is None:
             return "none"
-        if route.name not in self._routes:
-            if len(self._routes) >= MAX_ROUTES:
-                return _OTHER
-            self._routes.add(route.name)
-        return route.name
+        return _labelled(self._routes, route.name, MAX_ROUTES)
+
+
+def _labelled(known: set[str], name: str, most: int) -> str:
+    """Choose the label of a name: the first names keep their own, later ones share one.
+
+    Args:
+        known: Names with a label of their own, to which this one is added while there is room.
+        name: The name.
+        most: Names that get a label of their own.
+    """
+    if name not in known:
+        if len(known) >= most:
+            return _OTHER
+        known.add(name)
+    return name
+
+
+def _record(found: dict[str, _Times], label: str, seconds: float) -> None:
+    """Count a request's time under a label."""
+    times = found.get(label)
+    if times is None:
+        times = found[label] = _Times()
+    times.record(seconds)
+
+
+def _histogram(name: str, text: str, label: str, found: Mapping[str, _Times]) -> Any:
+    from prometheus_client import core
+
+    family = core.HistogramMetricFamily(name, text, labels=(label,))
+    for value, times in found.items():
+        family.add_metric((value,), times.cumulative(), times.total)
+    return family
+
+
+def _ends(name: str, text: str, label: str, found: Mapping[tuple[str, str, str], int]) -> Any:
+    from prometheus_client import core
+
+    family = core.CounterMetricFamily(name, text, labels=(label, "status", "reason"))
+    for values, count in found.items():
+        family.add_metric(values, float(count))
+    return family
 
 
 def _gauges(found: Mapping[str, Mapping[str, float]]) -> Iterable[Any]:
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -263,7 +263,7 @@
         self._front.is_complete = lambda: self._directory.is_complete
         self._front.view_age = lambda: self._directory.age
         self._front.is_outdated = lambda: self._directory.is_outdated
-        self._front.on_unsure = self._directory.hurry
+        self._front.on_unsure = self._directory.pull_at_once
         self._front.ends_at = lambda: self._stop.answer_by
         self._front.is_over = lambda: self._stop.is_over
         self._ranks.is_leaving = lambda: self._stop.is_begun
--- a/src/lineworks/forwarding/outcome.py
+++ b/src/lineworks/forwarding/outcome.py
@@ -7,6 +7,7 @@
 
 from lineworks.decisions import verdict
 from lineworks.http1 import server_connection
+from lineworks.platform import headers
 
 if TYPE_CHECKING:
     from lineworks.decisions import routes
@@ -19,9 +20,6 @@
 targets: its store does not answer, which rarely ends within a fraction of a second, and callers ask
 only once or twice more. They wait for a third of the time that they have left at most."""
 
-CHALLENGE = (b"WWW-Authenticate", b"Bearer")
-"""Header that tells a caller without a known key how to carry one."""
-
 STOP_RETRY_AFTER = 0.0
 """Seconds after which a caller may ask again when this process ends first: another instance takes
 its next connection."""
@@ -98,7 +96,7 @@
         at the deadline, 502 otherwise.
     """
     if found.reason is verdict.Reason.UNKNOWN_KEY:
-        return Outcome(server_connection.Answer(401, [CHALLENGE]), found, attempts)
+        return Outcome(server_connection.Answer(401, [headers.CHALLENGE]), found, attempts)
     if found.reason is verdict.Reason.OVER_QUOTA:
         status = 429
     elif found.is_not_run:
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -45,8 +45,7 @@
 """Seconds of such a pause at most: a target that comes back must still be of use. Pauses up to 0.1
 seconds cost 0.002 of worth, mean of thirteen played days."""
 
-
-LAST_WORDS = 2 * search_attempts.FLUSH_LEAD
+NO_RETRY_SECONDS = 2 * search_attempts.FLUSH_LEAD
 """Seconds before the deadline from which on no failure is answered by another attempt: gatherers
 tell then what they know, and what ran and what did not is judged at the deadline."""
 
@@ -309,7 +308,7 @@
             return
         shard = self._shards[index]
         self._failures.append(f"{shard.service} {found.reason.value}: {found.detail}")
-        if self._shared.reactor.seconds() + LAST_WORDS >= self._call.deadline:
+        if self._shared.reactor.seconds() + NO_RETRY_SECONDS >= self._call.deadline:
             # Too late for another attempt, and others are about to tell what became of theirs.
             return
         if self._care.is_trial:
@@ -398,10 +397,7 @@
             shard.asks += 1
             shard.is_waiting = True
             on_reply = functools.partial(self._on_retry, index)
-            now = self._shared.reactor.seconds()
-            # Like a hedge it then leaves a part to the retries of others.
-            leaves_last = self._shared.spent_far_more(shard.service, now, self._call.workspace)
-            self._shared.keeper.ask((shard.service,), leaves_last, on_reply)
+            self._shared.ask_for_retry(shard.service, self._call.workspace, on_reply)
         else:
             self._give_up(index)
 
@@ -480,8 +476,8 @@
     def _finish_in_part(self, reason: verdict.Reason = verdict.Reason.COVERAGE) -> None:
         """End without an answer, because too few shards are in.
 
-        A call that still waits for its connection has reached nobody: callers of searches that no
-        target had seen were told that they may have run.
+        Calls that still wait for their connections are given up first: they have reached nobody,
+        so a search of which no target has seen anything certainly did not run.
         """
         self._sent.give_up_calls()
         self._finish_without(dataclasses.replace(self._what_is_known(), reason=reason))
--- a/src/lineworks/forwarding/search_attempts.py
+++ b/src/lineworks/forwarding/search_attempts.py
@@ -28,7 +28,7 @@
 
 FLUSH_LEAD = 0.004
 """Seconds that a gatherer's first parts should be here before the hedges are decided, and its last
-word before the deadline."""
+message before the deadline."""
 
 ONE_HALL_SHARE = 0.3
 """Share of the aim that a first attempt may be slower by when that saves asking one more hall,
@@ -142,7 +142,7 @@
         gatherers = self._shared.gatherers
         is_many = len(chosen) >= gather_rate.LEAST_HANDED and not is_hedge
         peers: list[str] = []
-        if len(chosen) > work_split.MOST_TOGETHER or (is_many and gatherers.is_slow_in(hall)):
+        if len(chosen) > work_split.MOST_TOGETHER or (is_many and gatherers.has_faster(hall)):
             peers = gatherers.ranked(hall)
         count = self._pieces(len(chosen), len(peers) + 1, is_hedge)
         # Its own piece last: the messages leave before the processor is busy with calls.
@@ -197,7 +197,7 @@
         way = shared.book.ways.round_trip(hall)
         deadline = self._call.deadline - way - FLUSH_LEAD
         if deadline <= now:
-            # Its last word would come too late, and what became of the query would not be known.
+            # Its last message would come too late, and what became of the query would not be known.
             return False
         without_floor = mechanisms.Mechanism.HEDGE_FLOOR in shared.without
         number = shared.gatherers.next_number()
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -255,10 +255,7 @@
 
     def _ask_for_extra(self, on_reply: Callable[[], None]) -> None:
         self._asks += 1
-        now = self._shared.reactor.seconds()
-        # Like a hedge it then leaves a part to the retries of others.
-        leaves_last = self._shared.spent_far_more(self._service, now, self._call.workspace)
-        self._shared.keeper.ask((self._service,), leaves_last, on_reply)
+        self._shared.ask_for_retry(self._service, self._call.workspace, on_reply)
 
     def _on_retry_granted(self, last: verdict.Verdict) -> None:
         """Go on after an extra attempt was asked for."""
--- a/src/lineworks/forwarding/tools.py
+++ b/src/lineworks/forwarding/tools.py
@@ -8,7 +8,7 @@
 from lineworks.decisions import estimators, extra_attempts
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from lineworks.decisions import mechanisms
     from lineworks.forwarding import (
@@ -190,6 +190,20 @@
         line = self.line
         return line.is_fair and line.shares.spent_far_more(workspace, service, now)
 
+    def ask_for_retry(self, service: str, workspace: str, on_reply: Callable[[], None]) -> None:
+        """Ask the keeper for an extra attempt at a service, because none is left here.
+
+        Like a hedge, a retry of a workspace that spent far more than its part leaves the last ones
+        to others.
+
+        Args:
+            service: The service.
+            workspace: Workspace of the request; empty for none.
+            on_reply: Called once, when the keeper has answered or doesn't.
+        """
+        leaves_last = self.spent_far_more(service, self.reactor.seconds(), workspace)
+        self.keeper.ask((service,), leaves_last, on_reply)
+
     def log_hedges(
         self,
         call: target_calls.TargetCall,
--- a/src/lineworks/kernel/prompt_write.py
+++ b/src/lineworks/kernel/prompt_write.py
@@ -19,8 +19,8 @@
         data: The bytes.
     """
     transport.write(data)
-    # A transport that is lost has no socket left, and one that fails now is found out by the
-    # reactor, which still watches it.
+    # A transport that is lost has no socket left. What fails now is left to the reactor: it still
+    # watches the transport, tries again and reports the loss.
     is_real = isinstance(transport, abstract.FileDescriptor)
     if is_real and transport.connected and not transport.disconnecting:
         transport.doWrite()
--- a/src/lineworks/platform/headers.py
+++ b/src/lineworks/platform/headers.py
@@ -32,8 +32,11 @@
 _MOST_DIGITS = 9
 _PROMISES = frozenset((408, 421, 429, 503))
 _MOST_BUDGET = 600_000
-_MOST_KNOWN = 1024  # Reports of load that are kept with what they say.
-_LONGEST_KNOWN = 32  # Bytes of such a report: anybody may write longer ones.
+_MOST_KNOWN = 1024
+"""Reports of load that are kept with what they say."""
+
+_LONGEST_KNOWN = 32
+"""Bytes of such a report at most: anybody may write longer ones."""
 
 CALLER = b"authorization"
 """Says who asks; it holds the API key where requests need one."""
@@ -41,6 +44,9 @@
 WORKSPACE = b"x-tenant-name"
 """Tells a target whose request it is."""
 
+CHALLENGE = (b"WWW-Authenticate", b"Bearer")
+"""Tells a caller without a known key how to carry one."""
+
 READINESS_PATH = b"/lineworks/readiness"
 """Path that the balancer asks."""
 
--- a/src/lineworks/programs/_losses.py
+++ b/src/lineworks/programs/_losses.py
@@ -31,8 +31,9 @@
 _SERVICE = re.compile(r"^\S+: ")
 _PREFIX = re.compile(r"^\s*(-?\d+\.\d+)\s+(\S+)\s+\{")
 _UNKNOWN = "?"
+
 _NOT_OWED = (401, 404, 429)
-"""Answers to an unknown key, to an unknown route, and to what is over a quota."""
+"""Status of answers to an unknown key, to an unknown route, and to what is over a quota."""
 
 _NO_WORKSPACE = "none"
 
