--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -37,6 +37,8 @@
 MOSTLY = 0.5
 """Share of requests without a target above which most are."""
 
+_Work = search.Search | single.SingleRequest
+
 _BODY_METHODS = frozenset((b"POST", b"PUT", b"PATCH"))
 _DROPPED = frozenset((headers.BUDGET, headers.EXPECT))
 _DROPPED_WITH_KEYS = _DROPPED | {headers.CALLER, headers.WORKSPACE}
@@ -62,10 +64,10 @@
         self._log = log
         self._revocation = revocation
         # Requests whose quota is being asked for, each with what refuses it as not run.
-        self._asking: dict[search.Search | single.SingleRequest, Callable[[], None]] = {}
+        self._asking: dict[_Work, Callable[[], None]] = {}
         self._table: routes.RouteTable | None = None
         self._turns = routes.WeightedTurns()
-        self._under_way: set[search.Search | single.SingleRequest] = set()
+        self._under_way: set[_Work] = set()
         self._waiting: dict[Callable[[], None], Callable[[], None]] = {}
         self.is_complete: Callable[[], bool] = lambda: True
         """Says whether configuration and targets are known."""
@@ -168,7 +170,7 @@
             if found.refusal.reason is verdict.Reason.KEY_UNSURE:
                 self.on_unsure()
             refused = outcome.refuse(found.refusal)
-            self._refuse(request, answer, table, found, attempt, "", refused)
+            self._finish(request, answer, table, found, attempt, "", refused)
             return None
         return self._forward(request, answer, table, found, attempt)
 
@@ -224,25 +226,14 @@
         route, workspace = accessed.route, accessed.workspace
         budget = headers.read_budget(request.header(headers.BUDGET))
         allowed = min(route.timeout, budget if budget is not None else route.timeout)
+        deadline = deadlines.for_answer(request.arrived, allowed)
         has_keys = table.workspaces.is_used
         content = _content(request, accessed, has_keys)
+        finish = functools.partial(self._finish, request, answer, table, accessed, attempt, content)
         judgement = self._shared.suspects.judge(content)
-        if judgement is suspects.Judgement.REFUSE:
-            left = self._shared.suspects.note_refused(content, attempt.decode("latin-1"))
-            found = verdict.not_run(verdict.Reason.CRASHES_TARGETS, "ends the targets that run it")
-            refused = outcome.refuse(found, retry_after=left)
-            self._refuse(request, answer, table, accessed, attempt, content, refused)
-            return None
-        if not self._has_time(route):
-            found = verdict.not_run(verdict.Reason.LEAVING, "the process would end first")
-            refused = outcome.refuse(found, retry_after=outcome.STOP_RETRY_AFTER)
-            self._refuse(request, answer, table, accessed, attempt, content, refused)
-            return None
-        deadline = deadlines.for_answer(request.arrived, allowed)
-        if self._shared.reactor.seconds() >= deadline:
-            found = verdict.not_run(verdict.Reason.DEADLINE, "its time was over when it was read")
-            refused = outcome.refuse(found)
-            self._refuse(request, answer, table, accessed, attempt, content, refused)
+        refused = self._refuse_early(route, judgement, content, attempt, deadline)
+        if refused is not None:
+            finish(refused)
             return None
         call = target_calls.TargetCall(
             head=_head(request, accessed, has_keys),
@@ -254,8 +245,6 @@
             workspace=workspace.name if workspace is not None else "",
             has_quota=workspace is not None and workspace.quota is not None,
         )
-        work: search.Search | single.SingleRequest
-
         give_back: Callable[[], None] | None = None
 
         def on_end(found: outcome.Outcome) -> None:
@@ -264,29 +253,11 @@
                 give_back()
             is_refused = found.verdict.reason is verdict.Reason.NO_REPLICA
             self._refused.record(1.0 if is_refused else 0.0)
-            self._log.on_end(
-                request,
-                attempt,
-                route,
-                table.version,
-                found,
-                self.view_age(),
-                content,
-                accessed.workspace,
-            )
-            answer(found.answer)
+            finish(found)
 
         is_trial = judgement is suspects.Judgement.TRIAL
         care = caution.Caution(self._shared.suspects, content, attempt.decode("latin-1"), is_trial)
-        if route.is_search:
-            lag = answer_time.answer_lag(self._shared.lags)
-            due = answer_time.answer_due(request.arrived, route.aim, request.caller_way, lag)
-            work = search.Search(self._shared, route, call, care, due, request.arrived, on_end)
-        else:
-            service = self._turns.choose(route)
-            work = single.SingleRequest(
-                self._shared, route, service, call, care, request.arrived, on_end
-            )
+        work = self._make_work(request, route, call, care, on_end)
         on_gone = functools.partial(self._cancel, work, request, attempt, accessed)
 
         def on_admission(admission: quota_keeper.Admission) -> None:
@@ -296,8 +267,7 @@
                 give_back = admission.give_back
                 self._start(work)
                 return
-            refused = outcome.refuse(admission.refusal, retry_after=admission.retry_after)
-            self._refuse(request, answer, table, accessed, attempt, content, refused)
+            finish(outcome.refuse(admission.refusal, retry_after=admission.retry_after))
 
         if workspace is None or workspace.quota is None:
             self._start(work)
@@ -307,13 +277,56 @@
             return on_gone if work in self._under_way else None
         return self._await_quota(work, withdraw, on_admission, on_gone)
 
-    def _start(self, work: search.Search | single.SingleRequest) -> None:
+    def _refuse_early(
+        self,
+        route: routes.Route,
+        judgement: suspects.Judgement,
+        content: str,
+        attempt: bytes,
+        deadline: float,
+    ) -> outcome.Outcome | None:
+        """Refuse a request for which nothing may be sent, or for which it is too late.
+
+        Returns:
+            The refusal; None where the request may go on.
+        """
+        if judgement is suspects.Judgement.REFUSE:
+            left = self._shared.suspects.note_refused(content, attempt.decode("latin-1"))
+            found = verdict.not_run(verdict.Reason.CRASHES_TARGETS, "ends the targets that run it")
+            return outcome.refuse(found, retry_after=left)
+        if not self._has_time(route):
+            found = verdict.not_run(verdict.Reason.LEAVING, "the process would end first")
+            return outcome.refuse(found, retry_after=outcome.STOP_RETRY_AFTER)
+        if self._shared.reactor.seconds() >= deadline:
+            found = verdict.not_run(verdict.Reason.DEADLINE, "its time was over when it was read")
+            return outcome.refuse(found)
+        return None
+
+    def _make_work(
+        self,
+        request: server_connection.Request,
+        route: routes.Route,
+        call: target_calls.TargetCall,
+        care: caution.Caution,
+        on_end: Callable[[outcome.Outcome], None],
+    ) -> _Work:
+        """Prepare the search, or the request to one target, that a route asks for."""
+        if not route.is_search:
+            service = self._turns.choose(route)
+            return single.SingleRequest(
+                self._shared, route, service, call, care, request.arrived, on_end
+            )
+        lag = answer_time.answer_lag(self._shared.lags)
+        due = answer_time.answer_due(request.arrived, route.aim, request.caller_way, lag)
+        return search.Search(self._shared, route, call, care, due, request.arrived, on_end)
+
+    def _start(self, work: _Work) -> None:
         self._under_way.add(work)
         work.start()
 
     def _await_quota(
         self,
-        work: search.Search | single.SingleRequest,
+        work: _Work,
         withdraw: Callable[[], None],
         on_admission: Callable[[quota_keeper.Admission], None],
         on_gone: Callable[[], None],
@@ -353,7 +366,7 @@
         usual = max(route.aim, book.usual_answer(services)) if is_known else route.timeout
         return self._shared.reactor.seconds() + usual <= ends_at
 
-    def _refuse(
+    def _finish(
         self,
         request: server_connection.Request,
         answer: Callable[[server_connection.Answer], None],
@@ -361,24 +374,24 @@
         accessed: access.Access,
         attempt: bytes,
         content: str,
-        refused: outcome.Outcome,
+        found: outcome.Outcome,
     ) -> None:
-        """Answer a request of a route that nothing is sent for."""
+        """Answer a request of a route, and note how it ended."""
         self._log.on_end(
             request,
             attempt,
             accessed.route,
             table.version,
-            refused,
+            found,
             self.view_age(),
             content,
             accessed.workspace,
         )
-        answer(refused.answer)
+        answer(found.answer)
 
     def _cancel(
         self,
-        work: search.Search | single.SingleRequest,
+        work: _Work,
         request: server_connection.Request,
         attempt: bytes,
         accessed: access.Access,
