--- a/src/lineworks/decisions/access.py
+++ b/src/lineworks/decisions/access.py
@@ -14,11 +14,11 @@
 """Age up to which what an instance knows says for certain that there is no such key: a change is in
 force within a few seconds everywhere, and what is known is usually renewed well before."""
 
-_UNKNOWN = verdict.not_run(verdict.Reason.UNKNOWN_KEY, "no known key")
-_UNSURE_WHETHER_NEW = verdict.not_run(
+_UNKNOWN_KEY = verdict.not_run(verdict.Reason.UNKNOWN_KEY, "no known key")
+_PERHAPS_ADDED = verdict.not_run(
     verdict.Reason.KEY_UNSURE, "no known key, and the configuration may be newer elsewhere"
 )
-_UNSURE_WHETHER_TAKEN = verdict.not_run(
+_PERHAPS_TAKEN_AWAY = verdict.not_run(
     verdict.Reason.KEY_UNSURE, "the key may have been taken away meanwhile"
 )
 
@@ -83,16 +83,16 @@
         return Access(route)
     workspace = known.find(key) if key is not None else None
     if workspace is None:
-        return Access(route, refusal=None if route.is_public else _refuse(knowledge))
-    found = table.for_workspace(route, workspace)
+        return Access(route, refusal=None if route.is_public else _refuse_unknown(knowledge))
+    served = table.for_workspace(route, workspace)
     is_old = revocation.is_strict and knowledge.age > revocation.seconds
     if is_old and not route.is_public:
-        return Access(found, workspace, _UNSURE_WHETHER_TAKEN)
-    return Access(found, workspace)
+        return Access(served, workspace, _PERHAPS_TAKEN_AWAY)
+    return Access(served, workspace)
 
 
-def _refuse(knowledge: Knowledge) -> verdict.Verdict:
+def _refuse_unknown(knowledge: Knowledge) -> verdict.Verdict:
     """Refuse a request without a known key; a newer configuration may allow it."""
     if knowledge.is_outdated or knowledge.age > CERTAIN_SECONDS:
-        return _UNSURE_WHETHER_NEW
-    return _UNKNOWN
+        return _PERHAPS_ADDED
+    return _UNKNOWN_KEY
--- a/src/lineworks/decisions/gather_rate.py
+++ b/src/lineworks/decisions/gather_rate.py
@@ -42,6 +42,9 @@
 """Shards from which on an instance hands them to a faster one of its own hall: fewer take no
 longer than the message there and back."""
 
+_LEAST_DRAWN = 1e-12
+"""Least number drawn that counts, since 0 has no logarithm."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Helper:
@@ -140,4 +143,4 @@
 def _turn(helper: Helper, drawn: float) -> float:
     """Draw an instance's turn: the smallest of several goes first, in proportion to its weight."""
     weight = (helper.rate / (1 + helper.open)) ** PREFERENCE
-    return -math.log(max(drawn, 1e-12)) / weight
+    return -math.log(max(drawn, _LEAST_DRAWN)) / weight
--- a/src/lineworks/decisions/quota.py
+++ b/src/lineworks/decisions/quota.py
@@ -376,7 +376,8 @@
         rate: Requests a second that it gets.
 
     Returns:
-        Tokens, fractions included; what can't be spent before it ends isn't asked for.
+        Tokens, fractions included: what its requests need now, one at least, and what comes while
+        moved tokens count; more could not be spent before it ends.
     """
     return max(0.0, max(1, waiting) + rate * MOVE_SECONDS - tokens)
 
--- a/src/lineworks/decisions/routes.py
+++ b/src/lineworks/decisions/routes.py
@@ -129,7 +129,7 @@
         routes: Iterable[Route],
         services: Iterable[ServiceSpec],
         limits: CallerLimits,
-        found: workspaces.Workspaces | None = None,
+        known: workspaces.Workspaces | None = None,
     ) -> None:
         """Index the routes by host, longest prefix first.
 
@@ -138,11 +138,11 @@
             routes: All routes.
             services: All services.
             limits: Limits of callers.
-            found: Workspaces; none where no request needs a key.
+            known: Workspaces; none where no request needs a key.
         """
         self.version = version
         self.limits = limits
-        self.workspaces = found or workspaces.Workspaces()
+        self.workspaces = known or workspaces.Workspaces()
         self.services: Mapping[str, ServiceSpec] = {spec.name: spec for spec in services}
         self._by_host: dict[str, list[Route]] = {}
         self._for_workspaces: dict[tuple[str, str, str], Route] = {}
@@ -194,6 +194,7 @@
 
 
 def _common_homes(one: frozenset[str], other: frozenset[str]) -> frozenset[str]:
+    """Find the home regions that both allow; `ANYWHERE` allows all."""
     if not one or not other:
         return one or other
     return one & other or NOWHERE
--- a/src/lineworks/forwarding/quota_holder.py
+++ b/src/lineworks/forwarding/quota_holder.py
@@ -45,8 +45,8 @@
 QUIET_SECONDS = 1.0
 """Seconds without a request after which a hall gives another one all that it asks for."""
 
-GENEROUS = 2.0
-"""Multiple of its part of what is wanted that each hall is asked for: some have less."""
+ASKED_MULTIPLE = 2.0
+"""Multiple of an equal part of what is wanted that each hall is asked for: some have less."""
 
 MOST_RETRY_AFTER = 2.0
 """Seconds that a refused caller is told to wait at most."""
@@ -328,7 +328,7 @@
         between = 1 / held.limit.rate if held.limit.rate > 0 else MOST_RETRY_AFTER
         held.free_at = max(held.free_at, now) + between
         if held.free_at > now + MOST_RETRY_AFTER:
-            # Begin again at the front, so that what callers are told stays spread.
+            # Begin again with the next token, so that what callers are told stays spread.
             held.free_at = now + min(between, MOST_RETRY_AFTER)
         reply(Answer(quota.Decision.OVER, held.free_at - now))
 
@@ -361,7 +361,7 @@
         rate = held.rate.value(now)
         wanted = quota.wanted(held.bucket.tokens(now), len(held.waiting), rate)
         # Asked once more, halls have less than was thought: each one gives what it can.
-        each = wanted if held.rounds else min(wanted, GENEROUS * wanted / max(1, len(names)))
+        each = wanted if held.rounds else min(wanted, ASKED_MULTIPLE * wanted / max(1, len(names)))
         held.rounds += 1
         held.pull = next(self._numbers)
         self._pulls[held.pull] = (workspace, now)
--- a/src/lineworks/forwarding/quota_keeper.py
+++ b/src/lineworks/forwarding/quota_keeper.py
@@ -225,8 +225,8 @@
     def _choose(self, question: _Question) -> str | None:
         """Choose whom to ask: the holders of the own hall, then one of another hall.
 
-        A hall that lost all its holders at once would refuse everything else, until the list of
-        instances no longer names them.
+        Without the other hall, one that lost all its holders at once would refuse everything until
+        the list of instances no longer names them.
         """
         if len(question.tried) < MOST_ASKS:
             for name in self._ranks.holders(question.workspace):
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -181,10 +181,9 @@
     def _wait_or_refuse(self, open_shards: int, now: float) -> None:
         """Wait a little for targets with room; a search that can't succeed loads no target."""
         reachable = sum(1 for shard in self._shards if self._has_any(shard))
-        may_wait = mechanisms.Mechanism.ROOM_WAIT not in self._shared.without
         line = self._shared.line
-        if line.is_fair and not self._claim.can_be_in_time(now):
-            may_wait = False
+        is_off = mechanisms.Mechanism.ROOM_WAIT in self._shared.without
+        may_wait = not is_off and not line.is_too_late(self._claim, now)
         last = self._arrived + WAIT_SHARE * self._route.aim - ROOM_PAUSE
         if may_wait and reachable >= self._needed and now < min(last, self._call.deadline):
             self._wait_for_room()
--- a/src/lineworks/forwarding/single.py
+++ b/src/lineworks/forwarding/single.py
@@ -163,7 +163,7 @@
     def _may_wait(self, now: float) -> bool:
         if mechanisms.Mechanism.ROOM_WAIT in self._shared.without:
             return False
-        if self._shared.line.is_fair and not self._claim.can_be_in_time(now):
+        if self._shared.line.is_too_late(self._claim, now):
             return False
         if not self._has_any():
             return False
--- a/src/lineworks/forwarding/waiting_line.py
+++ b/src/lineworks/forwarding/waiting_line.py
@@ -76,6 +76,18 @@
         if self.is_fair:
             self.shares.note_refused(workspace, self._reactor.seconds())
 
+    def is_too_late(self, claim: fair_shares.Claim, now: float) -> bool:
+        """Say whether waiting is of no use any more.
+
+        Args:
+            claim: What decides about the place.
+            now: The present, in seconds.
+
+        Returns:
+            Whether there is an order, and the request can't be in time even if it is sent now.
+        """
+        return self.is_fair and not claim.can_be_in_time(now)
+
     def is_behind(self, claim: fair_shares.Claim, services: Collection[str]) -> bool:
         """Say whether a newcomer would pass one that goes before it.
 
--- a/src/lineworks/platform/settings.py
+++ b/src/lineworks/platform/settings.py
@@ -25,6 +25,7 @@
 """Offset in that range at which metrics are served."""
 
 _MEGABIT = 1_000_000
+"""Bits."""
 
 
 class SettingsError(Exception):
@@ -122,7 +123,9 @@
         quota_bound=_quota_bound(bounds),
         revocation=_revocation(bounds),
         stop_seconds=bounds.number("GraceS", 6.0, least=1.0),
-        gather_rate=_gather_rate(found.table("Limits")) if "Limits" in found else 0.0,
+        gather_rate=_gather_rate(found.table("Limits"))
+        if "Limits" in found
+        else gather_rate.UNKNOWN,
     )
 
 
--- a/src/lineworks/wire/_quota_codec.py
+++ b/src/lineworks/wire/_quota_codec.py
@@ -11,8 +11,10 @@
     from collections.abc import Callable
 
 _MILLIONTHS = 1_000_000
+"""Units on the wire in one token."""
 
 _MOST_MILLIONTHS = 2**32 - 1
+"""Greatest amount that the wire holds, in these units."""
 
 
 def _write_ask(builder: Any, frame: node_frames.QuotaAsk, now: float) -> None:
@@ -68,7 +70,7 @@
 
 
 def _millionths(amount: float) -> int:
-    # Rounded down, so that no token comes into being on the way.
+    """Write an amount of tokens; rounded down, so that none comes into being on the way."""
     return min(_MOST_MILLIONTHS, int(amount * _MILLIONTHS))
 
 
