--- a/src/lineworks/forwarding/quota_keeper.py
+++ b/src/lineworks/forwarding/quota_keeper.py
@@ -1,7 +1,8 @@
 """Asks whether a request is within the quota of its workspace.
 
 The tokens of a workspace are held by one instance of each data hall (`quota_holder`). An instance
-asks the one of its own hall; where that doesn't answer it asks the next by rank, once.
+asks the one of its own hall; where that doesn't answer it asks the next by rank, once, and then
+holders of other halls.
 """
 
 from __future__ import annotations
@@ -29,8 +30,8 @@
 heard of again. It may wait for other halls meanwhile (`quota_holder.PULL_WAIT`)."""
 
 MOST_ASKS = 2
-"""Holders of the own hall that are asked for one request at most; one of another hall is asked
-besides."""
+"""Holders of the own hall that are asked for one request at most. One of another hall is asked
+besides, or more where fewer of the own hall can be asked, up to one more in all."""
 
 UNSURE_RETRY_AFTER = 0.1
 """Seconds after which a caller may ask again where no holder answered: another instance may hear
@@ -223,10 +224,10 @@
         question.timer = self._reactor.callLater(wait, self._on_timeout, question)
 
     def _choose(self, question: _Question) -> str | None:
-        """Choose whom to ask: the holders of the own hall, then one of another hall.
+        """Choose whom to ask: the holders of the own hall, then those of other halls.
 
-        Without the other hall, one that lost all its holders at once would refuse everything until
-        the list of instances no longer names them.
+        Otherwise a hall that lost all its holders at once would refuse everything until the list of
+        instances no longer names them.
         """
         if len(question.tried) < MOST_ASKS:
             for name in self._ranks.holders(question.workspace):
