--- a/src/lineworks/decisions/gather_rate.py
+++ b/src/lineworks/decisions/gather_rate.py
@@ -1,11 +1,11 @@
 """Which instances ask a hall's targets for a search, where instances differ in processor and link.
 
-The load pattern: a few instances have several times the processor and the link of all others, and
-searches arrive at any of them. A search over a hundred shards that arrives at a small one takes
-more time in its processor and on its link than at the targets. The large ones then ask the
-targets, and the small one only merges what they bring. Which of them is drawn at random, the more
-likely the faster it is and the less it already does for this instance. So none of them gets all
-work, and a smaller one takes over where the large ones are busy or gone.
+A few instances have several times the processor and the link of all others, and searches arrive at
+any of them. A search over a hundred shards that arrives at a small one takes more time in its
+processor and on its link than at the targets. The large ones then ask the targets, and the small
+one only merges what they bring. Which of them asks is drawn at random, the more likely the faster
+it is and the less it already does for this instance. So none gets all work, and a smaller one takes
+over where the large ones are busy or gone.
 
 Instances that are much alike, or of which nothing is known, are treated alike.
 """
@@ -42,6 +42,9 @@
 """Shards from which on an instance hands them to a faster one of its own hall: fewer take no
 longer than the message there and back."""
 
+_LEAST_DRAWN = 1e-12
+"""Least number drawn that counts, since 0 has no logarithm."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Helper:
@@ -129,8 +132,8 @@
     pieces = []
     begin = 0
     share = 0.0
-    for found in rates:
-        share += found
+    for one in rates:
+        share += one
         end = round(len(items) * share / total)
         pieces.append(list(items[begin:end]))
         begin = end
@@ -140,4 +143,4 @@
 def _turn(helper: Helper, drawn: float) -> float:
     """Draw an instance's turn: the smallest of several goes first, in proportion to its weight."""
     weight = (helper.rate / (1 + helper.open)) ** PREFERENCE
-    return -math.log(max(drawn, 1e-12)) / weight
+    return -math.log(max(drawn, _LEAST_DRAWN)) / weight
--- a/src/lineworks/forwarding/search.py
+++ b/src/lineworks/forwarding/search.py
@@ -42,11 +42,9 @@
 service time, after which a slot may be free. Doubled once."""
 
 MOST_RETRY_PAUSE = 0.02
-"""Seconds of such a pause at most: a target that comes back must still be of use. Pauses up to 0.1
-seconds cost 0.002 of worth, mean of thirteen played days."""
+"""Seconds of such a pause at most: a target that comes back must still be of use."""
 
-
-LAST_WORDS = 2 * search_attempts.FLUSH_LEAD
+NO_RETRY_SECONDS = 2 * search_attempts.FLUSH_LEAD
 """Seconds before the deadline from which on no failure is answered by another attempt: gatherers
 tell then what they know, and what ran and what did not is judged at the deadline."""
 
@@ -182,10 +180,9 @@
     def _wait_or_refuse(self, open_shards: int, now: float) -> None:
         """Wait a little for targets with room; a search that can't succeed loads no target."""
         reachable = sum(1 for shard in self._shards if self._has_any(shard))
-        may_wait = mechanisms.Mechanism.ROOM_WAIT not in self._shared.without
         line = self._shared.line
-        if line.is_fair and not self._claim.can_be_in_time(now):
-            may_wait = False
+        is_off = mechanisms.Mechanism.ROOM_WAIT in self._shared.without
+        may_wait = not is_off and not line.is_too_late(self._claim, now)
         last = self._arrived + WAIT_SHARE * self._route.aim - ROOM_PAUSE
         if may_wait and reachable >= self._needed and now < min(last, self._call.deadline):
             self._wait_for_room()
@@ -309,7 +306,7 @@
             return
         shard = self._shards[index]
         self._failures.append(f"{shard.service} {found.reason.value}: {found.detail}")
-        if self._shared.reactor.seconds() + LAST_WORDS >= self._call.deadline:
+        if self._shared.reactor.seconds() + NO_RETRY_SECONDS >= self._call.deadline:
             # Too late for another attempt, and others are about to tell what became of theirs.
             return
         if self._care.is_trial:
@@ -398,10 +395,7 @@
             shard.asks += 1
             shard.is_waiting = True
             on_reply = functools.partial(self._on_retry, index)
-            now = self._shared.reactor.seconds()
-            # Like a hedge it then leaves a part to the retries of others.
-            leaves_last = self._shared.spent_far_more(shard.service, now, self._call.workspace)
-            self._shared.keeper.ask((shard.service,), leaves_last, on_reply)
+            self._shared.ask_for_retry(shard.service, self._call.workspace, on_reply)
         else:
             self._give_up(index)
 
@@ -455,8 +449,8 @@
             return
         covered = len(self._parts.covered)
         is_enough = covered >= self._needed
-        # Counted by what was given up, which is little: a look at all shards for each part took
-        # 0.22 of 3.47 s (profile of 60 searches over 80 shards) and grows with their square.
+        # Counted by what was given up, which is little: a look at all shards for each part would
+        # grow with the square of their number.
         given_up = len(self._given_up - self._parts.covered) if self._given_up else 0
         open_shards = len(self._shards) - covered - given_up
         if not self._parts.missing or (is_enough and (self._is_late or not open_shards)):
@@ -480,8 +474,8 @@
     def _finish_in_part(self, reason: verdict.Reason = verdict.Reason.COVERAGE) -> None:
         """End without an answer, because too few shards are in.
 
-        A call that still waits for its connection has reached nobody: callers of searches that no
-        target had seen were told that they may have run.
+        Calls that still wait for their connections are given up first: they have reached nobody,
+        so a search of which no target has seen anything certainly did not run.
         """
         self._sent.give_up_calls()
         self._finish_without(dataclasses.replace(self._what_is_known(), reason=reason))
--- a/src/lineworks/forwarding/waiting_line.py
+++ b/src/lineworks/forwarding/waiting_line.py
@@ -21,8 +21,13 @@
     """One that waits."""
 
     claim: fair_shares.Claim
+    """What decides about its place."""
+
     services: frozenset[str]
+    """Services at which it wants room."""
+
     look: Callable[[], None]
+    """Looks for room."""
 
 
 class WaitingLine:
@@ -71,6 +76,18 @@
         if self.is_fair:
             self.shares.note_refused(workspace, self._reactor.seconds())
 
+    def is_too_late(self, claim: fair_shares.Claim, now: float) -> bool:
+        """Say whether waiting is of no use any more.
+
+        Args:
+            claim: What decides about the place.
+            now: The present, in seconds.
+
+        Returns:
+            Whether there is an order, and the request can't be in time even if it is sent now.
+        """
+        return self.is_fair and not claim.can_be_in_time(now)
+
     def is_behind(self, claim: fair_shares.Claim, services: Collection[str]) -> bool:
         """Say whether a newcomer would pass one that goes before it.
 
@@ -127,6 +144,7 @@
         return fair_shares.spread_pause(pause, self._draw()) if self.is_fair else None
 
     def _look(self) -> None:
+        """Let all that wait look for room, in the order of fair shares."""
         self._timer = None
         waiting, self._places = self._places, []
         now = self._reactor.seconds()
