Quotas: only a holder that acts alone for its hall saves for the whole burst; one far holder is asked

Cause: lives that begin with less went on to save the whole depth, so the pieces of a hall that was cut each spent it: 162 of 130 and 512 of 295 in memory, in a window. Change: a holder saves more than a later life begins with only while it ranks first and has heard all of its hall for a window, with nobody coming or going; that also covers an instance that was cut off or stood still and comes back. The failing test came first (4 cases, two of them red). test_a_burst_is_saved_for asserted the fault (a later life fills up to the depth); it now holds it to what it began with until it acts alone. Also: a front asks one holder of another hall instead of up to three of the same one, and only one that may hold tokens there.

--- a/src/lineworks/decisions/quota.py
+++ b/src/lineworks/decisions/quota.py
@@ -7,10 +7,10 @@
 asked for.
 
 A holder that starts again, or takes over, begins a new life of the bucket: a full one where no
-other life of the hall can have acted within the window, else one with less. So what is spent in any
-window is at most what all lives that act within it began with, what the halls earned in it, and
-what was outside the buckets when it began: `part_of` makes this fit the bound for `LIVES` lives a
-hall.
+other life of the hall can have acted within the window, else one that begins with less and saves
+less. So what is spent in any window is at most what all lives that act within it had at its begin
+or began with, what the halls earned in it, and what was outside the buckets when it began:
+`part_of` makes this fit the bound for `LIVES` lives a hall.
 """
 
 from __future__ import annotations
@@ -121,7 +121,8 @@
     """Halls that have such a part; the others have none, and ask these."""
 
     later: float | None = None
-    """Tokens that a later life begins with; None for the whole depth."""
+    """Tokens that a life begins with, and saves at most, while others of the hall may act beside it
+    or have acted within the window; None for the whole depth."""
 
 
 NO_PART = Part(0.0, 0.0)
@@ -169,7 +170,8 @@
             is_first: Whether no other life of the hall can have acted within the window.
         """
         self._part = part
-        self._tokens = part.depth if is_first or part.later is None else part.later
+        self._saves_all = is_first
+        self._tokens = self._most
         self._at = now
         self._share = 1.0
         # Tokens from other halls that had no room: when they end, and how many.
@@ -184,6 +186,12 @@
         """What the hall has of the quota."""
         return self._part
 
+    @property
+    def _most(self) -> float:
+        """Tokens that it saves at most."""
+        later = self._part.later
+        return self._part.depth if self._saves_all or later is None else later
+
     def tokens(self, now: float) -> float:
         """Tell how many tokens there are.
 
@@ -276,7 +284,7 @@
         if lacking <= 0:
             return 0.0
         rate = self._part.rate * self._share
-        return lacking / rate if rate > 0 and self._part.depth >= _WHOLE else math.inf
+        return lacking / rate if rate > 0 and self._most >= _WHOLE else math.inf
 
     def set_part(self, part: Part, now: float) -> None:
         """Change the limit; this begins no new life.
@@ -287,7 +295,7 @@
         """
         self._advance(now)
         self._part = part
-        self._tokens = min(part.depth, self._tokens)
+        self._tokens = min(self._most, self._tokens)
 
     def set_share(self, share: float, now: float) -> None:
         """Say how much of the hall's rate this holder earns from now on.
@@ -299,16 +307,29 @@
         self._advance(now)
         self._share = share
 
+    def set_saving(self, saves_all: bool, now: float) -> None:
+        """Say whether no other life of the hall can act now, or can have acted within the window.
+
+        Otherwise it saves no more than a later life begins with, since others may do so as well.
+
+        Args:
+            saves_all: Whether it saves for the whole depth of the part.
+            now: The present, in seconds.
+        """
+        self._advance(now)
+        self._saves_all = saves_all
+        self._tokens = min(self._most, self._tokens)
+
     def _fill(self, amount: float) -> float:
         """Add tokens as far as there is room, and tell how many."""
-        added = max(0.0, min(amount, self._part.depth - self._tokens))
+        added = max(0.0, min(amount, self._most - self._tokens))
         self._tokens += added
         self._trim()
         return added
 
     def _trim(self) -> None:
         """Let go of what would be given back to a full bucket, the oldest first."""
-        over = self._tokens + sum(amount for _, amount in self._granted) - self._part.depth
+        over = self._tokens + sum(amount for _, amount in self._granted) - self._most
         _remove(self._granted, over)
 
     def _advance(self, now: float) -> None:
--- a/src/lineworks/forwarding/quota_holder.py
+++ b/src/lineworks/forwarding/quota_holder.py
@@ -155,7 +155,8 @@
         self._links = links
         self._ranks = ranks
         self._bound = bound
-        self._started_at = reactor.seconds()
+        # Seconds for which nobody else of the hall must have acted.
+        self._alone_after = bound.window + quota.TRANSIT_SECONDS
         self._limits: dict[str, workspaces.Quota] = {}
         self._version = -1
         self._held: dict[str, _Held] = {}
@@ -191,6 +192,8 @@
         """
         self._limits = dict(limits)
         self._version = version
+        if limits and self._timer is None:
+            self._check()
         now = self._reactor.seconds()
         for name, held in self._held.items():
             limit = self._limits.get(name)
@@ -285,37 +288,26 @@
             now = self._reactor.seconds()
             limit = self._limits[workspace]
             part = self._own_part(workspace, limit)
-            bucket = quota.Bucket(part, now, self._is_first_life(workspace, now))
+            bucket = quota.Bucket(part, now, self._ranks.acts_alone(workspace, self._alone_after))
             held = _Held(bucket, limit, now)
             held.bucket.set_share(self._ranks.share(workspace), now)
             self._held[workspace] = held
             self.counts["lives"] += 1
-            if self._timer is None:
-                self._timer = self._reactor.callLater(quota.CHECK_SECONDS, self._check)
         return held
 
-    def _is_first_life(self, workspace: str, now: float) -> bool:
-        """Say whether no other life of the hall can have acted within the window.
-
-        An instance that stands in for one with a better rank, or that started within the window,
-        can't know.
-        """
-        is_old = now - self._started_at > self._bound.window + quota.TRANSIT_SECONDS
-        return is_old and self._ranks.is_best(workspace)
-
     def _check(self) -> None:
         """Look who is heard of, and forget what was not used for a window."""
-        self._timer = None
+        self._timer = self._reactor.callLater(quota.CHECK_SECONDS, self._check)
         now = self._reactor.seconds()
+        self._ranks.note_hearing()
         for name, held in list(self._held.items()):
             if now - held.acted_at > self._bound.window and not held.owing:
                 del self._held[name]
             else:
                 held.bucket.set_share(self._ranks.share(name), now)
+                held.bucket.set_saving(self._ranks.acts_alone(name, self._alone_after), now)
         oldest = now - quota.MOVE_SECONDS
         self._pulls = {number: pull for number, pull in self._pulls.items() if pull[1] > oldest}
-        if self._held:
-            self._timer = self._reactor.callLater(quota.CHECK_SECONDS, self._check)
 
     def _grant(self, reply: Callable[[Answer], None], now: float) -> None:
         self.counts["granted"] += 1
--- a/src/lineworks/forwarding/quota_keeper.py
+++ b/src/lineworks/forwarding/quota_keeper.py
@@ -30,8 +30,8 @@
 heard of again. It may wait for other halls meanwhile (`quota_holder.PULL_WAIT`)."""
 
 MOST_ASKS = 2
-"""Holders of the own hall that are asked for one request at most; with those of other halls it is
-one more in all."""
+"""Holders of the own hall that are asked for one request at most; one of another hall is asked
+besides."""
 
 UNSURE_RETRY_AFTER = 0.1
 """Seconds after which a caller may ask again where no holder answered: another instance may hear
@@ -93,6 +93,9 @@
     withdraw_own: Callable[[], None] | None = None
     """Withdraws the question while this instance's own holder has it."""
 
+    asked_far: bool = False
+    """Whether a holder of another hall was asked."""
+
     is_over: bool = False
     """Whether it is answered or withdrawn."""
 
@@ -224,7 +227,7 @@
         question.timer = self._reactor.callLater(wait, self._on_timeout, question)
 
     def _choose(self, question: _Question) -> str | None:
-        """Choose whom to ask: the holders of the own hall, then those of other halls.
+        """Choose whom to ask: the holders of the own hall, then one of another hall.
 
         Otherwise a hall that lost all its holders at once would refuse everything until the list of
         instances no longer names them.
@@ -233,12 +236,10 @@
             for name in self._ranks.holders(question.workspace):
                 if name not in question.tried:
                     return name
-        if len(question.tried) > MOST_ASKS:
+        if question.asked_far:
             return None
-        for name in self._ranks.foreign_holders(question.workspace):
-            if name not in question.tried:
-                return name
-        return None
+        question.asked_far = True
+        return next(iter(self._ranks.foreign_holders(question.workspace)), None)
 
     def _ask_own(self, question: _Question) -> None:
         """Ask the holder of this instance, without a message."""
--- a/src/lineworks/forwarding/quota_ranks.py
+++ b/src/lineworks/forwarding/quota_ranks.py
@@ -59,6 +59,11 @@
         self._members = members
         self._started_at = reactor.seconds()
         self._lost_at: dict[str, float] = {}
+        # Instances of the hall that were known at the last look, when that was, and since when all
+        # of them are heard.
+        self._noted: set[str] = set()
+        self._noted_at = -math.inf
+        self._settled_since = math.inf
         self.order: Callable[[str, Iterable[str]], Sequence[str]] = by_hash
         """Ranks names of instances for a workspace, the best first."""
         self.is_leaving: Callable[[], bool] = lambda: False
@@ -87,10 +92,11 @@
             hall: The hall.
 
         Returns:
-            Its name; None when nobody there is heard of.
+            Its name; None when nobody there is heard of who may hold tokens.
         """
-        ranked = self.order(workspace, self._peers.able(hall))
-        return ranked[0] if ranked else None
+        able = set(self._peers.able(hall))
+        first = self.order(workspace, self._known(hall))[: quota.LIVES]
+        return next((name for name in first if name in able), None)
 
     def foreign_holders(self, workspace: str) -> list[str]:
         """List whom to ask in other halls, one in each, when nobody in this one answers.
@@ -128,6 +134,40 @@
         """
         return self._name in self._first(workspace)[:1]
 
+    def note_hearing(self) -> None:
+        """Note whether all instances that are known of the hall are heard.
+
+        Called each `quota.CHECK_SECONDS`. A later call means that this process stood still, and
+        others may have acted for it meanwhile.
+        """
+        now = self._reactor.seconds()
+        known = self._known()
+        others = known - {self._name}
+        hears_all = all(self._silence(name) <= quota.HEARD_SECONDS for name in others)
+        stood_still = now - self._noted_at > quota.HEARD_SECONDS
+        if not hears_all:
+            self._settled_since = math.inf
+        elif known != self._noted or stood_still or math.isinf(self._settled_since):
+            self._settled_since = now
+        self._noted = known
+        self._noted_at = now
+
+    def acts_alone(self, workspace: str, seconds: float) -> bool:
+        """Say whether this instance alone has acted for its hall for some time.
+
+        Args:
+            workspace: Name of the workspace.
+            seconds: The time.
+
+        Returns:
+            Whether it ranks first, and has heard all instances of the hall for that long, while
+            none came or went.
+        """
+        now = self._reactor.seconds()
+        if self.is_leaving() or now - self._noted_at > quota.HEARD_SECONDS:
+            return False
+        return now - self._settled_since >= seconds and self.is_best(workspace)
+
     def share(self, workspace: str) -> float:
         """Say how much of the hall's rate this instance earns for a workspace.
 
@@ -154,13 +194,19 @@
             return ()
         return self.order(workspace, self._known())[: quota.LIVES]
 
-    def _known(self) -> set[str]:
-        """Name the instances of this hall that are listed or linked, this one included."""
-        names = {one.name for one in self._members() if one.hall == self._hall}
+    def _known(self, hall: str = "") -> set[str]:
+        """Name the instances of a hall that are listed or linked.
+
+        Args:
+            hall: The hall; that of this instance, which is then among them, when not given.
+        """
+        wanted = hall or self._hall
+        names = {one.name for one in self._members() if one.hall == wanted}
         for name, link in self._links.up.items():
-            if link.hello is not None and link.hello.hall == self._hall:
+            if link.hello is not None and link.hello.hall == wanted:
                 names.add(name)
-        names.add(self._name)
+        if wanted == self._hall:
+            names.add(self._name)
         return names
 
     def _silence(self, name: str) -> float:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -45,7 +45,12 @@
     assert found.later * found.holders >= quota.LEAST_DEPTH
     later = quota.Bucket(found, 0.0, is_first=False)
     assert later.tokens(0.0) == pytest.approx(found.later)
-    assert later.tokens(1000.0) == pytest.approx(found.depth)
+    assert later.tokens(1000.0) == pytest.approx(found.later)
+    later.set_saving(True, 1000.0)
+    assert later.tokens(1000.0) == pytest.approx(found.later)
+    assert later.tokens(2000.0) == pytest.approx(found.depth)
+    later.set_saving(False, 2000.0)
+    assert later.tokens(2000.0) == pytest.approx(found.later)
 
 
 def test_without_any_excess_most_of_the_rate_is_left():
--- a/tests/test_quota_starts.py
+++ b/tests/test_quota_starts.py
@@ -7,10 +7,10 @@
 import pytest
 
 from bench import fakes
-from lineworks.decisions import quota
+from lineworks.decisions import quota, workspaces
 from lineworks.platform.standins import documents
 from lineworks.standins import deployment
-from tests import test_forwarding
+from tests import test_forwarding, test_home_regions
 
 KEY = "key-of-north"
 HALLS = ("akl", "wlg", "chc")
@@ -20,6 +20,9 @@
 WINDOW = 5.0
 """Length of the bound's window in seconds."""
 
+PULSE = 0.1
+"""Seconds between rounds of questions at all instances."""
+
 PACE = 0.01
 """Seconds between requests of a workspace far over its limit."""
 
@@ -105,3 +108,37 @@
 def test_a_burst_within_the_limit_is_served():
     world = build(rate=2.0, burst=20.0)
     assert send(world, list(world.nodes), 20, 0.0) == {200: 20}
+
+
+@pytest.mark.parametrize("burst", [50.0, 200.0])
+@pytest.mark.parametrize("calm", [10.0, 60.0])
+def test_a_hall_cut_in_pieces_saves_no_more_than_a_whole_one(burst, calm):
+    # Each piece has a holder. Both saved for the whole burst, and both spent it: 512 of 295.
+    limit = workspaces.Quota(10.0, burst)
+    north = workspaces.Workspace("north", quota=limit)
+    world = test_home_regions.build(routes=[test_forwarding.READ])
+    for node in world.nodes.values():
+        node._quotas.set_workspaces([north])
+    world.run(8.0)
+    for hall in HALLS:
+        one, other = (name for name in world.nodes if name.startswith(hall))
+        world.network.cut(world.address_of(one), world.address_of(other))
+    ask_all(world, north, 1, int(calm / 2.0), 2.0)
+    admitted = ask_all(world, north, int(burst / 10), int((WINDOW - 0.5) / PULSE), PULSE)
+    assert 0 < admitted <= quota.QuotaBound(WINDOW, 0.1, 20.0).most(limit)
+
+
+def ask_all(world, workspace, times, rounds, pause):
+    """Ask for tokens at all instances; tell how many were granted."""
+    granted = 0
+
+    def on_end(admission):
+        nonlocal granted
+        granted += admission.refusal is None
+
+    for _ in range(rounds):
+        for node in world.nodes.values():
+            for _ in range(times):
+                node._quotas.admit(workspace, on_end)
+        world.run(pause)
+    return granted
