--- a/src/lineworks/decisions/quota.py
+++ b/src/lineworks/decisions/quota.py
@@ -254,6 +254,19 @@
         self._tokens -= amount
         return amount
 
+    def give_whole(self, now: float, wanted: float) -> float:
+        """Hand whole tokens over to a hall that has none of its own to add a part of one to.
+
+        Args:
+            now: The present, in seconds.
+            wanted: Tokens asked for.
+
+        Returns:
+            Tokens, a whole number; there are as many less here.
+        """
+        self._advance(now)
+        return self.give(now, int(min(wanted, self._tokens)), 1.0)
+
     def add(self, amount: float, asked_at: float, now: float) -> None:
         """Take in tokens of another hall.
 
--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -345,8 +345,7 @@
         def stop() -> None:
             if self._asking.pop(work, None) is not None:
                 withdraw()
-            else:
-                on_gone()
+            on_gone()
 
         self._asking[work] = give_up
         return stop
--- a/src/lineworks/forwarding/quota_holder.py
+++ b/src/lineworks/forwarding/quota_holder.py
@@ -411,8 +411,7 @@
         held.acted_at = now
         _, halls = self._divide(workspace, self._limits[workspace])
         if hall not in halls:
-            # It has no tokens of its own that a part of one could be added to.
-            return held.bucket.give(now, int(min(amount, held.bucket.tokens(now))), 1.0)
+            return held.bucket.give_whole(now, amount)
         is_quiet = now - held.asked_at > QUIET_SECONDS
         return held.bucket.give(now, amount, 1.0 if is_quiet else 0.5)
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -104,6 +104,15 @@
     assert bucket.give(0.0, 1.0, 1.0) == 0.0
 
 
+def test_a_hall_without_a_part_is_given_whole_tokens_only():
+    bucket = quota.Bucket(quota.Part(0.0, 1.5), 0.0)
+    bucket.add(0.8, 0.0, 0.0)
+    assert bucket.tokens(0.0) == pytest.approx(2.3)
+    assert bucket.give_whole(0.0, 2.3) == 1.0
+    assert bucket.give_whole(0.0, 2.3) == 0.0
+    assert bucket.tokens(0.0) == pytest.approx(1.3)
+
+
 def test_a_token_given_back_never_exceeds_the_depth():
     bucket = quota.Bucket(quota.Part(0.0, 2.0), 0.0)
     bucket.put_back(0.0, 0.0)
--- a/tests/test_quota_deployment.py
+++ b/tests/test_quota_deployment.py
@@ -5,6 +5,7 @@
 import json
 
 import pytest
+import structlog
 
 from lineworks.decisions import access, quota, workspaces
 from lineworks.programs import _node_commands
@@ -130,3 +131,18 @@
     world.run(0.5)
     assert sum(keeper.refusals.values()) == 9
     assert len(keeper.refusals) <= 4
+
+
+def test_a_caller_that_leaves_while_its_quota_is_asked_for_is_noted_and_sends_nothing(world):
+    node = world.nodes["akl-1"]
+    withdrawn = []
+    node._front._shared.quotas.admit = lambda *args: lambda: withdrawn.append(True)
+    with structlog.testing.capture_logs() as lines:
+        world.ask("akl-1", "/read/x", attempt="r1")
+        world.run(0.1)
+        world.network.host("10.250.0.1").kill()
+        world.run(0.4)
+    assert withdrawn == [True]
+    assert [line["id"] for line in lines if line["event"] == "caller_gone"] == ["r1"]
+    assert world.runs_of("r1") == []
+    assert node._front.is_idle
