Quota ranks: one way to name those of a hall that may hold tokens; one far holder is looked for, not a list of all

Found in the last read of the diff: the first by rank were worked out twice, and a list of holders in all halls was made for its first entry. Behaviour is as before.

--- a/src/lineworks/forwarding/quota_keeper.py
+++ b/src/lineworks/forwarding/quota_keeper.py
@@ -239,7 +239,7 @@
         if question.asked_far:
             return None
         question.asked_far = True
-        return next(iter(self._ranks.foreign_holders(question.workspace)), None)
+        return self._ranks.any_foreign_holder(question.workspace)
 
     def _ask_own(self, question: _Question) -> None:
         """Ask the holder of this instance, without a message."""
--- a/src/lineworks/forwarding/quota_ranks.py
+++ b/src/lineworks/forwarding/quota_ranks.py
@@ -95,22 +95,22 @@
             Its name; None when nobody there is heard of who may hold tokens.
         """
         able = set(self._peers.able(hall))
-        first = self.order(workspace, self._known(hall))[: quota.LIVES]
-        return next((name for name in first if name in able), None)
+        return next((name for name in self._first(workspace, hall) if name in able), None)
 
-    def foreign_holders(self, workspace: str) -> list[str]:
-        """List whom to ask in other halls, one in each, when nobody in this one answers.
+    def any_foreign_holder(self, workspace: str) -> str | None:
+        """Choose whom to ask in any other hall, when nobody in this one answers.
 
         Args:
             workspace: Name of the workspace.
 
         Returns:
-            Their names; those of every workspace in an order of its own.
+            Its name, for every workspace from an order of halls of its own; None when nobody is
+            heard of who may hold tokens.
         """
         halls = {link.hello.hall for link in self._links.up.values() if link.hello is not None}
         halls.discard(self._hall)
-        found = [self.foreign_holder(workspace, hall) for hall in self.order(workspace, halls)]
-        return [name for name in found if name is not None]
+        found = (self.foreign_holder(workspace, hall) for hall in self.order(workspace, halls))
+        return next((name for name in found if name is not None), None)
 
     def may_hold(self, workspace: str) -> bool:
         """Say whether this instance is one of those that may hold a workspace's tokens.
@@ -188,11 +188,11 @@
         heard = 1 + sum(self._silence(name) <= quota.HEARD_SECONDS for name in linked)
         return quota.earned_share(rank, silent, heard, len(known))
 
-    def _first(self, workspace: str) -> Sequence[str]:
+    def _first(self, workspace: str, hall: str = "") -> Sequence[str]:
         """Name those that may hold tokens, the best first; nobody while no instance is known."""
         if not self._members() and not self._links.up:
             return ()
-        return self.order(workspace, self._known())[: quota.LIVES]
+        return self.order(workspace, self._known(hall))[: quota.LIVES]
 
     def _known(self, hall: str = "") -> set[str]:
         """Name the instances of a hall that are listed or linked.
