Soak: tell what an instance is doing that does not stop in time

Change: the finding tells the processor time that the instance had used, and the instance is ended by SIGABRT, on which the interpreter writes the stack of each thread to the instance's log (PYTHONFAULTHANDLER). A process that aborts without having been asked to is still a finding.

--- a/bench/soak/instances.py
+++ b/bench/soak/instances.py
@@ -23,6 +23,9 @@
 POLL_SECONDS = 0.05
 """Seconds between looks whether an instance has ended."""
 
+DUMP_SECONDS = 0.5
+"""Seconds that an instance that did not stop in time has to write what its threads are doing."""
+
 MORE_SIGNALS = 3
 """Signals that follow a first one in a series."""
 
@@ -45,6 +48,7 @@
         self._nodes = nodes
         self._taken_down: set[str] = set()
         self._frozen_until: dict[str, float] = {}
+        self._aborted: set[processes.Child] = set()
         self.disturbed: list[history.Span] = []
         """When instances could not answer as usual."""
         self.exits: list[str] = []
@@ -164,15 +168,24 @@
             return
         asked_at = self._reactor.seconds() - processes.GRACE_SECONDS
         if asked_at > self._frozen_until.get(node.name, 0.0):
-            self.exits.append(f"{node.name} was still there at the end of its time to stop")
-        child.signal(signal.SIGKILL)
+            used = child.processor_seconds
+            self.exits.append(
+                f"{node.name} was still there at the end of its time to stop, after {used:.2f} s"
+                " of processor time in all"
+            )
+            # It writes what its threads are doing to its log first.
+            self._aborted.add(child)
+            child.signal(signal.SIGABRT)
+            self._schedule.later(DUMP_SECONDS, child.signal, signal.SIGKILL)
+        else:
+            child.signal(signal.SIGKILL)
 
     async def _restart_when_gone(
         self, node: processes.Node, child: processes.Child, codes: Collection[int | None]
     ) -> None:
         while child.is_running and not self._schedule.is_over:
             await task.sleep(self._reactor, POLL_SECONDS)
-        if child.exit_code not in codes:
+        if child.exit_code not in codes and child not in self._aborted:
             self.exits.append(f"{node.name} stopped with {child.exit_code}")
         self._start(node)
 
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -42,6 +42,9 @@
 GRACE_SECONDS = 4.0
 """Seconds that an instance has to stop."""
 
+USER_TICKS, SYSTEM_TICKS = 11, 12
+"""Places of a process's times after the name in `/proc/PID/stat` (proc(5), utime and stime)."""
+
 
 @dataclasses.dataclass(slots=True)
 class Place:
@@ -104,6 +107,18 @@
         """Its exit code; negative after a signal."""
         return self._process.poll()
 
+    @property
+    def processor_seconds(self) -> float:
+        """Processor time that it has used, in seconds; 0 once it has ended."""
+        try:
+            stat = pathlib.Path(f"/proc/{self._process.pid}/stat").read_text()
+        except OSError:
+            return 0.0
+        # The second field is a name in brackets and may hold blanks.
+        fields = stat.rpartition(")")[2].split()
+        ticks = int(fields[USER_TICKS]) + int(fields[SYSTEM_TICKS])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
     def order(self, **order: Any) -> None:
         """Give an order; one that comes after its end is lost with it."""
         if not self.is_running:
@@ -341,7 +356,8 @@
 
     def start(self) -> None:
         """Start a life of it."""
-        environment = {"LINEWORKS_SETTINGS": str(self._settings)}
+        # An instance that is ended by SIGABRT writes what its threads are doing.
+        environment = {"LINEWORKS_SETTINGS": str(self._settings), "PYTHONFAULTHANDLER": "1"}
         self._child = Child([str(NODE_PROGRAM)], self._log, **environment)
 
 
