lineworks-entry answers the connections in the backlog of a closing port

What callers saw: a new connection to a stopping lineworks-entry could be reset after its request was sent, so that the caller could not know whether it ran.

Cause: http_server.close used stopListening, which accepts nothing that waits, and the close resets it; nothing waited for the answer of a connection accepted last. A request that came after the last work was done (state "stopped") was handed to the engine.

Change: the port is closed in the two steps of kernel.listening. Connections accepted meanwhile are tracked, and the close ends when each has begun to be answered, after 1.2 s at the latest (a lost first packet comes again after 1 s). Requests in the state "stopped" are refused as those in "draining". The stand-in of a target keeps its plain close.

--- a/src/lineworks/services/caller_api.py
+++ b/src/lineworks/services/caller_api.py
@@ -89,7 +89,7 @@
 
     def stop(self) -> Any:
         """Stop listening."""
-        return http_server.close(self._port)
+        return http_server.close(self._reactor, self._port)
 
     def _routes(self) -> klein.Klein:
         app = klein.Klein()
@@ -125,7 +125,7 @@
         return handle
 
     async def _dispatch(self, handler: Callable[[Any], Any], request: Any) -> caller_http.Reply:
-        if self._lifecycle.state == "draining":
+        if self._lifecycle.state in ("draining", "stopped"):
             refusal = verdict.not_run(verdict.Reason.LEAVING, "this instance is leaving")
             request.setHeader("Connection", "close")
             return caller_http.verdict_reply(refusal, DRAIN_RETRY_AFTER)
--- a/src/lineworks/services/http_server.py
+++ b/src/lineworks/services/http_server.py
@@ -8,6 +8,8 @@
 
 from twisted.web import server
 
+from lineworks.services import _closing_port
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -23,6 +25,11 @@
 """Content type of error responses (RFC 9457, problem details)."""
 
 
+FIRST_REQUEST_SECONDS = 1.2
+"""Seconds after a port was closed for which the first requests of connections accepted until then
+are waited for. A first packet that is lost is retransmitted after one second (RFC 6298)."""
+
+
 def write_reply(request: Any, reply: caller_http.Reply) -> bytes:
     """Set the status and headers of a response, and encode its body.
 
@@ -102,13 +109,20 @@
     return reactor.listenTCP(port, site, interface=host, backlog=512)
 
 
-def close(port: Any) -> defer.Deferred[Any] | None:
-    """Stop listening.
+def close(reactor: Any, port: Any) -> defer.Deferred[None] | None:
+    """Stop listening, and answer the connections that were established until then.
+
+    `stopListening` accepts nothing more: it would reset the connections in the backlog, whose
+    callers may have sent requests already and could not tell that these were never read.
 
     Args:
+        reactor: Twisted's reactor.
         port: Twisted's listening port, or None if nothing listens.
 
     Returns:
-        A deferred that fires when the port is closed, or None if `port` is None.
+        A deferred that fires when the port is closed and these connections are answered, or None
+        if `port` is None.
     """
-    return port.stopListening() if port is not None else None
+    if port is None:
+        return None
+    return _closing_port.ClosingPort(reactor, port, FIRST_REQUEST_SECONDS).close()
--- a/src/lineworks/services/operator_api.py
+++ b/src/lineworks/services/operator_api.py
@@ -93,7 +93,7 @@
 
     def stop(self) -> Any:
         """Stop listening."""
-        return http_server.close(self._port)
+        return http_server.close(self._reactor, self._port)
 
     def _routes(self) -> klein.Klein:
         app = klein.Klein()
--- a/src/lineworks/standins/target_server.py
+++ b/src/lineworks/standins/target_server.py
@@ -104,7 +104,7 @@
         Returns:
             An awaitable that completes when the socket is closed.
         """
-        return http_server.close(self._port)
+        return self._port.stopListening() if self._port is not None else None
 
     def _routes(self) -> klein.Klein:
         app = klein.Klein()
