A start that fails refuses the callers that are connected

What callers saw: the callers' port opens before the imports; if another port was in use, the process ended and reset the callers that were connected by then. Found by looking for the fault of a stop during the imports elsewhere.

Cause: the callers' connections were handed to the reactor first, and a failed start stopped the reactor at once.

Change: the other ports open first; a start that fails before the callers' connections are taken over refuses them as not run, for 0.5 s at most, then exits as before.

Evidence: the new case of test_node_program.py fails on the code before (closed without an answer) and passes now. A start that fails after the ports are open still ends at once.

--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -238,15 +238,16 @@
             twisted.internet.error.CannotListenError: A port is in use.
         """
         settings = self._settings
+        self._listen(settings.readiness, self._server(self._on_readiness))
+        self._listen(settings.metrics, self._server(self._on_metrics))
+        self._links.listen(settings.peers.host, settings.peers.port)
+        # The callers' connections come last: if another port is in use, they can still be refused.
         if self._callers_port is None:
             self._port = self._listen(settings.callers, self._callers)
         else:
             self._port = self._callers_port.adopt(self._reactor, self._callers)
             for error in self._callers_port.errors:
                 _log.warning("early_caller_failed", error=error)
-        self._listen(settings.readiness, self._server(self._on_readiness))
-        self._listen(settings.metrics, self._server(self._on_metrics))
-        self._links.listen(settings.peers.host, settings.peers.port)
         await self._kernel.start()
         without = sorted(mechanism.value for mechanism in settings.without)
         _log.info("started", name=settings.name, hall=settings.hall, without=without)
--- a/src/lineworks/kernel/early_acceptor.py
+++ b/src/lineworks/kernel/early_acceptor.py
@@ -56,12 +56,18 @@
         self._wakeup_reader, self._wakeup_writer = os.pipe()
         self._thread = threading.Thread(target=self._run, name="early acceptor", daemon=True)
         self._errors: list[str] = []
+        self._is_adopted = False
 
     @property
     def errors(self) -> list[str]:
         """Errors that occurred before logging was set up."""
         return self._errors
 
+    @property
+    def is_adopted(self) -> bool:
+        """Whether the connections were handed to a reactor."""
+        return self._is_adopted
+
     def start(self) -> None:
         """Start the thread that accepts connections."""
         self._selector.register(self._listening_socket, selectors.EVENT_READ)
@@ -78,6 +84,7 @@
         Returns:
             Twisted's listening port.
         """
+        self._is_adopted = True
         connections = self._end_thread()
         port = listening.adopt(reactor, self._listening_socket, factory)
         for connection in connections:
--- a/src/lineworks/programs/_early_stop.py
+++ b/src/lineworks/programs/_early_stop.py
@@ -17,6 +17,10 @@
     from lineworks.kernel import early_acceptor
     from lineworks.models import node_settings
 
+REFUSE_SECONDS = 0.5
+"""Maximum time in seconds for which a failed start refuses callers: the platform starts the process
+again when it has ended."""
+
 
 def end_process(
     settings: node_settings.NodeSettings,
@@ -48,6 +52,19 @@
     os._exit(0)
 
 
+def refuse_callers(acceptor: early_acceptor.EarlyAcceptor) -> None:
+    """Refuse all callers at once and close their port, because the start has failed.
+
+    Args:
+        acceptor: Holds the callers' port and connections; nothing is done if a reactor has them.
+    """
+    if acceptor.is_adopted:
+        return
+    now = time.clock_gettime(time.CLOCK_BOOTTIME)
+    times = stop_times.StopTimes(now, now, now + REFUSE_SECONDS)
+    acceptor.stop(times, REFUSE_SECONDS)
+
+
 def _write_line(event: str, **fields: Any) -> None:
     now = time.clock_gettime(time.CLOCK_BOOTTIME)
     line = {"component": "node", **fields, "event": event, "t": round(now, 4), "level": "info"}
--- a/src/lineworks/programs/node.py
+++ b/src/lineworks/programs/node.py
@@ -109,7 +109,7 @@
     process.lines_dropped = lambda: logs.lines_dropped
     # From here on the reactor stops the process; an early stop would end it with its sockets open.
     _handle_signals(reactor, process, logs)
-    defer.ensureDeferred(process.start()).addErrback(_on_start_failed, reactor, logs)
+    defer.ensureDeferred(process.start()).addErrback(_on_start_failed, reactor, logs, acceptor)
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     gc.enable()
@@ -119,13 +119,16 @@
     return logs.exit_code
 
 
-def _on_start_failed(failure: Any, reactor: Any, logs: Any) -> None:
+def _on_start_failed(
+    failure: Any, reactor: Any, logs: Any, acceptor: early_acceptor.EarlyAcceptor
+) -> None:
     from twisted.internet import error as net_error
 
     if failure.check(net_error.CannotListenError):
         logs.fail("port_in_use", failure.getErrorMessage(), EXIT_PORT)
     else:
         logs.fail("start_failed", failure.getTraceback(), EXIT_START)
+    _early_stop.refuse_callers(acceptor)
     reactor.callWhenRunning(reactor.stop)
 
 
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -90,6 +90,24 @@
     assert lines(output)[-1]["event"] == "port_in_use"
 
 
+def test_a_start_that_fails_answers_the_callers_that_are_connected(tmp_path, ports):
+    # The callers' port is open before the others, and the failed start reset its connections.
+    (tmp_path / "sitecustomize.py").write_text(SLOW_IMPORTS)
+    front, ready, _, _ = ports
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        path = write_settings(tmp_path / "s.yaml", front, ready, taken.getsockname()[1])
+        process = start(path, PYTHONPATH=str(tmp_path))
+        with connect(front) as caller:
+            caller.sendall(documents.caller_request("GET", "/read/x", "r1", 30.0, b""))
+            assert caller.recv(4096).startswith(b"HTTP/1.1 503")
+            assert caller.recv(4096) == b""
+        output, _ = process.communicate(timeout=LIMIT)
+    assert process.returncode == 3
+    assert lines(output)[-1]["event"] == "port_in_use"
+
+
 def test_a_reload_is_logged_and_a_planned_stop_exits_with_0(tmp_path, ports):
     front, ready, inner, _ = ports
     process = start(write_settings(tmp_path / "s.yaml", front, ready, inner))
