Soak: a closing port holds up no run, and a stop's signals go to the process that was asked

Cause, from the signals logged with their process: a second stop of akl-2 falls into the milliseconds in which its port answers no new connection. The run asks whether the port is open by a connect without a time limit, and stood still for 1.05 s (871.50 to 872.55 s). Meanwhile the process ended, its next life was started, and the step's further signals were sent to that one, which ended as it was asked to.

Change: the probe has a time limit, and only a refused connection means that nobody listens, which is stricter than before. What follows a stop goes to the process that was asked (the new test fails on the code before).

The same second is the price of a port that is being closed, for whoever connects without a time limit. The time between the two steps is 0.01 s in place of 0.02 s: more than a round trip within a region.

--- a/bench/soak/instances.py
+++ b/bench/soak/instances.py
@@ -87,20 +87,21 @@
         elif step.kind is plan.Kind.NODE_STOPPED_AT_START:
             self._stop_at_start(node, step.seconds)
         else:
+            child = node.child
             self._stop(node)
-            self._follow_up(step, node)
+            self._follow_up(step, node, child)
 
-    def _follow_up(self, step: plan.Step, node: processes.Node) -> None:
-        """Do to a stopping instance what else its step asks for."""
+    def _follow_up(self, step: plan.Step, node: processes.Node, child: processes.Child) -> None:
+        """Do to a stopping instance what else its step asks for, but not to its next life."""
         again = {
             plan.Kind.NODE_ASKED_AGAIN: signal.SIGTERM,
             plan.Kind.NODE_SIGNALLED_IN_STOP: signal.SIGHUP,
         }.get(step.kind)
         if again is not None:
             for number in range(1, MORE_SIGNALS + 1):
-                self._schedule.later(number * step.seconds, node.child.signal, again)
+                self._schedule.later(number * step.seconds, child.signal, again)
         elif step.kind is plan.Kind.NODE_FROZEN_IN_STOP:
-            self._schedule.later(step.seconds, self._freeze_same, node, node.child, step.seconds)
+            self._schedule.later(step.seconds, self._freeze_same, node, child, step.seconds)
 
     def _freeze_same(self, node: processes.Node, child: processes.Child, seconds: float) -> None:
         """Freeze an instance, unless another life of it has begun: no step asked to freeze that."""
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import dataclasses
+import errno
 import json
 import os
 import pathlib
@@ -42,6 +43,9 @@
 GRACE_SECONDS = 4.0
 """Seconds that an instance has to stop."""
 
+PROBE_SECONDS = 0.05
+"""Seconds that a connection on this machine may take to open."""
+
 USER_TICKS, SYSTEM_TICKS = 11, 12
 """Places of a process's times after the name in `/proc/PID/stat` (proc(5), utime and stime)."""
 
@@ -350,9 +354,8 @@
 
     @property
     def is_listening(self) -> bool:
-        """Whether callers can connect."""
-        with socket.socket() as one:
-            return one.connect_ex(("127.0.0.1", self.port)) == 0
+        """Whether callers can connect, or could until its port began to close."""
+        return is_port_open(self.port)
 
     def start(self) -> None:
         """Start a life of it."""
@@ -361,6 +364,23 @@
         self._child = Child([str(NODE_PROGRAM)], self._log, **environment)
 
 
+def is_port_open(port: int) -> bool:
+    """Tell whether a process listens on a port of this machine.
+
+    A port that is being closed answers no new connection for some milliseconds; a connect that
+    waited for it would stand still for a second, and the run with it.
+
+    Args:
+        port: TCP port.
+
+    Returns:
+        False only if the system refuses the connection.
+    """
+    with socket.socket() as one:
+        one.settimeout(PROBE_SECONDS)
+        return one.connect_ex(("127.0.0.1", port)) != errno.ECONNREFUSED
+
+
 class PortClaim:
     """TCP ports on loopback that no other run takes while it is held.
 
--- a/src/lineworks/kernel/listening.py
+++ b/src/lineworks/kernel/listening.py
@@ -17,7 +17,7 @@
 BACKLOG = 512
 """Maximum number of connections that wait to be accepted."""
 
-HANDSHAKE_SECONDS = 0.02
+HANDSHAKE_SECONDS = 0.01
 """Seconds after which handshakes that began earlier are complete: a round trip within a region, on
 a busy machine."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,8 +17,9 @@
 from twisted.internet import protocol
 
 from bench import fakes, stops
-from bench.soak import callers, checkers, history, instances, link, plan, processes
+from bench.soak import callers, checkers, history, instances, link, plan, processes, schedule
 from lineworks.decisions import extra_attempts, parts
+from lineworks.kernel import listening
 from lineworks.platform.standins import http_target
 from lineworks.standins import memory_network
 
@@ -362,6 +363,59 @@
         other.release()
 
 
+def test_a_port_that_is_being_closed_counts_as_open_and_holds_up_no_run():
+    # The probe waited a second for the answer of a closing port. Meanwhile the instance ended, and
+    # the second signal of its step went to its next life (seed 13 of 12 s, akl-2 ended with 0).
+    with listening.open_port("127.0.0.1", 0) as opened:
+        port = opened.getsockname()[1]
+        assert processes.is_port_open(port)
+        listening.drop_new_handshakes(opened)
+        began = time.monotonic()
+        assert processes.is_port_open(port)
+        assert time.monotonic() - began < 0.5
+    assert not processes.is_port_open(port)
+
+
+class _Child:
+    """A process that notes its signals."""
+
+    is_running = True
+    exit_code = None
+
+    def __init__(self):
+        self.signals = []
+
+    def signal(self, number):
+        self.signals.append(number)
+
+
+class _Node:
+    """An instance whose next life begins while it is asked to stop."""
+
+    name = "n1"
+
+    def __init__(self):
+        self.lives = [_Child()]
+
+    @property
+    def child(self):
+        return self.lives[-1]
+
+    @property
+    def is_listening(self):
+        self.lives.append(_Child())
+        return True
+
+
+@pytest.mark.parametrize("kind", [plan.Kind.NODE_ASKED_AGAIN, plan.Kind.NODE_FROZEN_IN_STOP])
+def test_what_follows_a_stop_is_not_done_to_the_next_life(kind):
+    clock, node = fakes.VirtualClock(), _Node()
+    parts = instances.Instances(clock, schedule.Schedule(clock), {"n1": node})
+    parts.do(plan.Step(0.0, kind, 0.1, ("n1",)))
+    clock.run_until(1.0)
+    assert node.lives[1].signals == []
+
+
 def test_no_two_runs_have_the_same_ports():
     # Two runs at a time had the same 115 ports: 122 and 145 promises seemed broken, and all six
     # instances of one ended because their ports were in use.
