--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -6,17 +6,15 @@
 from __future__ import annotations
 
 import dataclasses
-import errno
 import json
 import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 from typing import TYPE_CHECKING, Any
 
+from bench.soak import port_claims
 from lineworks.platform.standins import documents
 
 if TYPE_CHECKING:
@@ -30,22 +28,12 @@
 HALLS = ("akl", "wlg", "chc")
 """Data halls, each a region of its own."""
 
-BLOCK = 200
-"""Ports that one run claims, the first one as a lock."""
-
-PORTS = (15000, 32000)
-"""First port that may be used, and the one after the last: below those that Linux gives to outgoing
-connections, which would take a port while its process restarts."""
-
 SLOTS = 4
 """Requests that a target says it works on at a time."""
 
 GRACE_SECONDS = 4.0
 """Seconds that an instance has to stop."""
 
-PROBE_SECONDS = 0.05
-"""Seconds that a connection on this machine may take to open."""
-
 USER_TICKS, SYSTEM_TICKS = 11, 12
 """Places of a process's times after the name in `/proc/PID/stat` (proc(5), utime and stime)."""
 
@@ -355,104 +343,10 @@
     @property
     def is_listening(self) -> bool:
         """Whether callers can connect, or could until its port began to close."""
-        return is_port_open(self.port)
+        return port_claims.is_open(self.port)
 
     def start(self) -> None:
         """Start a life of it."""
         # An instance that is ended by SIGABRT writes what its threads are doing.
         environment = {"LINEWORKS_SETTINGS": str(self._settings), "PYTHONFAULTHANDLER": "1"}
         self._child = Child([str(NODE_PROGRAM)], self._log, **environment)
-
-
-def is_port_open(port: int) -> bool:
-    """Tell whether a process listens on a port of this machine.
-
-    A port that is being closed answers no new connection for some milliseconds; a connect that
-    waited for it would stand still for a second, and the run with it.
-
-    Args:
-        port: TCP port.
-
-    Returns:
-        False only if the system refuses the connection.
-    """
-    with socket.socket() as one:
-        one.settimeout(PROBE_SECONDS)
-        return one.connect_ex(("127.0.0.1", port)) != errno.ECONNREFUSED
-
-
-class PortClaim:
-    """TCP ports on loopback that no other run takes while it is held.
-
-    Runs that looked for free ports at the same moment found the same ones: each had the other's
-    callers, and its processes found their ports in use.
-    """
-
-    def __init__(self, locks: Sequence[socket.socket], ports: Sequence[int]) -> None:
-        """Hold ports.
-
-        Args:
-            locks: Hold the blocks that they lie in.
-            ports: The ports, rising.
-        """
-        self._locks = locks
-        self.ports = tuple(ports)
-        """The ports, rising."""
-
-    def release(self) -> None:
-        """Let others have them."""
-        for lock in self._locks:
-            lock.close()
-
-
-def claim_ports(count: int) -> PortClaim:
-    """Find ports that nobody listens on, and keep other runs from them.
-
-    Args:
-        count: How many. Those of one block are neighbours.
-
-    Returns:
-        The claim.
-
-    Raises:
-        OSError: There are too few free blocks.
-    """
-    blocks = list(range(PORTS[0], PORTS[1] - BLOCK + 1, BLOCK))
-    random.SystemRandom().shuffle(blocks)
-    locks: list[socket.socket] = []
-    found: list[int] = []
-    for first in blocks:
-        wanted = range(first + 1, first + 1 + min(BLOCK - 1, count - len(found)))
-        lock = _lock_block(first, wanted)
-        if lock is not None:
-            locks.append(lock)
-            found += wanted
-        if len(found) == count:
-            return PortClaim(locks, sorted(found))
-    for lock in locks:
-        lock.close()
-    raise OSError(f"too few blocks of {BLOCK} free ports between {PORTS[0]} and {PORTS[1]}")
-
-
-def _lock_block(first: int, wanted: Sequence[int]) -> socket.socket | None:
-    """Hold a block of ports by its first one, if those that are wanted are free."""
-    lock = socket.socket()
-    try:
-        lock.bind(("127.0.0.1", first))
-    except OSError:
-        # Another run has it.
-        lock.close()
-        return None
-    if all(_is_free(port) for port in wanted):
-        return lock
-    lock.close()
-    return None
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as one:
-        try:
-            one.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -13,6 +13,7 @@
     history,
     instances,
     plan,
+    port_claims,
     processes,
     schedule,
     workspaces,
@@ -72,7 +73,7 @@
         self._folder = folder
         nodes = len(processes.HALLS) * nodes_a_hall
         places = len(processes.HALLS) * (len(actions.SERVICES) + 1)
-        self._claim = processes.claim_ports(1 + 5 * nodes + 2 * places)
+        self._claim = port_claims.claim(1 + 5 * nodes + 2 * places)
         self._ports = iter(self._claim.ports)
         store_port = next(self._ports)
         self._store = processes.Store(store_port, folder)
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from bench.soak import processes
+from bench.soak import port_claims
 from lineworks.platform.standins import documents
 
 PROGRAM = pathlib.Path(__file__).parent.parent / "src" / "lineworks_node.py"
@@ -73,7 +73,7 @@
 @pytest.fixture
 def ports():
     """Ports that are reserved for this test."""
-    claim = processes.claim_ports(4)
+    claim = port_claims.claim(4)
     yield claim.ports
     claim.release()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,17 @@
 from twisted.internet import protocol
 
 from bench import fakes, stops
-from bench.soak import callers, checkers, history, instances, link, plan, processes, schedule
+from bench.soak import (
+    callers,
+    checkers,
+    history,
+    instances,
+    link,
+    plan,
+    port_claims,
+    processes,
+    schedule,
+)
 from lineworks.decisions import extra_attempts, parts
 from lineworks.kernel import listening
 from lineworks.platform.standins import http_target
@@ -335,14 +345,14 @@
 
 
 def test_a_run_with_many_instances_gets_ports_of_several_blocks():
-    claim = processes.claim_ports(3 * processes.BLOCK)
-    other = processes.claim_ports(3 * processes.BLOCK)
-    assert len(set(claim.ports)) == 3 * processes.BLOCK
+    claim = port_claims.claim(3 * port_claims.BLOCK)
+    other = port_claims.claim(3 * port_claims.BLOCK)
+    assert len(set(claim.ports)) == 3 * port_claims.BLOCK
     assert not set(claim.ports) & set(other.ports)
     claim.release()
     other.release()
     with pytest.raises(OSError, match="too few blocks"):
-        processes.claim_ports(100 * processes.BLOCK)
+        port_claims.claim(100 * port_claims.BLOCK)
 
 
 def test_the_short_run_of_stops_deals_all_of_their_kinds():
@@ -351,13 +361,13 @@
 
 
 def test_ports_in_use_are_passed_over():
-    claim = processes.claim_ports(20)
+    claim = port_claims.claim(20)
     ports = claim.ports
     assert ports == tuple(range(ports[0], ports[0] + 20))
     claim.release()
     with socket.socket() as taken:
         taken.bind(("127.0.0.1", ports[0]))
-        others = [processes.claim_ports(20) for _ in range(30)]
+        others = [port_claims.claim(20) for _ in range(30)]
         assert all(ports[0] not in other.ports for other in others)
     for other in others:
         other.release()
@@ -368,12 +378,12 @@
     # the second signal of its step went to its next life (seed 13 of 12 s, akl-2 ended with 0).
     with listening.open_port("127.0.0.1", 0) as opened:
         port = opened.getsockname()[1]
-        assert processes.is_port_open(port)
+        assert port_claims.is_open(port)
         listening.drop_new_handshakes(opened)
         began = time.monotonic()
-        assert processes.is_port_open(port)
+        assert port_claims.is_open(port)
         assert time.monotonic() - began < 0.5
-    assert not processes.is_port_open(port)
+    assert not port_claims.is_open(port)
 
 
 class _Child:
@@ -419,7 +429,7 @@
 def test_no_two_runs_have_the_same_ports():
     # Two runs at a time had the same 115 ports: 122 and 145 promises seemed broken, and all six
     # instances of one ended because their ports were in use.
-    claims = [processes.claim_ports(180) for _ in range(12)]
+    claims = [port_claims.claim(180) for _ in range(12)]
     ports = [port for claim in claims for port in claim.ports]
     assert len(set(ports)) == len(ports)
     for claim in claims:
