--- a/bench/soak/instances.py
+++ b/bench/soak/instances.py
@@ -1,7 +1,7 @@
-"""What a run does to its instances: kills, freezes, stops, restarts; and what it notes of that.
+"""Kills, freezes, stops and restarts the instances of a run, and records when each was disturbed.
 
-The platform's part is played here: it ends an instance that is still there when its time to stop is
-over, and starts every instance again that has ended.
+It also plays the platform: it kills an instance that is still running at the end of its grace
+period, and restarts the instances that a step stopped or killed.
 """
 
 from __future__ import annotations
@@ -18,16 +18,16 @@
     from collections.abc import Collection, Mapping
 
 RECOVERY_SECONDS = 3.0
-"""Seconds after a step on an instance within which its callers may wait longer."""
+"""Seconds after a step on an instance during which its callers may wait longer."""
 
 POLL_SECONDS = 0.05
-"""Seconds between looks whether an instance has ended."""
+"""Seconds between checks whether an instance has exited."""
 
 DUMP_SECONDS = 0.5
-"""Seconds that an instance that did not stop in time has to write what its threads are doing."""
+"""Seconds in which an instance that did not stop in time writes the stacks of its threads."""
 
 MORE_SIGNALS = 3
-"""Signals that follow a first one in a series."""
+"""Number of signals that follow the first one of a series."""
 
 
 class Instances:
@@ -36,11 +36,11 @@
     def __init__(
         self, reactor: Any, calls: schedule.Schedule, nodes: Mapping[str, processes.Node]
     ) -> None:
-        """Take instances that may not have been started yet.
+        """Initialise with instances that need not have been started.
 
         Args:
             reactor: Twisted's reactor.
-            calls: What is to be done later in the run.
+            calls: Schedules the later actions of the run.
             nodes: The instances by name.
         """
         self._reactor = reactor
@@ -50,12 +50,12 @@
         self._frozen_until: dict[str, float] = {}
         self._aborted: set[processes.Child] = set()
         self.disturbed: list[history.Span] = []
-        """When instances could not answer as usual."""
+        """Spans in which instances could not answer as usual."""
         self.exits: list[str] = []
-        """Ends that nobody asked for, and stops that did not end in time, a clause each."""
+        """Unexpected exits, and stops that did not end in time; a clause each."""
 
     def end(self) -> None:
-        """End all that were started, and note those that had ended by themselves."""
+        """Kill all instances that were started, and record those that had exited by themselves."""
         started = {name: node for name, node in self._nodes.items() if node.has_started}
         codes = {name: node.child.exit_code for name, node in started.items()}
         self.exits += unexpected_ends(codes, self._taken_down)
@@ -78,10 +78,10 @@
         if step.kind is plan.Kind.NODE_SIGNALLED:
             node.child.signal(signal.SIGHUP)
         elif step.kind is plan.Kind.NODE_FROZEN:
-            self._note(node, step.seconds, is_frozen=True)
+            self._record(node, step.seconds, is_frozen=True)
             self._freeze(node, step.seconds)
         elif step.kind is plan.Kind.NODE_KILLED:
-            self._note(node, step.seconds)
+            self._record(node, step.seconds)
             self._kill(node)
             self._schedule.later(step.seconds, self._start, node)
         elif step.kind is plan.Kind.NODE_STOPPED_AT_START:
@@ -92,7 +92,7 @@
             self._follow_up(step, node, child)
 
     def _follow_up(self, step: plan.Step, node: processes.Node, child: processes.Child) -> None:
-        """Do to a stopping instance what else its step asks for, but not to its next life."""
+        """Apply the rest of a step to a stopping instance, but not to the process after it."""
         again = {
             plan.Kind.NODE_ASKED_AGAIN: signal.SIGTERM,
             plan.Kind.NODE_SIGNALLED_IN_STOP: signal.SIGHUP,
@@ -104,11 +104,11 @@
             self._schedule.later(step.seconds, self._freeze_same, node, child, step.seconds)
 
     def _freeze_same(self, node: processes.Node, child: processes.Child, seconds: float) -> None:
-        """Freeze an instance, unless another life of it has begun: no step asked to freeze that."""
+        """Freeze an instance, unless it has been restarted: no step is about that process."""
         if node.child is child:
             self._freeze(node, seconds)
 
-    def _note(
+    def _record(
         self,
         node: processes.Node,
         seconds: float,
@@ -131,11 +131,11 @@
         node.child.end()
 
     def _stop_at_start(self, node: processes.Node, seconds: float) -> None:
-        """Kill an instance, start it again at once, and ask that one to stop soon after."""
+        """Kill an instance, restart it at once, and stop the new process soon after."""
         killed_at = self._reactor.seconds()
 
         def stop() -> None:
-            # Until now callers may be refused: the signal is late where the machine is busy.
+            # Callers may be refused until now: on a busy machine this call is late.
             now = self._reactor.seconds()
             self.disturbed.append(history.Span(node.name, killed_at, now))
             self._stop(node)
@@ -145,25 +145,26 @@
         self._schedule.later(seconds, stop)
 
     def _stop(self, node: processes.Node) -> None:
-        """Ask an instance to stop, as the platform does."""
+        """Stop an instance as the platform does."""
         if not node.child.is_running:
             return
         child = node.child
         codes = {0, -signal.SIGKILL, None}
         if not node.is_listening:
-            # The interpreter itself still starts: nobody can have connected, and the default holds.
+            # The interpreter is still starting: nobody can have connected, and SIGTERM has its
+            # default effect.
             codes.add(-signal.SIGTERM)
-        self._note(node, 0.0, is_planned=True)
+        self._record(node, 0.0, is_planned=True)
         self._taken_down.add(node.name)
         child.signal(signal.SIGTERM)
         self._schedule.later(processes.GRACE_SECONDS, self._end_in_time, node, child)
         defer.ensureDeferred(self._restart_when_gone(node, child, codes))
 
     def _end_in_time(self, node: processes.Node, child: processes.Child) -> None:
-        """End an instance whose time to stop is over.
+        """Kill an instance at the end of its grace period.
 
-        Only one that was frozen meanwhile may still be there: it takes the signal when it wakes,
-        and can't know how old that is.
+        Only one that was frozen meanwhile may still be running: it receives the signal when it
+        resumes, and cannot know when it was sent.
         """
         if not child.is_running:
             return
@@ -174,7 +175,7 @@
                 f"{node.name} was still there at the end of its time to stop, after {used:.2f} s"
                 " of processor time in all"
             )
-            # It writes what its threads are doing to its log first.
+            # On this signal it first writes the stacks of its threads to its log.
             self._aborted.add(child)
             child.signal(signal.SIGABRT)
             self._schedule.later(DUMP_SECONDS, child.signal, signal.SIGKILL)
@@ -197,14 +198,14 @@
 
 
 def unexpected_ends(codes: Mapping[str, int | None], taken_down: Collection[str]) -> list[str]:
-    """Tell which instances ended though nothing took them down.
+    """List the instances that exited although no step took them down.
 
     Args:
-        codes: For each instance its exit code, or None while it runs.
-        taken_down: Instances that a step killed or stopped, and that were not started again.
+        codes: Exit code by instance, or None while it is running.
+        taken_down: Instances that a step killed or stopped, and that were not restarted.
 
     Returns:
-        A clause for each that ended by itself.
+        A clause for each such instance.
     """
     return [
         f"{name} ended with {code}"
