A stop during the imports whose time is over refuses what waits before it ends

What callers saw: none has reported it; found by reading. A process that stood still during its imports until the time of its stop was over closed its connections unanswered.

Cause: the early stop ended at its end time, also when it had not looked at its port and its connections yet.

Change: it ends once its port is closed, and not before what it accepted last was read.

Evidence: two new cases of test_early_stop.py fail on the code before (no answer) and pass now, three times in a row. Also: a line about a broken connection is logged as a warning.

--- a/src/lineworks/kernel/early_stop.py
+++ b/src/lineworks/kernel/early_stop.py
@@ -50,7 +50,7 @@
         self._min_idle = min_idle
         self._selector = selectors.DefaultSelector()
         self._closes_port_at: float | None = None
-        self._is_port_closed = False
+        self._port_closed_at: float | None = None
         self.refused = 0
         """Number of requests that were refused."""
         self.connections_at_end = 0
@@ -82,8 +82,11 @@
         self._selector.close()
 
     def _is_over(self, now: float) -> bool:
-        is_done = self._is_port_closed and not self._connections
-        return is_done or now >= self._times.end_by
+        if self._port_closed_at is None:
+            return False
+        # A process that stood still until its time was over must read what it accepted last.
+        ends_at = max(self._times.end_by, self._port_closed_at + POLL_SECONDS)
+        return not self._connections or now >= ends_at
 
     def _accept_waiting(self) -> None:
         try:
@@ -106,14 +109,14 @@
 
     def _close_port_if_due(self, now: float) -> None:
         """Close the port in two steps; see `listening.refuse_new`."""
-        if self._is_port_closed or now < self._times.deregistered_by:
+        if self._port_closed_at is not None or now < self._times.deregistered_by:
             return
         if self._closes_port_at is None:
             is_supported = listening.drop_new_handshakes(self._listening_socket)
             self._closes_port_at = now + listening.HANDSHAKE_SECONDS if is_supported else now
         self._accept_waiting()
         if now >= self._closes_port_at:
-            self._is_port_closed = True
+            self._port_closed_at = now
             self._selector.unregister(self._listening_socket)
             self._listening_socket.close()
 
--- a/src/lineworks/kernel/listening.py
+++ b/src/lineworks/kernel/listening.py
@@ -39,7 +39,7 @@
     # Accept the packet.
     (0x06, 0, 0, 0xFFFFFFFF),
 )
-"""Filter program that drops packets with SYN and without ACK."""
+"""Filter program that drops packets with SYN and without ACK (classic BPF, linux/filter.h)."""
 
 
 def open_port(host: str, port: int) -> socket.socket:
@@ -99,7 +99,8 @@
     Returns:
         Whether the system supports this; if not, call `close` at once.
     """
-    is_supported = drop_new_handshakes(port.socket) if hasattr(port, "socket") else False
+    # A port of a network in memory has no socket.
+    is_supported = hasattr(port, "socket") and drop_new_handshakes(port.socket)
     _accept_waiting(port)
     return is_supported
 
--- a/src/lineworks/programs/_early_stop.py
+++ b/src/lineworks/programs/_early_stop.py
@@ -34,12 +34,13 @@
         acceptor: Holds the callers' port and connections.
         signalled_at: When the signal was received, in seconds on the clock of `steady_reactor`.
     """
-    _write_line("stopping", name=settings.name, is_importing=True)
+    _write_line("info", "stopping", name=settings.name, is_importing=True)
     times = stop_times.plan(signalled_at, settings.stop_seconds)
     stop = acceptor.stop(times, stop_times.MIN_IDLE_SECONDS)
     for error in [*acceptor.errors, *stop.errors]:
-        _write_line("early_caller_failed", error=error)
+        _write_line("warning", "early_caller_failed", error=error)
     _write_line(
+        "info",
         "stopped",
         name=settings.name,
         is_importing=True,
@@ -65,8 +66,9 @@
     acceptor.stop(times, REFUSE_SECONDS)
 
 
-def _write_line(event: str, **fields: Any) -> None:
+def _write_line(level: str, event: str, **fields: Any) -> None:
+    """Write a log line as `_node_logs` does, without the log library."""
     now = time.clock_gettime(time.CLOCK_BOOTTIME)
-    line = {"component": "node", **fields, "event": event, "t": round(now, 4), "level": "info"}
+    line = {"component": "node", **fields, "event": event, "t": round(now, 4), "level": level}
     sys.stdout.write(json.dumps(line) + "\n")
     sys.stdout.flush()
--- a/src/lineworks/services/http_server.py
+++ b/src/lineworks/services/http_server.py
@@ -24,7 +24,6 @@
 PROBLEM_TYPE = "application/problem+json"
 """Content type of error responses (RFC 9457, problem details)."""
 
-
 FIRST_REQUEST_SECONDS = 1.2
 """Seconds after a port was closed for which the first requests of connections accepted until then
 are waited for. A first packet that is lost is retransmitted after one second (RFC 6298)."""
--- a/tests/test_early_stop.py
+++ b/tests/test_early_stop.py
@@ -34,8 +34,9 @@
         self.acceptor.start()
         self._thread = threading.Thread(target=self._stop)
 
-    def begin(self):
+    def begin(self, signal_age=0.0):
         self.began_at = time.clock_gettime(time.CLOCK_BOOTTIME)
+        self._signalled_at = self.began_at - signal_age
         self._thread.start()
 
     def join(self):
@@ -49,7 +50,7 @@
         return caller
 
     def _stop(self):
-        times = stop_times.plan(self.began_at, GRACE)
+        times = stop_times.plan(self._signalled_at, GRACE)
         self.result = self.acceptor.stop(times, MIN_IDLE)
 
 
@@ -132,3 +133,22 @@
         stop, seconds = stopping.join()
     assert stop.connections_at_end == 1
     assert seconds < GRACE
+
+
+def test_a_process_that_stood_still_until_its_time_was_over_refuses_what_waits(stopping):
+    with stopping.connect(request()) as first, stopping.connect(request()) as second:
+        stopping.begin(signal_age=2 * GRACE)
+        assert is_refusal(first.recv(4096))
+        assert is_refusal(second.recv(4096))
+        stop, seconds = stopping.join()
+    assert stop.refused == 2
+    assert seconds < GRACE / 4
+
+
+def test_what_waits_in_the_backlog_is_refused_after_the_time_is_over(stopping):
+    # The thread has ended, and nobody has accepted the connection when the stop begins.
+    stopping.acceptor._end_thread()
+    stopping.acceptor._end_thread = list
+    with stopping.connect(request()) as caller:
+        stopping.begin(signal_age=2 * GRACE)
+        assert is_refusal(caller.recv(4096))
