--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers of a run: they keep their connections until the process at the other end is gone."""
+"""Callers of a run; they keep their connections until the instance closes them."""
 
 from __future__ import annotations
 
@@ -19,24 +19,24 @@
     from collections.abc import Callable, Mapping
 
 BUDGET = 1.0
-"""Seconds that a caller waits."""
+"""Time budget of a request in seconds."""
 
 PATIENCE = 4.0
-"""Seconds after its budget at which a caller closes the connection: a late answer is still seen."""
+"""Seconds after its budget at which a caller closes the connection: late answers are seen, too."""
 
 CONNECT_SECONDS = 1.0
-"""Seconds that a connection may take to open."""
+"""Timeout in seconds for opening a connection."""
 
 ASK_AGAIN_SECONDS = 0.5
-"""Seconds after which a caller asks again for what ends its targets."""
+"""Interval in seconds between requests that crash their targets."""
 
 ROUTES = (("search", 0.6), ("read", 0.25), ("bill", 0.15))
-"""Routes with their shares of the requests."""
+"""Routes and their shares of the requests."""
 
 
 @dataclasses.dataclass(slots=True, eq=False)
-class _Try:
-    """A try under way."""
+class _Attempt:
+    """An attempt in progress."""
 
     attempt: str
     route: str
@@ -52,7 +52,7 @@
 
 
 class Callers:
-    """Sends requests at a steady rate and notes how each ended."""
+    """Sends requests at a steady rate and records how each ended."""
 
     def __init__(
         self,
@@ -65,17 +65,18 @@
         prefix: str = "t",
         draw_key: Callable[[], tuple[str, str]] = lambda: ("", ""),
     ) -> None:
-        """Make callers; nothing is sent yet.
+        """Initialise without sending anything.
 
         Args:
             reactor: Twisted's reactor, or a host in memory.
-            rng: Draws routes and instances.
-            fronts: For each instance its host and port for callers.
-            rate: Requests a second.
-            note: Takes each try with its end.
-            draw_budget: Draws the seconds that a caller waits.
-            prefix: Beginning of the identities of tries, so that those of several callers differ.
-            draw_key: Draws the key of a try and the workspace that it names, empty for none.
+            rng: Chooses routes and instances.
+            fronts: Host and callers' port by instance.
+            rate: Requests per second.
+            note: Called with each attempt when it has ended.
+            draw_budget: Returns the time budget of an attempt in seconds.
+            prefix: Prefix of the IDs of attempts, which keeps those of several callers apart.
+            draw_key: Returns the API key of an attempt and the workspace that it names; empty for
+                none.
         """
         self._reactor = reactor
         self._rng = rng
@@ -90,13 +91,13 @@
         self._due = 0.0
         self._ends_at = 0.0
         self.under_way = 0
-        """Tries without an end."""
+        """Number of attempts in progress."""
 
     def start(self, seconds: float) -> None:
-        """Begin to send.
+        """Start sending.
 
         Args:
-            seconds: For how long.
+            seconds: Duration in seconds.
         """
         self._due = self._reactor.seconds()
         self._ends_at = self._due + seconds
@@ -111,98 +112,100 @@
             self._reactor.callLater(max(0.0, self._due - now), self._send_due)
 
     def ask_again(self, route: str, until: float, rng: random.Random, key: str = "") -> None:
-        """Ask for what ends its targets, again and again, at any instance.
+        """Send requests that crash their targets to any instance, at an interval.
 
         Args:
-            route: Its route.
+            route: Their route.
             until: When to stop, in seconds.
-            rng: Draws instances.
-            key: Key that all these tries carry: with another one they would be others.
+            rng: Chooses instances.
+            key: API key of all these attempts: with another one they would be other requests.
         """
         if self._reactor.seconds() < until:
-            self._start_try(route, rng.choice(sorted(self._fronts)), (key, ""), is_fatal=True)
+            self._start_attempt(route, rng.choice(sorted(self._fronts)), (key, ""), is_fatal=True)
             self._reactor.callLater(ASK_AGAIN_SECONDS, self.ask_again, route, until, rng, key)
 
     def _send(self) -> None:
         route = self._rng.choices([name for name, _ in ROUTES], [share for _, share in ROUTES])[0]
-        self._start_try(route, self._rng.choice(sorted(self._fronts)), self._draw_key())
+        self._start_attempt(route, self._rng.choice(sorted(self._fronts)), self._draw_key())
 
-    def _start_try(
+    def _start_attempt(
         self, route: str, front: str, sender: tuple[str, str], is_fatal: bool = False
     ) -> None:
         attempt = f"{self._prefix}{next(self._numbers):06d}"
         budget = self._draw_budget()
         now = self._reactor.seconds()
         key, claimed = sender
-        one = _Try(attempt, route, front, now, budget, is_fatal, key=key, claimed=claimed)
+        pending = _Attempt(attempt, route, front, now, budget, is_fatal, key=key, claimed=claimed)
         self.under_way += 1
-        one.timer = self._reactor.callLater(budget + PATIENCE, self._give_up, one)
+        pending.timer = self._reactor.callLater(budget + PATIENCE, self._give_up, pending)
         while self._idle.get(front):
             connection = self._idle[front].pop()
             if not connection.is_closed:
-                self.on_open(one, connection)
+                self.on_open(pending, connection)
                 return
-        one.is_first = True
+        pending.is_first = True
         host, port = self._fronts[front]
-        factory = _Factory(self, one)
+        factory = _Factory(self, pending)
         self._reactor.connectTCP(host, port, factory, timeout=CONNECT_SECONDS)
 
-    def on_open(self, one: _Try, connection: client_connection.ClientConnection) -> None:
-        """Send a try on a connection."""
-        one.connection = connection
-        name = history.FATAL if one.is_fatal else "q"
-        path = f"/{one.route}/{name}"
+    def on_open(self, pending: _Attempt, connection: client_connection.ClientConnection) -> None:
+        """Send an attempt on a connection."""
+        pending.connection = connection
+        name = history.FATAL if pending.is_fatal else "q"
+        path = f"/{pending.route}/{name}"
         data = documents.caller_request(
-            "GET", path, one.attempt, one.budget, b"", one.key, one.claimed
+            "GET", path, pending.attempt, pending.budget, b"", pending.key, pending.claimed
         )
-        connection.send(data, False, lambda end: self._on_end(one, end))
+        connection.send(data, False, lambda end: self._on_end(pending, end))
 
-    def on_no_connection(self, one: _Try, detail: str) -> None:
-        """Note that an instance took no connection."""
-        self._note(one, detail=detail)
+    def on_no_connection(self, pending: _Attempt, detail: str) -> None:
+        """Record that no connection to an instance could be opened."""
+        self._note(pending, detail=detail)
 
-    def _give_up(self, one: _Try) -> None:
-        if one.connection is not None:
-            one.connection.abort()
-        self._note(one, detail="gave up")
+    def _give_up(self, pending: _Attempt) -> None:
+        if pending.connection is not None:
+            pending.connection.abort()
+        self._note(pending, detail="gave up")
 
     def _on_end(
-        self, one: _Try, end: client_connection.Response | client_connection.ConnectionFailure
+        self,
+        pending: _Attempt,
+        end: client_connection.Response | client_connection.ConnectionFailure,
     ) -> None:
         if isinstance(end, client_connection.ConnectionFailure):
-            self._note(one, detail=end.detail)
+            self._note(pending, detail=end.detail)
             return
-        if one.connection is not None and not one.connection.is_closed:
-            self._idle.setdefault(one.front, []).append(one.connection)
+        if pending.connection is not None and not pending.connection.is_closed:
+            self._idle.setdefault(pending.front, []).append(pending.connection)
         found = {key.decode().lower(): value.decode() for key, value in end.fields}
         stamps = [part.strip() for part in found.get("x-part-stamps", "").split(",")]
         self._note(
-            one,
+            pending,
             status=end.status,
             stamps=tuple(stamp for stamp in stamps if stamp),
             missing=int(found.get("x-parts-missing", "0")),
             body=end.body.hex(),
         )
 
-    def _note(self, one: _Try, status: int = 0, **more: Any) -> None:
-        if one.timer is None:
+    def _note(self, pending: _Attempt, status: int = 0, **more: Any) -> None:
+        if pending.timer is None:
             return
-        if one.timer.active():
-            one.timer.cancel()
-        one.timer = None
+        if pending.timer.active():
+            pending.timer.cancel()
+        pending.timer = None
         self.under_way -= 1
         now = self._reactor.seconds()
         call = history.Call(
-            one.attempt,
-            one.route,
-            one.front,
-            one.sent_at,
-            one.budget,
+            pending.attempt,
+            pending.route,
+            pending.front,
+            pending.sent_at,
+            pending.budget,
             now,
             status,
-            is_fatal=one.is_fatal,
-            is_first=one.is_first,
-            key=one.key,
+            is_fatal=pending.is_fatal,
+            is_first=pending.is_first,
+            key=pending.key,
             **more,
         )
         self._write(call)
@@ -226,32 +229,32 @@
 
 
 class _Factory(protocol.ClientFactory):
-    """Opens a connection for one try; others use it after that."""
+    """Opens a connection for one attempt; later ones reuse it."""
 
     noisy = False
 
-    def __init__(self, callers: Callers, one: _Try) -> None:
+    def __init__(self, callers: Callers, pending: _Attempt) -> None:
         self._callers = callers
-        self._one = one
+        self._pending = pending
 
     def buildProtocol(self, addr: Any) -> _Connection:  # noqa: N802
-        """Make the caller's end."""
-        return _Connection(self._callers, self._one)
+        """Create the caller's end of the connection."""
+        return _Connection(self._callers, self._pending)
 
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
-        """Report that there is no connection."""
-        self._callers.on_no_connection(self._one, connect_failure(reason.value))
+        """Report that the connection could not be opened."""
+        self._callers.on_no_connection(self._pending, connect_failure(reason.value))
 
 
 class _Connection(client_connection.ClientConnection):
-    """A caller's connection, which sends its first try when it is open."""
+    """A caller's connection, which sends its first attempt when it is open."""
 
-    def __init__(self, callers: Callers, one: _Try) -> None:
+    def __init__(self, callers: Callers, pending: _Attempt) -> None:
         super().__init__(callers._reactor.seconds, lambda connection: None)
         self._callers = callers
-        self._one = one
+        self._pending = pending
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Send the first try."""
+        """Send the first attempt."""
         super().connectionMade()
-        self._callers.on_open(self._one, self)
+        self._callers.on_open(self._pending, self)
