--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -136,7 +136,7 @@
         " 20 in the kernel; 154,216 requests reached targets): by the table 142 s are the two"
         " starts and some 150 s the links at rest, so a seventh is the work itself. A start grows"
         " with the links, and the links of all grow with the square of the instances. Links to"
-        " some instances only would take most of it away: not built.",
+        " some instances only should take most of it away: not built, so not shown.",
         "## A search's way on the users' platform",
         "Microseconds of processor time for one sub-query, all instances together, measured in"
         ' memory by `python -m bench.search_path` beside other load; "before" is the code before'
