A signal that arrives while its handler is set during the start is not lost

What callers saw: none reported; found by reading the change again. An instance asked to stop at that moment went on until the platform killed it.

Cause: handle_stop looked for an earlier signal first and added the handler after it; a SIGTERM between the two was recorded and never acted on.

Change: the handler is added first.

--- a/src/lineworks/kernel/early_signals.py
+++ b/src/lineworks/kernel/early_signals.py
@@ -31,15 +31,19 @@
         handle: Called once, between two instructions of the main thread, with the time of the
             signal in seconds on the clock of `steady_reactor`.
     """
+    # Added before the look for an earlier signal: one that arrives in between finds the handler.
+    _stop_handlers.append(handle)
     if _stop_requested_at:
-        handle(_stop_requested_at[0])
-    else:
-        _stop_handlers.append(handle)
+        _call_handlers()
 
 
 def _on_stop(number: int, frame: Any) -> None:
     if _stop_requested_at:
         return
     _stop_requested_at.append(time.clock_gettime(time.CLOCK_BOOTTIME))
-    for handle in _stop_handlers:
-        handle(_stop_requested_at[0])
+    _call_handlers()
+
+
+def _call_handlers() -> None:
+    while _stop_handlers:
+        _stop_handlers.pop()(_stop_requested_at[0])
