--- a/review/harness.py
+++ b/review/harness.py
@@ -1,7 +1,7 @@
 """Starts a small deployment on loopback for the cases of this folder, and records what passes.
 
 The instances are the project's own program, started with the command of the deploy file. The store
-is the project's stand-in (`bench/soak/store_process.py`). Replicas and clients are in this module.
+is the project's stand-in (`store.py` starts it). Replicas and clients are in this module.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -31,6 +32,11 @@
 
 HOST = "127.0.0.1"
 
+FIRST_PORT, LAST_PORT = 12000, 32000
+"""Ports of servers are chosen from this range."""
+
+_taken_ports: set[int] = set()
+
 _LIMITS = {"HeaderBytes": 16384, "BodyBytes": 262144, "HeaderMs": 3000, "IdleMs": 15000}
 
 
@@ -39,7 +45,7 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to `record.txt`, a line each."""
+    """Writes what was sent, answered and run to a file, a line each."""
 
     def __init__(self, path: pathlib.Path) -> None:
         """Begin an empty record."""
@@ -59,28 +65,28 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return different ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((HOST, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
-def free_pair() -> int:
-    """Return the first of two neighbouring ports that are both free now."""
-    for _ in range(200):
-        port = free_ports(1)[0]
-        with socket.socket() as one, socket.socket() as other:
-            try:
-                one.bind((HOST, port))
-                other.bind((HOST, port + 1))
-            except OSError:
-                continue
-            return port
-    raise CaseError("no two neighbouring ports are free")
+    """Return neighbouring ports that are free now.
+
+    They lie below the range from which the system takes the ports of outgoing connections, which
+    could otherwise take one before its server listens.
+    """
+    for _ in range(1000):
+        first = random.randrange(FIRST_PORT, LAST_PORT - count)
+        ports = list(range(first, first + count))
+        if _taken_ports.isdisjoint(ports) and all(map(_is_free, ports)):
+            _taken_ports.update(ports)
+            return ports
+    raise CaseError("too few free ports")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 def encode(document: Any) -> str:
@@ -272,7 +278,7 @@
         environment = {**_environment(), "PYTHONPATH": os.pathsep.join(map(str, paths))}
         with (self.folder / "store.log").open("ab") as log:
             self._store = subprocess.Popen(
-                [sys.executable, "-m", "bench.soak.store_process", str(self.store_port)],
+                [sys.executable, str(ROOT / "review" / "store.py"), str(self.store_port)],
                 stdin=subprocess.PIPE,
                 stdout=log,
                 stderr=log,
@@ -289,6 +295,16 @@
         """Remove a key."""
         self._order(do="remove", key=key)
 
+    def set_store_down(self, is_down: bool) -> None:
+        """Make the store refuse all calls with 503, or serve again."""
+        self.record.note("store", "down: refuses all calls with 503" if is_down else "up")
+        self._order(do="fault", name="is_down", value=is_down)
+
+    def lapse(self) -> None:
+        """Make all leases run out."""
+        self.record.note("store", "all leases have run out")
+        self._order(do="lapse")
+
     def configure(
         self,
         version: int,
@@ -356,8 +372,7 @@
         self._record = deployment.record
         self.name = name
         self.zone = zone
-        self.port, self.ready_port = free_ports(2)
-        self.peer_port = free_pair()
+        self.port, self.ready_port, self.peer_port, _ = free_ports(4)
         self._settings = deployment.folder / f"{name}.json"
         self.log = deployment.folder / f"{name}.log"
         self._process: subprocess.Popen[bytes] | None = None
@@ -418,7 +433,7 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Send it a signal."""
-        if self._process is not None and self._process.poll() is None:
+        if self._process is not None and self._is_running:
             self._process.send_signal(number)
             self._record.note(self.name, number.name)
 
@@ -428,6 +443,22 @@
         if self._process is not None:
             self._process.wait()
 
+    async def stop_and_start(self, pause: float) -> None:
+        """Stop it as the platform does, and start it again a moment after its end."""
+        self.signal(signal.SIGTERM)
+        until = time.monotonic() + GRACE_SECONDS
+        while self._is_running and time.monotonic() < until:
+            await asyncio.sleep(0.02)
+        if self._is_running:
+            self.kill()
+        self._record.note(self.name, "has ended")
+        await asyncio.sleep(pause)
+        self.start()
+
+    @property
+    def _is_running(self) -> bool:
+        return self._process is not None and self._process.poll() is None
+
     def end(self) -> None:
         """Kill it without a note, if it runs."""
         if self._process is not None:
@@ -505,15 +536,20 @@
     raise CaseError(failure)
 
 
-def run_case(folder: pathlib.Path, play: Callable[[Deployment, bool], Awaitable[str]]) -> int:
+def run_case(
+    folder: pathlib.Path,
+    play: Callable[[Deployment, bool], Awaitable[str]],
+    record_name: str = "record.txt",
+) -> int:
     """Play a case, and return the exit code of its script.
 
     Args:
-        folder: The folder of the case, which takes `record.txt`.
+        folder: The folder of the case, which takes the record.
         play: Plays the case with or without the disruption, and returns how the rule was broken;
             an empty text if it held.
+        record_name: Name of the record's file.
     """
-    record = Record(folder / "record.txt")
+    record = Record(folder / record_name)
     is_disturbed = os.environ.get("TROUBLE", "1") != "0"
     record.note("case", f"with{'' if is_disturbed else 'out'} the disruption")
     deployment = Deployment(record)
