--- a/review/standins2.py
+++ b/review/standins2.py
@@ -60,17 +60,18 @@
         self._file.close()
 
 
+_given: set[int] = set()
+
+
 def free_ports(count: int) -> list[int]:
-    """Find free ports below the range of outgoing connections."""
+    """Find free ports below the range of outgoing connections, each of them once."""
     found: list[int] = []
     candidates = list(range(_FIRST_PORT, _LAST_PORT))
     random.SystemRandom().shuffle(candidates)
     for port in candidates:
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
+        if port in _given or not _is_free(port):
+            continue
+        _given.add(port)
         found.append(port)
         if len(found) == count:
             return found
@@ -120,6 +121,79 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
+class View:
+    """How one instance sees the store: other instances at the near ends of its links to them."""
+
+    def __init__(self, ports: Mapping[int, int]) -> None:
+        """Make a view.
+
+        Args:
+            ports: Port of the link to each other instance, by the port that this one listens on.
+        """
+        self._ports = ports
+        self.gate = asyncio.Event()
+        """Set while the instance reaches the store."""
+        self.gate.set()
+
+    def translate(self, document: dict[str, Any]) -> dict[str, Any]:
+        """Translate the addresses of other instances in an answer, as a network does."""
+        translated = dict(document)
+        for name in ("items", "events"):
+            if name in translated:
+                translated[name] = [self._translate_item(item) for item in translated[name]]
+        return translated
+
+    def _translate_item(self, item: dict[str, Any]) -> dict[str, Any]:
+        if "Value" not in item or item["PrivateKey"].startswith(("op/", "servers/")):
+            return item
+        try:
+            value = json.loads(base64.b64decode(item["Value"]))
+            value["port"] = self._ports[value["port"]]
+        except (ValueError, KeyError, TypeError):
+            return item
+        return {**item, "Value": base64.b64encode(json.dumps(value).encode()).decode()}
+
+
+class Link:
+    """A way from one instance to another, which can be cut; held bytes go on after the cut."""
+
+    def __init__(self, port: int, far_port: int) -> None:
+        self.port = port
+        self._far_port = far_port
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.gate = asyncio.Event()
+        """Set while bytes pass."""
+        self.gate.set()
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._join, HOST, self.port)
+
+    async def _join(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await self.gate.wait()
+        try:
+            far_reader, far_writer = await asyncio.open_connection(HOST, self._far_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        for source, sink in ((reader, far_writer), (far_reader, writer)):
+            task = asyncio.create_task(self._pump(source, sink))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _pump(self, source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
+        try:
+            while data := await source.read(65536):
+                await self.gate.wait()
+                sink.write(data)
+                await sink.drain()
+        except (ConnectionError, OSError):
+            pass
+        await self.gate.wait()
+        sink.close()
+
+
 class Store:
     """The platform's store: items with revisions, watches, transactions and leases."""
 
@@ -129,11 +203,14 @@
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
         self._leases: dict[int, float] = {}
-        self._server: asyncio.Server | None = None
+        self._last_lease = 1000
+        self._servers: list[asyncio.Server] = []
+        self.is_busy = False
+        """Whether it answers every call with 503."""
 
     async def start(self) -> None:
         """Listen."""
-        self._server = await asyncio.start_server(self._serve, HOST, self.port)
+        self._servers.append(await asyncio.start_server(self._serve, HOST, self.port))
 
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
         """Write a key."""
@@ -155,6 +232,11 @@
             self._revision += 1
             self._remember({"PrivateKey": key, "Revision": self._revision, "Compacted": True})
 
+    def end_leases(self) -> None:
+        """Let all leases run out, as they may while the store is down."""
+        self._leases = dict.fromkeys(self._leases, 0.0)
+        self._expire()
+
     def _remember(self, event: dict[str, Any]) -> None:
         self._history.append(event)
         del self._history[:-_HISTORY_ITEMS]
@@ -166,11 +248,29 @@
             for key in [key for key, item in self._items.items() if item["LeaseId"] == lease]:
                 self.remove(key)
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def start_view(self, port: int, view: View) -> None:
+        """Listen on another port, for one instance behind a network of its own."""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await self._serve(reader, writer, view)
+
+        self._servers.append(await asyncio.start_server(serve, HOST, port))
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        view: View | None = None,
+    ) -> None:
         try:
             while (request := await read_message(reader)) is not None:
+                if view is not None:
+                    await view.gate.wait()
                 self._expire()
                 status, document = await self._answer(request)
+                if view is not None:
+                    document = view.translate(document)
+                    await view.gate.wait()
                 fields = {"Content-Type": "application/json"}
                 writer.write(encode_answer(status, fields, json.dumps(document).encode()))
                 await writer.drain()
@@ -180,6 +280,8 @@
             writer.close()
 
     async def _answer(self, request: Message) -> tuple[int, dict[str, Any]]:
+        if self.is_busy:
+            return 503, {}
         path, _, query = request.path.partition("?")
         found = {key: values[0] for key, values in urllib.parse.parse_qs(query).items()}
         name = path.removeprefix("/lineworks/")
@@ -196,7 +298,8 @@
             return await self._watch(found)
         if name == "kv-lease":
             ttl = json.loads(request.body)["TtlMs"]
-            lease = 1 + max(self._leases, default=1000)
+            self._last_lease += 1
+            lease = self._last_lease
             self._leases[lease] = time.monotonic() + ttl / 1000
             return 200, {"LeaseId": lease, "TtlMs": ttl}
         if name.startswith("kv-keep/"):
@@ -243,6 +346,7 @@
     routes: Sequence[Mapping[str, Any]],
     services: Sequence[str],
     connections: int,
+    tenants: Sequence[Mapping[str, Any]] = (),
 ) -> None:
     """Write a configuration as the operator does."""
     document = {
@@ -252,6 +356,7 @@
             {"Name": name, "HealthPath": "/health", "MaxConns": connections} for name in services
         ],
         "Limits": {"HeaderBytes": 16384, "BodyBytes": 262144, "HeaderMs": 3000, "IdleMs": 15000},
+        **({"Tenants": list(tenants)} if tenants else {}),
     }
     store.put("op/config", json.dumps(document).encode())
 
@@ -464,11 +569,15 @@
         store: Store,
         folder: pathlib.Path,
         bounds: Mapping[str, Any],
+        store_port: int = 0,
     ) -> None:
         self.name = name
+        self.zone = zone
         self._folder = folder
         ports = free_ports(2)
         first = _free_pair()
+        self.peer_port = first
+        """Port on which other instances connect to it."""
         self.port = ports[0]
         self.ready_port = ports[1]
         document = {
@@ -488,7 +597,7 @@
             "FirstStart": True,
             "Limits": {"CpuShare": 0.537, "CpuCores": 2, "MemoryMb": 300, "MaxFds": 4100},
             "TimingBounds": dict(bounds),
-            "platform": {"Address": f"{HOST}:{store.port}", "form": "kv"},
+            "platform": {"Address": f"{HOST}:{store_port or store.port}", "form": "kv"},
         }
         self._settings = folder / f"{name}.json"
         self._settings.write_text(json.dumps(document))
@@ -536,15 +645,21 @@
     """Find two free ports in a row."""
     for _ in range(200):
         first = free_ports(1)[0]
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, first + 1))
-            except OSError:
-                continue
-        return first
+        if first + 1 not in _given and _is_free(first + 1):
+            _given.add(first + 1)
+            return first
     raise CannotRunError("no free ports")
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
 BOUNDS = {
     "SeedLagS": 3,
     "AddrReuseS": 2,
@@ -586,8 +701,9 @@
             code = asyncio.run(
                 play(record, pathlib.Path(temporary), os.environ.get("TROUBLE", "1") != "0")
             )
-        except CannotRunError as error:
-            sys.stdout.write(f"the case cannot run: {error}\n")
+        except Exception as error:
+            # Whatever goes wrong in the script itself says nothing about the rule.
+            sys.stdout.write(f"the case cannot run: {error!r}\n")
             code = EXIT_NOT_RUN
         finally:
             record.close()
