Tell by log and metric which row of the store is refused and whether reads fail

The record of the incident has one line a read with an error and neither the key nor the position at which the reader stands, and no metric tells failing reads from reads without a change. So the hypotheses could not be told apart.

Refused rows are now logged with key, revision and reason, once for each revision; before, an entry that was read again was logged again. A read whose answer can't be processed (ask_failed) has the revision after which it was read, and is repeated every 30 s instead of at each read. New metrics: lineworks_store_reads (changed, unchanged, listed, failed, rejected), the revision of the reader in lineworks_store, and the number of keys whose newest entry is unusable in lineworks_entries.

--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -13,8 +13,8 @@
 import structlog
 
 from lineworks.decisions import evacuations, positions, routes, target_view
-from lineworks.forwarding import hall_peers, target_documents
-from lineworks.kernel import rate_limited_log, task
+from lineworks.forwarding import hall_peers, refused_rows, store_reads, target_documents
+from lineworks.kernel import task
 from lineworks.platform import configuration, store, store_items, target_entries
 from lineworks.platform import evacuations as evacuation_keys
 from lineworks.wire import node_frames
@@ -68,10 +68,6 @@
 newer configuration is pulled from a peer immediately: the store's version may be older than the one
 that was in force."""
 
-MAX_REFUSED_LINES_PER_SECOND = 5.0
-"""Maximum number of log lines per second for invalid target entries: anybody may write any number
-of them."""
-
 _ALL_KEYS = ""
 _log = structlog.get_logger(component="directory")
 
@@ -124,11 +120,10 @@
         self._pulled_at = float("-inf")
         self._fallback_delay = rng.random() * FALLBACK_SPREAD
         self._task = task.Task("directory", self._run)
-        self._refused_log = rate_limited_log.RateLimitedLog(
-            reactor, "directory", MAX_REFUSED_LINES_PER_SECOND
-        )
-        self.refused_entries = 0
-        """Number of invalid target entries read."""
+        self.refused_rows = refused_rows.RefusedRows(reactor)
+        """Rows of the store that can't be used."""
+        self.reads = store_reads.StoreReads(reactor)
+        """Outcomes of the reads of the store."""
         self.on_table: Callable[[routes.RouteTable], None] = lambda table: None
         self.on_targets: Callable[[], None] = lambda: None
         self.on_other_keys: Callable[[Sequence[store_items.Change]], None] = lambda rows: None
@@ -147,6 +142,11 @@
         """Version of the configuration in force; 0 if there is none."""
         return self._table.version if self._table is not None else 0
 
+    @property
+    def position(self) -> positions.Position:
+        """Position up to which all changes of the store are known."""
+        return self._view.position
+
     @property
     def is_outdated(self) -> bool:
         """Whether a peer is known to have a newer configuration."""
@@ -268,11 +268,12 @@
             else:
                 await self._read_all(polled_at)
         except store.StoreError as error:
+            self.reads.count(store_reads.ReadOutcome.FAILED)
             self._on_failure(str(error), isinstance(error, store.StoreBusyError))
             return
         except Exception as error:
             # An error in one response must not end the task that provides all updates.
-            _log.error("ask_failed", error=repr(error))
+            self.reads.on_rejected(error, self._view.position)
             self._on_failure(repr(error), is_busy=False)
             return
         self._on_success()
@@ -281,6 +282,7 @@
         """Read all items of the store."""
         listing = await self._store.list_items(_ALL_KEYS)
         rows = [store_items.Change(item.key, item.position, item.value) for item in listing.items]
+        self.refused_rows.keep_only([row.key for row in rows])
         is_changed = self._replace(_evacuation_changes(rows), self._decode(rows), listing.position)
         self._has_targets = True
         self._fresh_at = max(self._fresh_at, polled_at)
@@ -288,6 +290,7 @@
         if is_changed:
             self.on_targets()
         self._send_all(hall_peers.names(self._links, self._hall))
+        self.reads.count(store_reads.ReadOutcome.LISTED)
 
     def _replace(
         self,
@@ -334,6 +337,10 @@
         self._send_update(
             hall_peers.names(self._links, self._hall), before, effective_changes, evacuation_changes
         )
+        has_changes = bool(found.changes)
+        self.reads.count(
+            store_reads.ReadOutcome.CHANGED if has_changes else store_reads.ReadOutcome.UNCHANGED
+        )
 
     def _decode(self, rows: Iterable[store_items.Change]) -> list[target_view.TargetChange]:
         changes = []
@@ -343,18 +350,23 @@
                 continue
             entry = None
             if row.value is not None:
-                entry = self._decode_entry(row.key, row.value)
+                entry = self._decode_entry(row, row.value)
+            else:
+                self.refused_rows.accept(row.key)
             # An invalid entry replaces the previous one: the target counts as removed.
             changes.append(target_view.TargetChange(name, row.position, entry))
         return changes
 
-    def _decode_entry(self, key: str, value: bytes) -> target_view.TargetEntry | None:
+    def _decode_entry(
+        self, row: store_items.Change, value: bytes
+    ) -> target_view.TargetEntry | None:
         try:
-            return target_entries.decode(key, value)
+            entry = target_entries.decode(row.key, value)
         except target_entries.EntryError as error:
-            self.refused_entries += 1
-            self._refused_log.info("entry_refused", error=str(error))
+            self.refused_rows.refuse("entry_refused", row.key, row.position, str(error))
             return None
+        self.refused_rows.accept(row.key)
+        return entry
 
     def _apply_other_keys(self, rows: Sequence[store_items.Change]) -> None:
         """Apply items other than target entries: the configuration and the instances' keys."""
@@ -481,7 +493,13 @@
             self._pull_from_any_peer()
         if self._outage_since is None:
             self._outage_since = now
-            _log.warning("store_lost", error=error, age=round(self.age, 3))
+            _log.warning(
+                "store_lost",
+                error=error,
+                age=round(self.age, 3),
+                revision=self._view.position.revision,
+                era=self._view.position.era,
+            )
         pause = min(MAX_RETRY_SECONDS, RETRY_SECONDS * 2**self._failures)
         if not self.is_complete and not is_busy:
             pause = INCOMPLETE_RETRY_SECONDS
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -450,7 +450,13 @@
         return {
             "lineworks_front_events": {name: float(value) for name, value in counters.items()},
             "lineworks_store_calls": dict(self._store.calls),
-            "lineworks_store": {"era": float(self._store.era.value)},
+            "lineworks_store": {
+                "era": float(self._store.era.value),
+                "revision": float(self._directory.position.revision),
+            },
+            "lineworks_store_reads": {
+                kind: float(count) for kind, count in self._directory.reads.counts.items()
+            },
             "lineworks_configuration": {
                 "version": float(self._directory.version),
                 "age_seconds": self._directory.age,
@@ -469,7 +475,10 @@
             "lineworks_target_reports": {
                 kind: float(count) for kind, count in self._evidence.counts.items()
             },
-            "lineworks_entries": {"refused": float(self._directory.refused_entries)},
+            "lineworks_entries": {
+                "refused": float(self._directory.refused_rows.total),
+                "unusable": float(self._directory.refused_rows.current),
+            },
             "lineworks_evacuated_halls": dict.fromkeys(sorted(self._evacuated), 1.0),
             "lineworks_suspects": self._suspects.gauges,
             "lineworks_event_loop_delay_seconds": {
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -10,7 +10,11 @@
 import json
 
 import pytest
+import structlog.testing
 
+from bench import fakes
+from lineworks.decisions import positions
+from lineworks.forwarding import refused_rows, store_reads
 from lineworks.platform import target_entries
 from lineworks.platform.standins import documents
 from tests import test_foreign_entries, test_forwarding
@@ -105,3 +109,66 @@
     world.run(1.0)
     assert reply.status == 200
     assert all(run.target != leaving.name for run in world.runs)
+
+
+def test_a_refused_entry_is_logged_once_for_each_revision_with_key_and_reason():
+    world = test_forwarding.build()
+    with structlog.testing.capture_logs() as lines:
+        write_odd_entry(world, ODD_ENTRIES["a port out of range"])
+        world.run(3.0)
+        world.store.compact()
+        world.configure([test_forwarding.READ])
+        world.run(5.0)
+        write_odd_entry(world, ODD_ENTRIES["no JSON"])
+        world.run(3.0)
+    refused = [line for line in lines if line["event"] == "entry_refused"]
+    readers = {
+        node._directory for node in world.nodes.values() if node._directory.refused_rows.total
+    }
+    assert {line["key"] for line in refused} == {"servers/i-odd"}
+    assert len({line["revision"] for line in refused}) == 2
+    assert len(refused) == sum(reader.refused_rows.total for reader in readers)
+    assert all(reader.refused_rows.current == 1 for reader in readers)
+    assert any("Address" in line["error"] for line in refused)
+
+
+def test_a_key_is_no_longer_unusable_once_a_good_entry_is_written_or_it_is_removed():
+    rows = refused_rows.RefusedRows(fakes.VirtualClock())
+    for key in ("a", "b", "c"):
+        rows.refuse("entry_refused", key, positions.Position(1, 5), "odd")
+    rows.accept("a")
+    rows.keep_only(["c"])
+    assert (rows.total, rows.current) == (3, 1)
+
+
+def test_any_number_of_odd_rows_takes_bounded_memory():
+    rows = refused_rows.RefusedRows(fakes.VirtualClock())
+    for number in range(3 * refused_rows.MAX_KEYS):
+        rows.refuse("entry_refused", f"servers/{number}", positions.Position(1, number), "odd")
+    assert rows.current == refused_rows.MAX_KEYS
+    assert rows.total == 3 * refused_rows.MAX_KEYS
+
+
+def test_a_rejected_answer_is_logged_with_its_position_and_not_at_each_read():
+    clock = fakes.VirtualClock()
+    reads = store_reads.StoreReads(clock)
+    with structlog.testing.capture_logs() as lines:
+        for _ in range(40):
+            reads.on_rejected(ValueError("odd"), positions.Position(1, 77))
+            clock.run_until(clock.seconds() + 1.0)
+    assert [line["revision"] for line in lines] == [77, 77]
+    assert lines[1]["repeats"] == 29
+    assert reads.counts["rejected"] == 40
+
+
+def test_metrics_tell_failed_reads_from_reads_without_a_change():
+    world = test_forwarding.build()
+    world.run(5.0)
+    reader = max(world.nodes.values(), key=lambda node: node._directory.reads.counts["unchanged"])
+    before = dict(reader._gauges()["lineworks_store_reads"])
+    world.server.faults.is_down = True
+    world.run(5.0)
+    after = reader._gauges()["lineworks_store_reads"]
+    assert before["unchanged"] > 0
+    assert after["failed"] > before["failed"]
+    assert reader._gauges()["lineworks_store"]["revision"] == world.store.revision
