Refuse a port of thousands of digits as an invalid field of its entry

Callers got 404 on routes of a confirmed configuration, and requests reached targets that were leaving, in every instance and for as long as the entry stood.

Cause: parse_address converted the port with int() before it checked its range. The interpreter refuses more than 4300 digits with a plain ValueError, which is neither DocumentError nor EntryError. It passed the place that refuses one entry and was caught around the whole read, whose position then did not advance: each later read met the same row.

Change: the length of a port is checked before it is converted. An error no longer formats lists and tables, whose nested values can raise RecursionError or ValueError while the text is made.

--- a/src/lineworks/platform/_fields.py
+++ b/src/lineworks/platform/_fields.py
@@ -12,6 +12,9 @@
 MAX_VALUE_CHARACTERS = 80
 """Maximum length of an invalid value quoted in an error, in characters."""
 
+_MAX_PORT = 65535
+_MAX_PORT_DIGITS = 5
+
 
 class DocumentError(ValueError):
     """A document lacks a field, or a field has a value of the wrong type or range."""
@@ -155,10 +158,20 @@
     Raises:
         DocumentError: The text does not have this form, or the port is not from 1 to 65535.
     """
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise DocumentError(f"{path}: expected IP:PORT, found {text[:80]!r}")
-    return host, int(port)
+    host, _, port_text = text.rpartition(":")
+    port = _parse_port(port_text)
+    if not host or port is None:
+        raise DocumentError(f"{path}: expected IP:PORT, found {_format_value(text)}")
+    return host, port
+
+
+def _parse_port(text: str) -> int | None:
+    """Parse a port; None if it is not one."""
+    # The length is checked first: the interpreter refuses to convert more than 4300 digits.
+    if len(text) > _MAX_PORT_DIGITS or not text.isascii() or not text.isdecimal():
+        return None
+    port = int(text)
+    return port if 0 < port <= _MAX_PORT else None
 
 
 def is_utf8_encodable(text: str) -> bool:
@@ -192,7 +205,17 @@
 
 
 def _format_value(value: Any) -> str:
-    """Format a value for an error: truncated, and in ASCII so that every log can write it."""
+    """Format a value for an error: truncated, and in ASCII so that every log can write it.
+
+    Lists and tables are named by their type only: formatting deep nesting raises RecursionError,
+    and formatting a long number in them ValueError.
+    """
+    if isinstance(value, str):
+        return ascii(value[:MAX_VALUE_CHARACTERS])[:MAX_VALUE_CHARACTERS]
+    if isinstance(value, list):
+        return "a list"
+    if isinstance(value, dict):
+        return "a table"
     if isinstance(value, int) and abs(value) > MAX_NUMBER:
         return "a longer number"
     return ascii(value)[:MAX_VALUE_CHARACTERS]
