Hand the rows of a read on to each service by itself, and repeat failed reports of targets

One value in an instance's own key ended the reads in the same way in memory: services that take over rows were called within the read, so an error in one of them skipped the other services, the report of changed targets and the update for the peers. The position had moved on by then, so what they missed was not read again.

Each service is now handed the rows by itself; if it fails, it is handed them one by one, and the row that it fails on is refused with its key, position and reason. The lines are bounded: the same failure is logged again after 30 s (kernel/failure_log.py).

Tests: a_row_that_a_listener_fails_on..., targets_that_could_not_be_taken_over...; the API that the first one uses is new.

--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -8,13 +8,14 @@
 
 from __future__ import annotations
 
+import traceback
 from typing import TYPE_CHECKING, Any
 
 import structlog
 
 from lineworks.decisions import evacuations, positions, routes, target_view
 from lineworks.forwarding import hall_peers, refused_rows, store_reads, target_documents
-from lineworks.kernel import task
+from lineworks.kernel import failure_log, task
 from lineworks.platform import configuration, store, store_items, target_entries
 from lineworks.platform import evacuations as evacuation_keys
 from lineworks.wire import node_frames
@@ -122,11 +123,16 @@
         self._task = task.Task("directory", self._run)
         self.refused_rows = refused_rows.RefusedRows(reactor)
         """Rows of the store that can't be used."""
+        self._report_targets_at: float | None = None
+        self._listener_log = failure_log.FailureLog(reactor, "directory", "listener_failed")
+        self.listener_failures = 0
+        """Number of times that a service failed to take over a configuration or the targets."""
         self.reads = store_reads.StoreReads(reactor)
         """Outcomes of the reads of the store."""
         self.on_table: Callable[[routes.RouteTable], None] = lambda table: None
         self.on_targets: Callable[[], None] = lambda: None
-        self.on_other_keys: Callable[[Sequence[store_items.Change]], None] = lambda rows: None
+        self.row_listeners: dict[str, Callable[[Sequence[store_items.Change]], None]] = {}
+        """Services that are handed the rows of each read, by name for the logs."""
         links.handle(node_frames.TargetUpdate, self._on_target_update)
         links.handle(node_frames.TableUpdate, self._on_table_update)
         links.handle(node_frames.TablePull, self._on_pull)
@@ -241,8 +247,9 @@
         is_changed = self._view.expire(now)
         is_changed |= self._view.accept_doubted(now)
         is_changed |= self._evacuations.expire(now, self._fresh_at, self._view.position)
-        if is_changed:
-            self.on_targets()
+        is_report_due = self._report_targets_at is not None and now >= self._report_targets_at
+        if is_changed or is_report_due:
+            self._notify_of_targets()
 
     def _is_due(self) -> bool:
         if self._reactor.seconds() < self._next_call:
@@ -292,7 +299,7 @@
         self._fresh_at = max(self._fresh_at, polled_at)
         self._apply_other_keys(rows)
         if is_changed:
-            self.on_targets()
+            self._notify_of_targets()
         self._send_all(hall_peers.names(self._links, self._hall))
         self.reads.count(store_reads.ReadOutcome.LISTED)
 
@@ -337,7 +344,7 @@
         self._fresh_at = max(self._fresh_at, polled_at)
         self._apply_other_keys(found.changes)
         if is_changed:
-            self.on_targets()
+            self._notify_of_targets()
         effective_changes = target_view.effective_changes(known, entries)
         self._send_update(
             hall_peers.names(self._links, self._hall), before, effective_changes, evacuation_changes
@@ -383,7 +390,54 @@
         for row in rows:
             if row.key == configuration.KEY and row.value is not None:
                 self._apply_table(row.value, row.position.era)
-        self.on_other_keys(rows)
+        for name, listener in self.row_listeners.items():
+            self._hand_on(name, listener, rows)
+
+    def _hand_on(
+        self,
+        name: str,
+        listener: Callable[[Sequence[store_items.Change]], None],
+        rows: Sequence[store_items.Change],
+    ) -> None:
+        """Hand rows to a listener; if it fails, one by one, so that one row affects no other.
+
+        A failure is contained here because the position has moved on: rows that a listener did not
+        get are not read again.
+        """
+        try:
+            listener(rows)
+        except Exception as error:
+            if len(rows) == 1:
+                reason = f"{name}: {error!r}"[: failure_log.MAX_ERROR_CHARACTERS]
+                self.refused_rows.refuse("row_refused", rows[0].key, rows[0].position, reason)
+                return
+            for row in rows:
+                self._hand_on(name, listener, [row])
+
+    def _notify_of_targets(self) -> None:
+        """Report changed targets; a failure is repeated, and keeps no peer from being told."""
+        self._report_targets_at = None
+        try:
+            self.on_targets()
+        except Exception as error:
+            self._on_listener_failed("targets", error)
+            self._report_targets_at = self._reactor.seconds() + RETRY_SECONDS
+        else:
+            self._listener_log.on_success()
+
+    def _notify_of_table(self, table: routes.RouteTable) -> None:
+        """Report a configuration; a failure must not keep the peers from being sent it."""
+        try:
+            self.on_table(table)
+        except Exception as error:
+            self._on_listener_failed("configuration", error)
+
+    def _on_listener_failed(self, name: str, error: Exception) -> None:
+        self.listener_failures += 1
+        place = traceback.extract_tb(error.__traceback__)[-1]
+        self._listener_log.on_failure(
+            error, listener=name, version=self.version, place=f"{place.name}:{place.lineno}"
+        )
 
     def _apply_table(self, document: bytes, era: int) -> None:
         try:
@@ -399,7 +453,7 @@
         self._table_era = era
         self._newer_peer = None
         self._document = document
-        self.on_table(table)
+        self._notify_of_table(table)
         update = node_frames.TableUpdate(table.version, document, era)
         for name in hall_peers.names(self._links, self._hall):
             self._links.send(name, update)
@@ -452,7 +506,7 @@
         self._has_targets = True
         self._fresh_at = max(self._fresh_at, self._reactor.seconds() - frame.age)
         if is_changed:
-            self.on_targets()
+            self._notify_of_targets()
         self._correct_peer(link.hello.name, changes)
 
     def _held_until(self, unsettled: Iterable[target_view.Unsettled]) -> dict[str, float]:
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -48,12 +48,12 @@
 from lineworks.http1 import server_connection
 from lineworks.kernel import listening, loop_delay, rate_limited_log, registry
 from lineworks.models import node_settings
-from lineworks.platform import headers, store, store_items
+from lineworks.platform import headers, store
 from lineworks.services import peer_links
 from lineworks.wire import frames, node_frames
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable
 
     from lineworks.kernel import early_acceptor
 
@@ -275,7 +275,8 @@
         self._store.era.listeners.append(self._on_store_restored)
         self._directory.on_table = self._on_table
         self._directory.on_targets = self._on_targets
-        self._directory.on_other_keys = self._on_other_keys
+        self._directory.row_listeners["registration"] = self._registration.on_changes
+        self._directory.row_listeners["suspects"] = self._suspects.on_changes
         self._registration.on_listed = self._count_instances
         self._calls.on_silence = self._gatherers.mark_all_silent
         links = self._links
@@ -402,10 +403,6 @@
             _log.info("hall_takes_work", hall=hall, view_age=age)
         self._evacuated = halls
 
-    def _on_other_keys(self, changes: Sequence[store_items.Change]) -> None:
-        self._registration.on_changes(changes)
-        self._suspects.on_changes(changes)
-
     def _on_query(self, link: Any, query: node_frames.GatherQuery) -> None:
         self._gatherer.on_query(link.hello.incarnation, query, link.send)
 
@@ -478,6 +475,7 @@
             "lineworks_entries": {
                 "refused": float(self._directory.refused_rows.total),
                 "unusable": float(self._directory.refused_rows.current),
+                "listener_failures": float(self._directory.listener_failures),
             },
             "lineworks_evacuated_halls": dict.fromkeys(sorted(self._evacuated), 1.0),
             "lineworks_suspects": self._suspects.gauges,
--- a/src/lineworks/forwarding/store_reads.py
+++ b/src/lineworks/forwarding/store_reads.py
@@ -6,16 +6,11 @@
 import enum
 from typing import TYPE_CHECKING, Any
 
-import structlog
+from lineworks.kernel import failure_log
 
 if TYPE_CHECKING:
     from lineworks.decisions import positions
 
-REPEAT_SECONDS = 30.0
-"""Seconds after which a failure that goes on at the same position is logged again."""
-
-_log = structlog.get_logger(component="directory")
-
 
 class ReadOutcome(enum.Enum):
     """How a read of the store ended."""
@@ -45,10 +40,7 @@
         Args:
             clock: Clock with the interface of Twisted's `IReactorTime`.
         """
-        self._clock = clock
-        self._logged: tuple[str, positions.Position] | None = None
-        self._logged_at = 0.0
-        self._repeats = 0
+        self._failures = failure_log.FailureLog(clock, "directory", "ask_failed")
         self.counts: collections.Counter[str] = collections.Counter(
             dict.fromkeys((outcome.value for outcome in ReadOutcome), 0)
         )
@@ -62,7 +54,7 @@
         """
         self.counts[outcome.value] += 1
         if outcome not in (ReadOutcome.FAILED, ReadOutcome.REJECTED):
-            self._logged = None
+            self._failures.on_success()
 
     def on_rejected(self, error: Exception, position: positions.Position) -> None:
         """Count a read whose answer could not be processed; log it unless it is a repetition.
@@ -72,16 +64,4 @@
             position: Position after which the store was read.
         """
         self.count(ReadOutcome.REJECTED)
-        now = self._clock.seconds()
-        failure = (type(error).__name__, position)
-        if failure == self._logged and now - self._logged_at < REPEAT_SECONDS:
-            self._repeats += 1
-            return
-        _log.error(
-            "ask_failed",
-            error=repr(error)[:500],
-            revision=position.revision,
-            era=position.era,
-            repeats=self._repeats,
-        )
-        self._logged, self._logged_at, self._repeats = failure, now, 0
+        self._failures.on_failure(error, revision=position.revision, era=position.era)
--- /dev/null
+++ b/src/lineworks/kernel/failure_log.py
@@ -0,0 +1,55 @@
+"""Logs a failure that goes on: at its first occurrence and then at long intervals."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable
+
+REPEAT_SECONDS = 30.0
+"""Seconds after which a failure that goes on is logged again."""
+
+MAX_ERROR_CHARACTERS = 300
+"""Maximum length of an error in a log line, in characters."""
+
+
+class FailureLog:
+    """Logs the failures of one operation that is tried again and again."""
+
+    def __init__(self, clock: Any, component: str, event: str) -> None:
+        """Initialise without a failure.
+
+        Args:
+            clock: Clock with the interface of Twisted's `IReactorTime`.
+            component: Name of the logging component.
+            event: Name of the log event.
+        """
+        self._clock = clock
+        self._event = event
+        self._log = structlog.get_logger(component=component)
+        self._last: Hashable = None
+        self._logged_at = 0.0
+        self._repeats = 0
+
+    def on_failure(self, error: Exception, **fields: Hashable) -> None:
+        """Log a failure, unless the same one was logged less than `REPEAT_SECONDS` ago.
+
+        Args:
+            error: The error.
+            **fields: Further fields; a failure is the same if its type and these are equal.
+        """
+        now = self._clock.seconds()
+        failure = (type(error), *fields.items())
+        if failure == self._last and now - self._logged_at < REPEAT_SECONDS:
+            self._repeats += 1
+            return
+        text = repr(error)[:MAX_ERROR_CHARACTERS]
+        self._log.error(self._event, error=text, repeats=self._repeats, **fields)
+        self._last, self._logged_at, self._repeats = failure, now, 0
+
+    def on_success(self) -> None:
+        """Forget the last failure, so that the next one is logged at once."""
+        self._last = None
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -231,3 +231,56 @@
     world.run(IN_FORCE_SECONDS)
     assert statuses(world, "/extra/q") == {200}
     assert world.nodes["akl-9"]._directory.reads.counts["listed"] == 1
+
+
+def failing_once_on(key, apply):
+    """Wrap a listener so that it fails whenever a row has a given key."""
+
+    def listener(rows):
+        apply([row for row in rows if row.key != key])
+        if any(row.key == key for row in rows):
+            raise KeyError(key)
+
+    return listener
+
+
+def test_a_row_that_a_listener_fails_on_keeps_no_other_row_from_it_or_from_the_peers():
+    world = test_forwarding.build()
+    seen = {}
+    for name, node in world.nodes.items():
+        seen[name] = []
+        listeners = node._directory.row_listeners
+        listeners["first"] = failing_once_on("lineworks/x", lambda rows: None)
+        listeners["second"] = seen[name].extend
+    world.store.write("lineworks/x", documents.encode_value("{}"))
+    world.store.write("lineworks/y", documents.encode_value("{}"))
+    leaving = change_route_and_target(world)
+    world.run(IN_FORCE_SECONDS)
+    assert statuses(world, "/extra/q") == {200}
+    assert all(run.target != leaving.name for run in world.runs)
+    for name, node in world.nodes.items():
+        keys = [row.key for row in seen[name]]
+        if node._directory.reads.counts["changed"]:
+            assert keys.count("lineworks/x") == keys.count("lineworks/y") == 1
+        assert node._directory.reads.counts["rejected"] == 0
+
+
+def test_targets_that_could_not_be_taken_over_are_reported_again():
+    world = test_forwarding.build()
+    node = world.nodes["akl-1"]
+    apply = node._directory.on_targets
+    failures = [RuntimeError("fault")] * 3
+
+    def on_targets():
+        if failures:
+            raise failures.pop()
+        apply()
+
+    node._directory.on_targets = on_targets
+    with structlog.testing.capture_logs() as lines:
+        leaving = change_route_and_target(world)
+        world.run(IN_FORCE_SECONDS + 1.5)
+    assert statuses(world, "/extra/q") == {200}
+    assert all(run.target != leaving.name for run in world.runs)
+    assert node._directory.listener_failures == 3
+    assert sum(line["event"] == "listener_failed" for line in lines) <= 2
