Refuse entries whose address is no IPv4 address of a machine

Callers got 400 on a proper request: an entry of another writer with an IPv6 address named a service in use, it was chosen as its target, and the error of the dialler (the stand-in network's; what Twisted does with such an address on a machine without IPv6 was not run) came back to the caller as a malformed request. Targets are reached over IPv4 by number, so such an entry names none to use. 0.0.0.0 would reach the instance itself, and groups no machine at all; they are refused as well.

--- a/src/lineworks/platform/target_entries.py
+++ b/src/lineworks/platform/target_entries.py
@@ -14,7 +14,7 @@
 _LEAVING = "draining"
 _STATES = (_READY, _LEAVING)
 _STARTED_AT = "born"
-
+_BROADCAST = ipaddress.IPv4Address("255.255.255.255")
 
 MAX_KEY_CHARACTERS = 120
 """Maximum length of a key quoted in an error, in characters."""
@@ -55,8 +55,8 @@
     document.text("ConfigVersion")
     document.integer("CallSeq")
     host, port = document.address("Address")
-    if not _is_ip(host):
-        raise _fields.DocumentError("Address: expected an IP address")
+    if not _is_machine_address(host):
+        raise _fields.DocumentError("Address: expected the IPv4 address of a machine")
     return target_view.TargetEntry(
         id=identity,
         service=document.text("Service"),
@@ -77,9 +77,11 @@
     return bool(text) and text.isascii() and text.isprintable() and " " not in text
 
 
-def _is_ip(text: str) -> bool:
+def _is_machine_address(text: str) -> bool:
+    """Return whether a string is the IPv4 address of a single machine."""
     try:
-        ipaddress.ip_address(text)
+        address = ipaddress.IPv4Address(text)
     except ValueError:
         return False
-    return True
+    is_group = address.is_multicast or address == _BROADCAST
+    return not is_group and not address.is_unspecified
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -38,6 +38,8 @@
 ODD_ENTRIES = {
     "a port of 4400 digits": with_text("Address", '"10.1.2.3:' + "9" * 4400 + '"'),
     "a port out of range": with_text("Address", '"10.1.2.3:70000"'),
+    "an IPv6 address": with_text("Address", '"::1:8000"'),
+    "the address of no machine": with_text("Address", '"0.0.0.0:8000"'),
     "a nested address": with_text("Address", nested(900)),
     "a nested state": with_text("State", nested(900)),
     "a nested start time": with_text("born", nested(2000)),
@@ -67,6 +69,33 @@
         target_entries.decode("servers/i-1", text.encode())
 
 
+HOSTS_OF_NO_MACHINE = [
+    "::1",
+    "fe80::1%0",
+    "0.0.0.0",
+    "224.0.0.1",
+    "255.255.255.255",
+    "1.2.3",
+    "1.2.3.256",
+]
+
+
+@pytest.mark.parametrize("host", HOSTS_OF_NO_MACHINE)
+def test_an_address_that_cannot_be_dialled_is_refused(host):
+    text = with_text("Address", f'"{host}:8000"')
+    with pytest.raises(target_entries.EntryError, match="Address"):
+        target_entries.decode("servers/i-1", text.encode())
+
+
+def test_an_ipv6_entry_of_a_service_costs_no_caller_an_answer():
+    world = test_forwarding.build()
+    entry = {**GOOD, "Service": "shelf", "Zone": "akl", "Address": "::1:8000"}
+    write_odd_entry(world, json.dumps(entry))
+    world.run(2.0)
+    for _ in range(3):
+        assert statuses(world, "/read/q") == {200}
+
+
 def write_odd_entry(world, text):
     world.store.write("servers/i-odd", documents.encode_value(text))
 
