Stop using a target whose entry becomes invalid during an outage of the store

After an outage a missing entry is kept for 2.3 s, since its target may not have renewed it yet. An entry that was written and can't be used was kept in the same way, so that requests went on to a target that nobody can identify any more. It is now dropped at once by the instances that read the row.

Test: a_target_whose_entry_becomes_odd_right_after_an_outage... failed before (the entry was still in the view 1.9 s after the store's return).

--- a/src/lineworks/decisions/target_view.py
+++ b/src/lineworks/decisions/target_view.py
@@ -77,7 +77,10 @@
     """Position of the change."""
 
     entry: TargetEntry | None
-    """The entry, or None if it is gone."""
+    """The entry, or None if it is gone or can't be used."""
+
+    is_refused: bool = False
+    """Whether an entry was written that can't be used, so that the target is not merely missing."""
 
 
 class UnsettledReason(enum.Enum):
@@ -183,7 +186,8 @@
             self._positions[change.id] = change.position
             self._doubted.pop(change.id, None)
             if change.entry is None:
-                is_changed |= self._remove(change.id, hold_until)
+                # Only a missing entry may be one that its target could not renew.
+                is_changed |= self._remove(change.id, 0.0 if change.is_refused else hold_until)
             else:
                 is_changed |= self._put(change.entry)
         return is_changed
--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -370,7 +370,8 @@
             else:
                 self.refused_rows.accept(row.key)
             # An invalid entry replaces the previous one: the target counts as removed.
-            changes.append(target_view.TargetChange(name, row.position, entry))
+            is_refused = entry is None and row.value is not None
+            changes.append(target_view.TargetChange(name, row.position, entry, is_refused))
         return changes
 
     def _decode_entry(
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -313,3 +313,21 @@
     assert all(run.target != leaving.name for run in world.runs)
     assert node._directory.listener_failures == 3
     assert sum(line["event"] == "listener_failed" for line in lines) <= 2
+
+
+def test_a_target_whose_entry_becomes_odd_right_after_an_outage_gets_no_new_request():
+    # A missing entry is kept for a while then, since its target may not have renewed it yet.
+    world = test_forwarding.build()
+    world.server.faults.is_down = True
+    world.run(4.0)
+    first = test_forwarding.targets_of(world, "shelf")[0]
+    world.store.write(documents.target_key(first.name), documents.encode_value("{}"))
+    world.server.faults.is_down = False
+    world.run(1.9)
+    readers = [n for n in world.nodes.values() if n._directory.refused_rows.total]
+    assert readers
+    for node in readers:
+        assert first.name not in node._directory._view.entries
+    world.run(1.0)
+    assert statuses(world, "/read/q") == {200}
+    assert all(run.target != first.name for run in world.runs)
