--- a/src/lineworks/platform/target_entries.py
+++ b/src/lineworks/platform/target_entries.py
@@ -14,6 +14,10 @@
 _LEAVING = "draining"
 _STATES = (_READY, _LEAVING)
 _STARTED_AT = "born"
+_MAX_START_TIME_MS = 4_102_444_800_000
+"""1 January 2100 in Unix milliseconds. A later start time would make all good entries of the same
+target look like late ones of an earlier process."""
+
 _BROADCAST = ipaddress.IPv4Address("255.255.255.255")
 
 MAX_KEY_CHARACTERS = 120
@@ -69,10 +73,20 @@
         # The field holds the time left in the slow phase after a start.
         is_cold=document.number("WarmupLeftMs") > 0,
         # Older targets don't report when they started.
-        born=document.integer(_STARTED_AT) if _STARTED_AT in document.names else 0,
+        born=_start_time(document),
     )
 
 
+def _start_time(document: _fields.Fields) -> int:
+    """Return the start time in Unix milliseconds; 0 if there is none."""
+    if _STARTED_AT not in document.names:
+        return 0
+    born = document.integer(_STARTED_AT)
+    if born > _MAX_START_TIME_MS:
+        raise _fields.DocumentError(f"{_STARTED_AT}: expected a time before the year 2100")
+    return born
+
+
 def _is_token(text: str) -> bool:
     return bool(text) and text.isascii() and text.isprintable() and " " not in text
 
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -331,3 +331,19 @@
     world.run(1.0)
     assert statuses(world, "/read/q") == {200}
     assert all(run.target != first.name for run in world.runs)
+
+
+@pytest.mark.parametrize("born", [10**13, 2**62])
+def test_a_start_time_beyond_all_dates_does_not_hide_a_drain_behind_it(born):
+    world = test_forwarding.build()
+    first = test_forwarding.targets_of(world, "shelf")[0]
+    entry = {**GOOD, "Service": "shelf", "Address": f"{first.host.address}:8000", "born": born}
+    world.store.write(documents.target_key(first.name), documents.encode_value(json.dumps(entry)))
+    world.run(2.0)
+    first.born = 1_700_000_000_000
+    world.announce(first)
+    world.run(IN_FORCE_SECONDS)
+    world.announce(first, "draining")
+    world.run(IN_FORCE_SECONDS)
+    assert statuses(world, "/read/q") == {200}
+    assert all(run.target != first.name for run in world.runs)
