An error while a request is taken over costs only this request, as a 500

An error in the handler of a request passed through the parser's callback and was reported to its caller as 400, a malformed request, after which no caller asks again; that is how an odd entry of a target became a refusal of proper requests. For a request that waited behind another one on its connection the error ended in the event loop's log, and its caller and all behind it got no answer. A request that was held during a start and failed when it was resumed got none either.

The handler's errors are now caught where one request is handed over: its caller gets 500 (which promises nothing), the connection goes on, and a line names the place in the source.

--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import traceback
 from typing import TYPE_CHECKING, Any
 
 import structlog
@@ -435,10 +434,7 @@
 
     def _on_listener_failed(self, name: str, error: Exception) -> None:
         self.listener_failures += 1
-        place = traceback.extract_tb(error.__traceback__)[-1]
-        self._listener_log.on_failure(
-            error, listener=name, version=self.version, place=f"{place.name}:{place.lineno}"
-        )
+        self._listener_log.on_failure(error, listener=name, version=self.version)
 
     def _apply_table(self, document: bytes, era: int) -> None:
         try:
--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -20,6 +20,7 @@
 from lineworks.forwarding import caution, outcome, quota_keeper, search, single, target_calls
 from lineworks.http1 import fields as http_fields
 from lineworks.http1 import server_connection
+from lineworks.kernel import failure_log
 from lineworks.platform import headers
 
 if TYPE_CHECKING:
@@ -83,6 +84,7 @@
         self.is_over: Callable[[], bool] = lambda: False
         """Returns whether the process itself is closing its connections."""
         self._refused_share = estimators.MovingAverage(REFUSAL_WEIGHT)
+        self._failures = failure_log.FailureLog(shared.reactor, "front", "request_failed")
 
     @property
     def is_idle(self) -> bool:
@@ -190,7 +192,12 @@
                 is_over = True
                 timer.cancel()
                 del self._waiting[resume]
-                cancel = self.on_request(request, answer)
+                try:
+                    cancel = self.on_request(request, answer)
+                except Exception as error:
+                    # The other held requests must be resumed all the same.
+                    self._failures.on_failure(error)
+                    answer(server_connection.Answer(500))
 
         def give_up() -> None:
             nonlocal is_over
--- a/src/lineworks/http1/fields.py
+++ b/src/lineworks/http1/fields.py
@@ -31,6 +31,7 @@
     408: b"Request Timeout",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
--- a/src/lineworks/http1/server_connection.py
+++ b/src/lineworks/http1/server_connection.py
@@ -11,10 +11,11 @@
 from typing import TYPE_CHECKING, Any
 
 import httptools
-from twisted.internet import error, protocol
+from twisted.internet import error as net_error
+from twisted.internet import protocol
 
 from lineworks.http1 import fields as http_fields
-from lineworks.kernel import immediate_write, tcp_info
+from lineworks.kernel import failure_log, immediate_write, tcp_info
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -152,7 +153,7 @@
         if cancel is not None:
             cancel()
         last_answered, self._last_answered = self._last_answered, None
-        is_clean = reason is not None and reason.check(error.ConnectionDone)
+        is_clean = reason is not None and reason.check(net_error.ConnectionDone)
         if last_answered is not None and not is_clean:
             self._server.on_undelivered(last_answered)
 
@@ -286,7 +287,13 @@
             self._cancel = None
             self._write(request, answer)
 
-        cancel = self._server.on_request(request, respond)
+        try:
+            cancel = self._server.on_request(request, respond)
+        except Exception as error:
+            # Without this, the parser would report it as a malformed request.
+            self._server.failures.on_failure(error)
+            respond(Answer(500))
+            return
         if not is_answered:
             self._cancel = cancel
 
@@ -376,6 +383,8 @@
         self.is_closing = is_closing
         self.on_refused = on_refused
         self.on_undelivered = on_undelivered
+        self.failures = failure_log.FailureLog(clock, "http_server", "request_failed")
+        """Logs errors in the handler of requests."""
         self.connections: set[ServerConnection] = set()
         """Open connections."""
 
--- a/src/lineworks/kernel/failure_log.py
+++ b/src/lineworks/kernel/failure_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from typing import TYPE_CHECKING, Any
 
 import structlog
@@ -42,6 +43,7 @@
             **fields: Further fields; a failure is the same if its type and these are equal.
         """
         now = self._clock.seconds()
+        fields["place"] = _place(error)
         failure = (type(error), *fields.items())
         if failure == self._last and now - self._logged_at < REPEAT_SECONDS:
             self._repeats += 1
@@ -53,3 +55,9 @@
     def on_success(self) -> None:
         """Forget the last failure, so that the next one is logged at once."""
         self._last = None
+
+
+def _place(error: Exception) -> str:
+    """Return the function and line that raised an error; empty if it was not raised."""
+    frames = traceback.extract_tb(error.__traceback__)
+    return f"{frames[-1].name}:{frames[-1].lineno}" if frames else ""
--- a/tests/test_forwarding_changes.py
+++ b/tests/test_forwarding_changes.py
@@ -415,3 +415,20 @@
     reply = world.ask("akl-1", path, method)
     world.run(3.0)
     assert reply.status in (200, 502, 503, 504)
+
+
+def test_a_held_request_that_fails_when_it_is_resumed_holds_back_no_other():
+    world = test_forwarding.build()
+    world.host_of("akl-1").kill()
+    world.run(1.0)
+    front = world.add_node("akl-1", "akl")._front
+    handle = front.on_request
+
+    def on_request(request, answer):
+        front.on_request = handle
+        raise OverflowError("fault")
+
+    front.on_request = on_request
+    replies = [world.ask("akl-1", path) for path in ("/read/x", "/search/q") * 2]
+    world.run(1.0)
+    assert sorted(reply.status for reply in replies) == [200, 200, 200, 500]
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -226,3 +226,35 @@
 def test_network_delay_is_unknown_without_tcp_info():
     caller = Caller().send(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
     assert caller.requests[0].network_delay is None
+
+
+def failing_handler(caller):
+    """Let the handler of a caller's next request fail, as on a value that it can't process."""
+
+    def handle(request, answer):
+        caller.server.on_request = caller.handle
+        raise OverflowError("fault")
+
+    caller.server.on_request = handle
+
+
+def test_a_request_whose_handler_fails_is_no_malformed_request():
+    # It got 400, which tells a caller not to ask again.
+    caller = Caller()
+    failing_handler(caller)
+    caller.send(b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert caller.statuses == [500]
+    caller.send(b"GET /2 HTTP/1.1\r\nHost: x\r\n\r\n")
+    caller.answers[0](server_connection.Answer(200))
+    assert caller.statuses == [500, 200]
+
+
+def test_a_pipelined_request_whose_handler_fails_leaves_no_caller_without_an_answer():
+    caller = Caller()
+    caller.send(b"".join(b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n" % n for n in range(3)))
+    failing_handler(caller)
+    caller.answers[0](server_connection.Answer(200))
+    caller.clock.advance(0)
+    caller.clock.advance(0)
+    caller.answers[1](server_connection.Answer(200))
+    assert caller.statuses == [200, 500, 200]
