A Keep-Alive timeout of thousands of digits no longer loses a whole answer

What callers saw: a failure (502) in place of an answer that had arrived whole, and for a request that may run once a "may have run". From the store: a call "unsure" whose answer was there.

Cause: `_idle_limit` reads the timeout with `int`, which refuses more than 4,300 digits with ValueError. That is raised in the parser's callback for the complete message, the parser reports a malformed response, and the connection drops the response.

Evidence: the new test on the code before: the outcome was ConnectionFailure("not an answer: `on_message_complete` callback error") and the connection was aborted.

Change: the digits are read with `float`, which takes any number of them; a timeout too large for a float is infinite, and the connection is then kept until somebody closes it.

--- a/src/lineworks/http1/client_connection.py
+++ b/src/lineworks/http1/client_connection.py
@@ -304,5 +304,6 @@
     for part in value.split(b","):
         name, _, seconds = part.partition(b"=")
         if name.strip().lower() == b"timeout" and seconds.strip().isdigit():
-            return max(0.0, int(seconds) - KEEP_ALIVE_MARGIN_SECONDS)
+            # `int` refuses a number of thousands of digits; `float` reads any number of them.
+            return max(0.0, float(seconds) - KEEP_ALIVE_MARGIN_SECONDS)
     return DEFAULT_KEEP_ALIVE_SECONDS
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -137,6 +137,13 @@
     assert not client.is_reusable
 
 
+def test_answer_with_a_keep_alive_timeout_of_many_digits_is_delivered():
+    field = b"Keep-Alive: timeout=" + b"9" * 5000 + b"\r\n"
+    client = Client().receive(OK + field + b"Content-Length: 1\r\n\r\nx")
+    assert client.outcomes[0].body == b"x"
+    assert client.is_reusable
+
+
 def test_aborted_request_reports_no_outcome():
     client = Client()
     client.connection.abort()
