A time budget of thousands of digits is a long one, and costs no other caller

What callers saw, each from a test on the code before: - The request with the odd budget got 400 and a close instead of an answer, or no answer at all when it was held for the configuration. - Three requests of others that were held on the same starting instance got 503: the loop that resumes held requests ended with the first exception. - On a process that still imports, the thread that refuses callers ended, so no later caller was refused in time (test_early_callers: read timed out).

Cause: `read_budget` uses `int`, which refuses more than 4,300 digits with ValueError. Nobody in `early_acceptor._run`, `Front.resume_held` or `Front.on_request` expects one; the parser's callbacks turn it into "malformed request".

Change: the digits are read with `float`, which takes any number of them, and the budget is capped at 600 s as before. The request is served as one with a long budget.

--- a/src/lineworks/platform/headers.py
+++ b/src/lineworks/platform/headers.py
@@ -94,7 +94,8 @@
     """
     if value is None or not value.strip().isdigit():
         return None
-    return min(int(value), _MAX_BUDGET_MS) / 1000
+    # `int` refuses a number of thousands of digits; `float` reads any number of them.
+    return min(float(value), _MAX_BUDGET_MS) / 1000
 
 
 def read_key(value: bytes | None) -> bytes | None:
--- a/tests/test_early_callers.py
+++ b/tests/test_early_callers.py
@@ -79,6 +79,18 @@
     assert acceptor.errors == []
 
 
+def test_a_budget_of_many_digits_does_not_end_the_thread_that_refuses_other_callers(acceptor):
+    head = b"GET / HTTP/1.1\r\nHost: x\r\nX-Time-Budget: " + b"9" * 5000 + b"\r\n\r\n"
+    with connect(acceptor) as odd, connect(acceptor) as caller:
+        odd.sendall(head)
+        time.sleep(0.1)
+        caller.sendall(request(0.3))
+        assert caller.recv(4096).startswith(b"HTTP/1.1 503")
+        adopt(acceptor)
+        assert odd.recv(8192).startswith(b"served")
+    assert acceptor.errors == []
+
+
 def test_caller_without_a_budget_waits_for_the_reactor(acceptor):
     with connect(acceptor) as caller:
         caller.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -8,6 +8,7 @@
 
 from bench import fakes
 from lineworks.decisions import answer_time, parts
+from lineworks.platform.standins import documents
 from lineworks.standins import deployment
 
 SHARDS = tuple(f"s{number:02d}" for number in range(12))
@@ -21,6 +22,11 @@
 READ = {"Name": "read", "PathPrefix": "/read/", "Service": "shelf", "SloMs": 600}
 BILL = {**READ, "Name": "bill", "PathPrefix": "/bill/", "RouteType": "non_idempotent"}
 
+LONG_BUDGET_READ = (
+    b"GET /read/x HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: odd\r\n"
+    b"X-Time-Budget: " + b"9" * 5000 + b"\r\n\r\n"
+)
+
 
 def build(work=lambda: 0.03, without=()):
     world = deployment.Deployment(fakes.VirtualClock())
@@ -261,6 +267,27 @@
     assert reply.seconds <= 2.0
 
 
+def test_a_budget_of_many_digits_is_a_long_one(monkeypatch):
+    monkeypatch.setitem(documents._LIMITS, "HeaderBytes", 16384)
+    world = build()
+    reply = world.send("akl-1", LONG_BUDGET_READ)
+    world.run(1.0)
+    assert reply.status == 200
+
+
+def test_a_budget_of_many_digits_holds_up_no_request_that_waits_for_the_configuration():
+    world = build()
+    world.add_node("akl-3", "akl")
+    world.run(0.002)
+    odd = world.send("akl-3", LONG_BUDGET_READ)
+    others = [world.ask("akl-3", "/read/x", attempt=f"r{number}") for number in range(3)]
+    world.run(0.1)
+    front = world.nodes["akl-3"]._front
+    assert front.table is not None
+    world.run(1.0)
+    assert [reply.status for reply in (odd, *others)] == [200] * 4
+
+
 def test_unknown_paths_and_invalid_requests_get_different_statuses():
     world = build()
     unknown = world.ask("akl-1", "/nowhere/")
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -165,6 +165,8 @@
     assert headers.read_budget(None) is None
     assert headers.read_budget(b"-1") is None
     assert headers.read_budget(b"99999999") == 600
+    assert headers.read_budget(b"9" * 5000) == 600
+    assert headers.read_budget(b"0" * 5000 + b"500") == 0.5
 
 
 def test_headers_that_differ_between_targets():
