A status report that can't be read no longer costs the target's answer

What callers of the product's own interface saw: a whole 200 of a target counted as "may have run" when a header beside it couldn't be read (`Lineworks-Load: x,1`, a number of 5,000 digits, an odd entry in `Lineworks-Holds`), and a refusal that says "not run" counted as "may have run", so that a request that may run once wasn't sent elsewhere.

Cause: `read_outcome` read report and outcome in one try, and any ValueError ended both. The body of `GET /v1/report` could raise OverflowError (Infinity), AttributeError (a number in `holds`) and RecursionError inside a parser callback: the connection was closed, the request for the report never ended, and no line was logged.

Change: the report is read apart from the outcome; an invalid one is logged with target and reason (1 line a second at most) and dropped.

--- a/src/lineworks/decisions/catalog.py
+++ b/src/lineworks/decisions/catalog.py
@@ -17,6 +17,12 @@
 """Layout that is used for services without the requested layout."""
 
 
+MAX_VERSION = 2**64 - 1
+"""Greatest version of an index: peers send versions as unsigned 64-bit integers."""
+
+_MAX_VERSION_DIGITS = len(str(MAX_VERSION))
+
+
 class Snapshot(NamedTuple):
     """A version of an index together with the layout of its shards.
 
@@ -47,7 +53,9 @@
     """
     version, at, layout = text.partition("@")
     if not at or not layout or not version.isdecimal():
-        raise ValueError(f"not a snapshot: {text!r} (expected VERSION@LAYOUT)")
+        raise ValueError(f"not a snapshot: {text[:80]!r} (expected VERSION@LAYOUT)")
+    if len(version) > _MAX_VERSION_DIGITS or int(version) > MAX_VERSION:
+        raise ValueError(f"not a snapshot: the version {version[:80]} is too large")
     return Snapshot(int(version), layout)
 
 
--- a/src/lineworks/models/target_http.py
+++ b/src/lineworks/models/target_http.py
@@ -41,6 +41,9 @@
 """States that the request was not run; the value is the reason: `overloaded`, `leaving`,
 `snapshot`, `cancelled` or `deadline`."""
 
+MAX_COUNT = 10**9
+"""Greatest number of running or queued requests that a report may state."""
+
 _REASON_BY_REFUSAL = {
     "overloaded": verdict.Reason.OVERLOADED,
     "leaving": verdict.Reason.LEAVING,
@@ -75,22 +78,28 @@
     return headers
 
 
-def read_outcome(status: int, headers: Mapping[str, str], body: bytes) -> ports.Outcome:
+def read_outcome(
+    status: int,
+    headers: Mapping[str, str],
+    body: bytes,
+    report: replicas.StatusReport | None = None,
+) -> ports.Outcome:
     """Interpret a target's reply to a sub-query.
 
     Args:
         status: HTTP status.
         headers: Reply headers by name, in title case.
         body: Reply body.
+        report: The status report that came with the reply, if any.
 
     Returns:
         The outcome. It is NOT_RUN only if the target states that it did not run the request.
     """
     try:
-        report = _read_report_headers(headers)
         snapshot = catalog.parse_snapshot(headers[SNAPSHOT]) if SNAPSHOT in headers else None
     except ValueError as error:
-        return ports.Outcome(verdict.may_have_run(verdict.Reason.FAILED, str(error)))
+        found = verdict.may_have_run(verdict.Reason.FAILED, str(error))
+        return ports.Outcome(found, None, b"", report)
     refusal = headers.get(NOT_RUN)
     if refusal is not None:
         reason = _REASON_BY_REFUSAL.get(refusal, verdict.Reason.OVERLOADED)
@@ -101,6 +110,35 @@
     return ports.Outcome(found, snapshot, b"", report)
 
 
+def read_report(headers: Mapping[str, str]) -> replicas.StatusReport | None:
+    """Read the status report in the headers of a reply.
+
+    Args:
+        headers: Reply headers by name, in title case.
+
+    Returns:
+        The report, or None if the reply has none.
+
+    Raises:
+        MalformedReplyError: A header is invalid.
+    """
+    if INCARNATION not in headers:
+        return None
+    busy, _, queue = headers.get(LOAD, "0,0").partition(",")
+    state = headers.get(STATE, "serving")
+    try:
+        return replicas.StatusReport(
+            headers[INCARNATION],
+            catalog.parse_snapshots(headers.get(HOLDS, "")),
+            _parse_count(busy),
+            _parse_count(queue or "0"),
+            state == "cold",
+            state == "leaving",
+        )
+    except ValueError as error:
+        raise MalformedReplyError(f"report: {error}") from error
+
+
 def report_headers(report: replicas.StatusReport) -> dict[str, str]:
     """Encode a status report as reply headers, as a target does.
 
@@ -147,26 +185,18 @@
     try:
         return replicas.StatusReport(
             str(document["incarnation"]),
-            frozenset(catalog.parse_snapshot(text) for text in document["holds"]),
-            int(document["busy"]),
-            int(document["queue"]),
+            frozenset(catalog.parse_snapshot(str(text)) for text in document["holds"]),
+            _parse_count(document["busy"]),
+            _parse_count(document["queue"]),
             document["state"] == "cold",
             document["state"] == "leaving",
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, OverflowError, TypeError, ValueError) as error:
         raise MalformedReplyError(f"report: {error}") from error
 
 
-def _read_report_headers(headers: Mapping[str, str]) -> replicas.StatusReport | None:
-    if INCARNATION not in headers:
-        return None
-    busy, _, queue = headers.get(LOAD, "0,0").partition(",")
-    state = headers.get(STATE, "serving")
-    return replicas.StatusReport(
-        headers[INCARNATION],
-        catalog.parse_snapshots(headers.get(HOLDS, "")),
-        int(busy),
-        int(queue or "0"),
-        state == "cold",
-        state == "leaving",
-    )
+def _parse_count(value: Any) -> int:
+    count = int(value)
+    if not 0 <= count <= MAX_COUNT:
+        raise ValueError(f"{str(value)[:80]} is no number of requests")
+    return count
--- a/src/lineworks/services/target_pool.py
+++ b/src/lineworks/services/target_pool.py
@@ -14,6 +14,7 @@
 
 from lineworks.decisions import ownership, replicas, verdict
 from lineworks.engine import ports
+from lineworks.kernel import rate_limited_log
 from lineworks.models import target_http
 from lineworks.services import target_connection
 
@@ -28,6 +29,12 @@
 REPORT_TIMEOUT = 1.0
 """Timeout in seconds for a target's status report or for its reply to a cancellation."""
 
+MAX_REFUSED_REPORT_LINES_PER_SECOND = 1.0
+"""Maximum number of log lines per second for status reports that can't be read."""
+
+MAX_ERROR_TEXT = 200
+"""Maximum length of a logged error, in characters: it may quote what the target sent."""
+
 CONNECT_TIMEOUT = 1.0
 """Timeout in seconds for opening a connection."""
 
@@ -126,6 +133,9 @@
         """
         self._reactor = reactor
         self._pools: dict[str, _ConnectionPool] = {}
+        self._log = rate_limited_log.RateLimitedLog(
+            reactor, "target_pool", MAX_REFUSED_REPORT_LINES_PER_SECOND
+        )
 
     def start(self) -> None:
         """Do nothing; connections are opened on demand."""
@@ -161,7 +171,7 @@
             return self._refuse_later(exchange, verdict.Reason.INVALID, str(error))
         pool = self._pool_for(target)
         is_acquired = pool.acquire(
-            functools.partial(self._send_attempt, pool, exchange, data),
+            functools.partial(self._send_attempt, target, pool, exchange, data),
             functools.partial(_refuse, exchange, verdict.Reason.UNREACHABLE),
         )
         if not is_acquired:
@@ -185,7 +195,7 @@
 
         def handle_response(response: target_connection.Response | None) -> None:
             if not done.called:
-                done.callback(_parse_report(response))
+                done.callback(self._parse_report(target, response))
 
         self._send_control_request(
             target, _encode("GET", "/v1/report", target, {}, b""), handle_response
@@ -223,6 +233,7 @@
 
     def _send_attempt(
         self,
+        target: catalog.Target,
         pool: _ConnectionPool,
         exchange: _Exchange,
         data: bytes,
@@ -232,10 +243,11 @@
             pool.release(connection)
             return
         exchange.connection = connection
-        connection.send(data, functools.partial(self._on_response, pool, exchange))
+        connection.send(data, functools.partial(self._on_response, target, pool, exchange))
 
     def _on_response(
         self,
+        target: catalog.Target,
         pool: _ConnectionPool,
         exchange: _Exchange,
         response: target_connection.Response | None,
@@ -248,9 +260,31 @@
             lost = verdict.may_have_run(verdict.Reason.LINK_LOST, "the connection broke")
             _deliver_outcome(exchange, ports.Outcome(lost))
             return
-        outcome = target_http.read_outcome(response.status, response.headers, response.body)
+        report = self._read_report(target, response)
+        outcome = target_http.read_outcome(response.status, response.headers, response.body, report)
         _deliver_outcome(exchange, outcome)
 
+    def _read_report(
+        self, target: catalog.Target, response: target_connection.Response
+    ) -> replicas.StatusReport | None:
+        """Read the report in a reply's headers; an invalid one does not invalidate the reply."""
+        try:
+            return target_http.read_report(response.headers)
+        except target_http.MalformedReplyError as error:
+            self._log.info("report_refused", target=target.name, error=str(error))
+            return None
+
+    def _parse_report(
+        self, target: catalog.Target, response: target_connection.Response | None
+    ) -> replicas.StatusReport | None:
+        if response is None or response.status != 200:
+            return None
+        try:
+            return target_http.parse_report(json.loads(response.body))
+        except (ValueError, RecursionError) as error:
+            self._log.info("report_refused", target=target.name, error=repr(error)[:MAX_ERROR_TEXT])
+            return None
+
     def _refuse_later(
         self, exchange: _Exchange, reason: verdict.Reason, detail: str
     ) -> Callable[[], None]:
@@ -278,15 +312,6 @@
     return target_connection.encode_request(method, path, host, headers, body)
 
 
-def _parse_report(response: target_connection.Response | None) -> replicas.StatusReport | None:
-    if response is None or response.status != 200:
-        return None
-    try:
-        return target_http.parse_report(json.loads(response.body))
-    except ValueError:
-        return None
-
-
 def _refuse(exchange: _Exchange, reason: verdict.Reason, detail: str) -> None:
     _deliver_outcome(exchange, ports.Outcome(verdict.not_run(reason, detail)))
 
--- a/tests/test_target_pool.py
+++ b/tests/test_target_pool.py
@@ -172,7 +172,54 @@
     assert results[0].holds == {SNAPSHOT}
 
 
-@pytest.mark.parametrize("body", [b"{}", b"no", b'{"incarnation": 1, "holds": 5}'])
+ODD_REPORT_FIELDS = [
+    b"Lineworks-Load: " + b"9" * 5000 + b",1",
+    b"Lineworks-Load: " + b"9" * 400 + b",1",
+    b"Lineworks-Load: x,1",
+    b"Lineworks-Load: \xb2,1",
+    b"Lineworks-Holds: " + b"9" * 5000 + b"@base",
+    b"Lineworks-Holds: 18446744073709551616@base",
+    b"Lineworks-Holds: x",
+]
+
+
+@pytest.mark.parametrize("field", ODD_REPORT_FIELDS)
+def test_a_whole_answer_with_an_odd_status_report_is_not_lost(world, field):
+    world.send()
+    _, transport = world.accept()
+    odd = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nLineworks-Snapshot: 7@base\r\n"
+    feed(transport, odd + b"Lineworks-Incarnation: t#1\r\n" + field + b"\r\n\r\nbody")
+    outcome = world.outcomes[0]
+    assert outcome.verdict.is_ok
+    assert outcome.body == b"body"
+    # What remains must be safe to use: as a float, and as 64 bits between instances.
+    assert outcome.report is None
+
+
+@pytest.mark.parametrize("field", ODD_REPORT_FIELDS)
+def test_a_refusal_with_an_odd_status_report_is_still_not_run(world, field):
+    world.send()
+    _, transport = world.accept()
+    odd = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\nLineworks-Not-Run: overloaded\r\n"
+    feed(transport, odd + b"Lineworks-Incarnation: t#1\r\n" + field + b"\r\n\r\n")
+    assert world.outcomes[0].verdict.is_not_run
+
+
+ODD_REPORTS = [
+    b"{}",
+    b"no",
+    b'{"incarnation": 1, "holds": 5}',
+    b'{"incarnation": "i", "holds": [5], "busy": 1, "queue": 0, "state": "cold"}',
+    b'{"incarnation": "i", "holds": [], "busy": Infinity, "queue": 0, "state": "cold"}',
+    b'{"incarnation": "i", "holds": [], "busy": 1e999, "queue": 0, "state": "cold"}',
+    b'{"incarnation": "i", "holds": [], "busy": ' + b"9" * 400 + b', "queue": 0, "state": ""}',
+    b'{"incarnation": "i", "holds": [], "busy": ' + b"9" * 5000 + b', "queue": 0, "state": ""}',
+    b"[" * 100_000,
+    b'{"incarnation": "\xff"}',
+]
+
+
+@pytest.mark.parametrize("body", ODD_REPORTS, ids=range(len(ODD_REPORTS)))
 def test_a_malformed_report_is_none(world, body):
     results = []
     world.pool.request_report(world.target).addCallback(results.append)
