An Idempotency-Key of odd bytes gets 400 instead of 500

What callers of the product's own interface saw: 500 with a page of HTML, which says neither what is wrong nor whether the request ran.

Cause: `request.getHeader` decodes the value as UTF-8 and raises UnicodeDecodeError, which nobody caught.

Change: the bytes are decoded here, and bytes that aren't UTF-8 are an invalid field: 400, not run.

--- a/src/lineworks/services/caller_api.py
+++ b/src/lineworks/services/caller_api.py
@@ -26,6 +26,9 @@
         traces,
     )
 
+IDEMPOTENCY_KEY = b"Idempotency-Key"
+"""Header with a caller's own name for a request, under which the request runs at most once."""
+
 DRAIN_RETRY_AFTER = 0.1
 """Retry delay, in seconds, that a draining instance gives to callers it refuses.
 
@@ -165,9 +168,7 @@
 
     async def _run(self, request: Any) -> caller_http.Reply:
         body: caller_http.RunBody = self._parse(request, caller_http.RunBody)
-        key = request.getHeader("Idempotency-Key")
-        if key is not None and not 1 <= len(key) <= 200:
-            raise caller_http.RequestError("Idempotency-Key", "must have 1 to 200 characters")
+        key = _read_idempotency_key(request)
         reply = await self._runner.run(
             body, key, lambda cancel: _cancel_on_disconnect(request, cancel, None)
         )
@@ -187,6 +188,19 @@
         return http_server.write_json(request, {"state": self._lifecycle.state})
 
 
+def _read_idempotency_key(request: Any) -> str | None:
+    value = request.getHeader(IDEMPOTENCY_KEY)
+    if value is None:
+        return None
+    try:
+        key: str = value.decode()
+    except UnicodeDecodeError as error:
+        raise caller_http.RequestError(IDEMPOTENCY_KEY.decode(), "is not UTF-8") from error
+    if not 1 <= len(key) <= 200:
+        raise caller_http.RequestError(IDEMPOTENCY_KEY.decode(), "must have 1 to 200 characters")
+    return key
+
+
 def _wants_timeline(request: Any) -> bool:
     return bool(request.args.get(b"explain") == [b"1"])
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import contextlib
+import io
 import socket
 
 import klein
 import pytest
 from twisted.internet import defer, selectreactor
+from twisted.web import http, http_headers
 
+from lineworks.models import settings
 from lineworks.services import caller_api, http_server, lifecycle
 
 ITERATIONS = 200
@@ -123,9 +126,27 @@
     assert request.fields == {"Connection": "close"}
 
 
+def test_an_idempotency_key_of_odd_bytes_is_refused_as_invalid():
+    state = lifecycle.Lifecycle(lambda: None, lambda: None)
+    state.config_applied()
+    options = settings.Settings(
+        name="a1", hall="h", platform={"url": "http://127.0.0.1:1"}, secret="s"
+    )
+    api = caller_api.CallerApi(None, options, None, None, None, state, None, None)
+    request = DummyRequest(b'{"service": "s"}')
+    request.requestHeaders.addRawHeader(b"Idempotency-Key", b"\xff\xfe")
+    reply = outcome(api._dispatch(api._run, request))
+    assert reply.status == 400
+    assert reply.document["field"] == "Idempotency-Key"
+
+
 class DummyRequest:
-    def __init__(self):
+    getHeader = http.Request.getHeader  # noqa: N815
+
+    def __init__(self, body=b""):
         self.fields = {}
+        self.content = io.BytesIO(body)
+        self.requestHeaders = http_headers.Headers()
 
     def setHeader(self, name, value):  # noqa: N802
         self.fields[name] = value
