Searches of a route with a number beyond a frame's range are served

The numbers are cut to the range of the frame, which changes no order of ranks and no answer; an empty answer has no floor.

--- a/src/lineworks/decisions/parts.py
+++ b/src/lineworks/decisions/parts.py
@@ -124,7 +124,7 @@
             search returns.
         """
         records = self.merged().records
-        return records[-1] if len(records) == self._top else b""
+        return records[-1] if records and len(records) == self._top else b""
 
     def merged(self) -> Part:
         """Merge all parts.
--- a/src/lineworks/forwarding/gathering.py
+++ b/src/lineworks/forwarding/gathering.py
@@ -412,6 +412,6 @@
     result drops the whole query, but it may reject a later result alone, so the records of a later
     result must not raise the floor.
     """
-    if job.first is None or len(job.first) < job.query.top:
+    if not job.first or len(job.first) < job.query.top:
         return job.query.floor
     return max(job.query.floor, job.first[-1])
--- a/src/lineworks/wire/_gather_codec.py
+++ b/src/lineworks/wire/_gather_codec.py
@@ -11,6 +11,8 @@
     from collections.abc import Callable
 
 _FAILURES = tuple(node_frames.Failure)
+_MAX_TOP = 2**32 - 1  # Range of the schema's fields; no search has as many records.
+_MAX_PRIORITY = 2**31 - 1
 
 
 def _write_query(builder: Any, frame: node_frames.GatherQuery, now: float) -> None:
@@ -20,14 +22,14 @@
     body.head = frame.head
     body.body = frame.body
     body.attempt = frame.attempt
-    body.top = frame.top
+    body.top = min(frame.top, _MAX_TOP)
     body.floor = frame.floor
     body.remaining = _base.remaining_microseconds(frame.deadline, now)
     body.flushIn = _base.remaining_microseconds(frame.flush_at, now)
     body.isFair = frame.is_fair
     body.workspace = frame.workspace
     body.hasQuota = frame.has_quota
-    body.priority = frame.priority
+    body.priority = min(frame.priority, _MAX_PRIORITY)
     body.dueIn = _base.remaining_microseconds(frame.due, now)
 
 
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -347,3 +347,11 @@
     world.run(IN_FORCE_SECONDS)
     assert statuses(world, "/read/q") == {200}
     assert all(run.target != first.name for run in world.runs)
+
+
+@pytest.mark.parametrize("odd", [{"Priority": 2**62}, {"TopK": 2**62}, {"TopK": 0}])
+def test_a_route_with_a_number_at_the_end_of_its_range_is_served(odd):
+    world = test_forwarding.build()
+    world.configure([{**test_forwarding.SEARCH, **odd}, test_forwarding.READ])
+    world.run(IN_FORCE_SECONDS)
+    assert statuses(world, "/search/q") == {200}
