An odd record of a suspect no longer stops the reads and the links

What callers would see: a route that was added isn't served and a target that leaves keeps getting requests, at the instance that read the row and at the hall's others that it feeds; links close as soon as they are up.

Cause: a record under lineworks/suspects/ was decoded by int() and str() and taken with an epoch or texts that no frame can carry. The instance kept it and sent it to its hall within the same read of the store (on_changes), so that the encoder's KjException, OverflowError or UnicodeEncodeError ended the read before the targets were applied and passed on; and it sent it at each new link (_on_up), within dataReceived, which closes the link: again and again.

The encoder saturates epochs and ages, since a record's epoch grows and its age too. Records go out in messages of 32, below the limit of a frame, beyond which the peer closes the link.

--- a/src/lineworks/forwarding/suspect_exchange.py
+++ b/src/lineworks/forwarding/suspect_exchange.py
@@ -21,7 +21,7 @@
 from lineworks.wire import node_frames
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping, Sequence
+    from collections.abc import Iterable, Iterator, Mapping, Sequence
 
     from lineworks.forwarding import target_book
     from lineworks.services import peer_links
@@ -65,6 +65,10 @@
 MAX_LOG_LINES_PER_SECOND = 20.0
 """Maximum number of log lines per second, separately for suspects and for refused requests."""
 
+MAX_REPORT_RECORDS = 32
+"""Maximum number of records per message: a message of the longest ones stays below the limit of a
+frame, beyond which the peer closes the link."""
+
 MAX_LOGGED_ENDS = 4
 """Maximum number of ends per log line."""
 
@@ -113,7 +117,7 @@
             reactor, "suspects", MAX_LOG_LINES_PER_SECOND
         )
         self.counts: collections.Counter[str] = collections.Counter()
-        """Counts of refusals, trials, reports sent and merged, and cleared suspects."""
+        """Counts of refusals, trials, reports, cleared suspects and refused documents."""
         links.handle(node_frames.SuspectReports, self._on_reports)
         links.on_up.append(self._on_up)
 
@@ -282,6 +286,7 @@
             try:
                 found = suspect_documents.decode(content, change.value, now)
             except suspect_documents.SuspectDocumentError as error:
+                self.counts["documents_refused"] += 1
                 self._log.info("suspect_document_refused", error=str(error))
                 continue
             record = self._suspects.merge(found, now)
@@ -361,13 +366,14 @@
         self._note_change(record, origin)
 
     def _send_to(self, names: Sequence[str], records: Sequence[suspects.Record]) -> None:
-        frame = node_frames.SuspectReports(tuple(records))
-        for name in names:
-            self._links.send(name, frame)
+        for frame in _report_frames(records):
+            for name in names:
+                self._links.send(name, frame)
 
     def _broadcast(self, records: Sequence[suspects.Record]) -> None:
         self.counts["reports_told"] += len(records)
-        self._links.broadcast(node_frames.SuspectReports(tuple(records)))
+        for frame in _report_frames(records):
+            self._links.broadcast(frame)
 
     def _note_change(self, record: suspects.Record, origin: str) -> None:
         now = self._reactor.seconds()
@@ -469,6 +475,12 @@
         }
 
 
+def _report_frames(records: Sequence[suspects.Record]) -> Iterator[node_frames.SuspectReports]:
+    """Divide records among as few messages as their size allows."""
+    for start in range(0, len(records), MAX_REPORT_RECORDS):
+        yield node_frames.SuspectReports(tuple(records[start : start + MAX_REPORT_RECORDS]))
+
+
 def _describe(end: suspects.TargetEnd, now: float) -> str:
     """Describe a target's end for the log."""
     kind = " in a trial" if end.is_trial else ""
--- a/src/lineworks/wire/_suspect_codec.py
+++ b/src/lineworks/wire/_suspect_codec.py
@@ -14,12 +14,16 @@
 
 _IS_PROVEN = 2
 
+_MAX_EPOCH = 2**32 - 1
+
+_MAX_AGE = 2**64 - 1
+
 
 def _write_reports(builder: Any, frame: node_frames.SuspectReports, now: float) -> None:
     body = builder.init("suspectReports")
     rows = frame.records
     body.contents = [row.content for row in rows]
-    body.epochs = [row.epoch for row in rows]
+    body.epochs = [min(_MAX_EPOCH, row.epoch) for row in rows]
     body.cleared = [row.cleared_at is not None for row in rows]
     body.clearedAges = [0 if row.cleared_at is None else _age(row.cleared_at, now) for row in rows]
     body.counts = [len(row.ends) for row in rows]
@@ -31,7 +35,7 @@
 
 
 def _age(at: float, now: float) -> int:
-    return int(max(0.0, now - at) * _base.MICROSECONDS_PER_SECOND)
+    return min(_MAX_AGE, int(max(0.0, now - at) * _base.MICROSECONDS_PER_SECOND))
 
 
 def _read_reports(body: Any, now: float) -> node_frames.SuspectReports:
--- /dev/null
+++ b/tests/test_odd_rows.py
@@ -0,0 +1,83 @@
+"""One odd row in the store holds back neither the rows beside it nor any instance."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+
+from lineworks.decisions import suspects
+from lineworks.forwarding import suspect_documents, suspect_exchange
+from lineworks.platform.standins import documents
+from lineworks.wire import codec, node_frames
+from tests import odd_values, test_forwarding
+
+MORE = {**test_forwarding.READ, "Name": "more", "PathPrefix": "/more/"}
+FOLLOW_SECONDS = 3.0
+SUSPECT = {"epoch": 1, "cleared": False, "ends": [["i-1", "a1", True, True]]}
+SUSPECT_KEY = suspect_documents.PREFIX + "ab12"
+
+
+def put(world, key, data):
+    world.store.write(key, documents.encode_value(data.decode("latin-1")))
+
+
+def check_the_store_is_followed(world):
+    """Check that a change and a leaving target reach all instances, also one that starts now."""
+    world.run(0.5)
+    world.configure([test_forwarding.SEARCH, test_forwarding.READ, test_forwarding.BILL, MORE])
+    leaving = test_forwarding.targets_of(world, "shelf")[0]
+    world.announce(leaving, "draining")
+    world.run(FOLLOW_SECONDS)
+    first = len(world.runs)
+    check_all_serve_the_new_route(world)
+    world.add_node("akl-9", "akl")
+    world.run(FOLLOW_SECONDS)
+    assert world.is_ready("akl-9")
+    check_all_serve_the_new_route(world)
+    assert all(run.target != leaving.name for run in world.runs[first:])
+    assert all(len(node._links.up) == len(world.nodes) - 1 for node in world.nodes.values())
+
+
+def check_all_serve_the_new_route(world):
+    replies = {name: world.ask(name, "/more/q") for name in world.nodes for _ in range(3)}
+    world.run(1.0)
+    assert {name: reply.status for name, reply in replies.items()} == dict.fromkeys(replies, 200)
+
+
+@given(odd_values.documents(SUSPECT))
+def test_any_record_of_a_suspect_is_refused_or_can_be_sent_to_peers(data):
+    try:
+        record = suspect_documents.decode("ab12", data, 10.0)
+    except suspect_documents.SuspectDocumentError:
+        return
+    codec.encode(node_frames.SuspectReports((record,)), 11.0)
+
+
+@pytest.mark.parametrize("epoch", [2**32 - 1, 2**32, 10**400])
+@pytest.mark.parametrize("at", [-1e300, 0.0])
+def test_any_record_that_an_instance_holds_can_be_sent_to_peers(epoch, at):
+    end = suspects.TargetEnd("i-1", "a1", at, True, True)
+    record = suspects.Record("ab12", epoch, (end,))
+    codec.decode(codec.encode(node_frames.SuspectReports((record,)), 1.0), 1.0)
+
+
+def test_a_link_is_not_closed_by_a_message_of_many_long_records():
+    text = "a" * suspect_documents.MAX_TEXT_BYTES
+    ends = tuple(
+        suspects.TargetEnd(f"{number}{text}"[: len(text)], text, 0.0, True, True)
+        for number in range(suspects.MAX_ENDS)
+    )
+    records = [suspects.Record(text, 1, ends)] * suspects.MAX_RECORDS
+    found = list(suspect_exchange._report_frames(records))
+    assert sum(len(frame.records) for frame in found) == len(records)
+    assert all(len(codec.encode(frame, 0.0)) < codec.MAX_FRAME_BYTES for frame in found)
+
+
+ODD_SUSPECTS = [(("epoch",), str(2**32)), (("ends", 0, 0), '"\\ud800"')]
+
+
+@pytest.mark.parametrize(("path", "odd"), ODD_SUSPECTS)
+def test_an_odd_record_of_a_suspect_stops_neither_the_reads_nor_the_links(path, odd):
+    world = test_forwarding.build()
+    put(world, SUSPECT_KEY, odd_values.with_odd(SUSPECT, path, odd))
+    check_the_store_is_followed(world)
