--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 fuzz: $(STAMP)
 	$(BIN)/python -m pytest --hypothesis-profile=fuzz tests/test_foreign_entries.py \
 	  tests/test_suspects.py tests/test_fingerprints.py tests/test_parts.py tests/test_routes.py \
-	  tests/test_deflate.py tests/test_workspaces.py
+	  tests/test_deflate.py tests/test_workspaces.py tests/test_store_answers.py
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
