An odd key of an instance no longer stops the reads and the registration

What callers would see: after one write under lineworks/nodes/, a new route isn't served and a target that leaves keeps getting requests; 120 s later, as the lease isn't renewed any more, instances that start don't find the others.

Cause: host, hall and port of a listed instance went unchecked to the dialler. A dialler that raises did so within the read of the store, before the targets were applied and passed on, and within the registration's task, which handles errors of the store only and so ended; the name stayed marked as being dialled. The membership list of lineworks-entry took entries with values of any type in the same way, and ended on deep nesting.

Evidence: on the code before, 6 of 12 plays of tests/test_odd_rows.py with an odd key (those with an odd host) failed with "IndexError" out of the dialler; the six with an odd hall or port were followed and fail for lack of the count only.

An invalid key is skipped and logged once for each write with key and field, and counted (lineworks_entries, node_keys_refused). The control bench announced an empty host and port 0; it announces an address now.

--- a/bench/control.py
+++ b/bench/control.py
@@ -128,7 +128,7 @@
         self.clock = clock
         self.port = platforms.PlatformPort(control.platform)
         self.links = MemoryLinks(control, name, hall)
-        me = member.Member(name, hall, "", 0, f"{name}-1", False)
+        me = member.Member(name, hall, "127.0.0.1", 1, f"{name}-1", False)
         port: Any = self.port
         links: Any = self.links
         self.members = membership.Membership(clock, rng, me, port, links, [])
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -469,7 +469,10 @@
             "lineworks_target_reports": {
                 kind: float(count) for kind, count in self._evidence.counts.items()
             },
-            "lineworks_entries": {"refused": float(self._directory.refused_entries)},
+            "lineworks_entries": {
+                "refused": float(self._directory.refused_entries),
+                "node_keys_refused": float(self._registration.refused_count),
+            },
             "lineworks_evacuated_halls": dict.fromkeys(sorted(self._evacuated), 1.0),
             "lineworks_suspects": self._suspects.gauges,
             "lineworks_event_loop_delay_seconds": {
--- a/src/lineworks/forwarding/registration.py
+++ b/src/lineworks/forwarding/registration.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
 
+    from lineworks.decisions import positions
     from lineworks.models import node_settings
     from lineworks.services import peer_links
 
@@ -84,7 +85,11 @@
         self._started_at = reactor.seconds()
         self.on_listed: Callable[[], None] = lambda: None
         """Called when the listed instances have changed."""
+        self.refused_count = 0
+        """Number of keys that were refused because their values are invalid."""
         self._members: dict[str, member.Member] = {}
+        # Position of the invalid value that was logged last, by name.
+        self._refused: dict[str, positions.Position] = {}
         self._task = task.Task("registration", self._run)
 
     @property
@@ -165,7 +170,7 @@
             name = change.key.removeprefix(PREFIX)
             if name == change.key:
                 continue
-            listed = _decode_member(name, change.value) if change.value is not None else None
+            listed = self._decode(name, change)
             if listed is not None:
                 self._members[name] = listed
                 is_changed = True
@@ -176,17 +181,21 @@
             self._links.set_peers(self._members)
             self.on_listed()
 
+    def _decode(self, name: str, change: store_items.Change) -> member.Member | None:
+        """Return the instance that a key lists, or None if it was removed or is invalid."""
+        if change.value is None:
+            return None
+        try:
+            return member.decode(change.value, name=name, incarnation="", is_leaving=False)
+        except member.MemberError as error:
+            # Once for each write, however often the list is read.
+            if self._refused.get(name) != change.position:
+                self._refused[name] = change.position
+                self.refused_count += 1
+                _log.warning("node_key_refused", key=ascii(change.key)[1:-1], error=str(error))
+            return None
+
     async def _renew_periodically(self, lease: store_items.Lease) -> None:
         while True:
             await task.sleep(self._reactor, RENEW_SECONDS * (0.9 + self._jitter() / 5))
             await self._store.renew_lease(lease)
-
-
-def _decode_member(name: str, value: bytes) -> member.Member | None:
-    try:
-        found = json.loads(value)
-        host, port, hall = str(found["host"]), int(found["port"]), str(found["hall"])
-    except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as error:
-        _log.warning("node_key_refused", name=ascii(name), error=repr(error))
-        return None
-    return member.Member(name, hall, host, port, "", False)
--- a/src/lineworks/services/platform_client.py
+++ b/src/lineworks/services/platform_client.py
@@ -175,9 +175,9 @@
         entries = []
         for item in listing.items:
             try:
-                entries.append(member.Member(**json.loads(item.value)))
-            except (ValueError, TypeError) as error:
-                _log.warning("member_refused", key=item.key, error=str(error))
+                entries.append(member.decode(item.value))
+            except member.MemberError as error:
+                _log.warning("member_refused", key=ascii(item.key)[1:-1], error=str(error))
         return entries
 
     async def announce(self, entry: member.Member, lease_seconds: float) -> None:
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import ipaddress
+
 import pytest
 from hypothesis import given
 
 from lineworks.decisions import suspects
-from lineworks.forwarding import suspect_documents, suspect_exchange
+from lineworks.forwarding import registration, suspect_documents, suspect_exchange
+from lineworks.models import member
+from lineworks.platform import store_items
 from lineworks.platform.standins import documents
+from lineworks.standins import deployment
 from lineworks.wire import codec, node_frames
 from tests import odd_values, test_forwarding
 
@@ -44,6 +49,49 @@
     assert {name: reply.status for name, reply in replies.items()} == dict.fromkeys(replies, 200)
 
 
+NODE_KEY = {"hall": "akl", "host": "10.1.0.77", "port": 7380}
+ODD_NODE_KEYS = [
+    (("host",), '"no-address"'),
+    (("host",), '"fe80::1%odd"'),
+    (("host",), '"\\ud800"'),
+    (("hall",), '"\\ud800"'),
+    (("port",), "70000"),
+    (("port",), odd_values.LONG_NUMBER),
+]
+
+
+@pytest.mark.parametrize("name", ["akl-0", "zzz"])
+@pytest.mark.parametrize(("path", "odd"), ODD_NODE_KEYS)
+def test_an_odd_key_of_an_instance_does_not_stop_the_reads(name, path, odd):
+    world = test_forwarding.build()
+    put(world, registration.PREFIX + name, odd_values.with_odd(NODE_KEY, path, odd))
+    check_the_store_is_followed(world)
+    known = [node._registration for node in world.nodes.values()]
+    assert all(name not in one.names and one.refused_count <= 1 for one in known)
+    assert sum(one.refused_count for one in known) >= len(deployment.HALLS)
+
+
+def test_an_odd_key_is_logged_once_however_often_the_list_is_read():
+    world = test_forwarding.build()
+    known = world.nodes["akl-1"]._registration
+    rows = [store_items.Change(registration.PREFIX + "zzz", position, b"{}") for position in (1, 2)]
+    known.on_changes([rows[0], rows[1], rows[1]])
+    assert known.refused_count == 2
+
+
+@given(odd_values.documents({**NODE_KEY, "name": "a", "incarnation": "i", "is_leaving": False}))
+def test_any_entry_of_an_instance_is_refused_or_can_be_connected_to(data):
+    try:
+        found = member.decode(data)
+    except member.MemberError as error:
+        assert str(error).isprintable()
+        return
+    assert ipaddress.ip_address(found.host)
+    assert 0 < found.port < 65536
+    assert type(found.port) is int
+    "".join((found.name, found.hall, found.incarnation)).encode()
+
+
 @given(odd_values.documents(SUSPECT))
 def test_any_record_of_a_suspect_is_refused_or_can_be_sent_to_peers(data):
     try:
