An odd target in a peer's message no longer costs the good ones or the link

What callers would see: requests go to a target that has left, or fail with OverflowError, at instances that take their targets from a peer; links close.

Cause: rows of targets that an instance sends another were checked for types only: a port of 70000, a host that is no address, a half character, slots or a revision of 400 digits were taken and used, and a whole message with one row of a wrong type was refused, with the link, so that its good rows were missing until the receiver read the store itself. Seconds of 400 digits raised an OverflowError out of the handler.

Change: rows are decoded one by one. An entry that is invalid counts as removed, as one in the store does; a row without a valid identity or position is skipped; one log line a message says how many and names the first (peer_entries_refused). A document that is no list still closes the link.

--- a/src/lineworks/forwarding/target_documents.py
+++ b/src/lineworks/forwarding/target_documents.py
@@ -2,14 +2,32 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import structlog
 
 from lineworks.decisions import positions, target_view
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
+
+MAX_NUMBER = 2**63 - 1
+"""Greatest number accepted: the frames that carry positions have 64 bits."""
+
+MAX_PORT = 65535
+"""Greatest TCP port."""
+
+MAX_SECONDS = 86_400.0
+"""Longest time for which an entry may be unsettled, in seconds."""
 
+MAX_REASON_CHARACTERS = 200
+"""Maximum length of the reason in an error, in characters."""
+
+_Row = TypeVar("_Row")
+
+_log = structlog.get_logger(component="directory")
 
 _FIELDS = (str, str, str, int, int, bool, bool, int)
 """Types of an entry's fields: service, hall, host, port, slots, leaving, cold, born."""
@@ -63,28 +81,14 @@
         data: Output of `encode_unsettled`.
 
     Returns:
-        The entries.
+        The entries; invalid ones are skipped.
 
     Raises:
-        TargetDocumentError: The data is malformed.
+        TargetDocumentError: The data is not a list in JSON.
     """
     if not data:
         return []
-    try:
-        return [
-            target_view.Unsettled(
-                _change(row[2:]), target_view.UnsettledReason(row[0]), _seconds(row[1])
-            )
-            for row in json.loads(data)
-        ]
-    except (ValueError, TypeError, IndexError, KeyError, RecursionError) as error:
-        raise TargetDocumentError(repr(error)) from error
-
-
-def _seconds(value: object) -> float:
-    if type(value) not in (int, float):
-        raise TargetDocumentError("expected seconds")
-    return float(value)  # type: ignore[arg-type]
+    return _decode_rows(data, _unsettled)
 
 
 def decode(data: bytes) -> list[target_view.TargetChange]:
@@ -94,30 +98,102 @@
         data: Output of `encode`.
 
     Returns:
-        The changes.
+        The changes. An entry that is invalid counts as removed, as one in the store does; a row
+        whose identity or position is invalid is skipped.
 
     Raises:
-        TargetDocumentError: The data is malformed.
+        TargetDocumentError: The data is not a list in JSON.
     """
+    return _decode_rows(data, _change)
+
+
+def _decode_rows(data: bytes, decode_row: Callable[[Any, list[str]], _Row]) -> list[_Row]:
+    """Decode rows one by one, so that an invalid one does not affect those beside it."""
     try:
-        return [_change(row) for row in json.loads(data)]
-    except (ValueError, TypeError, IndexError, RecursionError) as error:
-        raise TargetDocumentError(repr(error)) from error
+        rows = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise TargetDocumentError(f"(document): {error}"[:MAX_REASON_CHARACTERS]) from error
+    if not isinstance(rows, list):
+        raise TargetDocumentError("(document): expected a list")
+    found = []
+    refused: list[str] = []
+    for row in rows:
+        try:
+            found.append(decode_row(row, refused))
+        except TargetDocumentError as error:
+            refused.append(str(error))
+    if refused:
+        _log.warning("peer_entries_refused", count=len(refused), first=refused[0])
+    return found
+
+
+def _unsettled(row: Any, refused: list[str]) -> target_view.Unsettled:
+    if not isinstance(row, list) or len(row) < 2:
+        raise TargetDocumentError("expected a reason and seconds")
+    try:
+        reason = target_view.UnsettledReason(row[0])
+    except ValueError as error:
+        raise TargetDocumentError("expected a reason") from error
+    seconds = _seconds(row[1])
+    name, position = _identity(row[2:])
+    entry = _entry(name, row[5:]) if len(row) > 5 else None
+    return target_view.Unsettled(target_view.TargetChange(name, position, entry), reason, seconds)
+
+
+def _seconds(value: Any) -> float:
+    # Also refuses NaN, for which every comparison is false.
+    if type(value) not in (int, float) or not abs(value) <= MAX_SECONDS:
+        raise TargetDocumentError("expected seconds")
+    return float(value)
 
 
-def _change(row: list[object]) -> target_view.TargetChange:
-    name, era, revision = row[0], row[1], row[2]
-    if not isinstance(name, str) or type(era) is not int or type(revision) is not int:
+def _change(row: Any, refused: list[str]) -> target_view.TargetChange:
+    name, position = _identity(row)
+    entry = None
+    if len(row) > 3:
+        try:
+            entry = _entry(name, row[3:])
+        except TargetDocumentError as error:
+            refused.append(str(error))
+    return target_view.TargetChange(name, position, entry)
+
+
+def _identity(row: Any) -> tuple[str, positions.Position]:
+    if not isinstance(row, list) or len(row) < 3:
         raise TargetDocumentError("expected an identity, an era and a revision")
-    position = positions.Position(era, revision)
-    if len(row) == 3:
-        return target_view.TargetChange(name, position, None)
-    fields = row[3:]
+    name, era, revision = row[:3]
+    if not isinstance(name, str) or not name or not name.isascii() or not name.isprintable():
+        raise TargetDocumentError("expected an identity that a header can carry")
+    if not _is_number(era) or not _is_number(revision):
+        raise TargetDocumentError(f"{name[:80]!r}: expected an era and a revision")
+    return name, positions.Position(era, revision)
+
+
+def _entry(name: str, fields: list[Any]) -> target_view.TargetEntry:
     if len(fields) != len(_FIELDS) or any(
         type(field) is not kind for field, kind in zip(fields, _FIELDS, strict=True)
     ):
         raise TargetDocumentError(f"{name[:80]!r}: not the fields of an entry")
-    entry = target_view.TargetEntry(name, *fields)  # type: ignore[arg-type]
-    if entry.slots < 1 or entry.born < 0:
-        raise TargetDocumentError(f"{name[:80]!r}: a number is too small")
-    return target_view.TargetChange(name, position, entry)
+    entry = target_view.TargetEntry(name, *fields)
+    if not _is_text(entry.service) or not _is_text(entry.hall):
+        raise TargetDocumentError(f"{name[:80]!r}: not the name of a service and a hall")
+    if not _is_ip(entry.host) or not 0 < entry.port <= MAX_PORT:
+        raise TargetDocumentError(f"{name[:80]!r}: not an address")
+    if entry.slots < 1 or not _is_number(entry.slots) or not _is_number(entry.born):
+        raise TargetDocumentError(f"{name[:80]!r}: a number is out of range")
+    return entry
+
+
+def _is_number(value: Any) -> bool:
+    return type(value) is int and 0 <= value <= MAX_NUMBER
+
+
+def _is_text(value: str) -> bool:
+    return bool(value) and not any("\ud800" <= character <= "\udfff" for character in value)
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        return getattr(ipaddress.ip_address(text), "scope_id", None) is None
+    except ValueError:
+        return False
