--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -13,8 +13,8 @@
 import structlog
 
 from lineworks.decisions import evacuations, positions, routes, target_view
-from lineworks.forwarding import hall_peers, target_documents
-from lineworks.kernel import rate_limited_log, task
+from lineworks.forwarding import hall_peers, refused_rows, store_reads, target_documents
+from lineworks.kernel import failure_log, task
 from lineworks.platform import configuration, store, store_items, target_entries
 from lineworks.platform import evacuations as evacuation_keys
 from lineworks.wire import node_frames
@@ -68,10 +68,6 @@
 newer configuration is pulled from a peer immediately: the store's version may be older than the one
 that was in force."""
 
-MAX_REFUSED_LINES_PER_SECOND = 5.0
-"""Maximum number of log lines per second for invalid target entries: anybody may write any number
-of them."""
-
 _ALL_KEYS = ""
 _log = structlog.get_logger(component="directory")
 
@@ -124,14 +120,18 @@
         self._pulled_at = float("-inf")
         self._fallback_delay = rng.random() * FALLBACK_SPREAD
         self._task = task.Task("directory", self._run)
-        self._refused_log = rate_limited_log.RateLimitedLog(
-            reactor, "directory", MAX_REFUSED_LINES_PER_SECOND
-        )
-        self.refused_entries = 0
-        """Number of invalid target entries read."""
+        self.refused_rows = refused_rows.RefusedRows(reactor)
+        """Rows of the store that can't be used."""
+        self._report_targets_at: float | None = None
+        self._listener_log = failure_log.FailureLog(reactor, "directory", "listener_failed")
+        self.listener_failures = 0
+        """Number of times that a service failed to take over a configuration or the targets."""
+        self.reads = store_reads.StoreReads(reactor)
+        """Outcomes of the reads of the store."""
         self.on_table: Callable[[routes.RouteTable], None] = lambda table: None
         self.on_targets: Callable[[], None] = lambda: None
-        self.on_other_keys: Callable[[Sequence[store_items.Change]], None] = lambda rows: None
+        self.row_listeners: dict[str, Callable[[Sequence[store_items.Change]], None]] = {}
+        """Services that are handed the rows of each read, by name for the logs."""
         links.handle(node_frames.TargetUpdate, self._on_target_update)
         links.handle(node_frames.TableUpdate, self._on_table_update)
         links.handle(node_frames.TablePull, self._on_pull)
@@ -147,6 +147,11 @@
         """Version of the configuration in force; 0 if there is none."""
         return self._table.version if self._table is not None else 0
 
+    @property
+    def position(self) -> positions.Position:
+        """Position up to which all changes of the store are known."""
+        return self._view.position
+
     @property
     def is_outdated(self) -> bool:
         """Whether a peer is known to have a newer configuration."""
@@ -241,8 +246,9 @@
         is_changed = self._view.expire(now)
         is_changed |= self._view.accept_doubted(now)
         is_changed |= self._evacuations.expire(now, self._fresh_at, self._view.position)
-        if is_changed:
-            self.on_targets()
+        is_report_due = self._report_targets_at is not None and now >= self._report_targets_at
+        if is_changed or is_report_due:
+            self._notify_of_targets()
 
     def _is_due(self) -> bool:
         if self._reactor.seconds() < self._next_call:
@@ -268,11 +274,12 @@
             else:
                 await self._read_all(polled_at)
         except store.StoreError as error:
+            self.reads.count(store_reads.ReadOutcome.FAILED)
             self._on_failure(str(error), isinstance(error, store.StoreBusyError))
             return
         except Exception as error:
             # An error in one response must not end the task that provides all updates.
-            _log.error("ask_failed", error=repr(error))
+            self.reads.on_rejected(error, self._view.position)
             self._on_failure(repr(error), is_busy=False)
             return
         self._on_success()
@@ -280,14 +287,20 @@
     async def _read_all(self, polled_at: float) -> None:
         """Read all items of the store."""
         listing = await self._store.list_items(_ALL_KEYS)
-        rows = [store_items.Change(item.key, item.position, item.value) for item in listing.items]
+        rows = [
+            store_items.Change(item.key, item.position, item.value, item.problem)
+            for item in listing.items
+        ]
+        self._skip_rows(listing.skipped, listing.position)
+        self.refused_rows.keep_only([row.key for row in rows])
         is_changed = self._replace(_evacuation_changes(rows), self._decode(rows), listing.position)
         self._has_targets = True
         self._fresh_at = max(self._fresh_at, polled_at)
         self._apply_other_keys(rows)
         if is_changed:
-            self.on_targets()
+            self._notify_of_targets()
         self._send_all(hall_peers.names(self._links, self._hall))
+        self.reads.count(store_reads.ReadOutcome.LISTED)
 
     def _replace(
         self,
@@ -321,6 +334,7 @@
             return
         # An entry that came back while its removal was pending is a change for the peers as well.
         known = self._view.confirmed_entries()
+        self._skip_rows(found.skipped, found.position)
         entries = self._decode(found.changes)
         evacuation_changes = _evacuation_changes(found.changes)
         is_changed = self._evacuations.apply(evacuation_changes)
@@ -329,11 +343,19 @@
         self._fresh_at = max(self._fresh_at, polled_at)
         self._apply_other_keys(found.changes)
         if is_changed:
-            self.on_targets()
+            self._notify_of_targets()
         effective_changes = target_view.effective_changes(known, entries)
         self._send_update(
             hall_peers.names(self._links, self._hall), before, effective_changes, evacuation_changes
         )
+        has_changes = bool(found.changes)
+        self.reads.count(
+            store_reads.ReadOutcome.CHANGED if has_changes else store_reads.ReadOutcome.UNCHANGED
+        )
+
+    def _skip_rows(self, reasons: Iterable[str], position: positions.Position) -> None:
+        for reason in reasons:
+            self.refused_rows.skip(position, reason)
 
     def _decode(self, rows: Iterable[store_items.Change]) -> list[target_view.TargetChange]:
         changes = []
@@ -343,25 +365,76 @@
                 continue
             entry = None
             if row.value is not None:
-                entry = self._decode_entry(row.key, row.value)
+                entry = self._decode_entry(row, row.value)
+            else:
+                self.refused_rows.accept(row.key)
             # An invalid entry replaces the previous one: the target counts as removed.
-            changes.append(target_view.TargetChange(name, row.position, entry))
+            is_refused = entry is None and row.value is not None
+            changes.append(target_view.TargetChange(name, row.position, entry, is_refused))
         return changes
 
-    def _decode_entry(self, key: str, value: bytes) -> target_view.TargetEntry | None:
+    def _decode_entry(
+        self, row: store_items.Change, value: bytes
+    ) -> target_view.TargetEntry | None:
         try:
-            return target_entries.decode(key, value)
+            entry = target_entries.decode(row.key, value)
         except target_entries.EntryError as error:
-            self.refused_entries += 1
-            self._refused_log.info("entry_refused", error=str(error))
+            reason = row.problem or str(error)
+            self.refused_rows.refuse("entry_refused", row.key, row.position, reason)
             return None
+        self.refused_rows.accept(row.key)
+        return entry
 
     def _apply_other_keys(self, rows: Sequence[store_items.Change]) -> None:
         """Apply items other than target entries: the configuration and the instances' keys."""
         for row in rows:
             if row.key == configuration.KEY and row.value is not None:
                 self._apply_table(row.value, row.position.era)
-        self.on_other_keys(rows)
+        for name, listener in self.row_listeners.items():
+            self._hand_on(name, listener, rows)
+
+    def _hand_on(
+        self,
+        name: str,
+        listener: Callable[[Sequence[store_items.Change]], None],
+        rows: Sequence[store_items.Change],
+    ) -> None:
+        """Hand rows to a listener; if it fails, one by one, so that one row affects no other.
+
+        A failure is contained here because the position has moved on: rows that a listener did not
+        get are not read again.
+        """
+        try:
+            listener(rows)
+        except Exception as error:
+            if len(rows) == 1:
+                reason = f"{name}: {error!r}"[: failure_log.MAX_ERROR_CHARACTERS]
+                self.refused_rows.refuse("row_refused", rows[0].key, rows[0].position, reason)
+                return
+            for row in rows:
+                self._hand_on(name, listener, [row])
+
+    def _notify_of_targets(self) -> None:
+        """Report changed targets; a failure is repeated, and keeps no peer from being told."""
+        self._report_targets_at = None
+        try:
+            self.on_targets()
+        except Exception as error:
+            self._on_listener_failed("targets", error)
+            self._report_targets_at = self._reactor.seconds() + RETRY_SECONDS
+        else:
+            self._listener_log.on_success()
+
+    def _notify_of_table(self, table: routes.RouteTable) -> None:
+        """Report a configuration; a failure must not keep the peers from being sent it."""
+        try:
+            self.on_table(table)
+        except Exception as error:
+            self._on_listener_failed("configuration", error)
+
+    def _on_listener_failed(self, name: str, error: Exception) -> None:
+        self.listener_failures += 1
+        self._listener_log.on_failure(error, listener=name, version=self.version)
 
     def _apply_table(self, document: bytes, era: int) -> None:
         try:
@@ -377,7 +450,7 @@
         self._table_era = era
         self._newer_peer = None
         self._document = document
-        self.on_table(table)
+        self._notify_of_table(table)
         update = node_frames.TableUpdate(table.version, document, era)
         for name in hall_peers.names(self._links, self._hall):
             self._links.send(name, update)
@@ -430,7 +503,7 @@
         self._has_targets = True
         self._fresh_at = max(self._fresh_at, self._reactor.seconds() - frame.age)
         if is_changed:
-            self.on_targets()
+            self._notify_of_targets()
         self._correct_peer(link.hello.name, changes)
 
     def _held_until(self, unsettled: Iterable[target_view.Unsettled]) -> dict[str, float]:
@@ -481,7 +554,13 @@
             self._pull_from_any_peer()
         if self._outage_since is None:
             self._outage_since = now
-            _log.warning("store_lost", error=error, age=round(self.age, 3))
+            _log.warning(
+                "store_lost",
+                error=error,
+                age=round(self.age, 3),
+                revision=self._view.position.revision,
+                era=self._view.position.era,
+            )
         pause = min(MAX_RETRY_SECONDS, RETRY_SECONDS * 2**self._failures)
         if not self.is_complete and not is_busy:
             pause = INCOMPLETE_RETRY_SECONDS
--- a/src/lineworks/forwarding/target_documents.py
+++ b/src/lineworks/forwarding/target_documents.py
@@ -149,13 +149,13 @@
 
 def _change(row: Any, refused: list[str]) -> target_view.TargetChange:
     name, position = _identity(row)
-    entry = None
-    if len(row) > 3:
-        try:
-            entry = _entry(name, row[3:])
-        except TargetDocumentError as error:
-            refused.append(str(error))
-    return target_view.TargetChange(name, position, entry)
+    if len(row) == 3:
+        return target_view.TargetChange(name, position, None)
+    try:
+        return target_view.TargetChange(name, position, _entry(name, row[3:]))
+    except TargetDocumentError as error:
+        refused.append(str(error))
+        return target_view.TargetChange(name, position, None, is_refused=True)
 
 
 def _identity(row: Any) -> tuple[str, positions.Position]:
