--- a/src/lineworks/platform/standins/http_target.py
+++ b/src/lineworks/platform/standins/http_target.py
@@ -73,6 +73,9 @@
     status: int = 200
     """HTTP status of its answers."""
 
+    send: Callable[[Any, bytes], None] | None = None
+    """Sends the bytes of an answer over a transport in place of the target; None for no fault."""
+
 
 class HttpTarget(protocol.Factory):
     """A target: the factory of its server connections."""
@@ -191,7 +194,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
-        self._headers[name.decode().lower()] = value.decode()
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_body(self, data: bytes) -> None:
         """Collect part of the body."""
@@ -200,7 +203,7 @@
     def on_message_complete(self) -> None:
         """Run or refuse the request."""
         target = self._target
-        headers, path, body = self._headers, self._url.decode(), self._body
+        headers, path, body = self._headers, self._url.decode("latin-1"), self._body
         method = self._parser.get_method().decode()
         self._headers, self._url, self._body = {}, b"", b""
         attempt = headers.get("x-attempt-id", "")
@@ -236,4 +239,9 @@
     def _answer(self, status: int, attempt: str, body: bytes, more: str) -> None:
         head = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {attempt}\r\n{more}"
         framing = f"Content-Length: {len(body)}\r\n\r\n"
-        self.transport.write((head + framing).encode() + body + self._target.faults.trailing_bytes)
+        faults = self._target.faults
+        data = (head + framing).encode("latin-1") + body + faults.trailing_bytes
+        if faults.send is not None:
+            faults.send(self.transport, data)
+        else:
+            self.transport.write(data)
--- a/src/lineworks/standins/deployment.py
+++ b/src/lineworks/standins/deployment.py
@@ -407,5 +407,6 @@
             reply.broken = result.detail
             return
         reply.status = result.status
-        reply.headers = {key.decode(): value.decode() for key, value in result.fields}
+        fields = result.fields
+        reply.headers = {key.decode("latin-1"): value.decode("latin-1") for key, value in fields}
         reply.body = result.body
