--- a/src/lineworks/services/target_connection.py
+++ b/src/lineworks/services/target_connection.py
@@ -122,7 +122,7 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.close()
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
@@ -155,6 +155,10 @@
     def on_message_complete(self) -> None:
         """Deliver the complete response, and close the connection unless it is kept alive."""
         parser = self._parser
+        if parser.get_status_code() < 200:
+            # An interim response; the final one follows.
+            self._headers = {}
+            return
         self._parser = None
         response = Response(parser.get_status_code(), self._headers, b"".join(self._body))
         if not parser.should_keep_alive():
--- a/tests/test_target_pool.py
+++ b/tests/test_target_pool.py
@@ -114,6 +114,22 @@
     assert world.outcomes[0].verdict.certainty is verdict.Certainty.MAY_HAVE_RUN
 
 
+def test_an_answer_that_switches_protocols_leaves_the_outcome_unknown(world):
+    world.send()
+    _, transport = world.accept()
+    feed(transport, b"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n")
+    assert world.outcomes[0].verdict.certainty is verdict.Certainty.MAY_HAVE_RUN
+
+
+def test_an_interim_answer_that_refuses_is_no_refusal(world):
+    world.send()
+    _, transport = world.accept()
+    feed(transport, b"HTTP/1.1 103 X\r\nLineworks-Not-Run: overloaded\r\n\r\n")
+    assert world.outcomes == []
+    feed(transport, REPLY)
+    assert world.outcomes[0].verdict.is_ok
+
+
 def test_attempts_beyond_the_connection_share_are_refused():
     world = _World(connections=25)
     share = ownership.connection_share(25)
