A surplus refusal no longer makes the next request on its connection "not run"

What callers of the product's own interface saw: an answer that had run and arrived whole was counted as "not run", so that a request that may run once could be sent again.

Cause: `TargetConnection` delivered a response inside the parser's callback. Whoever gets it may send the next request over the same connection at once; the parser was then still in the middle of the bytes received, and put the headers of a surplus response (`Lineworks-Not-Run`) among those of the next one.

Change: the response is held back until all bytes received with it are parsed, as http1/client_connection.py does, and a connection with surplus bytes takes no further request.

--- a/src/lineworks/services/target_connection.py
+++ b/src/lineworks/services/target_connection.py
@@ -82,6 +82,8 @@
         self._parser: Any = None
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
+        self._response: Response | None = None
+        self._must_close = False
         self.is_closed = False
 
     @property
@@ -120,9 +122,17 @@
         if self._parser is None:
             self.close()
             return
+        is_valid = True
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            is_valid = False
+        # Delivered only now: the next request may be sent at once, and the data received must not
+        # be taken for its response.
+        response, self._response = self._response, None
+        if response is not None:
+            self._deliver(response, is_valid)
+        elif not is_valid:
             self.close()
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
@@ -135,6 +145,13 @@
         self._on_closed(self)
         self._complete(None)
 
+    def on_message_begin(self) -> None:
+        """Detect a second response that follows a complete one."""
+        if self._response is not None:
+            self._must_close = True
+            self._headers = {}
+            self._body = []
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header of the response.
 
@@ -153,18 +170,24 @@
         self._body.append(data)
 
     def on_message_complete(self) -> None:
-        """Deliver the complete response, and close the connection unless it is kept alive."""
-        parser = self._parser
-        if parser.get_status_code() < 200:
+        """Hold the response back until the parser has processed all data received with it."""
+        if self._response is not None:
+            return
+        status = self._parser.get_status_code()
+        if status < 200:
             # An interim response; the final one follows.
             self._headers = {}
             return
+        self._must_close = not self._parser.should_keep_alive()
+        self._response = Response(status, self._headers, b"".join(self._body))
+
+    def _deliver(self, response: Response, is_reusable: bool) -> None:
+        """Deliver the complete response, and close the connection unless it can be reused."""
         self._parser = None
-        response = Response(parser.get_status_code(), self._headers, b"".join(self._body))
-        if not parser.should_keep_alive():
-            self.is_closed = True
-            self.transport.loseConnection()
+        self.is_closed = self._must_close or not is_reusable
         self._complete(response)
+        if self.is_closed:
+            self.close()
 
     def _complete(self, response: Response | None) -> None:
         on_response = self._on_response
--- a/tests/test_target_pool.py
+++ b/tests/test_target_pool.py
@@ -130,6 +130,29 @@
     assert world.outcomes[0].verdict.is_ok
 
 
+SURPLUS = b"HTTP/1.1 503 X\r\nLineworks-Not-Run: overloaded\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize("length", [1, 20, 60, len(SURPLUS) - 2, len(SURPLUS)])
+def test_a_surplus_refusal_is_not_taken_for_the_answer_to_the_next_request(world, length):
+    outcomes = []
+
+    class SendAgain(list):
+        def append(self, outcome):
+            outcomes.append(outcome)
+            world.outcomes = outcomes
+            world.send()
+
+    world.outcomes = SendAgain()
+    world.send()
+    _, transport = world.accept()
+    feed(transport, REPLY + SURPLUS[:length])
+    assert [outcome.verdict.is_ok for outcome in outcomes] == [True]
+    is_reused = len(world.reactor.tcpClients) == 1
+    feed(transport if is_reused else world.accept()[1], REPLY)
+    assert [outcome.verdict.is_ok for outcome in outcomes] == [True, True]
+
+
 def test_attempts_beyond_the_connection_share_are_refused():
     world = _World(connections=25)
     share = ownership.connection_share(25)
