Soak: odd rows in the store, endless and cut answers, and checks of what they must not harm

Cause: the soak was clean while one entry with a port of 4,400 digits ended each read of the store.

Change: from sources of their own (the other steps of a seed stay as they were) the plan deals odd entries beside the good ones, targets whose entry becomes odd and good again, odd values under other keys and odd keys, and targets that answer without end or cut their answers. Eight seconds of traffic without new faults follow the steps. New checks: no 404 for a route that all configurations have, a success of one target is whole, a repaired target is used again, an instance stays within 300 MB, and most callers are served at the end. Checks that were there are unchanged; made-up histories of tests get whole bodies, as the new check asks for them.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -16,7 +16,7 @@
 import absl.flags
 from twisted.internet import defer
 
-from bench.soak import checkers, workspace_checkers
+from bench.soak import checkers, odd_checkers, workspace_checkers
 from lineworks.kernel import steady_reactor
 from lineworks.programs import _common
 
@@ -66,6 +66,13 @@
     print(f"{len(found.arrivals)} arrivals, {len(broken)} broken", flush=True)
     for line in [*_latencies(found), *_refusals_below(found)]:
         print(line)
+    used = len(odd_checkers.must_be_used(found))
+    peak = max(found.peak_memory_mb.values())
+    print(
+        f"  repaired targets that must be used: {used}; peak memory of an instance: {peak:.0f} MB"
+    )
+    for promise, count in collections.Counter(row.promise for row in broken).items():
+        print(f"  broken: {promise}: {count}")
     for row in broken[:MOST_SHOWN]:
         print(f"  {row.promise}: {row.attempt}: {row.detail}")
         print(f"    lineworks-ctl timeline {row.attempt} {folder}/*.log")
--- a/bench/soak/actions.py
+++ b/bench/soak/actions.py
@@ -10,9 +10,9 @@
 from lineworks.platform.standins import documents
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
-    from bench.soak import callers, instances, schedule, workspaces
+    from bench.soak import callers, instances, odd_actions, schedule, workspaces
 
 SHARDS = (
     tuple(f"s{number:02d}" for number in range(8)),
@@ -43,6 +43,9 @@
 REWRITE_DELAY_SECONDS = 0.6
 """Seconds after the store's return from an older copy until operators and targets write again."""
 
+CHANGE_SECONDS = 0.5
+"""Seconds after odd entries at which a target leaves and the set of shards changes."""
+
 LINK_DELAY = 0.1
 """Seconds that bytes are late on a slow link, each way."""
 
@@ -103,6 +106,9 @@
     workspaces: workspaces.Workspaces | None
     """The workspaces; None where the run has none."""
 
+    odd_writer: odd_actions.OddWriter
+    """Leaves odd values in the store."""
+
 
 class Actions:
     """What is done to the parts of a run."""
@@ -124,12 +130,15 @@
         self._instances = parts.instances
         self._callers = parts.callers
         self._workspaces = parts.workspaces
+        self._odd_writer = parts.odd_writer
         self.configured: list[history.Configured] = []
         """Configurations that were written."""
         self.evacuated: list[history.Evacuated] = []
         """Evacuations."""
         self.left: list[history.Left] = []
-        """Targets that left with notice."""
+        """Targets that left with notice, or whose entry is odd."""
+        self.repaired: list[history.Repaired] = []
+        """Targets whose odd entry became good again."""
         self.store_faults: list[tuple[float, float]] = []
         """Begin and end of each fault of the store or of a link to it."""
         self.older: list[tuple[float, float]] = []
@@ -220,6 +229,12 @@
             self._callers.ask_again(step.subjects[0], until, rng, key)
         elif step.kind is plan.Kind.HALL_EVACUATED:
             self._evacuate(step)
+        elif step.kind in plan.ODD:
+            self._leave_odd(step, self._places[step.subjects[0]])
+        elif step.kind in plan.BAD_ANSWERS:
+            way, *names = step.subjects
+            self._set_answers(names, way)
+            self._schedule.later(step.seconds, self._set_answers, names, "")
         elif step.kind is plan.Kind.HALL_RESTARTS:
             self._halls[step.subjects[0]].kill()
             self._schedule.later(step.seconds, self._halls[step.subjects[0]].start)
@@ -235,6 +250,31 @@
         self._schedule.later(after, self._announce, step.subjects, "draining")
         self._schedule.later(after, self._reshard)
 
+    def _leave_odd(self, step: plan.Step, place: processes.Place) -> None:
+        """Leave odd values; what changes soon after must be in force all the same."""
+        if step.kind is plan.Kind.ODD_KEY:
+            self._odd_writer.write_key(step, place)
+        elif step.kind is plan.Kind.ODD_ROWS:
+            self._odd_writer.write_rows(step, place)
+            self._schedule.later(CHANGE_SECONDS, self._announce, (place.name,), "draining")
+            self._schedule.later(CHANGE_SECONDS, self._reshard)
+        elif self._halls[place.hall].is_running:
+            self._odd_writer.spoil(step, place)
+            self._note_announced(place.target, "draining")
+            self._schedule.later(step.seconds, self._repair, place, place.target)
+
+    def _repair(self, place: processes.Place, target: str) -> None:
+        """Write a target's good entry again, unless another one stands there now."""
+        if place.target == target and self._halls[place.hall].is_running:
+            self._announce((place.name,), "ready")
+            now = self._reactor.seconds()
+            self.repaired.append(history.Repaired(target, place.service, place.hall, now))
+
+    def _set_answers(self, names: Iterable[str], way: str) -> None:
+        for name in names:
+            place = self._places[name]
+            self._halls[place.hall].set_answers(place, way)
+
     def _evacuate(self, step: plan.Step) -> None:
         """Ask for an evacuation, and take it back later."""
         (hall,) = step.subjects
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -197,6 +197,23 @@
     """When it took that back."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Repaired:
+    """A target whose entry was odd, became good, and stayed so without another fault."""
+
+    target: str
+    """Its identity."""
+
+    service: str
+    """Its service."""
+
+    hall: str
+    """Its data hall."""
+
+    at: float
+    """When its entry became good."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class History:
     """One run."""
@@ -231,6 +248,12 @@
     left: tuple[Left, ...] = ()
     """When targets left."""
 
+    repaired: tuple[Repaired, ...] = ()
+    """When targets had a good entry again."""
+
+    peak_memory_mb: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    """For each instance the most memory that one of its lives had in use."""
+
     grace_seconds: float = processes.GRACE_SECONDS
     """Seconds that an instance has to stop."""
 
--- a/bench/soak/instances.py
+++ b/bench/soak/instances.py
@@ -26,6 +26,9 @@
 DUMP_SECONDS = 0.5
 """Seconds in which an instance that did not stop in time writes the stacks of its threads."""
 
+MEMORY_SECONDS = 0.5
+"""Seconds between looks at the memory that instances have in use."""
+
 MORE_SIGNALS = 3
 """Number of signals that follow the first one of a series."""
 
@@ -51,6 +54,8 @@
         self._aborted: set[processes.Child] = set()
         self.disturbed: list[history.Span] = []
         """Spans in which instances could not answer as usual."""
+        self.peak_memory_mb: dict[str, float] = {}
+        """For each instance the most memory that one of its lives had in use."""
         self.exits: list[str] = []
         """Unexpected exits, and stops that did not end in time; a clause each."""
 
@@ -62,6 +67,13 @@
         for node in started.values():
             node.child.end()
 
+    def watch_memory(self) -> None:
+        """Note how much memory the instances had in use, now and from time to time."""
+        for name, node in self._nodes.items():
+            used = node.child.peak_memory_mb
+            self.peak_memory_mb[name] = max(used, self.peak_memory_mb.get(name, 0.0))
+        self._schedule.later(MEMORY_SECONDS, self.watch_memory)
+
     def do(self, step: plan.Step) -> None:
         """Carry out a step.
 
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -7,8 +7,10 @@
 import random
 from typing import TYPE_CHECKING
 
+from bench.soak import bad_answers, odd_values
+
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Iterator, Sequence
 
 CALM_SECONDS = 3.0
 """Seconds at the start and at the end without new faults."""
@@ -61,6 +63,28 @@
 """Limits of the workspace that sends most, in percent of its usual one."""
 
 
+FIRST_WITHIN = 1.0
+"""Seconds after the calm beginning within which the first odd value and endless answer come."""
+
+MEAN_ODD_PAUSE = 2.5
+"""Mean seconds between two steps with odd values: most of them last longer."""
+
+ODD_SECONDS = (0.2, 9.0)
+"""Least and most seconds of an odd value that is taken back; some outlast the time to learn it."""
+
+MOST_ODD_ROWS = 4
+"""Odd entries that another writer leaves at a time."""
+
+MEAN_BAD_PAUSE = 3.0
+"""Mean seconds between two steps with targets that answer badly."""
+
+BAD_ANSWER_SECONDS = (0.5, 2.5)
+"""Least and most seconds for which targets answer badly."""
+
+MOST_BAD = 2
+"""Targets that answer badly at a time."""
+
+
 class Kind(enum.Enum):
     """What a step does."""
 
@@ -164,6 +188,22 @@
     HALL_EVACUATED = "hall_evacuated"
     """The operators ask to send nothing more to the targets of a hall, and take that back."""
 
+    ODD_ROWS = "odd_rows"
+    """Another writer leaves odd entries of targets; then a target leaves, and the set of shards
+    changes."""
+
+    ODD_TARGET = "odd_target"
+    """The entry of a target becomes odd, and good again later."""
+
+    ODD_KEY = "odd_key"
+    """Another writer leaves an odd value under another key, and takes it back later."""
+
+    TARGETS_ENDLESS = "targets_endless"
+    """Targets begin answers and never end them."""
+
+    TARGETS_CUT = "targets_cut"
+    """Targets close or reset connections inside their answers."""
+
     WORKSPACE_KEY_ADDED = "workspace_key_added"
     """A configuration in which a workspace has one key more."""
 
@@ -186,7 +226,14 @@
 WORKSPACES = (Kind.WORKSPACE_KEY_ADDED, Kind.WORKSPACE_KEY_TAKEN, Kind.WORKSPACE_LIMIT)
 """Kinds that change workspaces; a run that has none passes over them."""
 
-_APART = (Kind.FATAL_ASKED, Kind.HALL_EVACUATED, Kind.STORE_OLDER, *STOPS, *WORKSPACES)
+ODD = (Kind.ODD_ROWS, Kind.ODD_TARGET, Kind.ODD_KEY)
+"""Kinds in which another writer leaves odd values in the store."""
+
+BAD_ANSWERS = {Kind.TARGETS_ENDLESS: tuple(bad_answers.ENDLESS), Kind.TARGETS_CUT: bad_answers.CUTS}
+"""For each kind in which targets answer badly its ways."""
+
+_ALONE = (Kind.FATAL_ASKED, Kind.HALL_EVACUATED, Kind.STORE_OLDER)
+_APART = (*_ALONE, *STOPS, *WORKSPACES, *ODD, *BAD_ANSWERS)
 """Kinds that are dealt from sources of their own: the other steps of a seed stay what they were
 before these."""
 
@@ -207,11 +254,12 @@
     """How long it lasts, where it lasts."""
 
     subjects: tuple[str, ...] = ()
-    """Names of targets, of links, of an instance, of a hall, or of a route."""
+    """Names of targets, of links, of an instance, of a hall, or of a route; before targets that
+    answer badly their way, and after one with an odd entry the shapes."""
 
     value: int = 0
     """Limit of attempts, of a configuration; age of the store's copy in milliseconds; limit of a
-    workspace in percent of its usual one."""
+    workspace in percent of its usual one; seed of what else a step with odd values draws."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -258,10 +306,20 @@
         *_stops(seed, seconds, subjects.nodes),
         *_older_copies(seed, seconds, subjects.targets),
         *_workspace_changes(seed, seconds),
+        *_odd_values(seed, seconds, subjects),
+        *_bad_answers(seed, seconds, subjects),
     ]
     return sorted([*steps, *apart], key=lambda step: step.at)
 
 
+def _times(rng: random.Random, first: float, pause: float, seconds: float) -> Iterator[float]:
+    """Deal the times of a series; what a step draws is drawn before the time of the next one."""
+    at = first
+    while at < seconds - CALM_SECONDS:
+        yield at
+        at += rng.expovariate(1 / pause)
+
+
 def _fatal(seed: int, seconds: float) -> list[Step]:
     """Deal one request that ends its targets."""
     rng = random.Random(f"{seed}-fatal")
@@ -304,14 +362,13 @@
     """Deal stops with something else in them."""
     rng = random.Random(f"{seed}-stops")
     steps = []
-    at = CALM_SECONDS + rng.expovariate(1 / MEAN_STOP_PAUSE)
-    while at < seconds - CALM_SECONDS:
+    first = CALM_SECONDS + rng.expovariate(1 / MEAN_STOP_PAUSE)
+    for at in _times(rng, first, MEAN_STOP_PAUSE, seconds):
         kind = rng.choice(STOPS)
         is_rolled = kind is Kind.NODES_ROLLED
         struck = tuple(rng.sample(list(nodes), len(nodes) if is_rolled else 1))
         lasts = rng.uniform(*STOP_FOLLOWS)
         steps.append(Step(round(at, 3), kind, round(lasts, 3), struck))
-        at += rng.expovariate(1 / MEAN_STOP_PAUSE)
     return steps
 
 
@@ -319,12 +376,44 @@
     """Deal keys that are added and taken away, and limits that go down and up."""
     rng = random.Random(f"{seed}-workspace-changes")
     steps = []
-    at = CALM_SECONDS + rng.expovariate(1 / MEAN_WORKSPACE_PAUSE)
-    while at < seconds - CALM_SECONDS:
+    first = CALM_SECONDS + rng.expovariate(1 / MEAN_WORKSPACE_PAUSE)
+    for at in _times(rng, first, MEAN_WORKSPACE_PAUSE, seconds):
         kind = rng.choice(WORKSPACES)
         value = rng.choice(LIMIT_PERCENTS) if kind is Kind.WORKSPACE_LIMIT else 0
         steps.append(Step(round(at, 3), kind, value=value))
-        at += rng.expovariate(1 / MEAN_WORKSPACE_PAUSE)
+    return steps
+
+
+def _odd_values(seed: int, seconds: float, subjects: Subjects) -> list[Step]:
+    """Deal odd values in the store; odd entries of targets come first."""
+    rng = random.Random(f"{seed}-odd")
+    steps: list[Step] = []
+    kind = Kind.ODD_ROWS
+    first = rng.uniform(CALM_SECONDS, CALM_SECONDS + FIRST_WITHIN)
+    for at in _times(rng, first, MEAN_ODD_PAUSE, seconds):
+        target = rng.choice(subjects.targets)
+        shapes = rng.sample(odd_values.SHAPES, MOST_ODD_ROWS)
+        if not steps and odd_values.PORT not in shapes:
+            shapes[0] = odd_values.PORT
+        value = rng.randrange(2**31)
+        lasts = round(rng.uniform(*ODD_SECONDS), 3)
+        steps.append(Step(round(at, 3), kind, lasts, (target, *shapes), value))
+        kind = rng.choice(ODD)
+    return steps
+
+
+def _bad_answers(seed: int, seconds: float, subjects: Subjects) -> list[Step]:
+    """Deal targets that answer badly; endless answers come first."""
+    rng = random.Random(f"{seed}-bad-answers")
+    steps: list[Step] = []
+    kind = Kind.TARGETS_ENDLESS
+    first = rng.uniform(CALM_SECONDS, CALM_SECONDS + FIRST_WITHIN)
+    for at in _times(rng, first, MEAN_BAD_PAUSE, seconds):
+        lasts = round(rng.uniform(*BAD_ANSWER_SECONDS), 3)
+        struck = rng.sample(list(subjects.targets), min(MOST_BAD, len(subjects.targets)))
+        way = rng.choice(BAD_ANSWERS[kind])
+        steps.append(Step(round(at, 3), kind, lasts, (way, *struck)))
+        kind = rng.choice(list(BAD_ANSWERS))
     return steps
 
 
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -34,6 +35,12 @@
 GRACE_SECONDS = 4.0
 """Seconds that an instance has to stop."""
 
+MEMORY_MB = 300
+"""Memory that an instance may have in use: `MemoryMb` of its machine."""
+
+PEAK_MEMORY = re.compile(r"^VmHWM:\s+(\d+) kB$", re.MULTILINE)
+"""Line of `/proc/PID/status` with the most memory that a process had in use (proc(5))."""
+
 USER_TICKS, SYSTEM_TICKS = 11, 12
 """Places of a process's times after the name in `/proc/PID/stat` (proc(5), utime and stime)."""
 
@@ -67,6 +74,11 @@
         """Identity of the target that stands here now."""
         return f"i-{self.service}-{self.hall}-{self.starts}"
 
+    def entry(self, state: str) -> str:
+        """Encode the entry of that target as JSON."""
+        address = f"127.0.0.1:{self.link_port}"
+        return documents.target_entry(self.service, address, self.hall, SLOTS, state)
+
 
 class Child:
     """A process with orders on its standard input, and its output in a file."""
@@ -99,6 +111,16 @@
         """Its exit code; negative after a signal."""
         return self._process.poll()
 
+    @property
+    def peak_memory_mb(self) -> float:
+        """Most memory that it had in use, in MB; 0 once it has ended."""
+        try:
+            status = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        found = PEAK_MEMORY.search(status)
+        return int(found[1]) / 1024 if found else 0.0
+
     @property
     def processor_seconds(self) -> float:
         """Processor time that it has used, in seconds; 0 once it has ended."""
@@ -156,6 +178,14 @@
         """Remove a key."""
         self.child.order(do="remove", key=key)
 
+    def write_odd(self, key: str, shape: str, document: dict[str, Any], field: str) -> None:
+        """Write an odd value as another writer does: `odd_values.encode` makes it there."""
+        self.child.order(do="write_odd", key=key, shape=shape, document=document, field=field)
+
+    def take_odd_back(self, key: str) -> None:
+        """Put back what stood there before an odd value."""
+        self.child.order(do="take_odd_back", key=key)
+
     def set_fault(self, name: str, value: Any) -> None:
         """Set one of the store's faults."""
         self.child.order(do="fault", name=name, value=value)
@@ -176,9 +206,7 @@
 
     def announce(self, place: Place, state: str) -> None:
         """Write the entry of the target at a place."""
-        address = f"127.0.0.1:{place.link_port}"
-        entry = documents.target_entry(place.service, address, place.hall, SLOTS, state)
-        self.write(documents.target_key(place.target), documents.encode_value(entry))
+        self.write(documents.target_key(place.target), documents.encode_value(place.entry(state)))
 
 
 class Links:
@@ -230,9 +258,14 @@
         self._store = store
         self._child: Child | None = None
 
+    @property
+    def is_running(self) -> bool:
+        """Whether its targets run."""
+        return self._child is not None and self._child.is_running
+
     def start(self) -> None:
         """Start targets with new identities, and announce them, unless they run."""
-        if self._child is not None and self._child.is_running:
+        if self.is_running:
             return
         rows = []
         for place in self._places:
@@ -254,7 +287,7 @@
 
     def announce(self, place: Place, state: str) -> None:
         """Write the entry of a target, unless it was killed."""
-        if self._child is not None and self._child.is_running:
+        if self.is_running:
             self._store.announce(place, state)
 
     def set_fault(self, place: Place, seconds: float, **faults: Any) -> None:
@@ -268,6 +301,11 @@
         if self._child is not None:
             self._child.order(target=place.target, seconds=seconds, faults=faults)
 
+    def set_answers(self, place: Place, way: str) -> None:
+        """Let the target at a place answer badly in one of `bad_answers.WAYS`, or well if empty."""
+        if self._child is not None:
+            self._child.order(target=place.target, way=way)
+
 
 class Node:
     """One instance, through all its lives."""
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -12,6 +12,7 @@
     callers,
     history,
     instances,
+    odd_actions,
     plan,
     port_claims,
     processes,
@@ -36,6 +37,10 @@
 START_SECONDS_AN_INSTANCE = 0.6
 """Seconds of it for each instance: its imports take half a second of one core."""
 
+TAIL_SECONDS = 8.0
+"""Seconds of traffic after the steps: what was written must be in force five seconds after the last
+fault of the store, and before it these seldom leave enough time to check that."""
+
 POLL_SECONDS = 0.05
 """Seconds between looks whether all tries have ended."""
 
@@ -63,7 +68,7 @@
         Args:
             reactor: Twisted's reactor.
             seed: Decides what goes wrong, and what callers ask.
-            seconds: How long callers send.
+            seconds: How long things go wrong; callers send for `TAIL_SECONDS` more.
             folder: Takes settings, logs and books; it exists.
             nodes_a_hall: Instances in each hall.
             rate: Requests a second.
@@ -108,6 +113,7 @@
             self._instances,
             self._callers[0],
             self._workspaces,
+            odd_actions.OddWriter(self._schedule, self._store, tuple(self._nodes)),
         )
         self._actions = actions.Actions(reactor, self._schedule, parts)
 
@@ -182,16 +188,17 @@
                 node.start()
             await task.sleep(self._reactor, self._start_seconds)
             begin = self._reactor.seconds()
-            self._write_timeline(begin)
+            rows = self._timeline(begin)
+            self._instances.watch_memory()
             for one in self._callers:
-                one.start(self._seconds)
+                one.start(self._seconds + TAIL_SECONDS)
             for step in self._steps:
                 self._reactor.callLater(step.at, self._actions.do, step)
-            await task.sleep(self._reactor, self._seconds)
+            await task.sleep(self._reactor, self._seconds + TAIL_SECONDS)
             await self._wait_until_quiet()
         finally:
             self._end()
-        return self._history()
+        return self._history(rows)
 
     async def _wait_until_quiet(self) -> None:
         until = self._reactor.seconds() + callers.BUDGET + callers.PATIENCE
@@ -210,15 +217,17 @@
         self._store.child.end()
         self._claim.release()
 
-    def _write_timeline(self, begin: float) -> None:
+    def _timeline(self, begin: float) -> list[dict[str, Any]]:
+        """Write the steps with their times to a file, and return them."""
         rows = [
             {**dataclasses.asdict(step), "kind": step.kind.value, "clock": begin + step.at}
             for step in self._steps
         ]
         text = "".join(json.dumps(row) + "\n" for row in rows)
         (self._folder / "timeline.jsonl").write_text(text)
+        return rows
 
-    def _history(self) -> history.History:
+    def _history(self, rows: list[dict[str, Any]]) -> history.History:
         known = self._workspaces
         done = self._actions
         return history.History(
@@ -235,5 +244,7 @@
             quota_bound=workspaces.BOUND,
             revocation=known.revocation if known is not None else access.RevocationPolicy(),
             older_copies=tuple(done.older),
+            repaired=odd_actions.undisturbed(done.repaired, rows),
+            peak_memory_mb=self._instances.peak_memory_mb,
             logged_keys=history.find_logged_keys(self._folder, done.configured),
         )
--- a/bench/soak/store_process.py
+++ b/bench/soak/store_process.py
@@ -5,7 +5,7 @@
 import sys
 from typing import TYPE_CHECKING, Any
 
-from bench.soak import _control
+from bench.soak import _control, odd_values
 from lineworks.kernel import steady_reactor
 from lineworks.platform.standins import store_model, store_rollback, store_server
 
@@ -41,6 +41,7 @@
     server.listen(reactor, port=port)
     drill = store_rollback.StoreRollback(reactor, model)
     drill.schedule_copies()
+    odd = odd_values.OddRows(model, drill.remove)
 
     def write_others(count: int) -> None:
         for _ in range(count):
@@ -65,6 +66,10 @@
     orders: dict[str, Callable[[dict[str, Any]], Any]] = {
         "write": lambda order: model.write(order["key"], order["value"]),
         "remove": lambda order: drill.remove(order["key"]),
+        "write_odd": lambda order: odd.write(
+            order["key"], order["shape"], order["document"], order["field"]
+        ),
+        "take_odd_back": lambda order: odd.take_back(order["key"]),
         "drill": begin_drill,
         "forget": lambda order: model.compact(),
         "fault": lambda order: setattr(server.faults, order["name"], order["value"]),
--- a/bench/soak/target_process.py
+++ b/bench/soak/target_process.py
@@ -13,7 +13,7 @@
 import types
 from typing import TYPE_CHECKING, Any
 
-from bench.soak import _control, history
+from bench.soak import _control, bad_answers, history
 from lineworks.kernel import steady_reactor
 from lineworks.platform.standins import http_target
 
@@ -84,7 +84,9 @@
         self._on_run(run)
 
 
-def _start(reactor: Any, place: dict[str, Any], hall: str, book: _Book) -> http_target.HttpTarget:
+def _start(
+    reactor: Any, place: dict[str, Any], hall: str, book: _Book, bad: bad_answers.BadAnswers
+) -> http_target.HttpTarget:
     target: http_target.HttpTarget
     runs = _Runs(lambda run: book.note(target, run.attempt, True, fields=run.fields))
     work = _work(random.Random(place["name"]), 0.0)
@@ -94,6 +96,7 @@
     target.on_refused = lambda attempt: book.note(target, attempt, False)
     target.is_fatal = lambda run: run.path.endswith(history.FATAL)
     target.on_crash = lambda run: crash(run)
+    target.replace_answer = bad.replace
     target.port = place["port"]
 
     def crash(run: http_target.Run) -> None:
@@ -121,9 +124,15 @@
         places: Name, service and port of each target.
     """
     noted = _Book(reactor, book)
-    targets = {place["name"]: _start(reactor, place, hall, noted) for place in places}
+    bad = {place["name"]: bad_answers.BadAnswers(reactor) for place in places}
+    targets = {
+        place["name"]: _start(reactor, place, hall, noted, bad[place["name"]]) for place in places
+    }
 
     def on_order(order: dict[str, Any]) -> None:
+        if "way" in order:
+            bad[order["target"]].way = order["way"]
+            return
         target = targets[order["target"]]
         target.faults = http_target.TargetFaults(**order["faults"])
         target.work = _work(random.Random(target.name), order["seconds"])
--- a/src/lineworks/platform/standins/http_target.py
+++ b/src/lineworks/platform/standins/http_target.py
@@ -117,6 +117,8 @@
         """Called with a fatal request when it crashes the target."""
         self.on_refused: Callable[[str], None] = lambda attempt: None
         """Called with the identity of each attempt that the target refuses."""
+        self.replace_answer: Callable[[Any, bytes], bool] = lambda transport, answer: False
+        """Called with the transport and each answer; returns whether it has answered instead."""
         self.connections: set[_TargetProtocol] = set()
         """Open connections."""
         self._listening: Any = None
@@ -236,4 +238,6 @@
     def _answer(self, status: int, attempt: str, body: bytes, more: str) -> None:
         head = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {attempt}\r\n{more}"
         framing = f"Content-Length: {len(body)}\r\n\r\n"
-        self.transport.write((head + framing).encode() + body + self._target.faults.trailing_bytes)
+        answer = (head + framing).encode() + body + self._target.faults.trailing_bytes
+        if not self._target.replace_answer(self.transport, answer):
+            self.transport.write(answer)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,7 @@
     history,
     instances,
     link,
+    odd_checkers,
     plan,
     port_claims,
     processes,
@@ -64,9 +65,17 @@
     return history.Arrival(attempt, target, service, at, has_run)
 
 
+def with_body(one, arrivals):
+    """Give a success of one target that has no body the whole one of a target that ran it."""
+    ran = [row.target for row in arrivals if row.attempt == one.attempt and row.has_run]
+    if one.body or one.status != 200 or one.route not in SERVICES or not ran:
+        return one
+    return dataclasses.replace(one, body=odd_checkers.whole_body(one.attempt, ran[0]))
+
+
 def found(calls, arrivals, configured=((0.0, 2, SHARDS),), **more):
     return history.History(
-        tuple(calls),
+        tuple(with_body(one, arrivals) for one in calls),
         tuple(arrivals),
         tuple(history.Configured(*one) for one in configured),
         SERVICES,
