--- a/src/lineworks/platform/standins/http_target.py
+++ b/src/lineworks/platform/standins/http_target.py
@@ -40,6 +40,11 @@
     return [hashlib.md5(seed).digest()[:RECORD_BYTES] for seed in seeds]
 
 
+def send_as_is(transport: Any, answer: bytes) -> bool:
+    """Leave an answer to the target, which sends it as it is."""
+    return False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
     """A request that a target ran."""
@@ -73,9 +78,6 @@
     status: int = 200
     """HTTP status of its answers."""
 
-    send: Callable[[Any, bytes], None] | None = None
-    """Sends the bytes of an answer over a transport in place of the target; None for no fault."""
-
 
 class HttpTarget(protocol.Factory):
     """A target: the factory of its server connections."""
@@ -120,6 +122,8 @@
         """Called with a fatal request when it crashes the target."""
         self.on_refused: Callable[[str], None] = lambda attempt: None
         """Called with the identity of each attempt that the target refuses."""
+        self.replace_answer: Callable[[Any, bytes], bool] = send_as_is
+        """Called with the transport and each answer; returns whether it has answered instead."""
         self.connections: set[_TargetProtocol] = set()
         """Open connections."""
         self._listening: Any = None
@@ -239,9 +243,6 @@
     def _answer(self, status: int, attempt: str, body: bytes, more: str) -> None:
         head = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {attempt}\r\n{more}"
         framing = f"Content-Length: {len(body)}\r\n\r\n"
-        faults = self._target.faults
-        data = (head + framing).encode("latin-1") + body + faults.trailing_bytes
-        if faults.send is not None:
-            faults.send(self.transport, data)
-        else:
-            self.transport.write(data)
+        answer = (head + framing).encode("latin-1") + body + self._target.faults.trailing_bytes
+        if not self._target.replace_answer(self.transport, answer):
+            self.transport.write(answer)
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -11,6 +11,7 @@
 from lineworks.decisions import verdict
 from lineworks.http1 import client_connection
 from lineworks.platform import store, store_items
+from lineworks.platform.standins import http_target
 from tests import test_client_connection, test_forwarding, test_store, test_target_pool
 
 BODY = b"0123456789"
@@ -125,6 +126,7 @@
         cut = cuts_of(whole)[self.cut]
         transport.write(self.interim + whole[:cut])
         end(transport, self.ending)
+        return True
 
 
 KINDS = {"read": "GET", "bill": "POST", "search": "GET"}
@@ -134,7 +136,7 @@
     services = test_forwarding.SHARDS[:4] if kind == "search" else ("shelf",)
     for service in services:
         for target in test_forwarding.targets_of(world, service):
-            target.faults.send = send
+            target.replace_answer = send
 
 
 def check_reply(world, kind, reply, attempt):
@@ -164,7 +166,7 @@
     ran = 0
     for cut in range(CUTS):
         if start == "kept":
-            cut_all(world, kind, None)
+            cut_all(world, kind, http_target.send_as_is)
             before = world.ask("akl-1", f"/{kind}/before-{cut}", method, body)
             world.run(1.0)
             assert before.status == 200
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -13,7 +13,7 @@
 from lineworks.http1 import client_connection
 from lineworks.kernel import early_acceptor, listening
 from lineworks.platform import headers
-from lineworks.platform.standins import documents
+from lineworks.platform.standins import documents, http_target
 from tests import test_client_connection, test_forwarding, test_server_connection
 
 MAX_DIGITS = 6000
@@ -205,8 +205,9 @@
         def send(transport, data, odd_lines=odd_lines):
             head, end, body = data.partition(b"Content-Length")
             transport.write(head + odd_lines + end + body)
+            return True
 
-        target.faults.send = send
+        target.replace_answer = send
         odd = world.ask(near, path.decode(), method)
         other = world.ask("akl-1", path.decode(), method)
         world.run(3.0)
@@ -214,4 +215,4 @@
         assert other.status == 200
         if odd_lines == lines(harmless):
             assert odd.status == 200
-    target.faults.send = None
+    target.replace_answer = http_target.send_as_is
