Odd settings no longer end a process without naming the field

What operators would see: after a settings file with one number of 5,000 digits (or a YAML date of month 13, "!!int x", "!!bool x", nesting of 100,000 levels, or bytes that are no UTF-8), the process ends at its start with a traceback and code 1 in place of settings_refused and code 2; at a reload there is a traceback in place of settings_refused. A port of -1 passed and failed later.

Cause: json.loads raises a plain ValueError for long numbers, taken for "not JSON"; the YAML parser, tried next, raises it as well, which is no YAMLError. RecursionError, KeyError and UnicodeDecodeError weren't handled either.

Change: a scalar without a value is read as a number that every field refuses, so that the error names the field, in JSON and in YAML. Other errors of the parsers are a SettingsError of the document. Ports are checked for their range. In lineworks-entry's settings too: the port of the platform's URL, and delays between halls, which could be infinite or negative.

--- a/src/lineworks/models/settings.py
+++ b/src/lineworks/models/settings.py
@@ -4,12 +4,21 @@
 
 import json
 import pathlib
-from typing import Literal
+from typing import Annotated, Literal
 
 import pydantic
 
 from lineworks.models import _base, node_settings
 
+MAX_PORT = 65535
+"""Greatest TCP port."""
+
+MAX_HALL_DELAY_MS = 60_000.0
+"""Longest network delay to another data hall that can be set, in milliseconds."""
+
+HallDelay = Annotated[float, pydantic.Field(ge=0.0, le=MAX_HALL_DELAY_MS)]
+"""One-way network delay to another data hall, in milliseconds."""
+
 
 class SettingsError(Exception):
     """A settings file is invalid; the message is one line that names the key."""
@@ -44,12 +53,20 @@
 class Platform(_base.Model):
     """Connection settings of the platform's store."""
 
-    url: str = pydantic.Field(pattern=r"^http://[\w.\-]+(:\d{1,5})?$")
+    url: str = pydantic.Field(pattern=r"^http://[\w.\-]+(:[0-9]{1,5})?$")
     """Base URL of the store."""
 
     timeout_ms: int = pydantic.Field(default=2000, ge=10, le=60000)
     """Timeout for a reply, in milliseconds."""
 
+    @pydantic.field_validator("url")
+    @classmethod
+    def _validate_port(cls, value: str) -> str:
+        port = value.removeprefix("http://").partition(":")[2]
+        if port and not 0 < int(port) <= MAX_PORT:
+            raise ValueError(f"expected a port from 1 to {MAX_PORT}")
+        return value
+
     @property
     def address(self) -> node_settings.Address:
         """Host and port of the URL; the port is 80 by default."""
@@ -86,7 +103,7 @@
     seeds: tuple[Seed, ...] = ()
     """Peers to contact if the platform is down."""
 
-    hall_delay_ms: dict[_base.Name, float] = {}
+    hall_delay_ms: dict[_base.Name, HallDelay] = {}
     """One-way network delay to other data halls, in milliseconds; 10 for halls not listed."""
 
     secret_file: str | None = None
@@ -141,7 +158,7 @@
         json.loads(text)
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise SettingsError(f"{path}: not JSON: {error}") from error
     try:
         # Validated from the text: strict validation accepts lists as tuples only in JSON input.
--- a/src/lineworks/platform/settings.py
+++ b/src/lineworks/platform/settings.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 import json
+import math
 import os
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from lineworks.decisions import access, cold_targets, extra_attempts, gather_rate, quota
@@ -25,6 +26,18 @@
 METRICS_PORT = 1
 """Offset, in the same range, of the port that serves metrics."""
 
+MAX_DIGITS = 100
+"""Maximum number of digits of an integer; the interpreter refuses those of thousands."""
+
+MAX_PORT = 65535
+"""Greatest TCP port."""
+
+_INVALID_NUMBER = math.nan
+"""Read in place of a value that does not exist: every field refuses it, and the error names it."""
+
+_CHECKED_SCALARS = ("bool", "int", "float", "timestamp")
+"""Kinds of YAML scalars that may have the form of a value without being one."""
+
 _MEGABIT = 1_000_000
 """Bits in a megabit."""
 
@@ -51,9 +64,12 @@
         raise SettingsError(f"{VARIABLE}: not set")
     try:
         with open(path, encoding="utf-8") as file:
-            return parse(file.read())
+            text = file.read()
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{path}: not UTF-8: {error.reason}") from error
+    return parse(text)
 
 
 def parse(text: str) -> node_settings.NodeSettings:
@@ -76,25 +92,52 @@
 
 def _read_document(text: str) -> Any:
     try:
-        return json.loads(text)
+        return json.loads(text, parse_int=_parse_integer)
+    except RecursionError as error:
+        raise SettingsError("(document): nested too deeply") from error
     except ValueError:
         return _read_yaml(text)
 
 
+def _parse_integer(digits: str) -> int | float:
+    """Parse an integer, or one of too many digits as a number that every field refuses."""
+    return int(digits) if len(digits) <= MAX_DIGITS else _INVALID_NUMBER
+
+
 def _read_yaml(text: str) -> Any:
     import yaml
 
+    class Loader(getattr(yaml, "CSafeLoader", yaml.SafeLoader)):  # type: ignore[misc]
+        """Reads scalars that have no value, such as a date of month 13, as `_INVALID_NUMBER`."""
+
+    for kind in _CHECKED_SCALARS:
+        tag = f"tag:yaml.org,2002:{kind}"
+        Loader.add_constructor(tag, _scalar_constructor(Loader.yaml_constructors[tag]))
     try:
-        return yaml.load(text, getattr(yaml, "CSafeLoader", yaml.SafeLoader))
+        return yaml.load(text, Loader)
     except yaml.YAMLError as error:
         raise SettingsError(f"(document): {str(error).splitlines()[0]}") from error
+    except RecursionError as error:
+        raise SettingsError("(document): nested too deeply") from error
+
+
+def _scalar_constructor(construct: Callable[[Any, Any], Any]) -> Callable[[Any, Any], Any]:
+    """Wrap a constructor of YAML scalars so that the field of an invalid one is named later."""
+
+    def construct_valid(loader: Any, node: Any) -> Any:
+        try:
+            return construct(loader, node)
+        except (ValueError, LookupError):
+            return _INVALID_NUMBER
+
+    return construct_valid
 
 
 def _decode(document: _fields.Fields) -> node_settings.NodeSettings:
     host = document.text("Ip")
     listen = document.table("ListenAddrs")
     ports = document.items("PortRange")
-    if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
+    if len(ports) != 2 or not all(_is_port(port) for port in ports):
         raise _fields.DocumentError("PortRange: expected the first and the last port")
     if ports[0] + METRICS_PORT > ports[1]:
         raise _fields.DocumentError("PortRange: expected at least two ports")
@@ -131,6 +174,10 @@
     )
 
 
+def _is_port(value: Any) -> bool:
+    return type(value) is int and 0 < value <= MAX_PORT
+
+
 def _quota_bound(bounds: _fields.Fields) -> quota.QuotaBound:
     defaults = quota.QuotaBound()
     return quota.QuotaBound(
