Odd values of the configuration and of claims no longer end their readers

What callers and operators of lineworks-entry would see: after one odd head no instance follows the configuration any more, until it is started again; a request with an idempotency key whose bucket is damaged never gets an answer; a peer's odd transfer breaks the link from within.

Cause: the readers of config/head, of manifests, of buckets of claims and of a peer's transfer took any JSON. Deep nesting (RecursionError), wrong types (TypeError, AttributeError), a value that is no UTF-8 (UnicodeDecodeError) went past the errors that the tasks handle, so that the keeper's task ended, and the claims that waited for the bucket were dropped without an outcome.

Change: validated models for heads, manifests and transfers (models/configuration.py), whose errors are ConfigurationErrors; a value that is no text is a PlatformError, and is read again later with the pause that such errors have. A damaged bucket refuses its claims as NOT_RUN with one log line; the key of an odd row counts as taken, so that no request runs twice, and the other rows stay.

--- a/src/lineworks/decisions/claims.py
+++ b/src/lineworks/decisions/claims.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 import json
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import xxhash
 
@@ -26,6 +26,10 @@
 """Maximum size of a bucket value in bytes; a claim that would exceed it is refused."""
 
 
+UNREADABLE_EXPIRES = 2.0**53
+"""Expiry time of a claim whose row is invalid, in seconds since the epoch: never in practice."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
     """An instance's claim of one idempotency key."""
@@ -46,6 +50,10 @@
     """Expiry time, in seconds since the epoch."""
 
 
+class BucketDamagedError(Exception):
+    """The value of a bucket is not a list of claims."""
+
+
 class BucketFullError(Exception):
     """A bucket has no room for another claim."""
 
@@ -83,11 +91,36 @@
         data: The value as JSON; None if the bucket does not exist.
 
     Returns:
-        Claims by key digest.
+        Claims by key digest. The key of a row that is otherwise invalid counts as taken, so that
+        its request cannot run twice; a row without a key is skipped.
+
+    Raises:
+        BucketDamagedError: The value is not a list in JSON.
     """
     if data is None:
         return {}
-    return {row[0]: Claim(*row) for row in json.loads(data)}
+    try:
+        rows = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise BucketDamagedError(f"the bucket is not JSON: {error}"[:200]) from error
+    if not isinstance(rows, list):
+        raise BucketDamagedError("the bucket is not a list")
+    claims = [_decode_row(row) for row in rows if _has_key(row)]
+    return {claim.key: claim for claim in claims}
+
+
+def _has_key(row: Any) -> bool:
+    return isinstance(row, list) and bool(row) and isinstance(row[0], str)
+
+
+def _decode_row(row: list[Any]) -> Claim:
+    """Decode a row that has a key; one that is otherwise invalid is a claim of nobody."""
+    if len(row) == 5 and all(isinstance(value, str) for value in row[:4]):
+        expires = row[4]
+        # Also refuses NaN, for which every comparison is false.
+        if type(expires) in (int, float) and 0 <= expires <= UNREADABLE_EXPIRES:
+            return Claim(*row)
+    return Claim(row[0], "", "", "", UNREADABLE_EXPIRES)
 
 
 def encode_bucket(claims: Mapping[str, Claim]) -> str:
@@ -129,6 +162,7 @@
         The new bucket value and the outcome for each claim.
 
     Raises:
+        BucketDamagedError: The current value is not a list in JSON.
         BucketFullError: The new value would exceed `MAX_BUCKET_BYTES`.
     """
     held = {key: claim for key, claim in decode_bucket(data).items() if claim.expires > wall_now}
--- a/src/lineworks/models/configuration.py
+++ b/src/lineworks/models/configuration.py
@@ -8,11 +8,11 @@
 
 import itertools
 import json
-from typing import Any
+from typing import Annotated, Any
 
 import pydantic
 
-from lineworks.decisions import catalog, selectors
+from lineworks.decisions import catalog, changes, selectors
 from lineworks.models import _base
 
 Labels = dict[_base.Name, str]
@@ -112,6 +112,8 @@
     """Share of the admission queue relative to other classes."""
 
 
+_MANIFEST = pydantic.TypeAdapter(dict[str, str])
+
 _MODELS_BY_KIND: dict[str, type[_base.Model]] = {
     "service": ServiceItem,
     "selector": SelectorItem,
@@ -119,6 +121,44 @@
 }
 
 
+Version = Annotated[int, pydantic.Field(ge=0, le=2**63 - 1)]
+"""A version number, within the range of the frames that carry it."""
+
+
+class ChangeDocument(_base.Model):
+    """An accepted change as stored; see `changes.Change` for the fields."""
+
+    id: str
+    version: Version
+    previous: str
+    digest: str
+    author: str
+    puts: dict[str, str]
+    deletes: tuple[str, ...]
+
+
+class HeadDocument(_base.Model):
+    """The newest version as stored; see `changes.Head` for the fields."""
+
+    version: Version
+    digest: str
+    manifest: str
+    changes: tuple[ChangeDocument, ...]
+
+
+class Transfer(_base.Model):
+    """Configuration that an instance sends a peer."""
+
+    head: HeadDocument
+    """The version that the items lead to."""
+
+    is_whole: bool
+    """Whether these are all items; otherwise those that the peer lacks."""
+
+    items: dict[str, str]
+    """Items as JSON, by key."""
+
+
 class ConfigurationFile(_base.Model):
     """Input of `lineworks-ctl apply`: items by kind and name; null deletes an item."""
 
@@ -175,6 +215,66 @@
         raise ConfigurationError(_base.first_problem(error)) from error
 
 
+def to_head(document: HeadDocument) -> changes.Head:
+    """Convert a validated head to the type that the decisions use."""
+    kept = tuple(changes.Change(**dict(change)) for change in document.changes)
+    return changes.Head(document.version, document.digest, document.manifest, kept)
+
+
+def parse_head(text: str | bytes) -> changes.Head:
+    """Parse and validate a head.
+
+    Args:
+        text: The head as JSON.
+
+    Returns:
+        The head.
+
+    Raises:
+        ConfigurationError: The text is not a valid head.
+    """
+    try:
+        return to_head(HeadDocument.model_validate_json(text))
+    except pydantic.ValidationError as error:
+        raise ConfigurationError(f"damaged head: {_base.first_problem(error)}") from error
+
+
+def parse_manifest(text: str) -> dict[str, str]:
+    """Parse and validate a manifest.
+
+    Args:
+        text: The manifest as JSON.
+
+    Returns:
+        Content digests by key.
+
+    Raises:
+        ConfigurationError: The text is not a valid manifest.
+    """
+    try:
+        return _MANIFEST.validate_json(text, strict=True)
+    except pydantic.ValidationError as error:
+        raise ConfigurationError(f"damaged manifest: {_base.first_problem(error)}") from error
+
+
+def parse_transfer(text: bytes) -> Transfer:
+    """Parse and validate a configuration that a peer sent.
+
+    Args:
+        text: The transfer as JSON.
+
+    Returns:
+        The transfer.
+
+    Raises:
+        ConfigurationError: The text is not a valid transfer.
+    """
+    try:
+        return Transfer.model_validate_json(text)
+    except pydantic.ValidationError as error:
+        raise ConfigurationError(f"damaged transfer: {_base.first_problem(error)}") from error
+
+
 def build(items: dict[str, str], version: int, digest: str) -> catalog.Catalog:
     """Build the catalog of a complete configuration and check the rules that span items.
 
--- a/src/lineworks/services/claim_writer.py
+++ b/src/lineworks/services/claim_writer.py
@@ -175,6 +175,10 @@
             except platform_client.PlatformUnsureError as error:
                 # The next read of the bucket shows whether the claims were written.
                 reason = str(error)
+            except claims.BucketDamagedError as error:
+                _log.error("claim_bucket_damaged", bucket=bucket, error=str(error))
+                self._refuse(batch, verdict.Reason.PLATFORM_UNSURE, str(error))
+                return
             except claims.BucketFullError as error:
                 self._refuse(batch, verdict.Reason.OVERLOADED, str(error))
                 return
--- a/src/lineworks/services/config_keeper.py
+++ b/src/lineworks/services/config_keeper.py
@@ -203,20 +203,18 @@
 
     def _on_changes(self, link: peer_link.PeerLink, frame: frames.ConfigChanges) -> None:
         try:
-            document = json.loads(frame.document)
-            head = config_store.head_from_json(json.dumps(document["head"]))
-            items = {str(key): str(text) for key, text in document["items"].items()}
-            is_whole = bool(document["is_whole"])
-        except (ValueError, KeyError, TypeError, AttributeError, configuration.ConfigurationError):
-            link.close("malformed frame: configuration")
+            transfer = configuration.parse_transfer(frame.document)
+        except configuration.ConfigurationError as error:
+            link.close(f"malformed frame: {error}")
             return
+        head, items = configuration.to_head(transfer.head), transfer.items
         step = changes.follow(self.version, self.digest, head)
         if isinstance(step, changes.Rejected):
             if step.reason != "older":
                 self._raise_alarm(step.reason, step.detail)
             return
         try:
-            if is_whole:
+            if transfer.is_whole:
                 self._activate(head, items)
             elif isinstance(step, changes.ApplyChanges) and step.changes:
                 _, deleted = _combine(step.changes)
--- a/src/lineworks/services/config_store.py
+++ b/src/lineworks/services/config_store.py
@@ -88,15 +88,7 @@
     Raises:
         configuration.ConfigurationError: The text is not a valid head.
     """
-    try:
-        document = json.loads(text)
-        kept = tuple(
-            changes.Change(**{**change, "deletes": tuple(change["deletes"])})
-            for change in document["changes"]
-        )
-        return changes.Head(document["version"], document["digest"], document["manifest"], kept)
-    except (ValueError, TypeError, KeyError) as error:
-        raise configuration.ConfigurationError(f"damaged head: {error}") from error
+    return configuration.parse_head(text)
 
 
 class ConfigStore:
@@ -176,8 +168,7 @@
         """
         if not digest:
             return {}
-        manifest: dict[str, str] = json.loads(await self._read_content("manifest", digest))
-        return manifest
+        return configuration.parse_manifest(await self._read_content("manifest", digest))
 
     async def apply(
         self, items: Mapping[str, str | None], base: int, change_id: str, author: str
--- a/src/lineworks/services/platform_client.py
+++ b/src/lineworks/services/platform_client.py
@@ -92,13 +92,14 @@
             The value and its position.
 
         Raises:
-            PlatformError: The platform cannot be reached or returned an error.
+            PlatformError: The platform cannot be reached or returned an error, or the value is no
+                text.
         """
         try:
             item = await self._store.get(key)
         except store.StoreError as error:
             raise PlatformError(str(error)) from error
-        return _ABSENT if item is None else Value(item.value.decode(), item.position)
+        return _ABSENT if item is None else Value(_text(key, item.value), item.position)
 
     async def watch(self, key: str, after: positions.Position) -> Value:
         """Wait until a key changes after a position, for at most `WATCH_SECONDS`.
@@ -111,7 +112,8 @@
             The current value and its position.
 
         Raises:
-            PlatformError: The platform cannot be reached or returned an error.
+            PlatformError: The platform cannot be reached or returned an error, or the value is no
+                text.
         """
         try:
             entries = await self._store.watch(key, after, WATCH_SECONDS)
@@ -123,7 +125,7 @@
         if not relevant:
             return await self.get(key)
         last = relevant[-1]
-        return _ABSENT if last.value is None else Value(last.value.decode(), last.position)
+        return _ABSENT if last.value is None else Value(_text(key, last.value), last.position)
 
     async def compare_and_swap(self, key: str, data: str, expect: positions.Position) -> bool:
         """Write a key if its position is still the expected one.
@@ -223,3 +225,10 @@
             raise PlatformUnsureError(str(error)) from error
         except store.StoreError as error:
             raise PlatformError(str(error)) from error
+
+
+def _text(key: str, value: bytes) -> str:
+    try:
+        return value.decode()
+    except UnicodeDecodeError as error:
+        raise PlatformError(f"{key}: the value is not UTF-8: {error.reason}") from error
