An odd relayed reply closes its link with a reason and raises nothing

What callers would see: a relayed request gets no answer before its deadline, and the link to the peer breaks from within, with all that is on it.

Cause: the reply of a Relay was unpacked without looking at its shape: a number (TypeError) or deep nesting (RecursionError) went past the handler of ValueError and out of dataReceived; a status, a delay or a text that no answer can carry was passed to the caller's side.

Evidence: test_an_odd_relayed_reply_closes_its_link_and_raises_nothing failed on the code before.

Change: models/relayed_reply.py encodes and validates it.

--- a/src/lineworks/services/runs.py
+++ b/src/lineworks/services/runs.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import json
 import secrets
 import time
 from typing import TYPE_CHECKING, Any
@@ -17,7 +16,7 @@
 
 from lineworks.decisions import claims, deadlines, tickets, verdict
 from lineworks.engine import requests
-from lineworks.models import caller_http
+from lineworks.models import caller_http, relayed_reply
 from lineworks.wire import frames
 
 if TYPE_CHECKING:
@@ -333,8 +332,7 @@
             self._in_progress -= 1
 
     def _send_relay_reply(self, reply: caller_http.Reply, name: str, number: int) -> None:
-        document = json.dumps([reply.status, reply.document, reply.retry_after]).encode()
-        self._links.send(name, frames.RelayReply(number, document))
+        self._links.send(name, frames.RelayReply(number, relayed_reply.encode(reply)))
 
     def _on_relay_reply(self, link: peer_link.PeerLink, frame: frames.RelayReply) -> None:
         entry = self._pending_relays.get(frame.number)
@@ -342,11 +340,11 @@
         if entry is None or entry[0] != link.hello.name:
             return
         try:
-            status, document, retry_after = json.loads(frame.document)
-        except ValueError:
-            link.close("malformed frame: relay reply")
+            reply = relayed_reply.decode(frame.document)
+        except relayed_reply.RelayedReplyError as error:
+            link.close(f"malformed frame: relay reply: {error}")
             return
-        self._complete_relay(frame.number, caller_http.Reply(status, document, retry_after))
+        self._complete_relay(frame.number, reply)
 
     def _on_down(self, name: str) -> None:
         link_lost = verdict.may_have_run(verdict.Reason.LINK_LOST, f"lost {name}")
--- a/tests/test_odd_frames.py
+++ b/tests/test_odd_frames.py
@@ -5,13 +5,16 @@
 import dataclasses
 import json
 import math
+import types
 
 import pytest
 from hypothesis import given
 
 from lineworks.decisions import positions, target_view
 from lineworks.forwarding import target_documents
-from lineworks.wire import codec, node_frames
+from lineworks.models import relayed_reply
+from lineworks.services import runs
+from lineworks.wire import codec, frames, node_frames
 from tests import odd_values, test_forwarding
 
 ENTRY = ["shelf", "akl", "10.0.0.1", 80, 2, False, False, 17]
@@ -90,3 +93,27 @@
     for text in (odd_values.DEEP, odd_values.LONG_NUMBER, "{}", json.dumps(odd_values.BIG_TEXT)):
         with pytest.raises(target_documents.TargetDocumentError):
             target_documents.decode(text.encode())
+
+
+REPLY = [200, {"a": [1]}, 1.5]
+
+
+@given(odd_values.documents(REPLY))
+def test_any_relayed_reply_is_refused_or_can_be_sent_to_a_caller(data):
+    try:
+        reply = relayed_reply.decode(data)
+    except relayed_reply.RelayedReplyError as error:
+        assert str(error)
+        return
+    json.dumps(reply.document, ensure_ascii=False).encode()
+    assert 200 <= reply.status <= 599
+    assert math.ceil(reply.retry_after or 0.0) >= 0
+
+
+def test_an_odd_relayed_reply_closes_its_link_and_raises_nothing():
+    for text in ("1", "[1,2,3]", "null", odd_values.DEEP, odd_values.LONG_NUMBER):
+        link = types.SimpleNamespace(hello=types.SimpleNamespace(name="b"), reasons=[])
+        link.close = link.reasons.append
+        runner = types.SimpleNamespace(_pending_relays={1: ("b", None)})
+        runs.RequestRunner._on_relay_reply(runner, link, frames.RelayReply(1, text.encode()))
+        assert [reason.partition(":")[0] for reason in link.reasons] == ["malformed frame"]
