A ticket with a number of thousands of digits gets 400 instead of 500

What callers saw: 500 for a ticket "t1~a~i~1111...~n" of 5,000 digits, and from another instance a closed link, since int() raises a plain ValueError there.

Evidence: 2 of 4 cases of test_a_ticket_with_an_odd_number_is_refused failed on the code before (5,000 digits; a digit that isn't ASCII).

Change: a ticket's number has at most 20 ASCII digits.

--- a/src/lineworks/decisions/tickets.py
+++ b/src/lineworks/decisions/tickets.py
@@ -22,6 +22,9 @@
 _PREFIX = "t1"
 _RANDOM_BITS = 64
 
+MAX_NUMBER_DIGITS = 20
+"""Maximum number of digits of a ticket's number: that of 64 bits."""
+
 OUTCOME_RETENTION_SECONDS = 120.0
 """Seconds after a ticket's expiry for which the outcome of its request is kept."""
 
@@ -63,11 +66,15 @@
         TicketError: The text is not a valid ticket.
     """
     parts = text.split("~")
-    if len(parts) != 5 or parts[0] != _PREFIX or not parts[3].isdecimal():
+    if len(parts) != 5 or parts[0] != _PREFIX or not _is_number(parts[3]):
         raise TicketError("not a ticket")
     return Ticket(parts[1], parts[2], int(parts[3]), parts[4])
 
 
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdecimal() and len(text) <= MAX_NUMBER_DIGITS
+
+
 class State(enum.Enum):
     """State of a ticket."""
 
--- a/tests/test_odd_frames.py
+++ b/tests/test_odd_frames.py
@@ -10,7 +10,7 @@
 import pytest
 from hypothesis import given
 
-from lineworks.decisions import positions, target_view
+from lineworks.decisions import positions, target_view, tickets
 from lineworks.forwarding import target_documents
 from lineworks.models import relayed_reply
 from lineworks.services import runs
@@ -117,3 +117,12 @@
         runner = types.SimpleNamespace(_pending_relays={1: ("b", None)})
         runs.RequestRunner._on_relay_reply(runner, link, frames.RelayReply(1, text.encode()))
         assert [reason.partition(":")[0] for reason in link.reasons] == ["malformed frame"]
+
+
+ODD_TICKETS = [f"t1~a~i~{odd_values.LONG_NUMBER}~n", "t1~a~i~\u0663~n", "t1~a~i~~n", "t1~a~i~-1~n"]
+
+
+@pytest.mark.parametrize("text", ODD_TICKETS)
+def test_a_ticket_with_an_odd_number_is_refused(text):
+    with pytest.raises(tickets.TicketError):
+        tickets.parse(text)
