--- a/src/lineworks/decisions/catalog.py
+++ b/src/lineworks/decisions/catalog.py
@@ -20,6 +20,9 @@
 MAX_VERSION = 2**64 - 1
 """Greatest version of an index: peers send versions as unsigned 64-bit integers."""
 
+MAX_LAYOUT_CHARACTERS = 100
+"""Maximum length of the name of a layout, in characters."""
+
 _MAX_VERSION_DIGITS = len(str(MAX_VERSION))
 
 
@@ -52,13 +55,18 @@
         ValueError: The text does not have this form.
     """
     version, at, layout = text.partition("@")
-    if not at or not layout or not version.isdecimal():
+    if not at or not version.isdecimal() or not _is_layout(layout):
         raise ValueError(f"not a snapshot: {text[:80]!r} (expected VERSION@LAYOUT)")
     if len(version) > _MAX_VERSION_DIGITS or int(version) > MAX_VERSION:
         raise ValueError(f"not a snapshot: the version {version[:80]} is too large")
     return Snapshot(int(version), layout)
 
 
+def _is_layout(text: str) -> bool:
+    # Peers send lists of snapshots separated by commas.
+    return 0 < len(text) <= MAX_LAYOUT_CHARACTERS and text.isprintable() and "," not in text
+
+
 def parse_snapshots(text: str) -> frozenset[Snapshot]:
     """Parse snapshots separated by commas.
 
--- a/src/lineworks/wire/codec.py
+++ b/src/lineworks/wire/codec.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 import capnp
+import structlog
 
 from lineworks.decisions import catalog, verdict
 from lineworks.engine import messages
@@ -32,6 +33,8 @@
 MalformedFrameError = _base.MalformedFrameError
 """The data is not a valid frame of the peer link."""
 
+_log = structlog.get_logger(component="peer_links")
+
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """Maximum size of a frame in bytes."""
 
@@ -279,12 +282,26 @@
         raise _base.MalformedFrameError("columns of different lengths")
     return frames.Holdings(
         {
-            service: catalog.parse_snapshots(text)
+            service: _parse_valid_snapshots(service, text)
             for service, text in zip(services, held, strict=True)
         }
     )
 
 
+def _parse_valid_snapshots(service: str, text: str) -> frozenset[catalog.Snapshot]:
+    """Parse snapshots, without those that are invalid: a target stated them, not the peer.
+
+    A peer states its holdings again on each new link, so that closing it would be repeated.
+    """
+    found = set()
+    for part in filter(None, text.split(",")):
+        try:
+            found.add(catalog.parse_snapshot(part))
+        except ValueError as error:
+            _log.warning("snapshot_refused", service=service, error=str(error))
+    return frozenset(found)
+
+
 def _read_config_pull(body: Any, now: float) -> frames.Frame:
     return frames.ConfigPull(body.version, body.digest)
 
--- a/tests/test_odd_frames.py
+++ b/tests/test_odd_frames.py
@@ -10,7 +10,7 @@
 import pytest
 from hypothesis import given
 
-from lineworks.decisions import positions, target_view, tickets
+from lineworks.decisions import catalog, positions, target_view, tickets
 from lineworks.forwarding import target_documents
 from lineworks.models import relayed_reply
 from lineworks.services import runs
@@ -126,3 +126,20 @@
 def test_a_ticket_with_an_odd_number_is_refused(text):
     with pytest.raises(tickets.TicketError):
         tickets.parse(text)
+
+
+ODD_SNAPSHOTS = [f"{odd_values.LONG_NUMBER}@base", f"{2**64}@base", "7@a,b", "7@", "7@\0", "7"]
+
+
+@pytest.mark.parametrize("text", ODD_SNAPSHOTS)
+def test_a_snapshot_that_no_frame_can_carry_is_refused(text):
+    with pytest.raises(ValueError, match="not a snapshot"):
+        catalog.parse_snapshot(text)
+
+
+@pytest.mark.parametrize("text", ODD_SNAPSHOTS)
+def test_an_odd_snapshot_of_a_target_does_not_cost_a_peer_its_holdings(text):
+    odd = types.SimpleNamespace(services=["a", "b"], snapshots=[f"7@base,{text}", "8@base"])
+    found = codec._read_holdings(odd, 0.0).held
+    assert catalog.Snapshot(7, "base") in found["a"]
+    assert found["b"] == {catalog.Snapshot(8, "base")}
