An odd line in a log no longer ends the operators' reports

What operators would see: "lineworks-ctl losses" and "timeline" end with a traceback for one line of another program among thousands.

Cause: lines were parsed for ValueErrors only, and their fields used without looking: infinite and long numbers (OverflowError, ValueError), lists as ids (TypeError), half characters (UnicodeEncodeError while printing), nesting (RecursionError, also while a text is made of a field).

--- a/src/lineworks/programs/_losses.py
+++ b/src/lineworks/programs/_losses.py
@@ -98,7 +98,8 @@
                 continue
             prefix = _COLLECTOR_PREFIX.match(text)
             instance = prefix[2] if prefix else name
-            ended_at = float(prefix[1]) if prefix else _log_lines.number_or_zero(fields.get("t"))
+            stated = float(prefix[1]) if prefix else fields.get("t")
+            ended_at = _log_lines.number_or_zero(stated)
             found = self._process(instance, ended_at, fields)
             if found is not None:
                 yield found
@@ -106,14 +107,14 @@
     def _process(self, instance: str, ended_at: float, fields: dict[str, Any]) -> Loss | None:
         event = fields.get("event")
         if event == "started":
-            self._halls[instance] = str(fields.get("hall", _UNKNOWN))
+            self._halls[instance] = _log_lines.text_of(fields.get("hall", _UNKNOWN))
         elif event == "lines_left_out" and fields.get("kind") == "request":
             self.left_out += int(_log_lines.number_or_zero(fields.get("count")))
         elif event == "caller_gone":
             return self._loss(instance, ended_at, fields, "the caller left", 1.0)
         elif event in ("cut_at_end", "answer_not_delivered"):
             # A failed request counts as one loss, even if its answer was also not delivered.
-            if fields.get("id") in self._failed_attempts:
+            if _log_lines.text_of(fields.get("id")) in self._failed_attempts:
                 return None
             return self._loss(instance, ended_at, fields, _CUT_REASON, 1.0)
         elif event == "request":
@@ -127,14 +128,14 @@
         if fields.get("status") in _UNCOUNTED_STATUSES:
             return None
         if fields.get("status") != 200:
-            self._failed_attempts.add(str(fields.get("id")))
+            self._failed_attempts.add(_log_lines.text_of(fields.get("id")))
             return self._loss(instance, ended_at, fields, _failure_reason(fields), 1.0)
         slo = _log_lines.number_or_zero(fields.get("aim_ms"))
         if slo and _log_lines.number_or_zero(fields.get("ms")) > slo:
             return self._loss(instance, ended_at, fields, "late", LATE_LOSS)
         total = _log_lines.number_or_zero(fields.get("total"))
         covered = _log_lines.number_or_zero(fields.get("covered"))
-        if covered < total:
+        if 0 <= covered < total:
             amount = 1.0 - (covered / total) ** 2
             return self._loss(instance, ended_at, fields, _partial_reason(fields), amount)
         return None
@@ -143,12 +144,12 @@
         self, instance: str, ended_at: float, fields: dict[str, Any], reason: str, amount: float
     ) -> Loss:
         return Loss(
-            attempt_id=str(fields.get("id", _UNKNOWN)),
-            route=str(fields.get("route") or _UNKNOWN),
-            workspace=str(fields.get("workspace") or ""),
+            attempt_id=_log_lines.text_of(fields.get("id", _UNKNOWN)),
+            route=_log_lines.text_of(fields.get("route") or _UNKNOWN),
+            workspace=_log_lines.text_of(fields.get("workspace") or ""),
             hall=self._halls.get(instance, _UNKNOWN),
             second=int(ended_at // 1),
-            reason=reason,
+            reason=_log_lines.text_of(reason),
             amount=amount,
         )
 
@@ -203,15 +204,21 @@
 
 
 def _failure_reason(fields: dict[str, Any]) -> str:
-    detail = re.sub(r"\d+", "n", _GENERATED_ID.sub("", str(fields.get("detail", "")))).strip()
-    return f"{fields.get('status')} {fields.get('reason')}: {detail.partition(',')[0]}"
+    detail = re.sub(
+        r"\d+", "n", _GENERATED_ID.sub("", _log_lines.text_of(fields.get("detail", "")))
+    ).strip()
+    status, reason = (_log_lines.text_of(fields.get(name)) for name in ("status", "reason"))
+    return f"{status} {reason}: {detail.partition(',')[0]}"
 
 
 def _partial_reason(fields: dict[str, Any]) -> str:
     """Return the most frequent cause among the missing shards."""
-    missing = fields.get("missing") or [_UNKNOWN]
+    missing = fields.get("missing")
+    if not isinstance(missing, list) or not missing:
+        missing = [_UNKNOWN]
     clauses = [
-        _GENERATED_ID.sub("a target", _SERVICE_PREFIX.sub("", str(clause))) for clause in missing
+        _GENERATED_ID.sub("a target", _SERVICE_PREFIX.sub("", _log_lines.text_of(clause)))
+        for clause in missing
     ]
     clause, _ = collections.Counter(clauses).most_common(1)[0]
     return f"in part: {clause}"
--- a/src/lineworks/programs/_timeline.py
+++ b/src/lineworks/programs/_timeline.py
@@ -68,9 +68,10 @@
         fields = line.fields
         output.append(
             f"{line.source}:{line.number} t={line.time:.4f} "
-            f"{fields.get('component', '?')} {fields.get('event', '?')}"
+            f"{_log_lines.text_of(fields.get('component', '?'))} "
+            f"{_log_lines.text_of(fields.get('event', '?'))}"
         )
         for name, value in fields.items():
             if name not in _HEADER_FIELDS and value not in ("", [], None):
-                output.append(f"    {name}: {value}")
-    return output
+                output.append(f"    {name}: {_log_lines.text_of(value)}")
+    return [_log_lines.text_of(line) for line in output]
