An answer with a status below 100 is a failure at once, and a failure names its cause

What callers saw: an answer `HTTP/1.1 000 ...` counted as an interim one, so that they waited for another until their time was over.

Cause: every status below 200 counted as interim; the parser lets 000 to 099 pass. And when a callback of the connection raises, the outcome's detail held the parser's words only ("`on_message_complete` callback error"), which is why a ValueError of our own looked like a malformed answer.

Evidence: both cases of the new test have no outcome on the code before.

--- a/src/lineworks/http1/client_connection.py
+++ b/src/lineworks/http1/client_connection.py
@@ -165,6 +165,9 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             problem = f"not an answer: {error}"
+            if error.__context__ is not None:
+                # The exception that a callback raised.
+                problem += f": {error.__context__!r}"
         complete = self._complete
         self._complete = None
         if complete is not None:
@@ -198,6 +201,8 @@
     def on_headers_complete(self) -> None:
         """Determine whether the body ends with the connection."""
         status = self._parser.get_status_code()
+        if status < 100:
+            raise ValueError(f"there is no status {status}")
         is_framed = any(name in _FRAMING_FIELDS for name, _ in self._fields)
         self._ends_with_connection = not is_framed and status >= 200 and status not in (204, 304)
 
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -60,6 +60,14 @@
     assert client.outcomes[0].body == b"abc"
 
 
+@pytest.mark.parametrize("status", [b"000", b"099"])
+def test_a_status_that_does_not_exist_is_a_failure_at_once(status):
+    head = b"HTTP/1.1 " + status + b" X\r\nX-Attempt-Id: a1\r\n"
+    client = Client().receive(head + b"Content-Length: 1\r\n\r\nx")
+    assert isinstance(client.outcomes[0], client_connection.ConnectionFailure)
+    assert "status" in client.outcomes[0].detail
+
+
 def test_truncated_response_is_a_failure():
     client = Client().receive(OK + b"Content-Length: 9\r\n\r\nab").end()
     assert isinstance(client.outcomes[0], client_connection.ConnectionFailure)
