Bound what an answer of a target may bring besides its body

Symptom: a target that sends without end (a header's value or name, short headers, a status line, interim answers, chunk extensions, trailers, answers to other requests) made an instance take in as much as the line carried until the caller's time was over.

Cause: only the body had a limit. What isn't a body was held by the parser or in lists of the connection, and each short header or answer cost Python objects and processor time out of proportion to its bytes.

Change: a ResponseMeter for each request counts fields, interim and discarded responses, pieces of bodies, and bytes that are no body; the first that is too much stops the parser within the read, ends the request as for any invalid answer and aborts the connection. The detail of the failure names the limit. Framing is allowed in proportion to the body, so a body in chunks of one byte is still served. One read takes 16 KiB at most. Bodies are kept in one buffer in place of a list of pieces, and an idle connection keeps none.

--- a/src/lineworks/http1/client_connection.py
+++ b/src/lineworks/http1/client_connection.py
@@ -2,26 +2,26 @@
 
 The server may be faulty, so the connection handles its data defensively: unsolicited bytes close
 the connection, a response to another request is discarded and prevents reuse, and a response
-without a length counts as complete only when the server closes the connection cleanly.
+without a length counts as complete only when the server closes the connection cleanly. Responses
+that exceed a limit of `response_limits` abort the connection.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import io
 from typing import TYPE_CHECKING, Any
 
 import httptools
 from twisted.internet import error as net_error
 from twisted.internet import protocol
 
+from lineworks.http1 import response_limits
 from lineworks.kernel import immediate_write
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-MAX_BODY_BYTES = 16 * 1024 * 1024
-"""Maximum size of a response body in bytes; a longer one aborts the connection."""
-
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
 """Seconds for which an idle connection is kept when the server states no keep-alive timeout."""
 
@@ -91,8 +91,8 @@
         self._expected_field: tuple[bytes, bytes] | None = None
         self._parser: Any = None
         self._fields: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._size = 0
+        self._body = io.BytesIO()
+        self._meter = response_limits.ResponseMeter()
         self._ends_with_connection = False
         self._has_extra_response = False
         self._has_body = False
@@ -119,6 +119,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm so that small requests are sent immediately."""
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = response_limits.READ_BYTES
         self._idle_since = self._now()
 
     def send(
@@ -164,14 +165,15 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            problem = f"not an answer: {error}"
+            problem = response_limits.describe(error)
         complete = self._complete
         self._complete = None
         if complete is not None:
             self._deliver(complete, must_close=bool(problem))
         elif problem:
-            self._finish(ConnectionFailure(problem, True))
-            self._drop()
+            self._fail(problem)
+        else:
+            self._on_incomplete(len(data))
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Report the outcome of the pending request, if any.
@@ -186,13 +188,14 @@
         else:
             detail = "closed by the server" if is_clean else "connection lost"
             self._finish(
-                ConnectionFailure(detail, bool(self._fields or self._body), is_closed=True)
+                ConnectionFailure(detail, bool(self._fields or self._meter.size), is_closed=True)
             )
         self._parser = None
         self._on_closed(self)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header field."""
+        self._meter.on_field()
         self._fields.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -203,17 +206,14 @@
 
     def on_body(self, data: bytes) -> None:
         """Store a chunk of the body."""
-        self._size += len(data)
-        if self._size > MAX_BODY_BYTES:
-            raise ValueError("the body is too long")
-        self._body.append(data)
+        self._meter.on_body(len(data))
+        self._body.write(data)
 
     def on_message_begin(self) -> None:
-        """Detect a second response that follows a complete one."""
+        """Detect a second response that follows a complete one, and stop parsing there."""
         if self._complete is not None:
             self._has_extra_response = True
-            # Resets to new lists; the complete response keeps its own.
-            self._begin_response()
+            raise response_limits.LimitError("a second response")
 
     def on_message_complete(self) -> None:
         """Hold the response back until the parser has processed all data received with it."""
@@ -221,29 +221,43 @@
             return
         status = self._parser.get_status_code()
         if status < 200:
+            self._meter.on_interim()
             self._begin_response()
             return
         if self._is_mismatched():
             # The response to an earlier request; the expected one may follow.
             self._has_extra_response = True
+            self._meter.on_discarded()
             self._begin_response()
             return
         self._update_keep_alive(status)
         self._complete = self._response()
+        # An idle connection holds no body.
+        self._begin_response()
 
     def _begin(self) -> None:
         # One parser reads all responses, so data between two responses closes the connection.
         if self._parser is None:
             self._parser = httptools.HttpResponseParser(self)
         self._complete = None
-        self._begin_response()
+        self._meter = response_limits.ResponseMeter()
 
     def _begin_response(self) -> None:
         self._fields = []
-        self._body = []
-        self._size = 0
+        self._body = io.BytesIO()
         self._ends_with_connection = False
 
+    def _on_incomplete(self, size: int) -> None:
+        """Hold what was received so far against the limits.
+
+        Args:
+            size: Number of bytes of the last read.
+        """
+        try:
+            self._meter.on_read(size)
+        except response_limits.LimitError as error:
+            self._fail(f"not an answer: {error}")
+
     def _is_mismatched(self) -> bool:
         """Return whether the response belongs to another request.
 
@@ -272,7 +286,7 @@
                 self._idle_limit = _idle_limit(value)
 
     def _response(self) -> Response:
-        return Response(self._parser.get_status_code(), self._fields, b"".join(self._body))
+        return Response(self._parser.get_status_code(), self._fields, self._body.getvalue())
 
     def _deliver(self, response: Response, must_close: bool) -> None:
         self._ends_with_connection = False
@@ -287,6 +301,13 @@
         self._finish(response)
         self.transport.abortConnection()
 
+    def _fail(self, detail: str) -> None:
+        """Abort the connection and report that the data received is no valid response."""
+        self.is_closed = True
+        self._begin_response()
+        self._finish(ConnectionFailure(detail, True))
+        self._drop()
+
     def _finish(self, outcome: Response | ConnectionFailure) -> None:
         on_done = self._on_done
         self._on_done = None
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -7,7 +7,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.python import failure
 
-from lineworks.http1 import client_connection
+from lineworks.http1 import client_connection, response_limits
 
 ID = (b"x-attempt-id", b"a1")
 OK = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
@@ -143,3 +143,80 @@
     client.end(error.ConnectionLost)
     assert client.outcomes == []
     assert client.closed
+
+
+def pieces_of(data, size):
+    return [data[start : start + size] for start in range(0, len(data), size)]
+
+
+@pytest.mark.parametrize("chunk", [1, 3, 100])
+@pytest.mark.parametrize("read", [1, 7, 16384])
+def test_a_body_in_tiny_chunks_is_served_however_it_arrives(chunk, read):
+    body = bytes(range(256)) * 400
+    chunks = [b"%x\r\n%s\r\n" % (len(part), part) for part in pieces_of(body, chunk)]
+    data = OK + b"Transfer-Encoding: chunked\r\n\r\n" + b"".join(chunks) + b"0\r\n\r\n"
+    client = Client().receive(*pieces_of(data, read))
+    assert client.outcomes[0].body == body
+    assert client.is_reusable
+
+
+def test_the_longest_body_is_served_and_a_longer_one_is_not():
+    for surplus in (0, 1):
+        size = response_limits.MAX_BODY_BYTES + surplus
+        client = Client().receive(OK + b"Content-Length: %d\r\n\r\n" % size)
+        client.receive(*pieces_of(bytes(size), 65536))
+        assert isinstance(client.outcomes[0], client_connection.Response) == (not surplus)
+        assert client.transport.aborted == bool(surplus)
+
+
+def test_a_long_head_of_many_fields_is_served():
+    fields = b"".join(b"F%d: %s\r\n" % (number, b"v" * 70) for number in range(1000))
+    data = OK + fields + b"Content-Length: 1\r\n\r\nx"
+    client = Client().receive(*pieces_of(data, 1000))
+    assert len(client.outcomes[0].fields) == 1002
+
+
+def test_interim_and_late_responses_before_the_awaited_one_are_skipped():
+    interim = b"HTTP/1.1 103 E\r\nLink: a\r\n\r\n" * 50
+    late = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a0\r\nContent-Length: 100000\r\n\r\n" + bytes(100000)
+    client = Client().receive(interim, late, interim[:100])
+    client.receive(interim[100:270], OK + b"Content-Length: 1\r\n\r\nx")
+    assert client.outcomes[0].body == b"x"
+
+
+@pytest.mark.parametrize(
+    ("data", "reason"),
+    [
+        (OK + b"a:\r\n" * 5000, "header fields"),
+        (b"HTTP/1.1 100 C\r\n\r\n" * 1000, "interim responses"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" * 1000, "responses to other requests"),
+        (OK + b"A: " + b"v" * 200_000, "bytes of heads"),
+        (OK + b"Content-Length: 99999999\r\n\r\n" + bytes(20_000_000), "a body of more than"),
+    ],
+)
+def test_an_endless_response_fails_with_the_exceeded_limit(data, reason):
+    client = Client().receive(*pieces_of(data, 16384))
+    found = client.outcomes[0]
+    assert reason in found.detail
+    assert found.has_received_data
+    assert client.transport.aborted
+    assert client.connection.is_closed
+
+
+def test_a_read_of_short_fields_stops_at_the_limit_on_fields(monkeypatch):
+    stored = []
+    store = client_connection.ClientConnection.on_header
+
+    def count(connection, name, value):
+        stored.append(name)
+        store(connection, name, value)
+
+    monkeypatch.setattr(client_connection.ClientConnection, "on_header", count)
+    Client().receive(OK + b"a:\r\n" * 16000)
+    assert len(stored) == response_limits.MAX_FIELDS + 1
+
+
+def test_an_idle_connection_holds_no_body():
+    client = Client().receive(OK + b"Content-Length: 100000\r\n\r\n" + bytes(100000))
+    assert client.outcomes[0].body == bytes(100000)
+    assert client.connection._body.getvalue() == b""
