Bound the bodies that an instance is receiving, all together

Symptom: the limit on a body, 16 MiB, holds for each answer alone. Ten targets that send bodies without end take 160 MB of an instance whose memory is limited to 152 to 300 MB, and end it with the requests of all its callers.

Change: TargetCalls counts the unfinished bodies of all its connections. Above a quarter of `MemoryMb` of the settings (32 MiB if they don't say) the longest body of the service that takes most is given up, as an invalid answer, and its connection aborted; by service, so that the long answers of another one are still served. A quarter, because a body exists up to three times: received, joined, and on its way to the caller. `lineworks_target_answers` counts invalid answers and given up bodies, a line `answer_invalid` names target, service and reason (two a second at most).

--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -45,7 +45,7 @@
     wait_queue,
     workspace_view,
 )
-from lineworks.http1 import server_connection
+from lineworks.http1 import server_connection, unfinished_bodies
 from lineworks.kernel import listening, loop_delay, rate_limited_log, registry
 from lineworks.models import node_settings
 from lineworks.platform import headers, store, store_items
@@ -117,7 +117,9 @@
             settings.hall, settings.regions, self._rng, without, cold
         )
         self._learning = target_learning.TargetLearning(reactor, self._book, self._rng)
-        self._calls = target_calls.TargetCalls(reactor, self._learning)
+        self._calls = target_calls.TargetCalls(
+            reactor, self._learning, unfinished_bodies.limit_for(settings.memory_bytes)
+        )
         is_rated = mechanisms.Mechanism.FAST_GATHERERS not in without
         own_rate = settings.gather_rate if is_rated else gather_rate.UNKNOWN
         self._gatherers = gatherers.GathererClient(reactor, self._links, self._rng, own_rate)
@@ -461,6 +463,7 @@
                 "instances": float(self._extra.instances.value(now)),
                 **{kind: float(count) for kind, count in self._keeper.counts.items()},
             },
+            "lineworks_target_answers": self._calls.gauges,
             "lineworks_quotas": {
                 **{kind: float(count) for kind, count in self._quotas.counts.items()},
                 **{f"holder_{k}": float(v) for k, v in self._quotas.holder.counts.items()},
@@ -480,6 +483,7 @@
                 "left_out": float(
                     self._request_log.suppressed_lines
                     + self._learning.suppressed_lines
+                    + self._calls.suppressed_lines
                     + self._quotas.suppressed_lines
                 ),
                 "dropped": float(self.lines_dropped()),
--- a/src/lineworks/forwarding/target_calls.py
+++ b/src/lineworks/forwarding/target_calls.py
@@ -16,7 +16,8 @@
 
 from lineworks.decisions import ownership, verdict
 from lineworks.forwarding import _connection_pool, answers, target_learning
-from lineworks.http1 import client_connection
+from lineworks.http1 import client_connection, unfinished_bodies
+from lineworks.kernel import rate_limited_log
 from lineworks.platform import headers
 
 if TYPE_CHECKING:
@@ -46,6 +47,9 @@
 SWEEP_SECONDS = 1.0
 """Seconds between sweeps that close connections past their idle timeout."""
 
+MAX_LOG_LINES_PER_SECOND = 2.0
+"""Maximum number of log lines per second for invalid answers."""
+
 
 _log = structlog.get_logger(component="target_calls")
 
@@ -109,15 +113,27 @@
 class TargetCalls:
     """Makes the calls of one instance to targets and holds its connections to them."""
 
-    def __init__(self, reactor: Any, learning: target_learning.TargetLearning) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        learning: target_learning.TargetLearning,
+        max_unfinished_bytes: int = unfinished_bodies.DEFAULT_MAX_BYTES,
+    ) -> None:
         """Start without connections.
 
         Args:
             reactor: Twisted's reactor.
             learning: Records how targets perform.
+            max_unfinished_bytes: Maximum number of bytes in the bodies of all answers that the
+                instance is receiving.
         """
         self._reactor = reactor
         self._learning = learning
+        self._unfinished = unfinished_bodies.UnfinishedBodies(max_unfinished_bytes)
+        self._invalid = 0
+        self._invalid_log = rate_limited_log.RateLimitedLog(
+            reactor, "target_calls", MAX_LOG_LINES_PER_SECOND
+        )
         self._pools: dict[str, _connection_pool.ConnectionPool] = {}
         self._timer: Any = None
         self._in_progress: dict[_Exchange, None] = {}
@@ -131,6 +147,25 @@
         self.on_silence: Callable[[], None] = lambda: None
         """Called when the open connections turn out to be silent."""
 
+    @property
+    def unfinished(self) -> unfinished_bodies.UnfinishedBodies:
+        """The bodies of the answers that are being received."""
+        return self._unfinished
+
+    @property
+    def suppressed_lines(self) -> int:
+        """Number of log lines suppressed since the start."""
+        return self._invalid_log.suppressed_total
+
+    @property
+    def gauges(self) -> dict[str, float]:
+        """Invalid answers since the start, and bytes of answers that are being received."""
+        return {
+            "invalid": float(self._invalid),
+            "given_up": float(self._unfinished.given_up),
+            "unfinished_bytes": float(self._unfinished.total_bytes),
+        }
+
     def start(self) -> None:
         """Start the periodic sweep of idle connections."""
         self._timer = self._reactor.callLater(SWEEP_SECONDS, self._sweep)
@@ -317,6 +352,8 @@
             del self._pooled_calls[exchange]
             self._last_answered_start = max(self._last_answered_start, exchange.started)
         if isinstance(end, client_connection.ConnectionFailure):
+            if end.is_invalid:
+                self._on_invalid(exchange, end.detail)
             found = verdict.may_have_run(verdict.Reason.LINK_LOST, end.detail)
             self._end(
                 exchange, CallEnd(found, lost_before_answer=end.is_unanswered), is_progress=False
@@ -327,6 +364,13 @@
         found = answers.classify_response(end)
         self._end(exchange, CallEnd(found, end), is_progress=True)
 
+    def _on_invalid(self, exchange: _Exchange, detail: str) -> None:
+        self._invalid += 1
+        target = exchange.state.replica.target
+        self._invalid_log.info(
+            "answer_invalid", target=exchange.state.id, service=target.service, detail=detail
+        )
+
     def _release(self, exchange: _Exchange, connection: client_connection.ClientConnection) -> None:
         pool = self._pools.get(exchange.state.id)
         if pool is None or exchange.state.replica.is_leaving:
@@ -402,7 +446,8 @@
     def __init__(
         self, calls: TargetCalls, pool: _connection_pool.ConnectionPool, exchange: _Exchange
     ) -> None:
-        super().__init__(calls._reactor.seconds, self._on_gone)
+        service = exchange.state.replica.target.service
+        super().__init__(calls._reactor.seconds, self._on_gone, calls.unfinished, service)
         self._calls = calls
         self._pool = pool
         self._exchange: _Exchange | None = exchange
--- a/src/lineworks/http1/client_connection.py
+++ b/src/lineworks/http1/client_connection.py
@@ -22,6 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from lineworks.http1 import unfinished_bodies
+
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
 """Seconds for which an idle connection is kept when the server states no keep-alive timeout."""
 
@@ -70,6 +72,11 @@
         """Whether the connection was closed before any part of a response was received."""
         return self.is_closed and not self.has_received_data
 
+    @property
+    def is_invalid(self) -> bool:
+        """Whether the data received was no valid response."""
+        return self.has_received_data and not self.is_closed
+
 
 class ClientConnection(protocol.Protocol):
     """A client connection; it also implements httptools' parser callbacks (`on_header` etc.)."""
@@ -77,16 +84,25 @@
     transport: Any
 
     def __init__(
-        self, now: Callable[[], float], on_closed: Callable[[ClientConnection], None]
+        self,
+        now: Callable[[], float],
+        on_closed: Callable[[ClientConnection], None],
+        unfinished: unfinished_bodies.UnfinishedBodies | None = None,
+        service: str = "",
     ) -> None:
         """Initialise a connection that is not connected yet.
 
         Args:
             now: Returns the current time in seconds.
             on_closed: Called once when the connection is closed.
+            unfinished: Limits the bodies that all connections of the process are receiving; None
+                for no such limit.
+            service: Service of the server, for that limit.
         """
         self._now = now
         self._on_closed = on_closed
+        self._unfinished = unfinished
+        self._service = service
         self._on_done: Callable[[Response | ConnectionFailure], None] | None = None
         self._expected_field: tuple[bytes, bytes] | None = None
         self._parser: Any = None
@@ -149,6 +165,7 @@
     def abort(self) -> None:
         """Abort the connection without reporting an outcome."""
         self._on_done = None
+        self._release_body()
         self._drop()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -175,6 +192,10 @@
         else:
             self._on_incomplete(len(data))
 
+    def on_too_much_unfinished(self) -> None:
+        """End the request, because the unfinished bodies of the process are too long together."""
+        self._fail(f"a body of over {self._meter.size} bytes, while the process receives too many")
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Report the outcome of the pending request, if any.
 
@@ -257,6 +278,9 @@
             self._meter.on_read(size)
         except response_limits.LimitError as error:
             self._fail(f"not an answer: {error}")
+            return
+        if self._unfinished is not None and self._meter.size:
+            self._unfinished.record(self, self._service, self._meter.size)
 
     def _is_mismatched(self) -> bool:
         """Return whether the response belongs to another request.
@@ -309,11 +333,16 @@
         self._drop()
 
     def _finish(self, outcome: Response | ConnectionFailure) -> None:
+        self._release_body()
         on_done = self._on_done
         self._on_done = None
         if on_done is not None:
             on_done(outcome)
 
+    def _release_body(self) -> None:
+        if self._unfinished is not None:
+            self._unfinished.release(self, self._service)
+
     def _drop(self) -> None:
         self.is_closed = True
         if self.transport is not None:
--- /dev/null
+++ b/src/lineworks/http1/unfinished_bodies.py
@@ -0,0 +1,99 @@
+"""A limit on the bodies of all responses that one process is still receiving.
+
+The limit on a single body doesn't protect the process when many servers send long bodies at once.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+DEFAULT_MAX_BYTES = 32 * 1024 * 1024
+"""Maximum number of bytes in unfinished bodies if the memory of the process is not known."""
+
+MEMORY_FRACTION = 0.25
+"""Fraction of the memory of a process that unfinished bodies may take. A body exists up to three
+times: in pieces, joined, and in the buffer of the connection to its caller."""
+
+
+class Receiver(Protocol):
+    """A connection that receives a body."""
+
+    def on_too_much_unfinished(self) -> None:
+        """End the request, because the unfinished bodies together are too long."""
+
+
+class UnfinishedBodies:
+    """Sizes of the unfinished bodies of a process."""
+
+    def __init__(self, max_bytes: int = DEFAULT_MAX_BYTES) -> None:
+        """Start without bodies.
+
+        Args:
+            max_bytes: Maximum number of bytes in all of them.
+        """
+        self._max_bytes = max_bytes
+        # Sizes by service; a service without unfinished bodies has no entry.
+        self._sizes: dict[str, dict[Receiver, int]] = {}
+        self._total_bytes = 0
+        self._given_up = 0
+
+    @property
+    def total_bytes(self) -> int:
+        """Number of bytes in all of them."""
+        return self._total_bytes
+
+    @property
+    def given_up(self) -> int:
+        """Number of bodies given up because of the limit, since the start."""
+        return self._given_up
+
+    def record(self, receiver: Receiver, service: str, size: int) -> None:
+        """Record the size of an unfinished body.
+
+        Above the limit, the longest body of the service that takes most is given up, so that a
+        service doesn't take what the answers of others need.
+
+        Args:
+            receiver: Its connection.
+            service: The service that sends it.
+            size: Number of bytes received of it so far.
+        """
+        sizes = self._sizes.setdefault(service, {})
+        self._total_bytes += size - sizes.get(receiver, 0)
+        sizes[receiver] = size
+        while self._total_bytes > self._max_bytes:
+            self._give_up_longest()
+
+    def release(self, receiver: Receiver, service: str) -> None:
+        """Forget the body of a connection, if it has one.
+
+        Args:
+            receiver: The connection.
+            service: The service that sends it.
+        """
+        sizes = self._sizes.get(service)
+        if sizes is None:
+            return
+        self._total_bytes -= sizes.pop(receiver, 0)
+        if not sizes:
+            del self._sizes[service]
+
+    def _give_up_longest(self) -> None:
+        service = max(self._sizes, key=lambda name: sum(self._sizes[name].values()))
+        sizes = self._sizes[service]
+        longest = max(sizes, key=sizes.__getitem__)
+        self.release(longest, service)
+        self._given_up += 1
+        longest.on_too_much_unfinished()
+
+
+def limit_for(memory_bytes: int) -> int:
+    """Return the maximum number of bytes in unfinished bodies.
+
+    Args:
+        memory_bytes: Memory that the process may use, in bytes; 0 if not known.
+
+    Returns:
+        The maximum in bytes.
+    """
+    return int(memory_bytes * MEMORY_FRACTION) if memory_bytes else DEFAULT_MAX_BYTES
--- a/src/lineworks/models/node_settings.py
+++ b/src/lineworks/models/node_settings.py
@@ -74,5 +74,8 @@
     gather_rate: float = 0.0
     """Shards per second that the instance can query for other instances; 0 if not known."""
 
+    memory_bytes: int = 0
+    """Memory that the process may use, in bytes; 0 if not known."""
+
     without: frozenset[mechanisms.Mechanism] = frozenset()
     """Mechanisms that are disabled, to measure their benefit."""
--- a/src/lineworks/platform/settings.py
+++ b/src/lineworks/platform/settings.py
@@ -28,6 +28,9 @@
 _MEGABIT = 1_000_000
 """Bits in a megabit."""
 
+_MEGABYTE = 1_000_000
+"""Bytes in a megabyte."""
+
 
 class SettingsError(Exception):
     """The settings are invalid; the message is one line that names the field."""
@@ -128,9 +131,14 @@
         gather_rate=_gather_rate(document.table("Limits"))
         if "Limits" in document
         else gather_rate.UNKNOWN,
+        memory_bytes=_memory_bytes(document.table("Limits")) if "Limits" in document else 0,
     )
 
 
+def _memory_bytes(limits: _fields.Fields) -> int:
+    return int(limits.number("MemoryMb", 0.0) * _MEGABYTE)
+
+
 def _quota_bound(bounds: _fields.Fields) -> quota.QuotaBound:
     defaults = quota.QuotaBound()
     return quota.QuotaBound(
--- a/src/lineworks/standins/deployment.py
+++ b/src/lineworks/standins/deployment.py
@@ -101,6 +101,8 @@
         """Mechanisms that are switched off in instances that start from now on."""
         self.on_restart: Callable[[http_target.HttpTarget], None] = lambda target: None
         """Called with each target that restarts."""
+        self.memory_bytes = 0
+        """Memory that instances started from now on may use, in bytes; 0 if they don't know it."""
         self.gather_rate = 0.0
         """Shards per second that instances started from now on announce that they can gather; 0
         announces no rate."""
@@ -266,6 +268,7 @@
             quota_bound=self.quota_bound,
             revocation=self.revocation,
             gather_rate=self.gather_rate,
+            memory_bytes=self.memory_bytes,
             without=self.without,
         )
         started = node.Node(host, settings, rng=random.Random(self.rng.getrandbits(64)))
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -73,9 +73,9 @@
 class _Endless(protocol.Protocol):
     """Answers a request with bytes until its connection is closed."""
 
-    def __init__(self, host, way, pace, arrived):
+    def __init__(self, host, begin, unit, pace, arrived):
         self._host = host
-        self._begin, unit = WAYS[way]
+        self._begin = begin
         self._piece = unit * max(1, PIECE_BYTES // len(unit))
         self._pace = pace
         self._arrived = arrived
@@ -116,25 +116,34 @@
     for target in world.targets.values():
         if target.service in services:
             target.close()
-            target.buildProtocol = lambda addr, host=target.host: _Endless(host, way, pace, arrived)
+            target.buildProtocol = lambda addr, host=target.host: _Endless(
+                host, *WAYS[way], pace, arrived
+            )
             target.listen()
     return arrived
 
 
+class _Taken(collections.Counter):
+    """Bytes that each connection to a target has taken in for its last request."""
+
+    @property
+    def open_bytes(self):
+        """Bytes that the open connections have taken in."""
+        return sum(size for connection, size in self.items() if not connection.is_closed)
+
+
 @pytest.fixture
 def taken(monkeypatch):
-    """Bytes that each connection to a target has taken in."""
-    counts = collections.Counter()
+    counts = _Taken()
     receive = target_calls._TargetConnection.dataReceived
 
     def count(connection, data):
         if not connection.is_closed:
-            counts[id(connection)] += len(data)
-            kept.append(connection)
+            counts[connection] += len(data)
         receive(connection, data)
+        if connection.is_reusable(0.0):
+            del counts[connection]
 
-    # Keeps the identities unique.
-    kept = []
     monkeypatch.setattr(target_calls._TargetConnection, "dataReceived", count)
     return counts
 
@@ -167,3 +176,62 @@
         world.run(1.0)
     assert arrived
     assert [reply.status for reply in replies] == [200] * len(replies)
+
+
+DESK = {**test_forwarding.READ, "Name": "desk", "PathPrefix": "/desk/", "Service": "desk"}
+MEMORY_BYTES = 80_000_000
+UNFINISHED_BOUND_BYTES = MEMORY_BYTES // 4 * 1.02
+"""A quarter of the memory, with heads and chunk framing."""
+
+LONG_BODY = bytes(range(256)) * 8000
+
+
+class _Slow(_Endless):
+    """Answers with a long body, over 0.3 s."""
+
+    def _send(self):
+        self.transport.write(b"Content-Length: %d\r\n\r\n" % len(LONG_BODY))
+        parts = 30
+        size = -(-len(LONG_BODY) // parts)
+        for part in range(parts):
+            piece = LONG_BODY[part * size : part * size + size]
+            self._host.callLater(part * TICK_SECONDS, self.transport.write, piece)
+
+
+def build_with_desk():
+    world = deployment.Deployment(fakes.VirtualClock())
+    world.memory_bytes = MEMORY_BYTES
+    for number in range(10):
+        world.add_target("shelf", deployment.HALLS[number % 2], lambda: 0.03)
+    world.add_target("desk", "akl", lambda: 0.03)
+    world.configure([test_forwarding.READ, test_forwarding.BILL, DESK])
+    world.add_node("akl-1", "akl")
+    world.run(3.0)
+    return world
+
+
+@pytest.mark.parametrize("way", ["body without a length", "body with a length", "body in chunks"])
+def test_endless_bodies_of_one_service_stay_within_an_instance_and_leave_others_served(way, taken):
+    world = build_with_desk()
+    answer_without_end(world, ("shelf",), way, 1)
+    desk = test_forwarding.targets_of(world, "desk")[0]
+    desk.close()
+    desk.buildProtocol = lambda addr: _Slow(
+        desk.host, answer(b"X-Response-Stamp: s\r\n"), b"x", 1, []
+    )
+    desk.listen()
+    lost = [world.ask("akl-1", f"/bill/{n}", "POST") for n in range(10)]
+    held, replies = [], []
+    for step in range(150):
+        if step % 30 == 0:
+            replies.append(world.ask("akl-1", "/desk/x"))
+        world.run(TICK_SECONDS)
+        held.append(taken.open_bytes)
+    world.run(1.0)
+    assert max(held) > 1_000_000
+    assert max(held) <= UNFINISHED_BOUND_BYTES
+    assert {reply.status for reply in lost} <= {502, 504}
+    assert [reply.body for reply in replies] == [LONG_BODY] * len(replies)
+    calls = world.nodes["akl-1"]._calls
+    assert calls.gauges["given_up"] > 0
+    assert calls.gauges["unfinished_bytes"] == 0
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -55,6 +55,11 @@
     assert found.peers.port == 7380
     assert found.allowance.slack == 54
     assert found.stop_seconds == 6
+    assert found.memory_bytes == 0
+
+
+def test_the_memory_of_the_process_is_read_from_its_limits():
+    assert settings.parse(SETTINGS + "Limits: {MemoryMb: 152}").memory_bytes == 152_000_000
 
 
 @pytest.mark.parametrize(
