Bound what the own target protocol takes in of an answer

Symptom: TargetConnection, the product's own path to targets, had no limit at all, not even on the body, so a target could fill the process; a 1xx answer was taken for the final one, and a 101 raised out of dataReceived.

Change: the same ResponseMeter and, for all connections of the pool, the same limit on unfinished bodies (32 MiB; by target here). The outcome stays MAY_HAVE_RUN and its detail says which limit was exceeded; the connection is aborted at once and isn't handed out again. 1xx answers are skipped, and a second answer in the same read ends the parsing before it can change the fields of the first.

--- a/src/lineworks/services/target_connection.py
+++ b/src/lineworks/services/target_connection.py
@@ -8,14 +8,19 @@
 from __future__ import annotations
 
 import dataclasses
+import io
 from typing import TYPE_CHECKING, Any
 
 import httptools
 from twisted.internet import protocol
 
+from lineworks.http1 import response_limits
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from lineworks.http1 import unfinished_bodies
+
 _FORBIDDEN_CHARACTERS = frozenset("\r\n\0")
 
 
@@ -71,19 +76,35 @@
 
     transport: Any
 
-    def __init__(self, on_closed: Callable[[TargetConnection], None]) -> None:
+    def __init__(
+        self,
+        on_closed: Callable[[TargetConnection], None],
+        unfinished: unfinished_bodies.UnfinishedBodies,
+        target: str = "",
+    ) -> None:
         """Initialise without a connection.
 
         Args:
             on_closed: Called once with this object when the connection is closed.
+            unfinished: Limits the bodies that all connections of the process are receiving.
+            target: Name of the target, for that limit.
         """
         self._on_closed = on_closed
+        self._unfinished = unfinished
+        self._target = target
+        self._failure = ""
         self._on_response: Callable[[Response | None], None] | None = None
         self._parser: Any = None
         self._headers: dict[str, str] = {}
-        self._body: list[bytes] = []
+        self._body = io.BytesIO()
+        self._meter = response_limits.ResponseMeter()
         self.is_closed = False
 
+    @property
+    def failure(self) -> str:
+        """Why the response was invalid; empty if it was not."""
+        return self._failure
+
     @property
     def is_idle(self) -> bool:
         """Whether the connection is open and has no request in progress."""
@@ -92,6 +113,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm, so that small requests are sent without delay."""
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = response_limits.READ_BYTES
 
     def send(self, data: bytes, on_response: Callable[[Response | None], None]) -> None:
         """Send a request.
@@ -103,12 +125,13 @@
         """
         self._on_response = on_response
         self._parser = httptools.HttpResponseParser(self)
-        self._headers = {}
-        self._body = []
+        self._meter = response_limits.ResponseMeter()
+        self._begin_response()
         self.transport.write(data)
 
     def close(self) -> None:
         """Close the connection immediately, discarding unsent data."""
+        self.is_closed = True
         self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -122,8 +145,16 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            self.close()
+            if self._parser is not None:
+                self._on_incomplete(len(data))
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(response_limits.describe(error))
+        except response_limits.LimitError as error:
+            self._fail(f"not an answer: {error}")
+
+    def on_too_much_unfinished(self) -> None:
+        """End the request, because the unfinished bodies of the process are too long together."""
+        self._fail(f"a body of over {self._meter.size} bytes, while the process receives too many")
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Report that the connection is closed.
@@ -132,6 +163,7 @@
             reason: Reason reported by Twisted.
         """
         self.is_closed = True
+        self._parser = None
         self._on_closed(self)
         self._complete(None)
 
@@ -142,6 +174,7 @@
             name: Name of the header.
             value: Value of the header.
         """
+        self._meter.on_field()
         self._headers[name.decode("latin-1").title()] = value.decode("latin-1")
 
     def on_body(self, data: bytes) -> None:
@@ -150,19 +183,56 @@
         Args:
             data: The part received.
         """
-        self._body.append(data)
+        self._meter.on_body(len(data))
+        self._body.write(data)
+
+    def on_message_begin(self) -> None:
+        """Stop parsing at a second response."""
+        if self._parser is None:
+            raise response_limits.LimitError("a second response")
 
     def on_message_complete(self) -> None:
         """Deliver the complete response, and close the connection unless it is kept alive."""
         parser = self._parser
+        status = parser.get_status_code()
+        if status < 200:
+            self._meter.on_interim()
+            self._begin_response()
+            return
         self._parser = None
-        response = Response(parser.get_status_code(), self._headers, b"".join(self._body))
+        response = Response(status, self._headers, self._body.getvalue())
+        self._begin_response()
         if not parser.should_keep_alive():
             self.is_closed = True
             self.transport.loseConnection()
         self._complete(response)
 
+    def _begin_response(self) -> None:
+        self._headers = {}
+        self._body = io.BytesIO()
+
+    def _on_incomplete(self, size: int) -> None:
+        """Hold what was received so far against the limits.
+
+        Args:
+            size: Number of bytes of the last read.
+
+        Raises:
+            response_limits.LimitError: It is too much.
+        """
+        self._meter.on_read(size)
+        if self._meter.size:
+            self._unfinished.record(self, self._target, self._meter.size)
+
+    def _fail(self, detail: str) -> None:
+        """Close the connection because of an invalid response."""
+        self._failure = detail
+        self._parser = None
+        self._begin_response()
+        self.close()
+
     def _complete(self, response: Response | None) -> None:
+        self._unfinished.release(self, self._target)
         on_response = self._on_response
         self._on_response = None
         if on_response is not None:
--- a/src/lineworks/services/target_pool.py
+++ b/src/lineworks/services/target_pool.py
@@ -14,6 +14,7 @@
 
 from lineworks.decisions import ownership, replicas, verdict
 from lineworks.engine import ports
+from lineworks.http1 import unfinished_bodies
 from lineworks.models import target_http
 from lineworks.services import target_connection
 
@@ -44,9 +45,15 @@
 class _ConnectionPool:
     """Connections of this instance to one target."""
 
-    def __init__(self, reactor: Any, target: catalog.Target) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        target: catalog.Target,
+        unfinished: unfinished_bodies.UnfinishedBodies,
+    ) -> None:
         self._reactor = reactor
         self._target = target
+        self._unfinished = unfinished
         self._idle: list[target_connection.TargetConnection] = []
         self._open_count = 0
 
@@ -100,7 +107,9 @@
             self._reactor, target.host, target.port, timeout=CONNECT_TIMEOUT
         )
         factory: Any = protocol.Factory.forProtocol(
-            lambda: target_connection.TargetConnection(self._on_closed)
+            lambda: target_connection.TargetConnection(
+                self._on_closed, self._unfinished, target.name
+            )
         )
 
         def refused(failure: Any) -> None:
@@ -126,6 +135,7 @@
         """
         self._reactor = reactor
         self._pools: dict[str, _ConnectionPool] = {}
+        self._unfinished = unfinished_bodies.UnfinishedBodies()
 
     def start(self) -> None:
         """Do nothing; connections are opened on demand."""
@@ -218,7 +228,9 @@
     def _pool_for(self, target: catalog.Target) -> _ConnectionPool:
         pool = self._pools.get(target.name)
         if pool is None:
-            pool = self._pools[target.name] = _ConnectionPool(self._reactor, target)
+            pool = self._pools[target.name] = _ConnectionPool(
+                self._reactor, target, self._unfinished
+            )
         return pool
 
     def _send_attempt(
@@ -245,7 +257,8 @@
         exchange.connection = None
         pool.release(connection)
         if response is None:
-            lost = verdict.may_have_run(verdict.Reason.LINK_LOST, "the connection broke")
+            detail = connection.failure or "the connection broke"
+            lost = verdict.may_have_run(verdict.Reason.LINK_LOST, detail)
             _deliver_outcome(exchange, ports.Outcome(lost))
             return
         outcome = target_http.read_outcome(response.status, response.headers, response.body)
--- a/tests/test_target_pool.py
+++ b/tests/test_target_pool.py
@@ -114,6 +114,63 @@
     assert world.outcomes[0].verdict.certainty is verdict.Certainty.MAY_HAVE_RUN
 
 
+def chunk_of(size):
+    return b"%x\r\n" % size + bytes(size) + b"\r\n"
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "value of a field": (b"HTTP/1.1 200 OK\r\nA: ", b"v"),
+    "short fields": (b"HTTP/1.1 200 OK\r\n", b"a:\r\n"),
+    "status line": (b"HTTP/1.1 200 O", b"K"),
+    "interim answers": (b"", b"HTTP/1.1 100 C\r\n\r\n"),
+    "chunk extension": (CHUNKED + b"1;", b"e"),
+    "trailers": (CHUNKED + b"0\r\n", b"T: t\r\n"),
+    "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+    "body in chunks": (CHUNKED, chunk_of(1000)),
+    "body in tiny chunks": (CHUNKED, chunk_of(1)),
+}
+
+
+@pytest.mark.parametrize("way", ENDLESS)
+def test_an_endless_response_is_taken_in_up_to_a_bound_and_says_why(world, way):
+    begin, unit = ENDLESS[way]
+    piece = unit * (16384 // len(unit))
+    bound = 17 * 1024 * 1024 if "body" in way else 256 * 1024
+    world.send()
+    _, transport = world.accept()
+    feed(transport, begin)
+    taken = 0
+    while not world.outcomes and taken < 2 * bound:
+        feed(transport, piece)
+        taken += len(piece)
+    assert taken <= bound
+    found = world.outcomes[0].verdict
+    assert found.certainty is verdict.Certainty.MAY_HAVE_RUN
+    assert "more than" in found.detail
+
+
+def test_endless_bodies_of_many_connections_stay_below_a_common_bound(world):
+    for _ in range(3):
+        world.send()
+    transports = [world.accept(number)[1] for number in range(3)]
+    for transport in transports:
+        feed(transport, b"HTTP/1.1 200 OK\r\n\r\n")
+    for _ in range(12 * 1024 // 64):
+        for transport in transports:
+            if not transport.protocol._wrappedProtocol.is_closed:
+                feed(transport, bytes(65536))
+    assert len(world.outcomes) == 1
+    assert "receives too many" in world.outcomes[0].verdict.detail
+
+
+def test_a_response_after_an_interim_one_is_delivered(world):
+    world.send()
+    _, transport = world.accept()
+    feed(transport, b"HTTP/1.1 100 Continue\r\n\r\n" + REPLY)
+    assert world.outcomes[0].body == b"body"
+
+
 def test_attempts_beyond_the_connection_share_are_refused():
     world = _World(connections=25)
     share = ownership.connection_share(25)
