One connection that fails at the handover no longer ends the start

An error in the protocol of one early connection ended the loop that hands over all of them, and the start. It is now noted, and its connection reset. Test: an_early_connection_that_fails_at_the_handover_keeps_no_other_from_it (failed before).

--- a/src/lineworks/kernel/early_acceptor.py
+++ b/src/lineworks/kernel/early_acceptor.py
@@ -89,10 +89,19 @@
         port = listening.adopt(reactor, self._listening_socket, factory)
         for connection in connections:
             if not connection.is_refused:
-                _hand_over(reactor, factory, connection)
+                self._hand_over(reactor, factory, connection)
             connection.socket.close()
         return port
 
+    def _hand_over(
+        self, reactor: Any, factory: Any, connection: _early_connection.EarlyConnection
+    ) -> None:
+        """Hand over one connection; a failure must not keep the others from being handed over."""
+        try:
+            _hand_over(reactor, factory, connection)
+        except Exception as error:
+            self._errors.append(repr(error))
+
     def stop(self, times: stop_times.StopTimes, min_idle: float) -> early_stop.EarlyStop:
         """Stop the thread, refuse all callers as not run, and close the port; block meanwhile.
 
@@ -178,5 +187,9 @@
         # The peer has disconnected.
         return
     transport = reactor.adoptStreamConnection(connection.socket.fileno(), socket.AF_INET, factory)
-    if connection.data:
-        transport.protocol.dataReceived(connection.data)
+    try:
+        if connection.data:
+            transport.protocol.dataReceived(connection.data)
+    except Exception:
+        transport.abortConnection()
+        raise
