An answer that can't be written closes its connection

A connection whose answer could not be encoded stayed busy without an answer or a timer. Test: an_answer_that_cannot_be_written_leaves_no_caller_without_an_answer (failed before).

--- a/src/lineworks/http1/server_connection.py
+++ b/src/lineworks/http1/server_connection.py
@@ -302,7 +302,14 @@
             return
         # Pipelined requests that were already read are answered before the connection closes.
         is_last = not self._queue and (self._must_close or self._server.is_closing())
-        immediate_write.write(self.transport, _encode(answer, is_last, request.method == b"HEAD"))
+        try:
+            data = _encode(answer, is_last, request.method == b"HEAD")
+        except Exception:
+            # The caller must not wait for an answer that can't be written.
+            self._is_closed = True
+            self.transport.loseConnection()
+            raise
+        immediate_write.write(self.transport, data)
         self.is_busy = False
         if is_last:
             self._is_closed = True
