--- a/src/lineworks/services/auth.py
+++ b/src/lineworks/services/auth.py
@@ -74,7 +74,7 @@
                 timestamp is too far off, or the nonce was used before.
         """
         parts = (header or "").split(":")
-        if len(parts) != 3 or not parts[0].isdecimal():
+        if len(parts) != 3 or not parts[0].isdecimal() or not "".join(parts).isascii():
             raise AuthenticationError(f"the header {HEADER} is missing or malformed")
         milliseconds, nonce, mac = parts
         expected = _mac(self._secret, milliseconds, nonce, method, path, body)
