--- a/src/lineworks/kernel/failure_log.py
+++ b/src/lineworks/kernel/failure_log.py
@@ -13,6 +13,9 @@
 REPEAT_SECONDS = 30.0
 """Seconds after which a failure that goes on is logged again."""
 
+MAX_FAILURES = 32
+"""Maximum number of different failures that are remembered."""
+
 MAX_ERROR_CHARACTERS = 300
 """Maximum length of an error in a log line, in characters."""
 
@@ -31,9 +34,8 @@
         self._clock = clock
         self._event = event
         self._log = structlog.get_logger(component=component)
-        self._last: Hashable = None
-        self._logged_at = 0.0
-        self._repeats = 0
+        # When each failure was logged last, and how often it occurred since.
+        self._logged: dict[Hashable, tuple[float, int]] = {}
 
     def on_failure(self, error: Exception, **fields: Hashable) -> None:
         """Log a failure, unless the same one was logged less than `REPEAT_SECONDS` ago.
@@ -45,16 +47,19 @@
         now = self._clock.seconds()
         fields["place"] = _place(error)
         failure = (type(error), *fields.items())
-        if failure == self._last and now - self._logged_at < REPEAT_SECONDS:
-            self._repeats += 1
+        logged_at, repeats = self._logged.pop(failure, (-REPEAT_SECONDS, 0))
+        if now - logged_at < REPEAT_SECONDS:
+            self._logged[failure] = (logged_at, repeats + 1)
             return
+        if len(self._logged) >= MAX_FAILURES:
+            del self._logged[next(iter(self._logged))]
+        self._logged[failure] = (now, 0)
         text = repr(error)[:MAX_ERROR_CHARACTERS]
-        self._log.error(self._event, error=text, repeats=self._repeats, **fields)
-        self._last, self._logged_at, self._repeats = failure, now, 0
+        self._log.error(self._event, error=text, repeats=repeats, **fields)
 
     def on_success(self) -> None:
-        """Forget the last failure, so that the next one is logged at once."""
-        self._last = None
+        """Forget the failures, so that the next one is logged at once."""
+        self._logged.clear()
 
 
 def _place(error: Exception) -> str:
