Tell peers that an entry was refused, not removed

Peers kept a target whose entry became odd after an outage for up to 2.3 s more, as one that is missing. The row now says that the entry was refused.

--- a/src/lineworks/forwarding/target_documents.py
+++ b/src/lineworks/forwarding/target_documents.py
@@ -27,6 +27,9 @@
 
 _Row = TypeVar("_Row")
 
+_REFUSED = None
+"""Stands in a row in place of an entry that can't be used."""
+
 _log = structlog.get_logger(component="directory")
 
 _FIELDS = (str, str, str, int, int, bool, bool, int)
@@ -53,6 +56,8 @@
 def _row(change: target_view.TargetChange) -> list[object]:
     row: list[object] = [change.id, change.position.era, change.position.revision]
     entry = change.entry
+    if change.is_refused:
+        row.append(_REFUSED)
     if entry is not None:
         row += [entry.service, entry.hall, entry.host, entry.port, entry.slots]
         row += [entry.is_leaving, entry.is_cold, entry.born]
@@ -151,6 +156,8 @@
     name, position = _identity(row)
     if len(row) == 3:
         return target_view.TargetChange(name, position, None)
+    if row[3:] == [_REFUSED]:
+        return target_view.TargetChange(name, position, None, is_refused=True)
     try:
         return target_view.TargetChange(name, position, _entry(name, row[3:]))
     except TargetDocumentError as error:
