A wrong start time no longer hides the good entries behind it; bound what is kept of gone entries

An entry with a start time years ahead counted as a newer process of its target, and every good entry behind it, a drain too, as a late one of an earlier process: requests reached a leaving target, or the address of the odd entry. An entry of a seemingly earlier process now counts when it is written a second time without one of the newer process between them; an ended process may write once more, a running one writes again and again. A single late entry still changes nothing.

--- a/src/lineworks/decisions/target_view.py
+++ b/src/lineworks/decisions/target_view.py
@@ -28,6 +28,10 @@
 target expires after three missed heartbeats, which are slightly more than a second apart."""
 
 
+MAX_GONE = 1500
+"""Maximum number of entries that are gone whose positions are kept."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetEntry:
     """The entry that a target maintains in the store."""
@@ -135,14 +139,24 @@
     present: dict[str, TargetEntry | None] = dict(known)
     found = []
     for change in changes:
-        if change.entry is None or present.get(change.id) != change.entry:
+        is_earlier = (
+            change.entry is not None
+            and change.id in known
+            and change.entry.born < known[change.id].born
+        )
+        # Whether an entry of an earlier process counts depends on its repetition.
+        if change.entry is None or is_earlier or present.get(change.id) != change.entry:
             found.append(change)
         present[change.id] = change.entry
     return found
 
 
 class TargetView:
-    """The target entries, as known to one instance."""
+    """The target entries, as known to one instance.
+
+    The positions of entries that are gone are kept, so that late updates don't bring them back.
+    Beyond `MAX_GONE` of them the oldest are forgotten; updates as old as these are ignored.
+    """
 
     def __init__(self) -> None:
         self._entries: dict[str, TargetEntry] = {}
@@ -152,6 +166,10 @@
         self._leaving: set[str] = set()
         # By identity: start time of the latest known process.
         self._born: dict[str, int] = {}
+        # By identity: start time of an earlier process that wrote after the latest known one.
+        self._earlier: dict[str, int] = {}
+        # Updates up to this position may be about entries whose end was forgotten.
+        self._forgotten = positions.ABSENT
         self.position = positions.ABSENT
         """Position up to which all changes are known."""
 
@@ -181,7 +199,7 @@
         """
         is_changed = False
         for change in changes:
-            if change.position <= self._positions.get(change.id, positions.ABSENT):
+            if change.position <= self._positions.get(change.id, self._forgotten):
                 continue
             self._positions[change.id] = change.position
             self._doubted.pop(change.id, None)
@@ -190,8 +208,21 @@
                 is_changed |= self._remove(change.id, 0.0 if change.is_refused else hold_until)
             else:
                 is_changed |= self._put(change.entry)
+        self._forget_oldest_gone()
         return is_changed
 
+    def _forget_oldest_gone(self) -> None:
+        """Forget what is known of entries that are gone, if there are too many of them."""
+        known = self._entries.keys() | self._doubted.keys()
+        if len(self._positions) <= len(known) + MAX_GONE:
+            return
+        gone = sorted(self._positions.keys() - known, key=self._positions.__getitem__)
+        for name in gone[: len(gone) // 2]:
+            self._forgotten = max(self._forgotten, self._positions.pop(name))
+            self._born.pop(name, None)
+            self._earlier.pop(name, None)
+            self._leaving.discard(name)
+
     def replace(
         self,
         entries: Iterable[TargetChange],
@@ -368,11 +399,12 @@
 
     def _put(self, entry: TargetEntry) -> bool:
         born = self._born.get(entry.id, 0)
-        if entry.born < born:
+        if entry.born < born and not self._is_repeated(entry):
             # A late update about an earlier process with the same identity.
             return False
-        if entry.born > born:
-            # A new process: nothing known about the previous one applies to it.
+        self._earlier.pop(entry.id, None)
+        if entry.born != born:
+            # Another process: nothing known about the previous one applies to it.
             self._born[entry.id] = entry.born
             self._leaving.discard(entry.id)
         self._removals.pop(entry.id, None)
@@ -384,6 +416,17 @@
         self._entries[entry.id] = entry
         return is_changed
 
+    def _is_repeated(self, entry: TargetEntry) -> bool:
+        """Return whether a process that seems to be an earlier one has written before.
+
+        An ended process may write once more, while a running one writes again and again. So the
+        start time that is known must be wrong, which would hide its entries for ever.
+        """
+        if self._earlier.get(entry.id) == entry.born:
+            return True
+        self._earlier[entry.id] = entry.born
+        return False
+
     def _remove(self, name: str, hold_until: float) -> bool:
         if name not in self._entries:
             return False
