A request that fails to start or to end costs no other; long attempts are stored as a digest

A request whose start raised stayed in progress for ever, and one that raised at the end of a stop left the others unanswered (0 of 3 answered). Both are now contained per request.

A caller's attempt of 3,000 bytes that are no ASCII made a record that other instances refuse: they never learned of a request that ends its targets. An identity of over 200 bytes is now kept as its digest. Records that can't be sent keep no other from the hall.

--- a/src/lineworks/decisions/fingerprints.py
+++ b/src/lineworks/decisions/fingerprints.py
@@ -12,6 +12,10 @@
 about 1 in 10^17."""
 
 
+MAX_ATTEMPT_BYTES = 200
+"""Maximum length in bytes of the identity of an attempt that is kept as it is."""
+
+
 def fingerprint(method: bytes, host: bytes, path: bytes, caller: bytes, body: bytes) -> str:
     """Compute the fingerprint of a request.
 
@@ -29,3 +33,17 @@
     lengths = b"%d:%d:%d:%d:" % (len(method), len(host), len(path), len(caller))
     data = b"".join((lengths, method, host, path, caller, body))
     return hashlib.blake2b(data, digest_size=FINGERPRINT_BYTES).hexdigest()
+
+
+def name_attempt(attempt: bytes) -> str:
+    """Return an attempt's identity in a length that stored records and peers can take.
+
+    Args:
+        attempt: The identity that the caller sent.
+
+    Returns:
+        The identity, or its digest in hexadecimal digits if it is too long.
+    """
+    if len(attempt) <= MAX_ATTEMPT_BYTES:
+        return attempt.decode("latin-1")
+    return hashlib.blake2b(attempt, digest_size=FINGERPRINT_BYTES).hexdigest()
--- a/src/lineworks/forwarding/front.py
+++ b/src/lineworks/forwarding/front.py
@@ -123,10 +123,14 @@
             Number of requests.
         """
         count = len(self._in_progress) + len(self._waiting) + len(self._awaiting_quota)
-        for give_up in [*self._waiting.values(), *self._awaiting_quota.values()]:
-            give_up()
-        for work in list(self._in_progress):
-            work.end()
+        ends = [*self._waiting.values(), *self._awaiting_quota.values()]
+        ends += [work.end for work in self._in_progress]
+        for end in ends:
+            try:
+                end()
+            except Exception as error:
+                # The other requests must be answered all the same.
+                self._failures.on_failure(error)
         return count
 
     def limits(self) -> server_connection.Limits:
@@ -265,7 +269,7 @@
 
         is_trial = judgement is suspects.Judgement.TRIAL
         crash_guard = caution.CrashGuard(
-            self._shared.suspects, content, attempt.decode("latin-1"), is_trial
+            self._shared.suspects, content, fingerprints.name_attempt(attempt), is_trial
         )
         work = self._make_work(request, route, call, crash_guard, on_end)
         on_caller_left = functools.partial(self._cancel, work, request, attempt, accessed)
@@ -275,12 +279,12 @@
             self._awaiting_quota.pop(work, None)
             if admission.refusal is None:
                 return_token = admission.return_token
-                self._start(work)
+                self._start(work, on_end)
                 return
             finish(outcome.refuse(admission.refusal, retry_after=admission.retry_after))
 
         if workspace is None or workspace.quota is None:
-            self._start(work)
+            self._start(work, on_end)
             return on_caller_left
         withdraw = self._shared.quotas.admit(workspace, on_admission, deadline)
         if withdraw is None:
@@ -330,9 +334,15 @@
         due = answer_time.answer_due(request.arrived, route.slo, request.network_delay, lag)
         return search.Search(self._shared, route, call, crash_guard, due, request.arrived, on_end)
 
-    def _start(self, work: _Work) -> None:
+    def _start(self, work: _Work, on_end: Callable[[outcome.Outcome], None]) -> None:
+        """Start a request; one that fails to start is answered, and isn't in progress for ever."""
         self._in_progress.add(work)
-        work.start()
+        try:
+            work.start()
+        except Exception as error:
+            self._failures.on_failure(error)
+            found = verdict.may_have_run(verdict.Reason.FAILED, "it could not be started")
+            on_end(outcome.Outcome(server_connection.Answer(500), found))
 
     def _await_quota(
         self,
--- a/src/lineworks/forwarding/suspect_exchange.py
+++ b/src/lineworks/forwarding/suspect_exchange.py
@@ -277,26 +277,45 @@
             changes: Keys that were written or removed. Removed keys are ignored, because their
                 lease may simply have expired.
         """
-        news = []
-        for change in changes:
-            content = change.key.removeprefix(suspect_documents.PREFIX)
-            if content == change.key or change.value is None:
-                continue
-            now = self._reactor.seconds()
-            try:
-                found = suspect_documents.decode(content, change.value, now)
-            except suspect_documents.SuspectDocumentError as error:
-                self.counts["documents_refused"] += 1
-                self._log.info("suspect_document_refused", error=str(error))
-                continue
-            record = self._suspects.merge(found, now)
-            if record is not None:
-                record = self._suspects.clear_if_answered(content, now) or record
-                self._note_shared(record, "the store")
-                news.append(record)
-        if news:
-            # Each hall has its own reader of the store, so other halls receive the same changes.
-            self._send_to(hall_peers.names(self._links, self._hall), news)
+        news: list[suspects.Record] = []
+        try:
+            for change in changes:
+                self._merge_change(change, news)
+        finally:
+            # Also after an error: a record that is merged is not news the next time.
+            if news:
+                # Each hall has its own reader of the store: other halls receive the same changes.
+                self._tell_hall(news)
+
+    def _tell_hall(self, records: Sequence[suspects.Record]) -> None:
+        """Send records to the hall; one that can't be sent keeps no other from being sent."""
+        try:
+            self._send_to(hall_peers.names(self._links, self._hall), records)
+        except Exception as error:
+            if len(records) > 1:
+                for record in records:
+                    self._tell_hall([record])
+            else:
+                self.counts["records_not_sent"] += 1
+                self._log.info("suspect_not_sent", content=records[0].content, error=repr(error))
+
+    def _merge_change(self, change: store_items.Change, news: list[suspects.Record]) -> None:
+        """Merge the record of one key, and add it to the news if anything in it is new."""
+        content = change.key.removeprefix(suspect_documents.PREFIX)
+        if content == change.key or change.value is None:
+            return
+        now = self._reactor.seconds()
+        try:
+            found = suspect_documents.decode(content, change.value, now)
+        except suspect_documents.SuspectDocumentError as error:
+            self.counts["documents_refused"] += 1
+            self._log.info("suspect_document_refused", error=str(error))
+            return
+        record = self._suspects.merge(found, now)
+        if record is not None:
+            record = self._suspects.clear_if_answered(content, now) or record
+            self._note_shared(record, "the store")
+            news.append(record)
 
     def _on_up(self, hello: frames.Hello) -> None:
         """Send all shared records to a peer, which may have started or been cut off."""
