Report a configuration again until it is taken over; keep the registration and its lines bounded

A configuration whose takeover failed was never tried again, while its version was reported as in force; targets alone were. Both are now reported again until they are taken over. A key that a listener refused counted as unusable for ever. An unexpected error ended the registration, whose lease then ran out. 5,000 odd keys of instances made 5,000 lines and as many remembered names.

--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING, Any
 
 import structlog
@@ -120,9 +121,12 @@
         self._pulled_at = float("-inf")
         self._fallback_delay = rng.random() * FALLBACK_SPREAD
         self._task = task.Task("directory", self._run)
-        self.refused_rows = refused_rows.RefusedRows(reactor)
-        """Rows of the store that can't be used."""
-        self._report_targets_at: float | None = None
+        self.refused_rows = refused_rows.RefusedRows(reactor, "directory")
+        """Entries of targets, and rows without a key, that can't be used."""
+        self.refused_by_listeners = refused_rows.RefusedRows(reactor, "directory")
+        """Rows that a listener failed on."""
+        self._unreported: dict[str, Callable[[], None]] = {}
+        self._report_at = 0.0
         self._listener_log = failure_log.FailureLog(reactor, "directory", "listener_failed")
         self.listener_failures = 0
         """Number of times that a service failed to take over a configuration or the targets."""
@@ -246,9 +250,9 @@
         is_changed = self._view.expire(now)
         is_changed |= self._view.accept_doubted(now)
         is_changed |= self._evacuations.expire(now, self._fresh_at, self._view.position)
-        is_report_due = self._report_targets_at is not None and now >= self._report_targets_at
-        if is_changed or is_report_due:
-            self._notify_of_targets()
+        if is_changed:
+            self._report("targets", self.on_targets)
+        self._repeat_reports()
 
     def _is_due(self) -> bool:
         if self._reactor.seconds() < self._next_call:
@@ -298,7 +302,7 @@
         self._fresh_at = max(self._fresh_at, polled_at)
         self._apply_other_keys(rows)
         if is_changed:
-            self._notify_of_targets()
+            self._report("targets", self.on_targets)
         self._send_all(hall_peers.names(self._links, self._hall))
         self.reads.count(store_reads.ReadOutcome.LISTED)
 
@@ -343,7 +347,7 @@
         self._fresh_at = max(self._fresh_at, polled_at)
         self._apply_other_keys(found.changes)
         if is_changed:
-            self._notify_of_targets()
+            self._report("targets", self.on_targets)
         effective_changes = target_view.effective_changes(known, entries)
         self._send_update(
             hall_peers.names(self._links, self._hall), before, effective_changes, evacuation_changes
@@ -409,32 +413,36 @@
         except Exception as error:
             if len(rows) == 1:
                 reason = f"{name}: {error!r}"[: failure_log.MAX_ERROR_CHARACTERS]
-                self.refused_rows.refuse("row_refused", rows[0].key, rows[0].position, reason)
+                row = rows[0]
+                self.refused_by_listeners.refuse("row_refused", row.key, row.position, reason)
                 return
             for row in rows:
                 self._hand_on(name, listener, [row])
-
-    def _notify_of_targets(self) -> None:
-        """Report changed targets; a failure is repeated, and keeps no peer from being told."""
-        self._report_targets_at = None
-        try:
-            self.on_targets()
-        except Exception as error:
-            self._on_listener_failed("targets", error)
-            self._report_targets_at = self._reactor.seconds() + RETRY_SECONDS
         else:
-            self._listener_log.on_success()
+            for row in rows:
+                self.refused_by_listeners.accept(row.key)
+
+    def _report(self, name: str, listener: Callable[[], None]) -> None:
+        """Call a listener; a failure is repeated, and keeps no peer from being told.
 
-    def _notify_of_table(self, table: routes.RouteTable) -> None:
-        """Report a configuration; a failure must not keep the peers from being sent it."""
+        Args:
+            name: Name of what is reported.
+            listener: Takes it over.
+        """
+        self._unreported.pop(name, None)
         try:
-            self.on_table(table)
+            listener()
         except Exception as error:
-            self._on_listener_failed("configuration", error)
+            self.listener_failures += 1
+            self._listener_log.on_failure(error, listener=name, version=self.version)
+            self._unreported[name] = listener
+            self._report_at = self._reactor.seconds() + RETRY_SECONDS
 
-    def _on_listener_failed(self, name: str, error: Exception) -> None:
-        self.listener_failures += 1
-        self._listener_log.on_failure(error, listener=name, version=self.version)
+    def _repeat_reports(self) -> None:
+        """Report again what a listener failed to take over."""
+        if self._unreported and self._reactor.seconds() >= self._report_at:
+            for name, listener in list(self._unreported.items()):
+                self._report(name, listener)
 
     def _apply_table(self, document: bytes, era: int) -> None:
         try:
@@ -450,7 +458,7 @@
         self._table_era = era
         self._newer_peer = None
         self._document = document
-        self._notify_of_table(table)
+        self._report("configuration", functools.partial(self.on_table, table))
         update = node_frames.TableUpdate(table.version, document, era)
         for name in hall_peers.names(self._links, self._hall):
             self._links.send(name, update)
@@ -503,7 +511,7 @@
         self._has_targets = True
         self._fresh_at = max(self._fresh_at, self._reactor.seconds() - frame.age)
         if is_changed:
-            self._notify_of_targets()
+            self._report("targets", self.on_targets)
         self._correct_peer(link.hello.name, changes)
 
     def _held_until(self, unsettled: Iterable[target_view.Unsettled]) -> dict[str, float]:
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -479,6 +479,7 @@
                 "refused": float(self._directory.refused_rows.total),
                 "unusable": float(self._directory.refused_rows.current),
                 "listener_failures": float(self._directory.listener_failures),
+                "rows_refused": float(self._directory.refused_by_listeners.total),
                 "node_keys_refused": float(self._registration.refused_count),
             },
             "lineworks_evacuated_halls": dict.fromkeys(sorted(self._evacuated), 1.0),
--- a/src/lineworks/forwarding/refused_rows.py
+++ b/src/lineworks/forwarding/refused_rows.py
@@ -24,13 +24,14 @@
 class RefusedRows:
     """Remembers the keys whose newest row was refused."""
 
-    def __init__(self, clock: Any) -> None:
+    def __init__(self, clock: Any, component: str) -> None:
         """Initialise without any row.
 
         Args:
             clock: Clock with the interface of Twisted's `IReactorTime`.
+            component: Name of the logging component.
         """
-        self._log = rate_limited_log.RateLimitedLog(clock, "directory", MAX_LINES_PER_SECOND)
+        self._log = rate_limited_log.RateLimitedLog(clock, component, MAX_LINES_PER_SECOND)
         self._positions: dict[str, positions.Position] = {}
         self.total = 0
         """Number of rows refused so far; a row that is read again is not counted again."""
--- a/src/lineworks/forwarding/registration.py
+++ b/src/lineworks/forwarding/registration.py
@@ -13,15 +13,16 @@
 from typing import TYPE_CHECKING, Any
 
 import structlog
+from twisted.internet import defer
 
-from lineworks.kernel import task
+from lineworks.forwarding import refused_rows
+from lineworks.kernel import failure_log, task
 from lineworks.models import member
 from lineworks.platform import store, store_items
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
 
-    from lineworks.decisions import positions
     from lineworks.models import node_settings
     from lineworks.services import peer_links
 
@@ -85,11 +86,9 @@
         self._started_at = reactor.seconds()
         self.on_listed: Callable[[], None] = lambda: None
         """Called when the listed instances have changed."""
-        self.refused_count = 0
-        """Number of keys that were refused because their values are invalid."""
         self._members: dict[str, member.Member] = {}
-        # Position of the invalid value that was logged last, by name.
-        self._refused: dict[str, positions.Position] = {}
+        self._refused = refused_rows.RefusedRows(reactor, "registration")
+        self._failures = failure_log.FailureLog(reactor, "registration", "registration_failed")
         self._task = task.Task("registration", self._run)
 
     @property
@@ -97,6 +96,11 @@
         """Number of listed instances, including this one once its key is; 0 without any list."""
         return len(self._members)
 
+    @property
+    def refused_count(self) -> int:
+        """Number of keys that were refused because their values are invalid."""
+        return self._refused.total
+
     @property
     def names(self) -> Collection[str]:
         """Names of the listed instances."""
@@ -142,6 +146,12 @@
             except store.StoreError as error:
                 _log.warning("registration_failed", error=str(error))
                 await task.sleep(self._reactor, RETRY_SECONDS * (1 + self._jitter()))
+            except defer.CancelledError:
+                raise
+            except Exception as error:
+                # Without the task, the lease would end and starting instances not find this one.
+                self._failures.on_failure(error)
+                await task.sleep(self._reactor, RETRY_SECONDS * (1 + self._jitter()))
 
     async def _register(self) -> store_items.Lease:
         settings = self._settings
@@ -183,17 +193,16 @@
 
     def _decode(self, name: str, change: store_items.Change) -> member.Member | None:
         """Return the instance that a key lists, or None if it was removed or is invalid."""
-        if change.value is None:
-            return None
-        try:
-            return member.decode(change.value, name=name, incarnation="", is_leaving=False)
-        except member.MemberError as error:
-            # Once for each write, however often the list is read.
-            if self._refused.get(name) != change.position:
-                self._refused[name] = change.position
-                self.refused_count += 1
-                _log.warning("node_key_refused", key=ascii(change.key)[1:-1], error=str(error))
-            return None
+        listed = None
+        if change.value is not None:
+            try:
+                listed = member.decode(change.value, name=name, incarnation="", is_leaving=False)
+            except member.MemberError as error:
+                reason = change.problem or str(error)
+                self._refused.refuse("node_key_refused", change.key, change.position, reason)
+                return None
+        self._refused.accept(change.key)
+        return listed
 
     async def _renew_periodically(self, lease: store_items.Lease) -> None:
         while True:
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import given
 
-from lineworks.decisions import suspects
+from lineworks.decisions import positions, suspects
 from lineworks.forwarding import registration, suspect_documents, suspect_exchange
 from lineworks.models import member
 from lineworks.platform import store_items
@@ -74,7 +74,10 @@
 def test_an_odd_key_is_logged_once_however_often_the_list_is_read():
     world = test_forwarding.build()
     known = world.nodes["akl-1"]._registration
-    rows = [store_items.Change(registration.PREFIX + "zzz", position, b"{}") for position in (1, 2)]
+    rows = [
+        store_items.Change(registration.PREFIX + "zzz", positions.Position(1, revision), b"{}")
+        for revision in (1, 2)
+    ]
     known.on_changes([rows[0], rows[1], rows[1]])
     assert known.refused_count == 2
 
--- a/tests/test_store_rows.py
+++ b/tests/test_store_rows.py
@@ -162,7 +162,7 @@
 
 
 def test_a_key_is_no_longer_unusable_once_a_good_entry_is_written_or_it_is_removed():
-    rows = refused_rows.RefusedRows(fakes.VirtualClock())
+    rows = refused_rows.RefusedRows(fakes.VirtualClock(), "directory")
     for key in ("a", "b", "c"):
         rows.refuse("entry_refused", key, positions.Position(1, 5), "odd")
     rows.accept("a")
@@ -171,7 +171,7 @@
 
 
 def test_any_number_of_odd_rows_takes_bounded_memory():
-    rows = refused_rows.RefusedRows(fakes.VirtualClock())
+    rows = refused_rows.RefusedRows(fakes.VirtualClock(), "directory")
     for number in range(3 * refused_rows.MAX_KEYS):
         rows.refuse("entry_refused", f"servers/{number}", positions.Position(1, number), "odd")
     assert rows.current == refused_rows.MAX_KEYS
