List on behind keys that can't be used; ignore odd leases and eras of the store

A page of rows without usable keys ended each listing, so that instances that start never became ready. A row with an odd lease, which nobody reads, was left out. An era of 15 or 30 digits in one answer voided all later ones and ended heartbeats; an era has nine digits at most.

--- a/bench/platform.py
+++ b/bench/platform.py
@@ -244,7 +244,7 @@
 
     def _item(self, item: store_model.StoredItem) -> store_items.Item:
         position = self._position(item.revision)
-        return store_items.Item(item.key, item.value.encode(), position, item.lease)
+        return store_items.Item(item.key, item.value.encode(), position)
 
     @property
     def _is_out(self) -> bool:
--- a/src/lineworks/platform/store.py
+++ b/src/lineworks/platform/store.py
@@ -35,6 +35,7 @@
 _ERA = b"store-era"  # Increases by one each time the store is restored from an older copy.
 _JSON = b"Content-Type: application/json\r\n"
 _MAX_PAGES = 100
+_MAX_ERA_DIGITS = 9  # An era rises by one; a far greater one would outdate all that follow.
 
 
 class StoreError(Exception):
@@ -78,6 +79,7 @@
     position: positions.Position
     has_more: bool
     skipped: list[str]
+    last_key: str
 
 
 class Store:
@@ -149,19 +151,21 @@
         items: list[store_items.Item] = []
         skipped: list[str] = []
         first: positions.Position | None = None
+        after = ""
         for _ in range(_MAX_PAGES):
-            page = await self._page(prefix, items[-1].key if items else "")
+            page = await self._page(prefix, after)
             if first is not None and page.position.era != first.era:
                 # The store was restored between two pages, so start over.
-                items, skipped, first = [], [], None
+                items, skipped, first, after = [], [], None, ""
                 continue
             first = first or page.position
             items += page.items
             skipped += page.skipped
             if not page.has_more:
                 return store_items.Listing(items, first, skipped)
-            if not page.items:
-                raise StoreError("list: a page without a usable key")
+            if page.last_key <= after:
+                raise StoreError("list: a page without a key to go on from")
+            after = page.last_key
         raise StoreError("list: too many pages")
 
     async def _page(self, prefix: str, after: str) -> _Page:
@@ -368,10 +372,9 @@
 def _era_of(answer: client_connection.Response) -> int:
     """Read the era of an answer; a store that sends none has only one era, counted as 0."""
     text = answer.headers.get(_ERA, b"0")
-    try:
-        return int(text)
-    except ValueError as error:
-        raise StoreUnsureError(f"the store's era is no number: {text[:80]!r}") from error
+    if not text.isdigit() or len(text) > _MAX_ERA_DIGITS:
+        raise StoreUnsureError(f"the store's era is no number: {text[:80]!r}")
+    return int(text)
 
 
 def _request(method: str, path: str, address: node_settings.Address, document: Any) -> bytes:
@@ -383,7 +386,8 @@
 
 
 def _query_string(parameters: dict[str, Any]) -> str:
-    return urllib.parse.urlencode(parameters, safe="/")
+    # A listing also goes on behind a key that can't be encoded, if the store can read it so.
+    return urllib.parse.urlencode(parameters, safe="/", errors="surrogatepass")
 
 
 def _expect_ok(kind: str, answer: _Answer) -> None:
@@ -408,7 +412,7 @@
 def _item(row: _fields.Fields, era: int) -> store_items.Item:
     position = positions.Position(era, row.integer("Revision"))
     value, problem = _value(row)
-    return store_items.Item(row.text(_KEY), value, position, row.integer("LeaseId", 0), problem)
+    return store_items.Item(row.text(_KEY), value, position, problem)
 
 
 def _change(row: _fields.Fields, era: int) -> store_items.Change:
@@ -424,8 +428,15 @@
     page = _fields.Fields(answer.document)
     items, skipped = _decode_rows(page, "items", lambda row: _item(row, answer.era))
     position = positions.Position(answer.era, page.integer("AtRev"))
-    has_more = bool(page.items("items")) and answer.document.get("HasMore") is True
-    return _Page(items, position, has_more, skipped)
+    rows = page.items("items")
+    has_more = bool(rows) and answer.document.get("HasMore") is True
+    return _Page(items, position, has_more, skipped, _last_key(rows))
+
+
+def _last_key(rows: list[Any]) -> str:
+    """Return the last key of a page, usable or not; empty if no row has one."""
+    keys = (row.get(_KEY) for row in reversed(rows) if isinstance(row, dict))
+    return next((key for key in keys if isinstance(key, str)), "")
 
 
 def _changes(found: _fields.Fields, era: int) -> store_items.Changes:
--- a/src/lineworks/platform/store_items.py
+++ b/src/lineworks/platform/store_items.py
@@ -33,9 +33,6 @@
     position: positions.Position
     """Position of its last change."""
 
-    lease: int = 0
-    """Number of the lease to which the key is attached; 0 for none."""
-
     problem: str = ""
     """Why the stored value could not be read; the value is then empty."""
 
