--- a/src/lineworks/standins/deployment.py
+++ b/src/lineworks/standins/deployment.py
@@ -281,7 +281,8 @@
         for address, known in self._halls.items():
             if known.startswith(f"{name}@"):
                 return address
-        address = f"10.{HALLS.index(hall) + 1}.0.{len(self._halls) + 1}"
+        network, host = divmod(len(self._halls), _HOSTS_PER_SUBNET)
+        address = f"10.{HALLS.index(hall) + 1}.{network}.{host + 1}"
         self._halls[address] = f"{name}@{hall}"
         return address
 
