--- a/bench/soak/odd_actions.py
+++ b/bench/soak/odd_actions.py
@@ -24,14 +24,15 @@
 ENDS_OF = {odd_values.PORT: ENDS[:1], odd_values.LARGE: ENDS[1:]}
 """What becomes of some shapes: long texts that stay would add up."""
 
-TEXT_SHAPES = ("digits-text", "large")
+TEXT_SHAPES = ("digits-text", "large", "scope")
 """Shapes that make a service or data hall that nobody knows, and are odd in an address only."""
 
 
 def _field(shape: str, fields: Sequence[str], rng: random.Random, is_refused: bool = True) -> str:
     """Choose the field that becomes odd; if it must be refused, one where it isn't a valid text."""
     is_address = shape == odd_values.PORT or (is_refused and shape in TEXT_SHAPES)
-    return "Address" if is_address and "Address" in fields else rng.choice(fields)
+    addresses = [field for field in fields if field in ("Address", "host")]
+    return rng.choice(addresses if is_address and addresses else fields)
 
 
 class OddWriter:
@@ -81,7 +82,7 @@
                 (registration.PREFIX + rng.choice(self._nodes), member),
                 (registration.PREFIX + name, member),
                 (suspect_documents.PREFIX + rng.randbytes(16).hex(), suspect),
-                (documents.evacuation_key(name + "\u00e9 /" * 40), {"x": 1}),
+                (documents.evacuation_key(name + "\u00e9 /" * 20), {"x": 1}),
                 (documents.target_key(name + " \u00e9"), json.loads(place.entry("ready"))),
                 (documents.target_key(""), json.loads(place.entry("ready"))),
                 (f"others/{name}", {"x": 1}),
--- a/bench/soak/odd_values.py
+++ b/bench/soak/odd_values.py
@@ -43,6 +43,7 @@
     "null": lambda: "null",
     "flag": lambda: "true",
     "surrogate": lambda: r'"\ud800"',
+    "scope": lambda: '"fe80::1%nope"',
     PORT: lambda: f'"127.0.0.1:{"9" * DIGITS}"',
 }
 """For each shape of a field its value as JSON text."""
