--- a/bench/soak/bad_answers.py
+++ b/bench/soak/bad_answers.py
@@ -72,16 +72,17 @@
         self.way = ""
         """One of `WAYS`; empty for whole answers."""
 
-    def replace(self, transport: Any, answer: bytes) -> bool:
-        """Answer badly, if the target does at the moment, and say whether it did."""
-        if self.way in CUTS:
+    def send(self, transport: Any, answer: bytes) -> None:
+        """Send an answer, or what the target sends in its place at the moment."""
+        if not self.way:
+            transport.write(answer)
+        elif self.way in CUTS:
             self._cut(transport, cut(answer, self.way, STRIDE * next(self._turns)))
         elif self.way in ENDLESS and self._endless < MOST_CONNECTIONS:
             begin, piece = ENDLESS[self.way]
             transport.write(begin)
             self._endless += 1
-            self._send(transport, piece, self._reactor.seconds() + LONGEST_SECONDS)
-        return bool(self.way)
+            self._send_piece(transport, piece, self._reactor.seconds() + LONGEST_SECONDS)
 
     def _cut(self, transport: Any, data: bytes) -> None:
         transport.write(data)
@@ -91,11 +92,11 @@
             # A reset in the same turn would take the bytes with it.
             self._reactor.callLater(PIECE_SECONDS, transport.abortConnection)
 
-    def _send(self, transport: Any, piece: bytes, until: float) -> None:
+    def _send_piece(self, transport: Any, piece: bytes, until: float) -> None:
         """Send a piece, and the next one later; one that doesn't leave is not followed by more."""
         if not transport.connected or self._reactor.seconds() > until:
             self._endless -= 1
             return
         if not transport.dataBuffer:
             transport.write(piece)
-        self._reactor.callLater(PIECE_SECONDS, self._send, transport, piece, until)
+        self._reactor.callLater(PIECE_SECONDS, self._send_piece, transport, piece, until)
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -476,6 +476,7 @@
                 "refused": float(self._directory.refused_rows.total),
                 "unusable": float(self._directory.refused_rows.current),
                 "listener_failures": float(self._directory.listener_failures),
+                "node_keys_refused": float(self._registration.refused_count),
             },
             "lineworks_evacuated_halls": dict.fromkeys(sorted(self._evacuated), 1.0),
             "lineworks_suspects": self._suspects.gauges,
