Soak: a target that ever left need not be used again; tell how late the callers' own process was

An instance keeps a target that left as leaving for the life of its process (decisions/target_view.py), so the case is allowed; the logs show target_added and target_leaving 10 ms apart in each hall.

Change: only targets that never said that they leave must be used after a repair. The runner prints by how much its own callers were late, which tells a slow instance from a machine without a free core.

--- a/bench/soak/actions.py
+++ b/bench/soak/actions.py
@@ -138,7 +138,9 @@
         self.left: list[history.Left] = []
         """Targets that left with notice, or whose entry is odd."""
         self.repaired: list[history.Repaired] = []
-        """Targets whose odd entry became good again."""
+        """Targets whose odd entry became good again, but for those that ever said that they leave:
+        a target that did is not used any more."""
+        self._drained: set[str] = set()
         self.store_faults: list[tuple[float, float]] = []
         """Begin and end of each fault of the store or of a link to it."""
         self.older: list[tuple[float, float]] = []
@@ -267,8 +269,9 @@
         """Write a target's good entry again, unless another one stands there now."""
         if place.target == target and self._halls[place.hall].is_running:
             self._announce((place.name,), "ready")
-            now = self._reactor.seconds()
-            self.repaired.append(history.Repaired(target, place.service, place.hall, now))
+            if target not in self._drained:
+                now = self._reactor.seconds()
+                self.repaired.append(history.Repaired(target, place.service, place.hall, now))
 
     def _set_answers(self, names: Iterable[str], way: str) -> None:
         for name in names:
@@ -300,6 +303,8 @@
             place = self._places[name]
             self._halls[place.hall].announce(place, state)
             self._note_announced(place.target, state)
+            if state == "draining":
+                self._drained.add(place.target)
 
     def _note_announced(self, target: str, state: str) -> None:
         """Note when a target leaves; one that says it is ready may be used by who starts then."""
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -90,6 +90,8 @@
         self._idle: dict[str, list[client_connection.ClientConnection]] = {}
         self._due = 0.0
         self._ends_at = 0.0
+        self.latest = 0.0
+        """Most seconds by which a request was sent late: its own process could not run."""
         self.under_way = 0
         """Number of attempts in progress."""
 
@@ -105,6 +107,7 @@
 
     def _send_due(self) -> None:
         now = self._reactor.seconds()
+        self.latest = max(self.latest, now - self._due)
         while self._due <= now < self._ends_at:
             self._send()
             self._due += self._pause
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -169,6 +169,11 @@
         """What goes wrong."""
         return self._steps
 
+    @property
+    def latest(self) -> float:
+        """Most seconds by which callers were late themselves."""
+        return max(one.latest for one in self._callers)
+
     @property
     def exits(self) -> list[str]:
         """What instances did that nobody asked for, a clause each."""
