--- a/bench/soak/target_process.py
+++ b/bench/soak/target_process.py
@@ -96,7 +96,7 @@
     target.on_refused = lambda attempt: book.note(target, attempt, False)
     target.is_fatal = lambda run: run.path.endswith(history.FATAL)
     target.on_crash = lambda run: crash(run)
-    target.faults.send = bad.send
+    target.replace_answer = bad.replace
     target.port = place["port"]
 
     def crash(run: http_target.Run) -> None:
@@ -134,8 +134,7 @@
             bad[order["target"]].way = order["way"]
             return
         target = targets[order["target"]]
-        send = bad[order["target"]].send
-        target.faults = http_target.TargetFaults(**order["faults"], send=send)
+        target.faults = http_target.TargetFaults(**order["faults"])
         target.work = _work(random.Random(target.name), order["seconds"])
 
     _control.follow(reactor, on_order)
--- a/tests/test_odd_frames.py
+++ b/tests/test_odd_frames.py
@@ -5,13 +5,16 @@
 import dataclasses
 import json
 import math
+import types
 
 import pytest
 from hypothesis import given
 
-from lineworks.decisions import positions, target_view
+from lineworks.decisions import catalog, positions, target_view, tickets
 from lineworks.forwarding import target_documents
-from lineworks.wire import codec, node_frames
+from lineworks.models import relayed_reply
+from lineworks.services import runs
+from lineworks.wire import codec, frames, node_frames
 from tests import odd_values, test_forwarding
 
 ENTRY = ["shelf", "akl", "10.0.0.1", 80, 2, False, False, 17]
@@ -90,3 +93,53 @@
     for text in (odd_values.DEEP, odd_values.LONG_NUMBER, "{}", json.dumps(odd_values.BIG_TEXT)):
         with pytest.raises(target_documents.TargetDocumentError):
             target_documents.decode(text.encode())
+
+
+REPLY = [200, {"a": [1]}, 1.5]
+
+
+@given(odd_values.documents(REPLY))
+def test_any_relayed_reply_is_refused_or_can_be_sent_to_a_caller(data):
+    try:
+        reply = relayed_reply.decode(data)
+    except relayed_reply.RelayedReplyError as error:
+        assert str(error)
+        return
+    json.dumps(reply.document, ensure_ascii=False).encode()
+    assert 200 <= reply.status <= 599
+    assert math.ceil(reply.retry_after or 0.0) >= 0
+
+
+def test_an_odd_relayed_reply_closes_its_link_and_raises_nothing():
+    for text in ("1", "[1,2,3]", "null", odd_values.DEEP, odd_values.LONG_NUMBER):
+        link = types.SimpleNamespace(hello=types.SimpleNamespace(name="b"), reasons=[])
+        link.close = link.reasons.append
+        runner = types.SimpleNamespace(_pending_relays={1: ("b", None)})
+        runs.RequestRunner._on_relay_reply(runner, link, frames.RelayReply(1, text.encode()))
+        assert [reason.partition(":")[0] for reason in link.reasons] == ["malformed frame"]
+
+
+ODD_TICKETS = [f"t1~a~i~{odd_values.LONG_NUMBER}~n", "t1~a~i~\u0663~n", "t1~a~i~~n", "t1~a~i~-1~n"]
+
+
+@pytest.mark.parametrize("text", ODD_TICKETS)
+def test_a_ticket_with_an_odd_number_is_refused(text):
+    with pytest.raises(tickets.TicketError):
+        tickets.parse(text)
+
+
+ODD_SNAPSHOTS = [f"{odd_values.LONG_NUMBER}@base", f"{2**64}@base", "7@a,b", "7@", "7@\0", "7"]
+
+
+@pytest.mark.parametrize("text", ODD_SNAPSHOTS)
+def test_a_snapshot_that_no_frame_can_carry_is_refused(text):
+    with pytest.raises(ValueError, match="not a snapshot"):
+        catalog.parse_snapshot(text)
+
+
+@pytest.mark.parametrize("text", ODD_SNAPSHOTS)
+def test_an_odd_snapshot_of_a_target_does_not_cost_a_peer_its_holdings(text):
+    odd = types.SimpleNamespace(services=["a", "b"], snapshots=[f"7@base,{text}", "8@base"])
+    found = codec._read_holdings(odd, 0.0).held
+    assert catalog.Snapshot(7, "base") in found["a"]
+    assert found["b"] == {catalog.Snapshot(8, "base")}
--- a/tests/test_soak_odd_values.py
+++ b/tests/test_soak_odd_values.py
@@ -93,16 +93,14 @@
     bad = bad_answers.BadAnswers(clock)
     bad.way = way
     transports = [_Transport() for _ in range(bad_answers.MOST_CONNECTIONS + 1)]
-    for one in transports:
-        bad.send(one, ANSWER)
+    replaced = [bad.replace(one, ANSWER) for one in transports]
+    assert all(replaced)
     clock.run_until(60.0)
     most = bad_answers.PIECE_BYTES * (2 + bad_answers.LONGEST_SECONDS / bad_answers.PIECE_SECONDS)
     assert all(most / 2 < one.sent < most for one in transports[:-1])
     assert transports[-1].sent == 0
     bad.way = ""
-    whole = _Transport()
-    bad.send(whole, ANSWER)
-    assert whole.sent == len(ANSWER)
+    assert not bad.replace(_Transport(), ANSWER)
 
 
 @pytest.mark.parametrize(("way", "end"), [("close-head", "close"), ("reset-body", "reset")])
@@ -110,7 +108,7 @@
     clock, transport = fakes.VirtualClock(), _Transport()
     bad = bad_answers.BadAnswers(clock)
     bad.way = way
-    bad.send(transport, ANSWER)
+    assert bad.replace(transport, ANSWER)
     clock.run_until(1.0)
     assert 0 < transport.sent < len(ANSWER)
     assert transport.end == end
