--- a/src/lineworks/platform/target_entries.py
+++ b/src/lineworks/platform/target_entries.py
@@ -20,7 +20,7 @@
 
 _BROADCAST = ipaddress.IPv4Address("255.255.255.255")
 
-MAX_TEXT_CHARACTERS = 4096
+MAX_TEXT_CHARACTERS = 200
 """Maximum length of a text, in characters. Entries are passed on to other instances, several in one
 frame, whose length is limited."""
 
