Let answers in tiny chunks be read one after another

Symptom: an answer in chunks of one byte costs 2.8 to 5.2 ms of processor time for 64 KiB, and each iteration of the reactor parsed a read of every such connection: with ten of them all other callers of the instance waited. A limit on the size of chunks would turn away answers that are served.

Change: a connection whose read held more than 1024 pieces of a body pauses, and such connections take turns of one read (16 KiB) each 5 ms, all together. Chunks of more than 11 bytes never get there. Both paths to targets.

--- a/src/lineworks/forwarding/target_calls.py
+++ b/src/lineworks/forwarding/target_calls.py
@@ -16,7 +16,7 @@
 
 from lineworks.decisions import ownership, verdict
 from lineworks.forwarding import _connection_pool, answers, target_learning
-from lineworks.http1 import client_connection, unfinished_bodies
+from lineworks.http1 import client_connection, reading_turns, unfinished_bodies
 from lineworks.kernel import rate_limited_log
 from lineworks.platform import headers
 
@@ -130,6 +130,7 @@
         self._reactor = reactor
         self._learning = learning
         self._unfinished = unfinished_bodies.UnfinishedBodies(max_unfinished_bytes)
+        self._turns = reading_turns.ReadingTurns(reactor)
         self._invalid = 0
         self._invalid_log = rate_limited_log.RateLimitedLog(
             reactor, "target_calls", MAX_LOG_LINES_PER_SECOND
@@ -447,7 +448,9 @@
         self, calls: TargetCalls, pool: _connection_pool.ConnectionPool, exchange: _Exchange
     ) -> None:
         service = exchange.state.replica.target.service
-        super().__init__(calls._reactor.seconds, self._on_gone, calls.unfinished, service)
+        super().__init__(
+            calls._reactor.seconds, self._on_gone, calls.unfinished, service, calls._turns
+        )
         self._calls = calls
         self._pool = pool
         self._exchange: _Exchange | None = exchange
--- a/src/lineworks/http1/client_connection.py
+++ b/src/lineworks/http1/client_connection.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from lineworks.http1 import unfinished_bodies
+    from lineworks.http1 import reading_turns, unfinished_bodies
 
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
 """Seconds for which an idle connection is kept when the server states no keep-alive timeout."""
@@ -89,6 +89,7 @@
         on_closed: Callable[[ClientConnection], None],
         unfinished: unfinished_bodies.UnfinishedBodies | None = None,
         service: str = "",
+        turns: reading_turns.ReadingTurns | None = None,
     ) -> None:
         """Initialise a connection that is not connected yet.
 
@@ -98,11 +99,13 @@
             unfinished: Limits the bodies that all connections of the process are receiving; None
                 for no such limit.
             service: Service of the server, for that limit.
+            turns: Turns of the connections whose data takes much processor time; None for none.
         """
         self._now = now
         self._on_closed = on_closed
         self._unfinished = unfinished
         self._service = service
+        self._turns = turns
         self._on_done: Callable[[Response | ConnectionFailure], None] | None = None
         self._expected_field: tuple[bytes, bytes] | None = None
         self._parser: Any = None
@@ -281,6 +284,8 @@
             return
         if self._unfinished is not None and self._meter.size:
             self._unfinished.record(self, self._service, self._meter.size)
+        if self._turns is not None and self._meter.is_read_costly and not self.is_closed:
+            self._turns.wait(self)
 
     def _is_mismatched(self) -> bool:
         """Return whether the response belongs to another request.
--- a/src/lineworks/http1/response_limits.py
+++ b/src/lineworks/http1/response_limits.py
@@ -29,6 +29,10 @@
 """Maximum number of pieces, chunks for example, in which bodies arrive: 16 bytes each for the
 longest body. Each piece costs the same processor time, however small it is."""
 
+MAX_READ_PIECES = 1024
+"""Number of pieces of bodies in one read above which a connection takes turns with others; chunks
+of more than 11 bytes stay below it."""
+
 FRAMING_BYTES_PER_BODY_BYTE = 8
 """Bytes of chunk framing allowed for each byte of the body; a chunk of one byte needs five."""
 
@@ -52,7 +56,9 @@
         "_fields",
         "_interim",
         "_pieces",
+        "_pieces_at_last_read",
         "_received_bytes",
+        "is_read_costly",
         "size",
     )
 
@@ -62,12 +68,15 @@
         self._bytes_since_body = 0
         self._body_bytes_at_last_read = 0
         self._pieces = 0
+        self._pieces_at_last_read = 0
         self._fields = 0
         self._interim = 0
         self._discarded = 0
         self._discarded_bytes = 0
         self.size = 0
         """Bytes received of the body of the current response."""
+        self.is_read_costly = False
+        """Whether the last read held so many pieces that it took much processor time."""
 
     def on_field(self) -> None:
         """Count a header field or trailer field.
@@ -129,6 +138,8 @@
             LimitError: A head, the chunk framing or the trailers are too long.
         """
         self._received_bytes += size
+        self.is_read_costly = self._pieces - self._pieces_at_last_read > MAX_READ_PIECES
+        self._pieces_at_last_read = self._pieces
         body_bytes = self._discarded_bytes + self.size
         has_body = body_bytes > self._body_bytes_at_last_read
         self._body_bytes_at_last_read = body_bytes
--- a/src/lineworks/services/target_connection.py
+++ b/src/lineworks/services/target_connection.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from lineworks.http1 import unfinished_bodies
+    from lineworks.http1 import reading_turns, unfinished_bodies
 
 _FORBIDDEN_CHARACTERS = frozenset("\r\n\0")
 
@@ -80,6 +80,7 @@
         self,
         on_closed: Callable[[TargetConnection], None],
         unfinished: unfinished_bodies.UnfinishedBodies,
+        turns: reading_turns.ReadingTurns,
         target: str = "",
     ) -> None:
         """Initialise without a connection.
@@ -87,10 +88,12 @@
         Args:
             on_closed: Called once with this object when the connection is closed.
             unfinished: Limits the bodies that all connections of the process are receiving.
-            target: Name of the target, for that limit.
+            turns: Turns of the connections whose data takes much processor time.
+            target: Name of the target, for the limit on bodies.
         """
         self._on_closed = on_closed
         self._unfinished = unfinished
+        self._turns = turns
         self._target = target
         self._failure = ""
         self._on_response: Callable[[Response | None], None] | None = None
@@ -223,6 +226,8 @@
         self._meter.on_read(size)
         if self._meter.size:
             self._unfinished.record(self, self._target, self._meter.size)
+        if self._meter.is_read_costly and not self.is_closed:
+            self._turns.wait(self)
 
     def _fail(self, detail: str) -> None:
         """Close the connection because of an invalid response."""
--- a/src/lineworks/services/target_pool.py
+++ b/src/lineworks/services/target_pool.py
@@ -14,7 +14,7 @@
 
 from lineworks.decisions import ownership, replicas, verdict
 from lineworks.engine import ports
-from lineworks.http1 import unfinished_bodies
+from lineworks.http1 import reading_turns, unfinished_bodies
 from lineworks.models import target_http
 from lineworks.services import target_connection
 
@@ -50,10 +50,12 @@
         reactor: Any,
         target: catalog.Target,
         unfinished: unfinished_bodies.UnfinishedBodies,
+        turns: reading_turns.ReadingTurns,
     ) -> None:
         self._reactor = reactor
         self._target = target
         self._unfinished = unfinished
+        self._turns = turns
         self._idle: list[target_connection.TargetConnection] = []
         self._open_count = 0
 
@@ -108,7 +110,7 @@
         )
         factory: Any = protocol.Factory.forProtocol(
             lambda: target_connection.TargetConnection(
-                self._on_closed, self._unfinished, target.name
+                self._on_closed, self._unfinished, self._turns, target.name
             )
         )
 
@@ -136,6 +138,7 @@
         self._reactor = reactor
         self._pools: dict[str, _ConnectionPool] = {}
         self._unfinished = unfinished_bodies.UnfinishedBodies()
+        self._turns = reading_turns.ReadingTurns(reactor)
 
     def start(self) -> None:
         """Do nothing; connections are opened on demand."""
@@ -229,7 +232,7 @@
         pool = self._pools.get(target.name)
         if pool is None:
             pool = self._pools[target.name] = _ConnectionPool(
-                self._reactor, target, self._unfinished
+                self._reactor, target, self._unfinished, self._turns
             )
         return pool
 
--- a/src/lineworks/standins/memory_transport.py
+++ b/src/lineworks/standins/memory_transport.py
@@ -63,6 +63,7 @@
         self._protocol: Any = None
         self.peer: MemoryTransport | None = None
         self._undelivered: list[Callable[[], None]] = []
+        self._is_paused = False
         self.disconnecting = False
         self.drops_sent_data = False
         """Whether everything sent from this end is lost."""
@@ -76,9 +77,7 @@
         self._protocol = protocol
         self._host.add_transport(self)
         protocol.makeConnection(self)
-        undelivered, self._undelivered = self._undelivered, []
-        for call in undelivered:
-            call()
+        self._deliver_held()
 
     def write(self, data: bytes) -> None:
         """Send bytes, unless the connection is closed or closing."""
@@ -90,6 +89,15 @@
         """Send several pieces of data in one write."""
         self.write(b"".join(pieces))
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Hold what arrives until `resumeProducing`."""
+        self._is_paused = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Deliver what was held, until the protocol pauses again."""
+        self._is_paused = False
+        self._deliver_held()
+
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
         """Do nothing: the network does not implement Nagle's algorithm."""
 
@@ -140,11 +148,15 @@
         )
 
     def _receive(self, call: Callable[[], None]) -> None:
-        if self._protocol is None:
+        if self._protocol is None or self._is_paused:
             self._undelivered.append(call)
         else:
             call()
 
+    def _deliver_held(self) -> None:
+        while self._undelivered and not self._is_paused:
+            self._undelivered.pop(0)()
+
     def _on_data(self, data: bytes) -> None:
         if self._protocol is not None and not self.disconnecting:
             self._protocol.dataReceived(data)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -187,17 +187,37 @@
 
 
 class _Slow(_Endless):
-    """Answers with a long body, over 0.3 s."""
+    """Answers with a body, over 0.3 s."""
+
+    framed = b""
 
     def _send(self):
-        self.transport.write(b"Content-Length: %d\r\n\r\n" % len(LONG_BODY))
         parts = 30
-        size = -(-len(LONG_BODY) // parts)
+        size = -(-len(self.framed) // parts)
         for part in range(parts):
-            piece = LONG_BODY[part * size : part * size + size]
+            piece = self.framed[part * size : part * size + size]
             self._host.callLater(part * TICK_SECONDS, self.transport.write, piece)
 
 
+def answer_slowly(world, body=LONG_BODY, chunk=0):
+    """Make the target of the desk answer over 0.3 s, in chunks of a size if it isn't 0."""
+    framed = b"Content-Length: %d\r\n\r\n" % len(body) + body
+    if chunk:
+        parts = [body[start : start + chunk] for start in range(0, len(body), chunk)]
+        chunks = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
+        framed = CHUNKED + chunks + b"0\r\n\r\n"
+
+    def build_protocol(addr):
+        slow = _Slow(desk.host, answer(b"X-Response-Stamp: s\r\n"), b"x", 1, [])
+        slow.framed = framed
+        return slow
+
+    desk = test_forwarding.targets_of(world, "desk")[0]
+    desk.close()
+    desk.buildProtocol = build_protocol
+    desk.listen()
+
+
 def build_with_desk():
     world = deployment.Deployment(fakes.VirtualClock())
     world.memory_bytes = MEMORY_BYTES
@@ -214,12 +234,7 @@
 def test_endless_bodies_of_one_service_stay_within_an_instance_and_leave_others_served(way, taken):
     world = build_with_desk()
     answer_without_end(world, ("shelf",), way, 1)
-    desk = test_forwarding.targets_of(world, "desk")[0]
-    desk.close()
-    desk.buildProtocol = lambda addr: _Slow(
-        desk.host, answer(b"X-Response-Stamp: s\r\n"), b"x", 1, []
-    )
-    desk.listen()
+    answer_slowly(world)
     lost = [world.ask("akl-1", f"/bill/{n}", "POST") for n in range(10)]
     held, replies = [], []
     for step in range(150):
