--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -94,6 +94,11 @@
         """Whether it has not ended."""
         return self._process.poll() is None
 
+    @property
+    def pid(self) -> int:
+        """Its process id."""
+        return self._process.pid
+
     @property
     def exit_code(self) -> int | None:
         """Its exit code; negative after a signal."""
