Read 64 KiB at a time unless the data is costly to parse

Reads of 16 KiB were to bound what tiny chunks and short headers cost an iteration of the reactor, but they divide by four what a long body gets of each iteration of a busy instance. Only the first read of a connection, and those of data that proved costly, are small now.

--- a/src/lineworks/http1/client_connection.py
+++ b/src/lineworks/http1/client_connection.py
@@ -138,7 +138,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm so that small requests are sent immediately."""
         self.transport.setTcpNoDelay(True)
-        self.transport.bufferSize = response_limits.READ_BYTES
+        self.transport.bufferSize = response_limits.FIRST_READ_BYTES
         self._idle_since = self._now()
 
     def send(
@@ -284,6 +284,7 @@
             return
         if self._unfinished is not None and self._meter.size:
             self._unfinished.record(self, self._service, self._meter.size)
+        self.transport.bufferSize = self._meter.next_read_bytes
         if self._turns is not None and self._meter.is_read_costly and not self.is_closed:
             self._turns.wait(self)
 
--- a/src/lineworks/http1/response_limits.py
+++ b/src/lineworks/http1/response_limits.py
@@ -36,9 +36,12 @@
 FRAMING_BYTES_PER_BODY_BYTE = 8
 """Bytes of chunk framing allowed for each byte of the body; a chunk of one byte needs five."""
 
-READ_BYTES = 16 * 1024
-"""Maximum number of bytes that one read takes from a connection, which bounds the time for which
-its data keeps all other connections waiting."""
+FIRST_READ_BYTES = 16 * 1024
+"""Maximum number of bytes that the first read of a connection takes, and each read while the data
+is costly to parse: it bounds the time for which all other connections wait."""
+
+READ_BYTES = 64 * 1024
+"""Maximum number of bytes that any other read takes; Twisted's default."""
 
 
 class LimitError(Exception):
@@ -78,6 +81,11 @@
         self.is_read_costly = False
         """Whether the last read held so many pieces that it took much processor time."""
 
+    @property
+    def next_read_bytes(self) -> int:
+        """Maximum number of bytes that the next read should take."""
+        return FIRST_READ_BYTES if self.is_read_costly else READ_BYTES
+
     def on_field(self) -> None:
         """Count a header field or trailer field.
 
--- a/src/lineworks/services/target_connection.py
+++ b/src/lineworks/services/target_connection.py
@@ -116,7 +116,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm, so that small requests are sent without delay."""
         self.transport.setTcpNoDelay(True)
-        self.transport.bufferSize = response_limits.READ_BYTES
+        self.transport.bufferSize = response_limits.FIRST_READ_BYTES
 
     def send(self, data: bytes, on_response: Callable[[Response | None], None]) -> None:
         """Send a request.
@@ -226,6 +226,7 @@
         self._meter.on_read(size)
         if self._meter.size:
             self._unfinished.record(self, self._target, self._meter.size)
+        self.transport.bufferSize = self._meter.next_read_bytes
         if self._meter.is_read_costly and not self.is_closed:
             self._turns.wait(self)
 
--- a/tests/test_reading_turns.py
+++ b/tests/test_reading_turns.py
@@ -5,7 +5,7 @@
 from twisted.internet import task
 from twisted.internet.testing import StringTransport
 
-from lineworks.http1 import client_connection, reading_turns
+from lineworks.http1 import client_connection, reading_turns, response_limits
 from tests import test_endless_answers
 
 TINY = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 2000
@@ -68,6 +68,16 @@
     assert world.reading == world.connections
 
 
+def test_reads_are_large_unless_their_data_is_costly():
+    world = World(1)
+    connection, transport = world.connections[0], world.connections[0].transport
+    assert transport.bufferSize == response_limits.FIRST_READ_BYTES
+    connection.dataReceived(TINY[:47] + b"3e8\r\n" + bytes(1000) + b"\r\n")
+    assert transport.bufferSize == response_limits.READ_BYTES
+    connection.dataReceived(TINY[47:])
+    assert transport.bufferSize == response_limits.FIRST_READ_BYTES
+
+
 def test_a_complete_answer_is_delivered_at_once():
     world = World(1)
     world.connections[0].dataReceived(TINY + b"0\r\n\r\n")
