Refuse a body at once whose stated length is too long, and count fields cheaply

Symptom: of an answer whose Content-Length is beyond the limit, 16 MiB were taken in on each try before it was given up, though its head says at once that it can't be served.

Change: the length is checked when the head is complete (not for 204 and 304, which have no body).

Also: the fields of a response are counted where they are stored, and a meter costs nothing until something is counted.

--- a/src/lineworks/http1/client_connection.py
+++ b/src/lineworks/http1/client_connection.py
@@ -219,14 +219,22 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header field."""
-        self._meter.on_field()
-        self._fields.append((name.lower(), value))
+        fields = self._fields
+        fields.append((name.lower(), value))
+        if len(fields) > response_limits.MAX_FIELDS:
+            self._meter.on_fields(len(fields))
 
     def on_headers_complete(self) -> None:
         """Determine whether the body ends with the connection."""
         status = self._parser.get_status_code()
-        is_framed = any(name in _FRAMING_FIELDS for name, _ in self._fields)
-        self._ends_with_connection = not is_framed and status >= 200 and status not in (204, 304)
+        has_body = status >= 200 and status not in (204, 304)
+        is_framed = False
+        for name, value in self._fields:
+            if name in _FRAMING_FIELDS:
+                is_framed = True
+                if has_body and name == b"content-length":
+                    self._meter.on_length(value)
+        self._ends_with_connection = not is_framed and has_body
 
     def on_body(self, data: bytes) -> None:
         """Store a chunk of the body."""
@@ -246,12 +254,14 @@
         status = self._parser.get_status_code()
         if status < 200:
             self._meter.on_interim()
+            self._meter.on_fields(len(self._fields))
             self._begin_response()
             return
         if self._is_mismatched():
             # The response to an earlier request; the expected one may follow.
             self._has_extra_response = True
             self._meter.on_discarded()
+            self._meter.on_fields(len(self._fields))
             self._begin_response()
             return
         self._update_keep_alive(status)
--- a/src/lineworks/http1/response_limits.py
+++ b/src/lineworks/http1/response_limits.py
@@ -10,6 +10,9 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 """Maximum size of a response body, in bytes."""
 
+MAX_LENGTH_DIGITS = len(str(MAX_BODY_BYTES))
+"""Maximum number of digits of a body's length."""
+
 MAX_HEAD_BYTES = 128 * 1024
 """Maximum size in bytes of all that isn't a body, chunk framing in proportion to a body excepted:
 twice what the answer to a search over 820 shards needs."""
@@ -51,51 +54,56 @@
 class ResponseMeter:
     """Holds the responses to one request against the limits."""
 
-    __slots__ = (
-        "_body_bytes_at_last_read",
-        "_bytes_since_body",
-        "_discarded",
-        "_discarded_bytes",
-        "_fields",
-        "_interim",
-        "_pieces",
-        "_pieces_at_last_read",
-        "_received_bytes",
-        "is_read_costly",
-        "size",
-    )
-
-    def __init__(self) -> None:
-        """Start with nothing received."""
-        self._received_bytes = 0
-        self._bytes_since_body = 0
-        self._body_bytes_at_last_read = 0
-        self._pieces = 0
-        self._pieces_at_last_read = 0
-        self._fields = 0
-        self._interim = 0
-        self._discarded = 0
-        self._discarded_bytes = 0
-        self.size = 0
-        """Bytes received of the body of the current response."""
-        self.is_read_costly = False
-        """Whether the last read held so many pieces that it took much processor time."""
+    size: int = 0
+    """Bytes received of the body of the current response."""
+
+    is_read_costly: bool = False
+    """Whether the last read held so many pieces that it took much processor time."""
+
+    # Defaults in the class: one is made for each request, and most answers change two of them.
+    _received_bytes = 0
+    _bytes_since_body = 0
+    _body_bytes_at_last_read = 0
+    _pieces = 0
+    _pieces_at_last_read = 0
+    _fields = 0
+    _interim = 0
+    _discarded = 0
+    _discarded_bytes = 0
 
     @property
     def next_read_bytes(self) -> int:
         """Maximum number of bytes that the next read should take."""
         return FIRST_READ_BYTES if self.is_read_costly else READ_BYTES
 
-    def on_field(self) -> None:
-        """Count a header field or trailer field.
+    def on_fields(self, count: int) -> None:
+        """Count header fields and trailer fields.
+
+        Args:
+            count: Number of fields.
 
         Raises:
             LimitError: There are too many.
         """
-        self._fields += 1
+        self._fields += count
         if self._fields > MAX_FIELDS:
             raise LimitError(f"more than {MAX_FIELDS} header fields")
 
+    def on_length(self, value: bytes) -> None:
+        """Check the length that a response states for its body, before any of it arrives.
+
+        Args:
+            value: Value of the Content-Length field; the parser accepts digits only.
+
+        Raises:
+            LimitError: The body is too long.
+        """
+        if len(value) < MAX_LENGTH_DIGITS:
+            return
+        digits = value.strip().lstrip(b"0")
+        if len(digits) > MAX_LENGTH_DIGITS or int(digits or b"0") > MAX_BODY_BYTES:
+            raise LimitError(f"a body of more than {MAX_BODY_BYTES} bytes")
+
     def on_body(self, size: int) -> None:
         """Count a piece of the body of the current response.
 
--- a/src/lineworks/services/target_connection.py
+++ b/src/lineworks/services/target_connection.py
@@ -177,7 +177,7 @@
             name: Name of the header.
             value: Value of the header.
         """
-        self._meter.on_field()
+        self._meter.on_fields(1)
         self._headers[name.decode("latin-1").title()] = value.decode("latin-1")
 
     def on_body(self, data: bytes) -> None:
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -169,6 +169,28 @@
         assert client.transport.aborted == bool(surplus)
 
 
+@pytest.mark.parametrize(
+    "length", [b"16777217", b"99999999999999999999", b"0" * 5000 + b"99999999"]
+)
+def test_a_body_that_is_stated_too_long_is_refused_before_it_arrives(length):
+    client = Client().receive(OK + b"Content-Length: " + length + b"\r\n\r\n")
+    assert isinstance(client.outcomes[0], client_connection.ConnectionFailure)
+    assert client.transport.aborted
+
+
+@pytest.mark.parametrize("length", [b"3", b"0" * 5000 + b"3"])
+def test_a_length_with_leading_zeros_is_read(length):
+    client = Client().receive(OK + b"Content-Length: " + length + b"\r\n\r\nabc")
+    assert client.outcomes[0].body == b"abc"
+
+
+def test_the_length_of_a_response_without_a_body_is_not_checked():
+    client = Client().receive(
+        b"HTTP/1.1 304 X\r\nX-Attempt-Id: a1\r\nContent-Length: 99999999\r\n\r\n"
+    )
+    assert client.outcomes[0].status == 304
+
+
 def test_a_long_head_of_many_fields_is_served():
     fields = b"".join(b"F%d: %s\r\n" % (number, b"v" * 70) for number in range(1000))
     data = OK + fields + b"Content-Length: 1\r\n\r\nx"
