--- a/src/lineworks/http1/client_connection.py
+++ b/src/lineworks/http1/client_connection.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from lineworks.http1 import unfinished_bodies
+    from lineworks.http1 import reading_turns, unfinished_bodies
 
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
 """Seconds for which an idle connection is kept when the server states no keep-alive timeout."""
@@ -89,6 +89,7 @@
         on_closed: Callable[[ClientConnection], None],
         unfinished: unfinished_bodies.UnfinishedBodies | None = None,
         service: str = "",
+        turns: reading_turns.ReadingTurns | None = None,
     ) -> None:
         """Initialise a connection that is not connected yet.
 
@@ -98,11 +99,13 @@
             unfinished: Limits the bodies that all connections of the process are receiving; None
                 for no such limit.
             service: Service of the server, for that limit.
+            turns: Turns of the connections whose data takes much processor time; None for none.
         """
         self._now = now
         self._on_closed = on_closed
         self._unfinished = unfinished
         self._service = service
+        self._turns = turns
         self._on_done: Callable[[Response | ConnectionFailure], None] | None = None
         self._expected_field: tuple[bytes, bytes] | None = None
         self._parser: Any = None
@@ -135,7 +138,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm so that small requests are sent immediately."""
         self.transport.setTcpNoDelay(True)
-        self.transport.bufferSize = response_limits.READ_BYTES
+        self.transport.bufferSize = response_limits.FIRST_READ_BYTES
         self._idle_since = self._now()
 
     def send(
@@ -216,16 +219,24 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header field."""
-        self._meter.on_field()
-        self._fields.append((name.lower(), value))
+        fields = self._fields
+        fields.append((name.lower(), value))
+        if len(fields) > response_limits.MAX_FIELDS:
+            self._meter.on_fields(len(fields))
 
     def on_headers_complete(self) -> None:
         """Determine whether the body ends with the connection."""
         status = self._parser.get_status_code()
         if status < 100:
             raise ValueError(f"there is no status {status}")
-        is_framed = any(name in _FRAMING_FIELDS for name, _ in self._fields)
-        self._ends_with_connection = not is_framed and status >= 200 and status not in (204, 304)
+        has_body = status >= 200 and status not in (204, 304)
+        is_framed = False
+        for name, value in self._fields:
+            if name in _FRAMING_FIELDS:
+                is_framed = True
+                if has_body and name == b"content-length":
+                    self._meter.on_length(value)
+        self._ends_with_connection = not is_framed and has_body
 
     def on_body(self, data: bytes) -> None:
         """Store a chunk of the body."""
@@ -245,12 +256,14 @@
         status = self._parser.get_status_code()
         if status < 200:
             self._meter.on_interim()
+            self._meter.on_fields(len(self._fields))
             self._begin_response()
             return
         if self._is_mismatched():
             # The response to an earlier request; the expected one may follow.
             self._has_extra_response = True
             self._meter.on_discarded()
+            self._meter.on_fields(len(self._fields))
             self._begin_response()
             return
         self._update_keep_alive(status)
@@ -283,6 +296,9 @@
             return
         if self._unfinished is not None and self._meter.size:
             self._unfinished.record(self, self._service, self._meter.size)
+        self.transport.bufferSize = self._meter.next_read_bytes
+        if self._turns is not None and self._meter.is_read_costly and not self.is_closed:
+            self._turns.wait(self)
 
     def _is_mismatched(self) -> bool:
         """Return whether the response belongs to another request.
--- a/src/lineworks/services/target_connection.py
+++ b/src/lineworks/services/target_connection.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from lineworks.http1 import unfinished_bodies
+    from lineworks.http1 import reading_turns, unfinished_bodies
 
 _FORBIDDEN_CHARACTERS = frozenset("\r\n\0")
 
@@ -80,6 +80,7 @@
         self,
         on_closed: Callable[[TargetConnection], None],
         unfinished: unfinished_bodies.UnfinishedBodies,
+        turns: reading_turns.ReadingTurns,
         target: str = "",
     ) -> None:
         """Initialise without a connection.
@@ -87,10 +88,12 @@
         Args:
             on_closed: Called once with this object when the connection is closed.
             unfinished: Limits the bodies that all connections of the process are receiving.
-            target: Name of the target, for that limit.
+            turns: Turns of the connections whose data takes much processor time.
+            target: Name of the target, for the limit on bodies.
         """
         self._on_closed = on_closed
         self._unfinished = unfinished
+        self._turns = turns
         self._target = target
         self._failure = ""
         self._on_response: Callable[[Response | None], None] | None = None
@@ -115,7 +118,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm, so that small requests are sent without delay."""
         self.transport.setTcpNoDelay(True)
-        self.transport.bufferSize = response_limits.READ_BYTES
+        self.transport.bufferSize = response_limits.FIRST_READ_BYTES
 
     def send(self, data: bytes, on_response: Callable[[Response | None], None]) -> None:
         """Send a request.
@@ -182,7 +185,7 @@
             name: Name of the header.
             value: Value of the header.
         """
-        self._meter.on_field()
+        self._meter.on_fields(1)
         self._headers[name.decode("latin-1").title()] = value.decode("latin-1")
 
     def on_body(self, data: bytes) -> None:
@@ -235,6 +238,9 @@
             return
         if self._meter.size:
             self._unfinished.record(self, self._target, self._meter.size)
+        self.transport.bufferSize = self._meter.next_read_bytes
+        if self._meter.is_read_costly and not self.is_closed:
+            self._turns.wait(self)
 
     def _fail(self, detail: str) -> None:
         """Close the connection because of an invalid response."""
--- a/src/lineworks/services/target_pool.py
+++ b/src/lineworks/services/target_pool.py
@@ -14,7 +14,7 @@
 
 from lineworks.decisions import ownership, replicas, verdict
 from lineworks.engine import ports
-from lineworks.http1 import unfinished_bodies
+from lineworks.http1 import reading_turns, unfinished_bodies
 from lineworks.kernel import rate_limited_log
 from lineworks.models import target_http
 from lineworks.services import target_connection
@@ -57,10 +57,12 @@
         reactor: Any,
         target: catalog.Target,
         unfinished: unfinished_bodies.UnfinishedBodies,
+        turns: reading_turns.ReadingTurns,
     ) -> None:
         self._reactor = reactor
         self._target = target
         self._unfinished = unfinished
+        self._turns = turns
         self._idle: list[target_connection.TargetConnection] = []
         self._open_count = 0
 
@@ -115,7 +117,7 @@
         )
         factory: Any = protocol.Factory.forProtocol(
             lambda: target_connection.TargetConnection(
-                self._on_closed, self._unfinished, target.name
+                self._on_closed, self._unfinished, self._turns, target.name
             )
         )
 
@@ -146,6 +148,7 @@
             reactor, "target_pool", MAX_REFUSED_REPORT_LINES_PER_SECOND
         )
         self._unfinished = unfinished_bodies.UnfinishedBodies()
+        self._turns = reading_turns.ReadingTurns(reactor)
 
     def start(self) -> None:
         """Do nothing; connections are opened on demand."""
@@ -239,7 +242,7 @@
         pool = self._pools.get(target.name)
         if pool is None:
             pool = self._pools[target.name] = _ConnectionPool(
-                self._reactor, target, self._unfinished
+                self._reactor, target, self._unfinished, self._turns
             )
         return pool
 
