Soak: tell when the store's or the links' process ended during a run

Nothing tells whether the store's process had ended or hung.

Change: a process of stand-ins that has ended by the end of a run is told among the unexpected ends.

--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -216,6 +216,10 @@
         """End every process of this run."""
         self._schedule.is_over = True
         self._instances.end()
+        # Without them the instances can't do better: this tells such a run from a fault of theirs.
+        for name, child in (("the store", self._store.child), ("the links", self._links.child)):
+            if not child.is_running:
+                self._instances.exits.append(f"{name} ended with {child.exit_code}")
         for hall in self._halls.values():
             hall.kill()
         self._links.child.end()
