Odd requests on the operators' port get 401 or 400 instead of an error

What operators would see: 500 in place of 401 for a signature or a path with bytes that aren't ASCII, or a signed time of 5,000 digits; 500 in place of 400 for a change that is nested deeply. A change whose id or author has half a character was accepted.

Cause: compare_digest refuses texts that aren't ASCII (TypeError), the path was decoded strictly, int() has its limit of digits (9 repeated 400 times overflows in the division), RecursionError wasn't handled, and str() takes any value.

Change: a malformed header is refused before anything is computed from it; bytes that are no text are compared as they are; the texts of a change must be encodable, since every instance reads them from the head.

--- a/src/lineworks/services/auth.py
+++ b/src/lineworks/services/auth.py
@@ -17,6 +17,9 @@
 MAX_SKEW_SECONDS = 30.0
 """Maximum difference, in seconds, between the clocks of signer and verifier."""
 
+MAX_TIME_DIGITS = 20
+"""Maximum number of digits of the milliseconds; a year has fewer than 12."""
+
 _NONCE_BYTES = 12
 
 
@@ -43,10 +46,15 @@
 
 
 def _mac(secret: bytes, milliseconds: str, nonce: str, method: str, path: str, body: bytes) -> str:
-    text = "\n".join((milliseconds, nonce, method, path)).encode() + b"\n" + body
+    text = "\n".join((milliseconds, nonce, method, path)).encode(errors="surrogateescape")
+    text += b"\n" + body
     return hmac.new(secret, text, hashlib.sha256).hexdigest()
 
 
+def _is_time(text: str) -> bool:
+    return text.isdecimal() and len(text) <= MAX_TIME_DIGITS
+
+
 class SignatureVerifier:
     """Verifies signed requests, and keeps their nonces for as long as they could be replayed."""
 
@@ -73,8 +81,9 @@
             AuthenticationError: The signature is missing or malformed or does not match, the
                 timestamp is too far off, or the nonce was used before.
         """
-        parts = (header or "").split(":")
-        if len(parts) != 3 or not parts[0].isdecimal():
+        text = header or ""
+        parts = text.split(":")
+        if len(parts) != 3 or not text.isascii() or not _is_time(parts[0]):
             raise AuthenticationError(f"the header {HEADER} is missing or malformed")
         milliseconds, nonce, mac = parts
         expected = _mac(self._secret, milliseconds, nonce, method, path, body)
--- a/src/lineworks/services/operator_api.py
+++ b/src/lineworks/services/operator_api.py
@@ -121,14 +121,15 @@
 
         async def respond(request: Any, path_params: dict[str, str]) -> bytes:
             body = request.content.read(MAX_CHANGE_BYTES + 1)
-            path = request.uri.decode()
-            method = request.method.decode()
+            # Bytes that are no text are signed as they are, and so refused as any other path.
+            path = request.uri.decode(errors="surrogateescape")
+            method = request.method.decode(errors="surrogateescape")
             try:
                 self._verifier.verify(
                     request.getHeader(auth.HEADER), method, path, body, time.time()
                 )
             except auth.AuthenticationError as error:
-                _log.warning("refused", path=path, reason=str(error))
+                _log.warning("refused", path=ascii(path)[1:-1], reason=str(error))
                 reply = caller_http.problem_reply(401, "Not authorised", str(error))
                 return http_server.write_reply(request, reply)
             return http_server.write_reply(request, await handler(body, **path_params))
@@ -205,11 +206,11 @@
             return caller_http.problem_reply(400, "Bad request", detail)
         try:
             document = json.loads(body)
-            change_id = str(document["id"])
-            author = str(document["author"])
+            change_id = _encodable(document["id"])
+            author = _encodable(document["author"])
             base = document["base"]
             file = configuration.parse_file(json.dumps(document["file"]))
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
             return caller_http.problem_reply(400, "Bad request", f"malformed change: {error}")
         except configuration.ConfigurationError as error:
             return caller_http.problem_reply(400, "Configuration refused", str(error))
@@ -259,6 +260,17 @@
         return caller_http.Reply(200, {"state": self._lifecycle.state})
 
 
+def _encodable(value: Any) -> str:
+    """Return a value as text; all instances read it from the head, so it must be encodable.
+
+    Raises:
+        ValueError: The text has an unpaired surrogate.
+    """
+    text = str(value)
+    text.encode()
+    return text
+
+
 def _change_reply(outcome: config_store.Outcome, change_id: str) -> caller_http.Reply:
     if isinstance(outcome, config_store.Accepted):
         change = outcome.change
