A frame of a few bytes no longer stalls an instance, nor one before the hello

What callers would see: all requests of an instance wait, and its peers close their links to it as silent, after one frame of 40 bytes on the peers' port, also from a sender that doesn't know the secret: frames were decoded, up to 4 MiB of them, before the hello was checked.

Cause: a list of rows without any bytes may claim millions of them; the limit of the reader was the same for every frame (4 Mi words). Rows of suspects were divided by copying the rest of the list for each record.

Change: the reader's limit follows the size of the frame; a frame has at most 10,000 evacuations; until the hello is verified, a frame has at most 4 KiB, compressed or not.

--- a/src/lineworks/services/peer_link.py
+++ b/src/lineworks/services/peer_link.py
@@ -17,6 +17,9 @@
 if TYPE_CHECKING:
     import collections
 
+MAX_HANDSHAKE_BYTES = 4096
+"""Maximum size of a frame in bytes, compressed or not, until the other end is authenticated."""
+
 _NONCE_BYTES = 16
 _log = structlog.get_logger(component="peer_links")
 
@@ -70,7 +73,7 @@
 class PeerLink(basic.Int32StringReceiver):
     """One end of a link; a Twisted protocol of frames with a length prefix."""
 
-    MAX_LENGTH = codec.MAX_FRAME_BYTES
+    MAX_LENGTH = MAX_HANDSHAKE_BYTES
     transport: Any
 
     def __init__(self, owner: LinkOwner, is_dialler: bool = False) -> None:
@@ -87,7 +90,7 @@
         self._deflater = deflate.Deflater(
             deflate.COMPRESSION_LEVEL if owner.compresses else deflate.NO_COMPRESSION
         )
-        self._inflater = deflate.Inflater(codec.MAX_FRAME_BYTES)
+        self._inflater = deflate.Inflater(MAX_HANDSHAKE_BYTES)
         self._is_closed = False
         self._last_heartbeat_data = b""
         self._last_heartbeat: frames.Frame | None = None
@@ -190,6 +193,7 @@
                 self.close("refused: the signature is wrong")
                 return
             self.hello = frame
+            self.MAX_LENGTH = self._inflater.limit = codec.MAX_FRAME_BYTES
             self._owner.on_authenticated(self)
         else:
             self.close(f"refused: {type(frame).__name__} before hello")
--- a/src/lineworks/wire/_gather_codec.py
+++ b/src/lineworks/wire/_gather_codec.py
@@ -10,6 +10,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+MAX_EVACUATIONS = 10_000
+"""Maximum number of evacuations in a frame; one without any fields takes no bytes."""
+
 _FAILURES = tuple(node_frames.Failure)
 _MAX_TOP = 2**32 - 1  # Range of the schema's fields; no search has as many records.
 _MAX_PRIORITY = 2**31 - 1
@@ -119,6 +122,8 @@
 
 def _read_targets(body: Any, now: float) -> node_frames.TargetUpdate:
     age = body.age / _base.MICROSECONDS_PER_SECOND
+    if len(body.evacuations) > MAX_EVACUATIONS:
+        raise _base.MalformedFrameError(f"more than {MAX_EVACUATIONS} evacuations")
     changes = tuple(
         evacuations.EvacuationChange(
             row.hall, positions.Position(row.era, row.revision), row.isAsked
--- a/src/lineworks/wire/_suspect_codec.py
+++ b/src/lineworks/wire/_suspect_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import suspects
@@ -46,7 +47,7 @@
         raise _base.MalformedFrameError("columns of different lengths")
     if {len(column) for column in ends} != {sum(counts)}:
         raise _base.MalformedFrameError("columns of different lengths")
-    decoded_ends = [
+    decoded_ends = iter(
         suspects.TargetEnd(
             target,
             attempt,
@@ -55,10 +56,10 @@
             bool(flag & _IS_PROVEN),
         )
         for target, attempt, age, flag in zip(*ends, strict=True)
-    ]
+    )
     records = []
     for content, epoch, is_cleared, age, count in zip(*columns, counts, strict=True):
-        own_ends, decoded_ends = tuple(decoded_ends[:count]), decoded_ends[count:]
+        own_ends = tuple(itertools.islice(decoded_ends, count))
         cleared_at = now - age / _base.MICROSECONDS_PER_SECOND if is_cleared else None
         records.append(suspects.Record(content, epoch, own_ends, cleared_at))
     return node_frames.SuspectReports(tuple(records))
--- a/src/lineworks/wire/codec.py
+++ b/src/lineworks/wire/codec.py
@@ -38,7 +38,12 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """Maximum size of a frame in bytes."""
 
-_TRAVERSAL_LIMIT_WORDS = MAX_FRAME_BYTES
+_WORD_BYTES = 8
+
+_TRAVERSALS = 8
+"""How often a decoder may read all words of a frame: those of lists are read for each access."""
+
+_MIN_TRAVERSAL_WORDS = 1024
 _CERTAINTIES = tuple(verdict.Certainty)
 _REASONS = tuple(verdict.Reason)
 _CERTAINTY_NUMBERS = {item: number for number, item in enumerate(_CERTAINTIES)}
@@ -76,7 +81,7 @@
             columns have different lengths.
     """
     try:
-        with _FRAME.from_bytes(data, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS) as reader:
+        with _FRAME.from_bytes(data, traversal_limit_in_words=_traversal_limit(data)) as reader:
             kind = str(reader.which())
             read = _DECODERS.get(kind)
             if read is None:
@@ -90,6 +95,11 @@
         ) from error
 
 
+def _traversal_limit(data: bytes) -> int:
+    """Return how many words may be read: elements without any bytes count as one word each."""
+    return max(_MIN_TRAVERSAL_WORDS, _TRAVERSALS * len(data) // _WORD_BYTES)
+
+
 def _write_challenge(builder: Any, frame: frames.Challenge, now: float) -> None:
     builder.init("challenge").nonce = frame.nonce
 
--- a/src/lineworks/wire/deflate.py
+++ b/src/lineworks/wire/deflate.py
@@ -59,7 +59,8 @@
         Args:
             limit: Maximum size of a decompressed frame in bytes.
         """
-        self._limit = limit
+        self.limit = limit
+        """Maximum size of a decompressed frame in bytes."""
         self._stream = zlib.decompressobj(-WINDOW_BITS)
 
     def inflate(self, data: bytes) -> bytes:
@@ -75,9 +76,9 @@
             MalformedFrameError: The data is damaged, or the frame exceeds the limit.
         """
         try:
-            frame = self._stream.decompress(data + _SYNC_FLUSH_TRAILER, self._limit)
+            frame = self._stream.decompress(data + _SYNC_FLUSH_TRAILER, self.limit)
         except zlib.error as error:
             raise _base.MalformedFrameError(f"invalid compressed data: {error}") from error
         if self._stream.unconsumed_tail:
-            raise _base.MalformedFrameError(f"frame exceeds {self._limit} bytes")
+            raise _base.MalformedFrameError(f"frame exceeds {self.limit} bytes")
         return frame
--- a/tests/test_odd_frames.py
+++ b/tests/test_odd_frames.py
@@ -5,16 +5,30 @@
 import dataclasses
 import json
 import math
+import struct
 import types
 
+import hypothesis
 import pytest
 from hypothesis import given
-
-from lineworks.decisions import catalog, positions, target_view, tickets
+from hypothesis import strategies as st
+from twisted.internet import task
+from twisted.internet.testing import StringTransport
+
+from lineworks.decisions import (
+    catalog,
+    evacuations,
+    positions,
+    quota,
+    suspects,
+    target_evidence,
+    target_view,
+    tickets,
+)
 from lineworks.forwarding import target_documents
 from lineworks.models import relayed_reply
-from lineworks.services import runs
-from lineworks.wire import codec, frames, node_frames
+from lineworks.services import peer_link, peer_links, runs
+from lineworks.wire import codec, deflate, frames, node_frames
 from tests import odd_values, test_forwarding
 
 ENTRY = ["shelf", "akl", "10.0.0.1", 80, 2, False, False, 17]
@@ -143,3 +157,117 @@
     found = codec._read_holdings(odd, 0.0).held
     assert catalog.Snapshot(7, "base") in found["a"]
     assert found["b"] == {catalog.Snapshot(8, "base")}
+
+
+def _update_of_empty_evacuations(count):
+    """Return a frame whose evacuations have no bytes at all, however many it claims."""
+    builder = codec._FRAME.new_message()
+    builder.init("targetUpdate").init("evacuations", 3)
+    data = bytearray(builder.to_bytes())
+    pointer = data.index(bytes.fromhex("0500000067000000"))
+    tag = data.index(bytes.fromhex("0c00000003000100"))
+    data[pointer + 4 : pointer + 8] = struct.pack("<I", 7)
+    data[tag : tag + 8] = struct.pack("<IHH", count << 2, 0, 0)
+    return bytes(data)
+
+
+@pytest.mark.parametrize("padding", [0, 1_000_000])
+def test_a_frame_that_claims_many_empty_rows_is_malformed(padding):
+    data = _update_of_empty_evacuations(20_000)
+    segment_words = struct.unpack_from("<I", data, 4)[0] + padding // 8
+    data = data[:4] + struct.pack("<I", segment_words) + data[8:] + bytes(padding)
+    with pytest.raises(codec.MalformedFrameError):
+        codec.decode(data, 0.0)
+
+
+class _Transport(StringTransport):
+    def setTcpNoDelay(self, enabled):  # noqa: N802
+        pass
+
+    def abortConnection(self):  # noqa: N802
+        self.disconnecting = True
+
+
+@pytest.mark.parametrize("packed", [deflate.Deflater().deflate, lambda data: data])
+def test_a_large_frame_before_the_hello_closes_the_link_before_it_is_decoded(packed, monkeypatch):
+    owner = peer_links.PeerLinks(task.Clock(), "b", "h", "i", b"s")
+    link = peer_link.PeerLink(owner)
+    link.makeConnection(_Transport())
+    decoded = []
+    monkeypatch.setattr(codec, "decode", lambda data, now: decoded.append(data))
+    data = packed(codec.encode(frames.Challenge(bytes(100_000)), 0.0))
+    link.dataReceived(struct.pack("!I", len(data)) + data)
+    assert link.transport.disconnecting
+    assert decoded == []
+
+
+VALID = [
+    frames.Challenge(b"n"),
+    frames.Hello("a", "h", "i", b"m"),
+    frames.Heartbeat(False, 1, "d", 3, 1, 5.0),
+    frames.Holdings({"a": frozenset([catalog.Snapshot(7, "base")])}),
+    frames.ConfigPull(1, "d"),
+    frames.Relay(1, "t", b"{}", 1.0),
+    node_frames.TargetUpdate(
+        positions.Position(0, 1),
+        positions.Position(0, 2),
+        0.5,
+        b"[]",
+        (evacuations.EvacuationChange("h", positions.Position(0, 1), True),),
+    ),
+    node_frames.TableUpdate(1, b"{}", 0),
+    node_frames.GatherParts(1, (1,), ("s",), b"r", (2,), (node_frames.Failure(0),), (1,), ("i",)),
+    node_frames.ExtraAsk(1, ("a",), ("b",)),
+    node_frames.CreditShare(1, 0.5),
+    node_frames.QuotaAsk(1, "w", 1),
+    node_frames.QuotaGrant(1, quota.Decision.GRANTED, 1.0),
+    node_frames.QuotaShare(1, 1.5),
+    node_frames.TargetReports(
+        (target_evidence.Observation("i-1", target_evidence.Kind.SLOW, 2.0),)
+    ),
+    node_frames.SuspectReports(
+        (suspects.Record("c", 1, (suspects.TargetEnd("i", "a", 0.0, True, True),), 1.0),)
+    ),
+]
+
+
+@hypothesis.settings(max_examples=1_000)
+@given(odd_values.damaged([codec.encode(frame, 1.0) for frame in VALID]))
+def test_any_damaged_frame_is_malformed_or_can_be_passed_on(data):
+    try:
+        frame = codec.decode(data, 1.0)
+    except codec.MalformedFrameError as error:
+        assert str(error)
+        return
+    codec.decode(codec.encode(frame, 2.0), 2.0)
+
+
+@given(st.lists(odd_values.damaged([deflate.Deflater().deflate(bytes(5_000))]), max_size=4))
+def test_any_compressed_data_is_malformed_or_within_the_limit(parts):
+    inflater = deflate.Inflater(10_000)
+    for part in parts:
+        try:
+            assert len(inflater.inflate(part)) <= 10_000
+        except codec.MalformedFrameError:
+            return
+
+
+def _large_frames():
+    names = tuple(f"service-{number:06d}" for number in range(40_000))
+    position = positions.Position(1, 1)
+    ends = tuple(suspects.TargetEnd(f"i-{n}", "a" * 4_000, 0.0, True, True) for n in range(8))
+    yield node_frames.ExtraAsk(1, names, names)
+    yield node_frames.ExtraAsk(1, ("",) * 150_000, ())
+    yield node_frames.SuspectReports((suspects.Record("c", 1, ends),) * 32)
+    yield node_frames.TableUpdate(1, bytes(4_000_000), 0)
+    halls = (evacuations.EvacuationChange("", position, True),) * 10_000
+    yield node_frames.TargetUpdate(position, position, 0.0, b"[]", halls)
+    counts = tuple(number % 60_000 for number in range(40_000))
+    yield node_frames.GatherParts(1, counts, names, b"", (), (), counts)
+
+
+@pytest.mark.parametrize("frame", _large_frames(), ids=lambda frame: type(frame).__name__)
+def test_a_large_frame_of_valid_rows_is_read(frame):
+    data = codec.encode(frame, 0.0)
+    assert len(data) < codec.MAX_FRAME_BYTES
+    assert type(codec.decode(data, 0.0)) is type(frame)
