--- a/src/lineworks/platform/standins/http_target.py
+++ b/src/lineworks/platform/standins/http_target.py
@@ -40,6 +40,11 @@
     return [hashlib.md5(seed).digest()[:RECORD_BYTES] for seed in seeds]
 
 
+def send_as_is(transport: Any, answer: bytes) -> bool:
+    """Leave an answer to the target, which sends it as it is."""
+    return False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
     """A request that a target ran."""
@@ -117,6 +122,8 @@
         """Called with a fatal request when it crashes the target."""
         self.on_refused: Callable[[str], None] = lambda attempt: None
         """Called with the identity of each attempt that the target refuses."""
+        self.replace_answer: Callable[[Any, bytes], bool] = send_as_is
+        """Called with the transport and each answer; returns whether it has answered instead."""
         self.connections: set[_TargetProtocol] = set()
         """Open connections."""
         self._listening: Any = None
@@ -191,7 +198,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
-        self._headers[name.decode().lower()] = value.decode()
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_body(self, data: bytes) -> None:
         """Collect part of the body."""
@@ -200,7 +207,7 @@
     def on_message_complete(self) -> None:
         """Run or refuse the request."""
         target = self._target
-        headers, path, body = self._headers, self._url.decode(), self._body
+        headers, path, body = self._headers, self._url.decode("latin-1"), self._body
         method = self._parser.get_method().decode()
         self._headers, self._url, self._body = {}, b"", b""
         attempt = headers.get("x-attempt-id", "")
@@ -236,4 +243,6 @@
     def _answer(self, status: int, attempt: str, body: bytes, more: str) -> None:
         head = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {attempt}\r\n{more}"
         framing = f"Content-Length: {len(body)}\r\n\r\n"
-        self.transport.write((head + framing).encode() + body + self._target.faults.trailing_bytes)
+        answer = (head + framing).encode("latin-1") + body + self._target.faults.trailing_bytes
+        if not self._target.replace_answer(self.transport, answer):
+            self.transport.write(answer)
