Test any odd rows beside each other on a whole deployment

Twelve draws of one to four odd rows, under the keys of targets, instances, suspects, evacuations, the configuration and unknown ones: a new route is served by all within 3 s, a leaving target gets nothing new, and an instance that starts afterwards is ready and serves the route.

--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import base64
 import ipaddress
 
+import hypothesis
 import pytest
 from hypothesis import given
+from hypothesis import strategies as st
 
 from lineworks.decisions import suspects
 from lineworks.forwarding import registration, suspect_documents, suspect_exchange
@@ -14,7 +17,7 @@
 from lineworks.platform.standins import documents
 from lineworks.standins import deployment
 from lineworks.wire import codec, node_frames
-from tests import odd_values, test_forwarding
+from tests import odd_values, test_foreign_entries, test_forwarding
 
 MORE = {**test_forwarding.READ, "Name": "more", "PathPrefix": "/more/"}
 FOLLOW_SECONDS = 3.0
@@ -129,3 +132,27 @@
     world = test_forwarding.build()
     put(world, SUSPECT_KEY, odd_values.with_odd(SUSPECT, path, odd))
     check_the_store_is_followed(world)
+
+
+ROWS = {
+    "servers/i-odd": {**test_foreign_entries.GOOD, "Service": "other"},
+    "servers/": test_foreign_entries.GOOD,
+    registration.PREFIX + "zzz": NODE_KEY,
+    registration.PREFIX + "akl-0": NODE_KEY,
+    SUSPECT_KEY: SUSPECT,
+    documents.evacuation_key("nowhere"): {},
+    documents.CONFIGURATION_KEY: {"ConfigVersion": 1, "Routing": [], "Services": []},
+    "lineworks/nobody": {},
+}
+ODD_ROWS = st.sampled_from(list(ROWS)).flatmap(
+    lambda key: st.tuples(st.just(key), odd_values.documents(ROWS[key]))
+)
+
+
+@hypothesis.settings(max_examples=12)
+@given(st.lists(ODD_ROWS, min_size=1, max_size=4))
+def test_any_odd_rows_do_not_stop_the_reads(rows):
+    world = test_forwarding.build()
+    for key, data in rows:
+        world.store.write(key, base64.b64encode(data).decode())
+    check_the_store_is_followed(world)
