One odd era of the store no longer shuts out the store for ever

What callers would see: after one answer with a Store-Era that is too large, or one heartbeat or message of targets with it, no instance takes a new configuration or a leaving target any more, until all are started again at the same time: each tells the others, and an instance that starts learns it too.

Cause: the greatest era that was ever heard of counts, from whomever, and answers of a lower one are refused as outdated. An era beyond 64 bits also couldn't be put into the heartbeats that pass it on.

An era that is wrong by less still shuts the store out: open.

--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -482,6 +482,8 @@
     def _on_target_update(self, link: Any, frame: node_frames.TargetUpdate) -> None:
         """Apply changes that a peer read from the store."""
         self._store.era.learn(frame.position.era)
+        if not self._store.era.is_plausible(frame.position.era):
+            return
         is_outdated = frame.position.era < self._view.position.era
         if is_outdated or frame.after > self._view.position:
             return
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -451,6 +451,7 @@
             "lineworks_store_calls": dict(self._store.calls),
             "lineworks_store": {
                 "era": float(self._store.era.value),
+                "eras_refused": float(self._store.era.refused_count),
                 "revision": float(self._directory.position.revision),
             },
             "lineworks_store_reads": {
--- a/src/lineworks/platform/store.py
+++ b/src/lineworks/platform/store.py
@@ -352,6 +352,8 @@
             raise StoreUnsureError(f"{kind}: {outcome.detail}")
         era = _era_of(outcome)
         self.era.learn(era)
+        if not self.era.is_plausible(era):
+            raise StoreUnsureError(f"{kind}: the answer has an implausible era")
         if era < self.era.value:
             raise StoreUnsureError(f"{kind}: an answer from before the store's return")
         if outcome.status == 429:
