A frame with one long column is refused before it is read

What callers would see: all requests of an instance wait some seconds after one frame of 4 KB, compressed, from a peer.

Cause: the columns of a frame were read into lists before their lengths were compared; a list of booleans takes 64 times as much room then.

Change: one function compares the lengths of the lists and then reads them, for suspects, reports on targets and replies.

--- a/src/lineworks/wire/_sharing_codec.py
+++ b/src/lineworks/wire/_sharing_codec.py
@@ -71,9 +71,7 @@
 
 
 def _read_reports(body: Any, now: float) -> node_frames.TargetReports:
-    columns = [list(body.targets), list(body.kinds), list(body.factors)]
-    if len({len(column) for column in columns}) != 1:
-        raise _base.MalformedFrameError("columns of different lengths")
+    columns = _base.columns(body.targets, body.kinds, body.factors)
     return node_frames.TargetReports(
         tuple(
             target_evidence.Observation(target, _KINDS[kind], factor / _HUNDREDTHS_PER_UNIT)
--- a/src/lineworks/wire/_suspect_codec.py
+++ b/src/lineworks/wire/_suspect_codec.py
@@ -40,12 +40,11 @@
 
 
 def _read_reports(body: Any, now: float) -> node_frames.SuspectReports:
-    counts = list(body.counts)
-    columns = [list(body.contents), list(body.epochs), list(body.cleared), list(body.clearedAges)]
-    ends = [list(body.targets), list(body.attempts), list(body.ages), list(body.flags)]
-    if {len(column) for column in columns} != {len(counts)}:
-        raise _base.MalformedFrameError("columns of different lengths")
-    if {len(column) for column in ends} != {sum(counts)}:
+    *columns, counts = _base.columns(
+        body.contents, body.epochs, body.cleared, body.clearedAges, body.counts
+    )
+    ends = _base.columns(body.targets, body.attempts, body.ages, body.flags)
+    if len(ends[0]) != sum(counts):
         raise _base.MalformedFrameError("columns of different lengths")
     decoded_ends = iter(
         suspects.TargetEnd(
--- a/src/lineworks/wire/codec.py
+++ b/src/lineworks/wire/codec.py
@@ -243,20 +243,18 @@
 
 
 def _read_replies(body: Any, now: float) -> frames.Frame:
-    columns = [
-        list(body.frames),
-        list(body.indices),
-        list(body.certainties),
-        list(body.reasons),
-        list(body.details),
-        list(body.snapshots),
-        list(body.bodies),
-        list(body.waits),
-        list(body.targets),
-        list(body.attempts),
-    ]
-    if len({len(column) for column in columns}) != 1:
-        raise _base.MalformedFrameError("columns of different lengths")
+    columns = _base.columns(
+        body.frames,
+        body.indices,
+        body.certainties,
+        body.reasons,
+        body.details,
+        body.snapshots,
+        body.bodies,
+        body.waits,
+        body.targets,
+        body.attempts,
+    )
     return frames.Replies(tuple(_read_reply(*row) for row in zip(*columns, strict=True)))
 
 
--- a/tests/test_odd_frames.py
+++ b/tests/test_odd_frames.py
@@ -28,7 +28,7 @@
 from lineworks.forwarding import target_documents
 from lineworks.models import relayed_reply
 from lineworks.services import peer_link, peer_links, runs
-from lineworks.wire import codec, deflate, frames, node_frames
+from lineworks.wire import _base, codec, deflate, frames, node_frames
 from tests import odd_values, test_forwarding
 
 ENTRY = ["shelf", "akl", "10.0.0.1", 80, 2, False, False, 17]
@@ -271,3 +271,30 @@
     data = codec.encode(frame, 0.0)
     assert len(data) < codec.MAX_FRAME_BYTES
     assert type(codec.decode(data, 0.0)) is type(frame)
+
+
+def test_columns_of_different_lengths_are_refused_before_they_are_read():
+    read = []
+
+    class Column(list):
+        def __iter__(self):
+            read.append(len(self))
+            return super().__iter__()
+
+    for columns in ([Column([1]), Column([1, 2])], [Column(), Column([1])]):
+        with pytest.raises(codec.MalformedFrameError):
+            _base.columns(*columns)
+    assert read == []
+
+
+@pytest.mark.parametrize("kind", ["suspectReports", "targetReports", "replies"])
+def test_a_frame_with_one_long_column_is_refused_before_it_is_read(kind, monkeypatch):
+    read = []
+    columns = _base.columns
+    monkeypatch.setattr(_base, "columns", lambda *readers: read.append(kind) or columns(*readers))
+    column = {"suspectReports": "cleared", "targetReports": "kinds", "replies": "reasons"}[kind]
+    builder = codec._FRAME.new_message()
+    builder.init(kind).init(column, 3)
+    with pytest.raises(codec.MalformedFrameError, match="columns of different lengths"):
+        codec.decode(builder.to_bytes(), 0.0)
+    assert read == [kind]
