Odd parts of a search close their link with a reason and raise nothing

What callers would see: no answer to a search, and the link to the gatherer breaks from within with all that is on it, when a gatherer's message names a shard twice or has a stamp that no header can carry.

Cause: such a message was merged as it came: "list.remove(x): x not in list" and UnicodeEncodeError (latin-1) out of the handler of a frame.

Evidence: 2 of 8 cases of test_odd_parts_of_a_search_raise_nothing failed with these on the code before. The other six (records cut short or of nobody, counts, shards and failures out of range) passed: searches after them are answered.

Change: GathererClient looks at both before it hands the message on, and closes the link; the shards are sent elsewhere, as for any lost link. Still open: with records cut short, the search itself is answered 200 from what is left.

--- a/src/lineworks/forwarding/gatherers.py
+++ b/src/lineworks/forwarding/gatherers.py
@@ -278,6 +278,10 @@
         return now - max(link.last_received_at, peer.waiting_since) > SILENCE_SECONDS
 
     def _on_parts(self, link: Any, frame: node_frames.GatherParts) -> None:
+        problem = _find_problem(frame)
+        if problem is not None:
+            link.close(f"malformed frame: {problem}")
+            return
         pending = self._pending.get(frame.number)
         if pending is not None and link.hello is not None and pending.peer == link.hello.name:
             pending.on_parts(frame)
@@ -292,3 +296,17 @@
                 continue
             self._peer(name).open -= 1
             pending.on_lost()
+
+
+def _find_problem(frame: node_frames.GatherParts) -> str | None:
+    """Return why partial results cannot be merged, or None if they can."""
+    if len(set(frame.shards)) != len(frame.shards):
+        return "a shard is in twice"
+    if not all(_is_header_value(stamp) for stamp in frame.stamps):
+        return "a stamp that no header can carry"
+    return None
+
+
+def _is_header_value(text: str) -> bool:
+    # What a target's own header can hold must pass: its peers did not choose it.
+    return all(character <= "\xff" and character not in "\r\n\0" for character in text)
--- a/tests/test_odd_frames.py
+++ b/tests/test_odd_frames.py
@@ -298,3 +298,42 @@
     with pytest.raises(codec.MalformedFrameError, match="columns of different lengths"):
         codec.decode(builder.to_bytes(), 0.0)
     assert read == [kind]
+
+
+ODD_PARTS = {
+    "a shard twice": lambda frame: {"shards": (0,) * len(frame.shards)},
+    "a stamp of no header": lambda frame: {"stamps": ("\u20ac",) * len(frame.stamps)},
+    "a stamp with a line end": lambda frame: {"stamps": ("a\r\nX: y",) * len(frame.stamps)},
+    "records cut short": lambda frame: {"records": frame.records[:3]},
+    "records of nobody": lambda frame: {"records": b"\xff" * 50},
+    "counts out of range": lambda frame: {"counts": (65_535,) * len(frame.shards)},
+    "shards out of range": lambda frame: {
+        "shards": tuple(range(60_000, 60_000 + len(frame.shards)))
+    },
+    "failures out of range": lambda frame: {
+        "failed": (65_535,),
+        "failures": (node_frames.Failure(0),),
+        "broken": ("\u20ac",),
+    },
+}
+
+
+@pytest.mark.parametrize("odd", ODD_PARTS)
+def test_odd_parts_of_a_search_raise_nothing_and_cost_no_later_search(odd, monkeypatch):
+    world = test_forwarding.build()
+    send = peer_link.PeerLink.send
+
+    def send_odd(link, frame):
+        if isinstance(frame, node_frames.GatherParts):
+            frame = dataclasses.replace(frame, **ODD_PARTS[odd](frame))
+        send(link, frame)
+
+    monkeypatch.setattr(peer_link.PeerLink, "send", send_odd)
+    replies = [world.ask(name, "/search/q") for name in world.nodes]
+    world.run(3.0)
+    assert all(reply.is_finished for reply in replies)
+    monkeypatch.undo()
+    world.run(3.0)
+    replies = [world.ask(name, "/search/q") for name in world.nodes]
+    world.run(2.0)
+    assert [reply.status for reply in replies] == [200] * len(replies)
