--- a/src/lineworks/wire/_suspect_codec.py
+++ b/src/lineworks/wire/_suspect_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING, Any
 
 from lineworks.decisions import suspects
@@ -39,14 +40,13 @@
 
 
 def _read_reports(body: Any, now: float) -> node_frames.SuspectReports:
-    counts = list(body.counts)
-    columns = [list(body.contents), list(body.epochs), list(body.cleared), list(body.clearedAges)]
-    ends = [list(body.targets), list(body.attempts), list(body.ages), list(body.flags)]
-    if {len(column) for column in columns} != {len(counts)}:
+    *columns, counts = _base.columns(
+        body.contents, body.epochs, body.cleared, body.clearedAges, body.counts
+    )
+    ends = _base.columns(body.targets, body.attempts, body.ages, body.flags)
+    if len(ends[0]) != sum(counts):
         raise _base.MalformedFrameError("columns of different lengths")
-    if {len(column) for column in ends} != {sum(counts)}:
-        raise _base.MalformedFrameError("columns of different lengths")
-    decoded_ends = [
+    decoded_ends = iter(
         suspects.TargetEnd(
             target,
             attempt,
@@ -55,10 +55,10 @@
             bool(flag & _IS_PROVEN),
         )
         for target, attempt, age, flag in zip(*ends, strict=True)
-    ]
+    )
     records = []
     for content, epoch, is_cleared, age, count in zip(*columns, counts, strict=True):
-        own_ends, decoded_ends = tuple(decoded_ends[:count]), decoded_ends[count:]
+        own_ends = tuple(itertools.islice(decoded_ends, count))
         cleared_at = now - age / _base.MICROSECONDS_PER_SECOND if is_cleared else None
         records.append(suspects.Record(content, epoch, own_ends, cleared_at))
     return node_frames.SuspectReports(tuple(records))
