An odd era in one answer of the store no longer voids all later ones

What callers saw, in memory with six instances whose store sent `Store-Era: 99...9` (4,000 digits, or 2^64) for 3 s: a configuration written after that was served by none of the six 5 s later, since every later answer counted as one from before the store's return; for the life of the process. And each message that carries the era to peers raised OverflowError (34 in 11 s), as it has 64 bits.

Cause: `_era_of` takes any integer that `int` reads, and the greatest era is kept.

Change: an era is at most nine digits (it rises by one each time the store comes back from a copy). Any other value voids the one answer that carries it. An odd era of up to nine digits can't be told from a true one.

--- a/src/lineworks/platform/store.py
+++ b/src/lineworks/platform/store.py
@@ -35,6 +35,7 @@
 _ERA = b"store-era"  # Increases by one each time the store is restored from an older copy.
 _JSON = b"Content-Type: application/json\r\n"
 _MAX_PAGES = 100
+_MAX_ERA_DIGITS = 9  # A greater era would be taken for the latest one for ever.
 
 
 class StoreError(Exception):
@@ -368,10 +369,9 @@
 def _era_of(answer: client_connection.Response) -> int:
     """Read the era of an answer; a store that sends none has only one era, counted as 0."""
     text = answer.headers.get(_ERA, b"0")
-    try:
-        return int(text)
-    except ValueError as error:
-        raise StoreUnsureError(f"the store's era is no number: {text[:80]!r}") from error
+    if not text.isdigit() or len(text) > _MAX_ERA_DIGITS:
+        raise StoreUnsureError(f"the store's era is no number: {text[:80]!r}")
+    return int(text)
 
 
 def _request(method: str, path: str, address: node_settings.Address, document: Any) -> bytes:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -430,3 +430,17 @@
     world.server.era_header = lambda: b"soon"
     with pytest.raises(store.StoreError, match="no number"):
         world.run(world.client.get("a/1"))
+
+
+@pytest.mark.parametrize(
+    "era", [b"9" * 4000, b"9" * 5000, b"18446744073709551616", b"-5", b"1_0", b"\xb2", b""]
+)
+def test_an_odd_era_in_one_answer_does_not_void_all_later_ones(era):
+    world = World()
+    position = world.write("a/1")
+    usual = world.server.era_header
+    world.server.era_header = lambda: era
+    with pytest.raises(store.StoreUnsureError):
+        world.run(world.client.get("a/1"))
+    world.server.era_header = usual
+    assert world.run(world.client.get("a/1")).position == position
