A write whose answer can't be read is unsure, not "nothing was written"

What operators of the product's own interface could be told: a change of the configuration failed although the store has written it, when the store's 200 holds no readable revision (an empty body or `{}` included).

Cause: `Store.transact` reported each unreadable document as StoreError, which promises that nothing was written.

Evidence: the 5 cases of the new test raise StoreError on the code before, and the key is there.

Change: StoreUnsureError, as for an answer that didn't arrive.

--- a/src/lineworks/platform/store.py
+++ b/src/lineworks/platform/store.py
@@ -259,7 +259,11 @@
         if any(era != answer.era for era in eras):
             # The store compared numbers of its new era, which may denote other changes or leases.
             raise StoreUnsureError("write: the store came back from an older copy")
-        revision = _decode_document(lambda: _fields.Fields(answer.document).integer("Revision"))
+        try:
+            revision = _fields.Fields(answer.document).integer("Revision")
+        except _fields.DocumentError as error:
+            # The store has written, but the position is not known.
+            raise StoreUnsureError(f"write: the store's answer: {error}") from error
         return positions.Position(answer.era, revision)
 
     async def grant_lease(self, seconds: float) -> store_items.Lease:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -7,6 +7,7 @@
 
 from bench import fakes
 from lineworks.decisions import positions
+from lineworks.http1 import server_connection
 from lineworks.models import member, node_settings
 from lineworks.platform import store, store_items
 from lineworks.platform.standins import store_model, store_server
@@ -425,6 +426,22 @@
     assert world.run(client.members()) == [me]
 
 
+@pytest.mark.parametrize("body", [b"", b"{}", b"[]", b'{"Revision": "x"}', b'{"Revision": 1e999}'])
+def test_a_write_with_an_odd_answer_is_not_reported_as_not_done(body, monkeypatch):
+    world = World()
+    handle = world.server._handle
+
+    def handle_oddly(*arguments):
+        found = handle(*arguments)
+        return server_connection.Answer(found.status, found.fields, body)
+
+    monkeypatch.setattr(world.server, "_handle", handle_oddly)
+    with pytest.raises(store.StoreUnsureError):
+        world.write("a/1")
+    monkeypatch.undo()
+    assert world.run(world.client.get("a/1")) is not None
+
+
 def test_a_non_numeric_era_is_an_error():
     world = World()
     world.server.era_header = lambda: b"soon"
