Move the services that follow the store, and the checks of addresses, into modules of their own

The greatest port stood five times and the check of an address three times; both are in models/addresses.py. Nothing else changes.

--- a/src/lineworks/forwarding/directory.py
+++ b/src/lineworks/forwarding/directory.py
@@ -14,8 +14,14 @@
 import structlog
 
 from lineworks.decisions import evacuations, positions, routes, target_view
-from lineworks.forwarding import hall_peers, refused_rows, store_reads, target_documents
-from lineworks.kernel import failure_log, task
+from lineworks.forwarding import (
+    hall_peers,
+    read_listeners,
+    refused_rows,
+    store_reads,
+    target_documents,
+)
+from lineworks.kernel import task
 from lineworks.platform import configuration, store, store_items, target_entries
 from lineworks.platform import evacuations as evacuation_keys
 from lineworks.wire import node_frames
@@ -123,19 +129,12 @@
         self._task = task.Task("directory", self._run)
         self.refused_rows = refused_rows.RefusedRows(reactor, "directory")
         """Entries of targets, and rows without a key, that can't be used."""
-        self.refused_by_listeners = refused_rows.RefusedRows(reactor, "directory")
-        """Rows that a listener failed on."""
-        self._unreported: dict[str, Callable[[], None]] = {}
-        self._report_at = 0.0
-        self._listener_log = failure_log.FailureLog(reactor, "directory", "listener_failed")
-        self.listener_failures = 0
-        """Number of times that a service failed to take over a configuration or the targets."""
+        self.listeners = read_listeners.ReadListeners(reactor)
+        """Services that are told of what was read."""
         self.reads = store_reads.StoreReads(reactor)
         """Outcomes of the reads of the store."""
         self.on_table: Callable[[routes.RouteTable], None] = lambda table: None
         self.on_targets: Callable[[], None] = lambda: None
-        self.row_listeners: dict[str, Callable[[Sequence[store_items.Change]], None]] = {}
-        """Services that are handed the rows of each read, by name for the logs."""
         links.handle(node_frames.TargetUpdate, self._on_target_update)
         links.handle(node_frames.TableUpdate, self._on_table_update)
         links.handle(node_frames.TablePull, self._on_pull)
@@ -251,8 +250,8 @@
         is_changed |= self._view.accept_doubted(now)
         is_changed |= self._evacuations.expire(now, self._fresh_at, self._view.position)
         if is_changed:
-            self._report("targets", self.on_targets)
-        self._repeat_reports()
+            self.listeners.report("targets", self.on_targets)
+        self.listeners.repeat_reports()
 
     def _is_due(self) -> bool:
         if self._reactor.seconds() < self._next_call:
@@ -302,7 +301,7 @@
         self._fresh_at = max(self._fresh_at, polled_at)
         self._apply_other_keys(rows)
         if is_changed:
-            self._report("targets", self.on_targets)
+            self.listeners.report("targets", self.on_targets)
         self._send_all(hall_peers.names(self._links, self._hall))
         self.reads.count(store_reads.ReadOutcome.LISTED)
 
@@ -347,7 +346,7 @@
         self._fresh_at = max(self._fresh_at, polled_at)
         self._apply_other_keys(found.changes)
         if is_changed:
-            self._report("targets", self.on_targets)
+            self.listeners.report("targets", self.on_targets)
         effective_changes = target_view.effective_changes(known, entries)
         self._send_update(
             hall_peers.names(self._links, self._hall), before, effective_changes, evacuation_changes
@@ -394,55 +393,7 @@
         for row in rows:
             if row.key == configuration.KEY and row.value is not None:
                 self._apply_table(row.value, row.position.era)
-        for name, listener in self.row_listeners.items():
-            self._hand_on(name, listener, rows)
-
-    def _hand_on(
-        self,
-        name: str,
-        listener: Callable[[Sequence[store_items.Change]], None],
-        rows: Sequence[store_items.Change],
-    ) -> None:
-        """Hand rows to a listener; if it fails, one by one, so that one row affects no other.
-
-        A failure is contained here because the position has moved on: rows that a listener did not
-        get are not read again.
-        """
-        try:
-            listener(rows)
-        except Exception as error:
-            if len(rows) == 1:
-                reason = f"{name}: {error!r}"[: failure_log.MAX_ERROR_CHARACTERS]
-                row = rows[0]
-                self.refused_by_listeners.refuse("row_refused", row.key, row.position, reason)
-                return
-            for row in rows:
-                self._hand_on(name, listener, [row])
-        else:
-            for row in rows:
-                self.refused_by_listeners.accept(row.key)
-
-    def _report(self, name: str, listener: Callable[[], None]) -> None:
-        """Call a listener; a failure is repeated, and keeps no peer from being told.
-
-        Args:
-            name: Name of what is reported.
-            listener: Takes it over.
-        """
-        self._unreported.pop(name, None)
-        try:
-            listener()
-        except Exception as error:
-            self.listener_failures += 1
-            self._listener_log.on_failure(error, listener=name, version=self.version)
-            self._unreported[name] = listener
-            self._report_at = self._reactor.seconds() + RETRY_SECONDS
-
-    def _repeat_reports(self) -> None:
-        """Report again what a listener failed to take over."""
-        if self._unreported and self._reactor.seconds() >= self._report_at:
-            for name, listener in list(self._unreported.items()):
-                self._report(name, listener)
+        self.listeners.hand_on(rows)
 
     def _apply_table(self, document: bytes, era: int) -> None:
         try:
@@ -458,7 +409,7 @@
         self._table_era = era
         self._newer_peer = None
         self._document = document
-        self._report("configuration", functools.partial(self.on_table, table))
+        self.listeners.report("configuration", functools.partial(self.on_table, table))
         update = node_frames.TableUpdate(table.version, document, era)
         for name in hall_peers.names(self._links, self._hall):
             self._links.send(name, update)
@@ -513,7 +464,7 @@
         self._has_targets = True
         self._fresh_at = max(self._fresh_at, self._reactor.seconds() - frame.age)
         if is_changed:
-            self._report("targets", self.on_targets)
+            self.listeners.report("targets", self.on_targets)
         self._correct_peer(link.hello.name, changes)
 
     def _held_until(self, unsettled: Iterable[target_view.Unsettled]) -> dict[str, float]:
--- a/src/lineworks/forwarding/node.py
+++ b/src/lineworks/forwarding/node.py
@@ -277,8 +277,8 @@
         self._store.era.listeners.append(self._on_store_restored)
         self._directory.on_table = self._on_table
         self._directory.on_targets = self._on_targets
-        self._directory.row_listeners["registration"] = self._registration.on_changes
-        self._directory.row_listeners["suspects"] = self._suspects.on_changes
+        self._directory.listeners.rows["registration"] = self._registration.on_changes
+        self._directory.listeners.rows["suspects"] = self._suspects.on_changes
         self._registration.on_listed = self._count_instances
         self._calls.on_silence = self._gatherers.mark_all_silent
         links = self._links
@@ -479,8 +479,8 @@
             "lineworks_entries": {
                 "refused": float(self._directory.refused_rows.total),
                 "unusable": float(self._directory.refused_rows.current),
-                "listener_failures": float(self._directory.listener_failures),
-                "rows_refused": float(self._directory.refused_by_listeners.total),
+                "listener_failures": float(self._directory.listeners.failures),
+                "rows_refused": float(self._directory.listeners.refused.total),
                 "node_keys_refused": float(self._registration.refused_count),
             },
             "lineworks_evacuated_halls": dict.fromkeys(sorted(self._evacuated), 1.0),
--- a/src/lineworks/forwarding/target_documents.py
+++ b/src/lineworks/forwarding/target_documents.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import ipaddress
 import json
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import structlog
 
 from lineworks.decisions import positions, target_view
+from lineworks.models import addresses
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
@@ -16,9 +16,6 @@
 MAX_NUMBER = 2**63 - 1
 """Greatest number accepted: the frames that carry positions have 64 bits."""
 
-MAX_PORT = 65535
-"""Greatest TCP port."""
-
 MAX_SECONDS = 86_400.0
 """Longest time for which an entry may be unsettled, in seconds."""
 
@@ -184,7 +181,7 @@
     entry = target_view.TargetEntry(name, *fields)
     if not _is_text(entry.service) or not _is_text(entry.hall):
         raise TargetDocumentError(f"{name[:80]!r}: not the name of a service and a hall")
-    if not _is_ip(entry.host) or not 0 < entry.port <= MAX_PORT:
+    if not addresses.is_ip(entry.host) or not addresses.is_port(entry.port):
         raise TargetDocumentError(f"{name[:80]!r}: not an address")
     if entry.slots < 1 or not _is_number(entry.slots) or not _is_number(entry.born):
         raise TargetDocumentError(f"{name[:80]!r}: a number is out of range")
@@ -197,10 +194,3 @@
 
 def _is_text(value: str) -> bool:
     return bool(value) and not any("\ud800" <= character <= "\udfff" for character in value)
-
-
-def _is_ip(text: str) -> bool:
-    try:
-        return getattr(ipaddress.ip_address(text), "scope_id", None) is None
-    except ValueError:
-        return False
--- a/src/lineworks/models/member.py
+++ b/src/lineworks/models/member.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
-import ipaddress
 import json
 from typing import Any
 
+from lineworks.models import addresses
+
 MAX_TEXT_CHARACTERS = 200
 """Maximum length of a name, a hall or an incarnation, in characters."""
 
-MAX_PORT = 65535
-"""Greatest TCP port."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
@@ -84,20 +82,16 @@
 
 def _host(fields: dict[str, Any]) -> str:
     host = _text(fields, "host", is_required=True)
-    try:
-        address = ipaddress.ip_address(host)
-    except ValueError as error:
-        raise MemberError("host: expected an IP address") from error
-    if getattr(address, "scope_id", None) is not None:
+    if not addresses.is_ip(host):
         raise MemberError("host: expected an IP address without a scope")
     return host
 
 
 def _port(fields: dict[str, Any]) -> int:
     port = fields.get("port")
-    if type(port) is not int or not 0 < port <= MAX_PORT:
-        raise MemberError(f"port: expected a whole number from 1 to {MAX_PORT}")
-    return port
+    if not addresses.is_port(port):
+        raise MemberError(f"port: expected a whole number from 1 to {addresses.MAX_PORT}")
+    return int(port)  # type: ignore[arg-type]
 
 
 def _flag(fields: dict[str, Any], name: str) -> bool:
--- a/src/lineworks/models/settings.py
+++ b/src/lineworks/models/settings.py
@@ -8,10 +8,7 @@
 
 import pydantic
 
-from lineworks.models import _base, node_settings
-
-MAX_PORT = 65535
-"""Greatest TCP port."""
+from lineworks.models import _base, addresses, node_settings
 
 MAX_HALL_DELAY_MS = 60_000.0
 """Longest network delay to another data hall that can be set, in milliseconds."""
@@ -63,8 +60,8 @@
     @classmethod
     def _validate_port(cls, value: str) -> str:
         port = value.removeprefix("http://").partition(":")[2]
-        if port and not 0 < int(port) <= MAX_PORT:
-            raise ValueError(f"expected a port from 1 to {MAX_PORT}")
+        if port and not addresses.is_port(int(port)):
+            raise ValueError(f"expected a port from 1 to {addresses.MAX_PORT}")
         return value
 
     @property
--- a/src/lineworks/platform/_fields.py
+++ b/src/lineworks/platform/_fields.py
@@ -5,6 +5,8 @@
 import json
 from typing import Any
 
+from lineworks.models import addresses
+
 MAX_NUMBER = 2**63 - 1
 """Greatest number accepted in a document: the largest signed 64-bit integer, so that programs in
 other languages can read it."""
@@ -12,8 +14,7 @@
 MAX_VALUE_CHARACTERS = 80
 """Maximum length of an invalid value quoted in an error, in characters."""
 
-_MAX_PORT = 65535
-_MAX_PORT_DIGITS = 5
+_MAX_PORT_DIGITS = len(str(addresses.MAX_PORT))
 
 
 class DocumentError(ValueError):
@@ -171,7 +172,7 @@
     if len(text) > _MAX_PORT_DIGITS or not text.isascii() or not text.isdecimal():
         return None
     port = int(text)
-    return port if 0 < port <= _MAX_PORT else None
+    return port if addresses.is_port(port) else None
 
 
 def is_utf8_encodable(text: str) -> bool:
--- a/src/lineworks/platform/settings.py
+++ b/src/lineworks/platform/settings.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from lineworks.decisions import access, cold_targets, extra_attempts, gather_rate, quota
-from lineworks.models import node_settings
+from lineworks.models import addresses, node_settings
 from lineworks.platform import _fields
 
 VARIABLE = "LINEWORKS_SETTINGS"
@@ -29,9 +29,6 @@
 MAX_DIGITS = 100
 """Maximum number of digits of an integer; the interpreter refuses those of thousands."""
 
-MAX_PORT = 65535
-"""Greatest TCP port."""
-
 _INVALID_NUMBER = math.nan
 """Read in place of a value that does not exist: every field refuses it, and the error names it."""
 
@@ -140,7 +137,7 @@
     host = document.text("Ip")
     listen = document.table("ListenAddrs")
     ports = document.items("PortRange")
-    if len(ports) != 2 or not all(_is_port(port) for port in ports):
+    if len(ports) != 2 or not all(addresses.is_port(port) for port in ports):
         raise _fields.DocumentError("PortRange: expected the first and the last port")
     if ports[0] + METRICS_PORT > ports[1]:
         raise _fields.DocumentError("PortRange: expected at least two ports")
@@ -178,10 +175,6 @@
     )
 
 
-def _is_port(value: Any) -> bool:
-    return type(value) is int and 0 < value <= MAX_PORT
-
-
 def _memory_bytes(limits: _fields.Fields) -> int:
     return int(limits.number("MemoryMb", 0.0) * _MEGABYTE)
 
--- a/tests/test_odd_value_effects.py
+++ b/tests/test_odd_value_effects.py
@@ -294,14 +294,14 @@
             raise KeyError("bad")
 
     for node in world.nodes.values():
-        node._directory.row_listeners["odd"] = listener
+        node._directory.listeners.rows["odd"] = listener
     world.store.write("lineworks/x", bad)
     world.run(3.0)
     directories = [node._directory for node in world.nodes.values()]
-    assert any(one.refused_by_listeners.current for one in directories)
+    assert any(one.listeners.refused.current for one in directories)
     world.store.write("lineworks/x", documents.encode_value("good"))
     world.run(3.0)
-    assert not any(one.refused_by_listeners.current for one in directories)
+    assert not any(one.listeners.refused.current for one in directories)
 
 
 def test_two_failures_in_turn_are_not_logged_at_each_occurrence():
@@ -439,7 +439,7 @@
         store_items.Change(suspect_documents.PREFIX + name, positions.Position(1, 900), value)
         for name in ("aa", "bb", "cc")
     ]
-    node._directory._hand_on("suspects", node._suspects.on_changes, rows)
+    node._directory.listeners._hand_on_to("suspects", node._suspects.on_changes, rows)
     assert sorted(sent) == ["aa", "cc"]
 
 
--- a/tests/test_store_rows.py
+++ b/tests/test_store_rows.py
@@ -278,7 +278,7 @@
     seen = {}
     for name, node in world.nodes.items():
         seen[name] = []
-        listeners = node._directory.row_listeners
+        listeners = node._directory.listeners.rows
         listeners["first"] = failing_once_on("lineworks/x", lambda rows: None)
         listeners["second"] = seen[name].extend
     world.store.write("lineworks/x", documents.encode_value("{}"))
@@ -311,7 +311,7 @@
         world.run(IN_FORCE_SECONDS + 1.5)
     assert statuses(world, "/extra/q") == {200}
     assert all(run.target != leaving.name for run in world.runs)
-    assert node._directory.listener_failures == 3
+    assert node._directory.listeners.failures == 3
     assert sum(line["event"] == "listener_failed" for line in lines) <= 2
 
 
