An odd reply no longer ends lineworks-ctl with a traceback

What operators would see: a traceback when something else answers at the address of an instance, or when a reply can't be parsed or printed.

Cause: the reply was parsed and used as an object without looking; a text with half a character can't be printed.

Evidence: test_an_odd_reply_is_an_error_of_the_command_line_tool: the error that it names is new; on the code before, call raised ValueError or RecursionError for four of its five replies and returned a list for the other.

--- a/src/lineworks/programs/ctl.py
+++ b/src/lineworks/programs/ctl.py
@@ -58,7 +58,7 @@
 from twisted.web import http_headers
 
 from lineworks.models import configuration
-from lineworks.programs import _common, _losses, _node_commands, _timeline
+from lineworks.programs import _common, _log_lines, _losses, _node_commands, _timeline
 from lineworks.services import auth
 
 if TYPE_CHECKING:
@@ -86,6 +86,10 @@
     """The arguments or a file are invalid."""
 
 
+class ReplyError(Exception):
+    """A reply cannot be read; the message gives its status."""
+
+
 class Client:
     """Sends signed requests to an instance."""
 
@@ -114,6 +118,9 @@
 
         Returns:
             HTTP status and the decoded JSON reply.
+
+        Raises:
+            ReplyError: The body of the reply is not a JSON object.
         """
         body = b"" if document is None else json.dumps(document).encode()
         signature = auth.sign(self._secret, method, path, body, time.time())
@@ -121,8 +128,18 @@
         response = await self._http.request(
             method, self._entry + path, data=body or None, headers=headers, timeout=TIMEOUT_SECONDS
         )
-        reply: dict[str, Any] = json.loads(await response.content())
-        return response.code, reply
+        return response.code, _parse_reply(response.code, await response.content())
+
+
+def _parse_reply(status: int, content: bytes) -> dict[str, Any]:
+    """Parse the body of a reply, which may come from anything that listens at the address."""
+    try:
+        reply = json.loads(content)
+    except (ValueError, RecursionError) as error:
+        raise ReplyError(f"status {status} with a body that can't be read as JSON") from error
+    if not isinstance(reply, dict):
+        raise ReplyError(f"status {status} with JSON that is no object")
+    return reply
 
 
 def _read_file(path: str) -> configuration.ConfigurationFile:
@@ -136,9 +153,9 @@
 
 def _print(document: Any, text: str | None = None) -> None:
     if _JSON.value or text is None:
-        print(json.dumps(document, indent=1, ensure_ascii=False))
+        print(_log_lines.text_of(json.dumps(document, indent=1, ensure_ascii=False)))
     else:
-        print(text)
+        print(_log_lines.text_of(text))
 
 
 def _print_failure(status: int, reply: dict[str, Any]) -> int:
@@ -314,7 +331,7 @@
     client = Client(reactor, _NODE.value, b"")
     try:
         status, reply = await client.call(*_node_commands.method_and_path(arguments))
-    except net_error.ConnectError as error:
+    except (net_error.ConnectError, ReplyError) as error:
         return _common.fail(f"{_NODE.value}: {error}", _common.EXIT_FAILED)
     if status != 200:
         return _print_failure(status, reply)
@@ -331,7 +348,7 @@
         return await _WITH_ARGUMENT[command](client, arguments[1])
     except UsageError as error:
         return _common.fail(str(error))
-    except net_error.ConnectError as error:
+    except (net_error.ConnectError, ReplyError) as error:
         return _common.fail(f"{_ENTRY.value}: {error}", _common.EXIT_FAILED)
 
 
--- a/tests/test_odd_operators.py
+++ b/tests/test_odd_operators.py
@@ -8,11 +8,12 @@
 import hypothesis
 import pytest
 from hypothesis import strategies as st
-from twisted.internet import defer
+from twisted.internet import defer, task
 
 from lineworks.decisions import changes
 from lineworks.forwarding import suspect_view
 from lineworks.models import caller_http
+from lineworks.programs import ctl
 from lineworks.services import auth, config_store, operator_api
 from tests import odd_values
 
@@ -100,3 +101,26 @@
     for path in (suspect_view.PATH, suspect_view.LIFT_PATH):
         request = types.SimpleNamespace(target=path + b"?content=" + query, method=method)
         assert suspect_view.answer(request, exchange, 0.0).status in (200, 404, 405)
+
+
+class _Http:
+    def __init__(self, content):
+        self.content = content
+
+    async def request(self, *arguments, **options):
+        async def content():
+            return self.content
+
+        return types.SimpleNamespace(code=200, content=content)
+
+
+ODD_REPLIES = [odd_values.DEEP, odd_values.LONG_NUMBER, "<html>", "[1]", ""]
+
+
+@pytest.mark.parametrize("text", ODD_REPLIES)
+def test_an_odd_reply_is_an_error_of_the_command_line_tool(text):
+    client = ctl.Client(task.Clock(), "http://127.0.0.1:1", b"s")
+    client._http = _Http(text.encode())
+    results = []
+    defer.ensureDeferred(client.call("GET", "/v1/status")).addBoth(results.append)
+    assert results[0].check(ctl.ReplyError)
