--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -48,7 +48,7 @@
     folder.mkdir(parents=True)
     one = runs.Run(reactor, seed, _SECONDS.value, folder, _NODES.value, _RATE.value)
     found = await one.play()
-    broken = checkers.check(found)
+    broken = [*checkers.check(found), *odd_checkers.served_at_the_end(found)]
     _print(seed, one, found, broken, folder)
     return not broken and not one.exits
 
@@ -69,8 +69,9 @@
     used = len(odd_checkers.must_be_used(found))
     peak = max(found.peak_memory_mb.values())
     print(
-        f"  repaired targets that must be used: {used}; peak memory of an instance: {peak:.0f} MB"
+        f"  repaired targets that must be used: {used}; callers sent up to {one.latest:.2f} s late"
     )
+    print(f"  peak memory of an instance: {peak:.0f} MB")
     for promise, count in collections.Counter(row.promise for row in broken).items():
         print(f"  broken: {promise}: {count}")
     for row in broken[:MOST_SHOWN]:
