--- a/tests/test_store_rows.py
+++ b/tests/test_store_rows.py
@@ -355,3 +355,36 @@
     world.configure([{**test_forwarding.SEARCH, **odd}, test_forwarding.READ])
     world.run(IN_FORCE_SECONDS)
     assert statuses(world, "/search/q") == {200}
+
+
+def readers_of(world):
+    """Return the directories that have refused a row."""
+    directories = [node._directory for node in world.nodes.values()]
+    return [one for one in directories if one.refused_rows.total]
+
+
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_an_odd_entry_that_is_removed_is_no_longer_counted_as_unusable(is_listed):
+    world = test_forwarding.build()
+    write_odd_entry(world, "{}")
+    world.run(IN_FORCE_SECONDS)
+    assert {one.refused_rows.current for one in readers_of(world)} == {1}
+    world.drill.remove("servers/i-odd")
+    if is_listed:
+        world.store.compact()
+    world.run(IN_FORCE_SECONDS)
+    assert {one.refused_rows.current for one in readers_of(world)} == {0}
+
+
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_the_reason_why_a_row_cannot_be_read_is_logged(is_listed):
+    world = test_forwarding.build()
+    with structlog.testing.capture_logs() as lines:
+        world.store.write("servers/i-odd", "%%%")
+        world.store.write("servers/\ud800", "e30=")
+        if is_listed:
+            world.store.compact()
+        world.run(IN_FORCE_SECONDS)
+    reasons = {line["event"]: line["error"] for line in lines if "error" in line}
+    assert reasons["entry_refused"].startswith("Value: ")
+    assert "PrivateKey" in reasons["row_skipped"]
